--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,104 @@
+// Package event writes the numbered events of a process as JSON lines, one
+// event a line, by log/slog. Each line carries the process, a sequence number
+// within it and a Lamport clock, so that chicory-timeline can merge the logs of
+// many processes in causal order.
+package event
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Number identifies a kind of event. Numbers are never used again for another kind.
+type Number int
+
+// Keys of the attributes that each event line carries.
+const (
+	KeyNumber  = "event"
+	KeyProcess = "process"
+	KeySeq     = "seq"
+	KeyClock   = "clock"
+)
+
+// Keys of common attributes, so that a time line can be filtered by them.
+const (
+	KeyRequest = "request"
+	KeyAttempt = "attempt"
+	KeyAccount = "account"
+	KeyRouter  = "router"
+	KeyBackend = "backend"
+	KeyBudget  = "budget"
+	KeyCause   = "cause"
+	KeyTokens  = "tokens"
+)
+
+// Log writes events of one process. It is safe for concurrent use.
+type Log struct {
+	process string
+	logger  *slog.Logger
+	clock   atomic.Uint64
+
+	// mu keeps seq and the order of the lines the same: without it two
+	// goroutines could write their lines in the other order than their numbers.
+	mu  sync.Mutex
+	seq uint64
+}
+
+// New makes a log that writes to w as the given process. A nil now means time.Now.
+func New(w io.Writer, process string, level slog.Leveler, now func() time.Time) *Log {
+	options := &slog.HandlerOptions{Level: level}
+	if now != nil {
+		options.ReplaceAttr = func(groups []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey && len(groups) == 0 {
+				a.Value = slog.TimeValue(now())
+			}
+			return a
+		}
+	}
+	return &Log{process: process, logger: slog.New(slog.NewJSONHandler(w, options))}
+}
+
+// Discard is a log that writes nothing.
+func Discard() *Log {
+	return &Log{logger: slog.New(slog.DiscardHandler)}
+}
+
+// Emit writes one event.
+func (l *Log) Emit(n Number, attrs ...slog.Attr) {
+	kind := kindOf(n)
+	if !l.logger.Enabled(context.Background(), kind.Level) {
+		return
+	}
+	all := make([]slog.Attr, 0, len(attrs)+4)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seq++
+	all = append(all,
+		slog.Int(KeyNumber, int(n)),
+		slog.String(KeyProcess, l.process),
+		slog.Uint64(KeySeq, l.seq),
+		slog.Uint64(KeyClock, l.Tick()),
+	)
+	all = append(all, attrs...)
+	l.logger.LogAttrs(context.Background(), kind.Level, kind.Text, all...)
+}
+
+// Tick advances the Lamport clock for an event or a message sent, and returns it.
+func (l *Log) Tick() uint64 {
+	return l.clock.Add(1)
+}
+
+// Observe moves the Lamport clock past that of a received message, so that what
+// follows is ordered after what the sender had done before.
+func (l *Log) Observe(remote uint64) {
+	for {
+		current := l.clock.Load()
+		if remote <= current || l.clock.CompareAndSwap(current, remote) {
+			return
+		}
+	}
+}
