--- /dev/null
+++ b/internal/core/messages.go
@@ -0,0 +1,134 @@
+package core
+
+import (
+	"chicorytiller.example/chicorytiller/internal/bill"
+	"chicorytiller.example/chicorytiller/internal/dedup"
+	"chicorytiller.example/chicorytiller/internal/id"
+	"chicorytiller.example/chicorytiller/internal/member"
+)
+
+// Messages between routers. Each has a reply type of the same name with Reply.
+// Package peer carries them over net/rpc.
+
+// HeartbeatMsg carries a member.Heartbeat.
+type HeartbeatMsg struct {
+	Heartbeat member.Heartbeat `msgpack:"h"`
+}
+
+// HeartbeatReply carries the receiver's own heartbeat, so that one call informs both.
+type HeartbeatReply struct {
+	Heartbeat member.Heartbeat `msgpack:"h"`
+}
+
+// HoldBillsMsg asks the witness to hold bills.
+type HoldBillsMsg struct {
+	Bills []bill.Bill `msgpack:"b"`
+}
+
+// HoldBillsReply has one result a bill, in their order.
+type HoldBillsReply struct {
+	Results []bill.HoldResult `msgpack:"r"`
+}
+
+// AdoptMsg asks a router to become the sender's witness.
+type AdoptMsg struct {
+	Epoch  uint64      `msgpack:"e"`
+	Sums   bill.Sums   `msgpack:"s"`
+	Recent []bill.Bill `msgpack:"r"`
+}
+
+// AdoptReply is empty: an error says that the router refuses.
+type AdoptReply struct{}
+
+// SealMsg asks a witness to accept no further bill of a router.
+type SealMsg struct {
+	Router id.Router `msgpack:"r"`
+	Epoch  uint64    `msgpack:"e"` // of the router's durable record
+}
+
+// SealReply tells what the witness holds of the sealed router.
+type SealReply struct {
+	Sums  bill.Sums `msgpack:"s"`
+	Known bool      `msgpack:"k"`
+}
+
+// ClaimKeyMsg asks the witness of a router that is being retired for the bill of a key.
+type ClaimKeyMsg struct {
+	Router id.Router `msgpack:"r"`
+	Key    dedup.Key `msgpack:"k"`
+}
+
+// ClaimKeyReply tells whether the key was billed.
+type ClaimKeyReply struct {
+	Claim bill.KeyClaim `msgpack:"c"`
+}
+
+// RegisterKeyMsg registers a key at one of its home routers.
+type RegisterKeyMsg struct {
+	Entry dedup.Entry `msgpack:"e"`
+}
+
+// RegisterKeyReply tells of an earlier registration.
+type RegisterKeyReply struct {
+	Existing dedup.Entry `msgpack:"e"`
+	Found    bool        `msgpack:"f"`
+	Warm     bool        `msgpack:"w"` // 'not found' proves something
+}
+
+// LookupKeyMsg asks any router what it knows of a key.
+type LookupKeyMsg struct {
+	Key dedup.Key `msgpack:"k"`
+}
+
+// LookupKeyReply tells what a router knows of a key, by its directory or its own table.
+type LookupKeyReply struct {
+	Entry dedup.Entry `msgpack:"e"`
+	Found bool        `msgpack:"f"`
+}
+
+// TakeoverKeyMsg moves a key from a router that lost it to the sender.
+type TakeoverKeyMsg struct {
+	Entry dedup.Entry `msgpack:"e"` // the sender's own
+	Old   id.Router   `msgpack:"o"`
+}
+
+// TakeoverKeyReply tells who has the key now.
+type TakeoverKeyReply struct {
+	Now dedup.Entry `msgpack:"n"`
+	OK  bool        `msgpack:"k"`
+}
+
+// AwaitAnswerMsg asks the serving router for the answer of a key.
+type AwaitAnswerMsg struct {
+	Key dedup.Key `msgpack:"k"`
+}
+
+// ListBillsMsg asks a router for the bills it made or holds for others.
+type ListBillsMsg struct {
+	Filter bill.Filter `msgpack:"f"`
+}
+
+// ListBillsReply has them, latest first.
+type ListBillsReply struct {
+	Bills []bill.Bill `msgpack:"b"`
+}
+
+// AnswerState says how far a key's request has come at its serving router.
+type AnswerState int
+
+// States of a key's request.
+const (
+	AnswerInProgress AnswerState = iota // still running after the longest wait
+	AnswerDone                          // finished, the answer is in the reply
+	AnswerBilled                        // finished, its text is no longer kept
+	AnswerNone                          // not known here, or ended without a bill
+)
+
+// AwaitAnswerReply brings the answer of a key.
+type AwaitAnswerReply struct {
+	State  AnswerState `msgpack:"s"`
+	Answer Answer      `msgpack:"a"`
+	Bill   bill.Bill   `msgpack:"b"`
+	// Unrun: with AnswerNone, the call of the key was surely never dispatched.
+	Unrun bool `msgpack:"u"`
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"log/slog"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/bill"
+	"chicorytiller.example/chicorytiller/internal/dedup"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/id"
+	"chicorytiller.example/chicorytiller/internal/member"
+)
+
+// Errors given to peers.
+var (
+	// ErrNotServing: this router leaves and takes on no new duty.
+	ErrNotServing = errors.New("core: router does not take on new duties")
+	// ErrUnknownMessage: a message of a later version.
+	ErrUnknownMessage = errors.New("core: unknown message")
+)
+
+// peerCall answers a message from another router.
+func (c *Core) peerCall(ev PeerCall) {
+	var reply any
+	var err error
+	switch msg := ev.Msg.(type) {
+	case HeartbeatMsg:
+		reply = c.heard(msg)
+	case HoldBillsMsg:
+		reply = c.hold(ev.From, msg)
+	case AdoptMsg:
+		reply, err = c.adopt(ev.From, msg)
+	case SealMsg:
+		reply = c.seal(msg)
+	case ClaimKeyMsg:
+		reply = ClaimKeyReply{Claim: c.witness.ClaimKey(c.now, msg.Router, msg.Key)}
+	case RegisterKeyMsg:
+		existing, found := c.home.Register(c.now, msg.Entry)
+		reply = RegisterKeyReply{Existing: existing, Found: found, Warm: c.home.Warm(c.now)}
+	case LookupKeyMsg:
+		reply = c.lookupKey(msg)
+	case TakeoverKeyMsg:
+		reply = c.takeoverHere(msg)
+	case ListBillsMsg:
+		reply = ListBillsReply{Bills: c.Bills(msg.Filter)}
+	case AwaitAnswerMsg:
+		c.awaitAnswer(ev.Ticket, msg)
+		return
+	default:
+		err = ErrUnknownMessage
+	}
+	c.do(PeerReply{Ticket: ev.Ticket, Msg: reply, Err: err})
+}
+
+// lookupKey tells what this router knows of a key as home or as serving router.
+func (c *Core) lookupKey(msg LookupKeyMsg) LookupKeyReply {
+	if entry, found := c.home.Lookup(c.now, msg.Key); found {
+		return LookupKeyReply{Entry: entry, Found: true}
+	}
+	status, found := c.table.Lookup(msg.Key)
+	if !found {
+		return LookupKeyReply{}
+	}
+	return LookupKeyReply{Found: true, Entry: dedup.Entry{
+		Key: msg.Key, Request: status.Request, Serving: c.self, BodyHash: status.BodyHash, At: c.now,
+	}}
+}
+
+// takeoverHere moves a key in this router's directory.
+func (c *Core) takeoverHere(msg TakeoverKeyMsg) TakeoverKeyReply {
+	if _, found := c.home.Lookup(c.now, msg.Entry.Key); !found {
+		entry, _ := c.home.Register(c.now, msg.Entry)
+		return TakeoverKeyReply{Now: entry, OK: true}
+	}
+	entry, ok := c.home.Takeover(c.now, msg.Entry.Key, msg.Old, msg.Entry.Serving)
+	return TakeoverKeyReply{Now: entry, OK: ok}
+}
+
+// awaitAnswer gives a peer the answer of a key that is served here, at once or
+// when it is finished.
+func (c *Core) awaitAnswer(ticket Ticket, msg AwaitAnswerMsg) {
+	status, found := c.table.Lookup(msg.Key)
+	reply := AwaitAnswerReply{State: AnswerNone}
+	switch {
+	case !found:
+		_, reply.Unrun = c.claims.unrun[msg.Key]
+	case status.State == dedup.StateInProgress:
+		c.table.Wait(msg.Key)
+		c.keyWaiters[msg.Key] = append(c.keyWaiters[msg.Key], waiter{peer: ticket, until: c.after(awaitAnswerFor)})
+		return
+	case status.Kept:
+		reply = AwaitAnswerReply{State: AnswerDone, Answer: status.Answer}
+	default:
+		earlier, _, held := c.book.Find(status.Request)
+		if !held {
+			earlier = bill.Bill{Request: status.Request}
+		}
+		reply = AwaitAnswerReply{State: AnswerBilled, Bill: earlier}
+	}
+	c.do(PeerReply{Ticket: ticket, Msg: reply})
+}
+
+// heard takes in a heartbeat and answers with this router's own.
+func (c *Core) heard(msg HeartbeatMsg) HeartbeatReply {
+	return HeartbeatReply{Heartbeat: c.viewStep(member.Received{Heartbeat: msg.Heartbeat})}
+}
+
+// tickView sends the heartbeats that are due and judges who was not heard of.
+func (c *Core) tickView() {
+	if c.stage == stageFenced || c.now.Before(c.viewAt) {
+		return
+	}
+	c.viewAt = c.after(c.config.Member.Period)
+	c.viewStep(c.selfNow())
+	c.viewStep(member.Tick{})
+}
+
+// selfNow is what this router says of itself. A router without a witness can't
+// serve, so it does not say that it serves.
+func (c *Core) selfNow() member.SelfChanged {
+	state := member.Serving
+	if c.stage != stageServing || !c.tenure.active() {
+		state = member.Draining
+	}
+	return member.SelfChanged{Router: c.self, State: state, Witness: c.tenure.witness.Router, Revision: c.state.Revision}
+}
+
+// viewStep steps the view and does what it asks for. It returns the heartbeat
+// that answers a received one.
+func (c *Core) viewStep(ev member.Event) (reply member.Heartbeat) {
+	for _, action := range c.view.Step(c.now, ev) {
+		switch action := action.(type) {
+		case member.Send:
+			c.sendHeartbeat(action)
+		case member.Reply:
+			reply = action.Heartbeat
+		case member.Change:
+			c.viewChanged(action)
+		}
+	}
+	return reply
+}
+
+func (c *Core) sendHeartbeat(send member.Send) {
+	to := member.Peer{Info: member.Info{LinkAddress: send.Address}}
+	callPeer(c, to, HeartbeatMsg{Heartbeat: send.Heartbeat}, func(reply HeartbeatReply, err error) {
+		if err == nil && c.stage != stageFenced {
+			c.viewStep(member.Answered{Heartbeat: reply.Heartbeat})
+		}
+	})
+}
+
+var changeEvents = map[member.ChangeKind]event.Number{
+	member.Joined:    event.PeerJoined,
+	member.Suspected: event.PeerSuspected,
+	member.Recovered: event.PeerRecovered,
+	member.Left:      event.PeerLeft,
+}
+
+func (c *Core) viewChanged(change member.Change) {
+	c.stale = true
+	c.noteLost(change)
+	if number, found := changeEvents[change.Kind]; found {
+		c.emit(number, slog.String(event.KeyRouter, change.Peer.Router.String()))
+	}
+}
+
+// alivePeer gives a router that is alive as far as this one knows: this very
+// incarnation, and not suspected.
+func (c *Core) alivePeer(r id.Router) (member.Peer, bool) {
+	p, found := c.view.Peer(r.VM)
+	return p, found && p.Router == r && !p.Suspected
+}
+
+// Self is this router as others see it.
+func (c *Core) Self() member.Peer {
+	return c.view.Fleet().Self()
+}
+
+// Peers lists the routers that this one knows to be alive, for operators.
+func (c *Core) Peers() []member.Peer {
+	return c.view.Alive()
+}
+
+// Witnessed lists the routers whose bills this router holds.
+func (c *Core) Witnessed() []id.Router {
+	return c.witness.Routers()
+}
--- /dev/null
+++ b/internal/core/tenure.go
@@ -0,0 +1,295 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/bill"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/id"
+	"chicorytiller.example/chicorytiller/internal/member"
+	"chicorytiller.example/chicorytiller/internal/platform"
+	"chicorytiller.example/chicorytiller/internal/settle"
+)
+
+// Pacing of the witness.
+const (
+	witnessRetry    = 200 * time.Millisecond // between tries to find a witness
+	holdRetry       = 50 * time.Millisecond  // between calls to a witness that fails
+	witnessFailures = 3                      // failed calls in a row before another is sought
+	witnessAvoid    = 10 * time.Second       // how long a failed witness isn't chosen again
+)
+
+// tenure is this router's standing: its durable record and its witness.
+type tenure struct {
+	began    bool // the record names this incarnation and a witness
+	changing bool
+	holding  bool // a call to the witness is under way
+	left     bool // ended as planned
+	witness  member.Peer
+	failures int
+	holdAt   time.Time // not before then
+	retryAt  time.Time // of the next try to find a witness
+	avoid    map[id.VM]time.Time
+}
+
+// active tells whether this router may admit requests: bills can be held.
+func (t *tenure) active() bool {
+	return t.began && !t.left
+}
+
+// tickTenure looks for a witness when there is none, or when the one there is
+// has gone or is leaving.
+func (c *Core) tickTenure() {
+	if c.tenure.changing || c.tenure.left || c.stage == stageFenced || c.now.Before(c.tenure.retryAt) {
+		return
+	}
+	if !c.tenure.began {
+		c.changeWitness()
+		return
+	}
+	peer, alive := c.alivePeer(c.tenure.witness.Router)
+	if !alive || peer.State != member.Serving {
+		c.changeWitness()
+	}
+}
+
+// witnessFailed counts a failed call to the witness.
+func (c *Core) witnessFailed(err error) {
+	c.tenure.failures++
+	c.tenure.holdAt = c.after(holdRetry)
+	c.emit(event.WitnessUnreachable, slog.String("witness", c.tenure.witness.Router.String()), slog.Any("error", err))
+	if c.tenure.failures >= witnessFailures {
+		c.avoidWitness(c.tenure.witness.Router.VM)
+		c.changeWitness()
+	}
+}
+
+func (c *Core) avoidWitness(vm id.VM) {
+	if c.tenure.avoid == nil {
+		c.tenure.avoid = make(map[id.VM]time.Time)
+	}
+	c.tenure.avoid[vm] = c.after(witnessAvoid)
+}
+
+// changeWitness takes a new witness: it adopts the sums so far, then the durable
+// record names it, then bills go to it. Until then no bill is sent, so that those
+// who settle this router by the record's witness miss none.
+func (c *Core) changeWitness() {
+	if c.tenure.changing {
+		return
+	}
+	next, found := c.pickWitness()
+	if !found {
+		c.tenure.retryAt = c.after(witnessRetry)
+		return
+	}
+	c.tenure.changing = true
+	c.adoptAt(next, func(epoch uint64, err error) {
+		if err != nil {
+			c.avoidWitness(next.Router.VM)
+			c.changeFailed()
+			return
+		}
+		c.recordWitness(next, epoch)
+	})
+}
+
+// pickWitness takes a router of another failure domain, or else any other: a
+// witness that may fail together with this router is better than none.
+func (c *Core) pickWitness() (member.Peer, bool) {
+	var avoid []id.VM
+	for vm, until := range c.tenure.avoid {
+		if c.now.Before(until) {
+			avoid = append(avoid, vm)
+		}
+	}
+	if p, found := c.view.PickWitness(c.self, avoid...); found {
+		return p, true
+	}
+	others := c.view.Rendezvous(xxhash.Sum64String(string(c.self.VM)), 1, func(p member.Peer) bool {
+		return p.Router.VM != c.self.VM && !slices.Contains(avoid, p.Router.VM) && c.mayWitness(p)
+	})
+	if len(others) == 0 {
+		return member.Peer{}, false
+	}
+	return others[0], true
+}
+
+// mayWitness: at the start of a fleet no router serves yet, since none has a
+// witness; a router that is not yet serving may be a witness all the same.
+func (c *Core) mayWitness(p member.Peer) bool {
+	return p.State == member.Serving || !c.tenure.began
+}
+
+func (c *Core) adoptAt(witness member.Peer, then func(epoch uint64, err error)) {
+	epoch, sums, recent := c.book.BeginChange(c.now)
+	callPeer(c, witness, AdoptMsg{Epoch: epoch, Sums: sums, Recent: recent}, func(_ AdoptReply, err error) {
+		then(epoch, err)
+	})
+}
+
+// recordWitness names the witness in the durable record.
+func (c *Core) recordWitness(next member.Peer, epoch uint64) {
+	c.readRecord(c.self.VM, func(record *settle.RouterRecord, revision platform.Revision, err error) {
+		if err != nil {
+			c.keepWitness()
+			return
+		}
+		if err := c.enterRecord(record, next.Router, epoch); err != nil {
+			c.recordRefused(err)
+			return
+		}
+		c.writeRecord(record, revision, func(err error) { c.recordWritten(next, epoch, err) })
+	})
+}
+
+func (c *Core) enterRecord(record *settle.RouterRecord, witness id.Router, epoch uint64) error {
+	if !c.tenure.began {
+		return record.Begin(c.self, witness, epoch)
+	}
+	return record.ChangeWitness(c.self, witness, epoch)
+}
+
+func (c *Core) recordWritten(next member.Peer, epoch uint64, err error) {
+	switch {
+	case err == nil:
+		c.witnessInForce(next, epoch)
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrOutcomeUnknown):
+		// Read again: either the write landed, which Begin and ChangeWitness
+		// take as done, or another one did, which they judge.
+		c.recordWitness(next, epoch)
+	default:
+		c.keepWitness()
+	}
+}
+
+func (c *Core) witnessInForce(next member.Peer, epoch uint64) {
+	c.tenure.changing = false
+	c.tenure.failures = 0
+	c.tenure.witness = next
+	c.book.FinishChange(epoch)
+	c.emit(event.WitnessChosen, slog.String("witness", next.Router.String()), slog.Uint64("epoch", epoch))
+	if !c.tenure.began {
+		c.tenure.began = true
+		c.stale = true
+		c.settleOwnPast()
+	}
+}
+
+// keepWitness goes back to the witness in force when the record can't be written:
+// it adopts the new epoch, and a settlement that goes by the older record finds
+// it there all the same.
+func (c *Core) keepWitness() {
+	if !c.tenure.began {
+		c.changeFailed()
+		return
+	}
+	c.adoptAt(c.tenure.witness, func(epoch uint64, err error) {
+		if err == nil {
+			c.book.FinishChange(epoch)
+			c.tenure.failures = 0
+		}
+		c.changeFailed()
+	})
+}
+
+func (c *Core) changeFailed() {
+	c.tenure.changing = false
+	c.tenure.retryAt = c.after(witnessRetry)
+}
+
+func (c *Core) recordRefused(err error) {
+	if errors.Is(err, settle.ErrRetiring) || errors.Is(err, settle.ErrSuperseded) {
+		c.fence(err.Error())
+		return
+	}
+	c.changeFailed()
+}
+
+// fence stops this incarnation for good. Others have begun to settle it: what it
+// has not billed by now it may not bill, so it must not end any answer, and its
+// grants may be granted to others.
+func (c *Core) fence(reason string) {
+	if c.stage == stageFenced {
+		return
+	}
+	c.stage = stageFenced
+	c.stale = true
+	c.emit(event.SelfFenced, slog.String(event.KeyCause, reason))
+	for _, r := range c.requests {
+		c.failFenced(r)
+	}
+	c.do(Fence{Reason: reason})
+}
+
+// failFenced answers what waits inside the core; a running request is answered
+// when its Finish or Redispatch comes.
+func (c *Core) failFenced(r *request) {
+	refusal := &Refusal{Cause: CauseFenced, Outcome: OutcomeUnknown, RetryAfter: retrySoon, Detail: "this router was declared dead by others; use another address"}
+	switch {
+	case r.phase == phaseBilling && r.answered:
+		c.do(FinishReply{Ticket: r.ticket, Refusal: refusal})
+	case r.phase == phaseParked || r.phase == phaseKey || r.phase == phaseClaiming:
+		refusal.Outcome = OutcomeNotRun
+		if r.key != "" {
+			refusal.Outcome = OutcomeUnknown
+		}
+		c.do(AdmitReply{Ticket: r.ticket, Refusal: refusal})
+	}
+}
+
+// readRecord reads a VM's durable record.
+func (c *Core) readRecord(vm id.VM, then func(*settle.RouterRecord, platform.Revision, error)) {
+	call := c.newCall(func(value any, err error) {
+		read, _ := value.(platform.Value)
+		if err != nil {
+			then(nil, 0, err)
+			return
+		}
+		record, err := settle.Decode(vm, read.Data)
+		then(record, read.Revision, err)
+	})
+	c.do(ReadKey{Call: call, Key: settle.RecordKey(vm)})
+}
+
+// writeRecord compares and swaps a VM's durable record.
+func (c *Core) writeRecord(record *settle.RouterRecord, expect platform.Revision, then func(error)) {
+	data, err := record.Encode()
+	if err != nil {
+		then(err)
+		return
+	}
+	call := c.newCall(func(_ any, err error) { then(err) })
+	c.do(WriteKey{Call: call, Key: settle.RecordKey(record.VM), Expect: expect, Data: data})
+}
+
+// adopt, hold, seal and claimKey serve other routers as their witness.
+
+func (c *Core) adopt(from id.Router, msg AdoptMsg) (AdoptReply, error) {
+	if c.stage != stageServing {
+		return AdoptReply{}, ErrNotServing
+	}
+	return AdoptReply{}, c.witness.Adopt(c.now, from, msg.Epoch, msg.Sums, msg.Recent)
+}
+
+func (c *Core) hold(from id.Router, msg HoldBillsMsg) HoldBillsReply {
+	results := c.witness.Hold(c.now, from, msg.Bills)
+	return HoldBillsReply{Results: results}
+}
+
+func (c *Core) seal(msg SealMsg) SealReply {
+	sums, known := c.witness.Seal(msg.Router, msg.Epoch)
+	c.emit(event.RouterSealed, slog.String(event.KeyRouter, msg.Router.String()), slog.Bool("known", known))
+	return SealReply{Sums: sums, Known: known}
+}
+
+// Bills lists the recent bills of this router and those it holds for others, so
+// that the bills of a dead router are still listed by its witness.
+func (c *Core) Bills(filter bill.Filter) []bill.Bill {
+	return append(c.book.Recent(filter), c.witness.Recent(filter)...)
+}
--- /dev/null
+++ b/internal/enginestub/answererror.go
@@ -0,0 +1,45 @@
+package enginestub
+
+import (
+	"github.com/gofiber/fiber/v2"
+	"github.com/pkg/errors"
+)
+
+// errorBody is the OpenAI form of an error answer.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    int    `json:"code"`
+}
+
+// answerError turns this package's errors into answers. 503 and 429 promise
+// that nothing ran.
+func answerError(c *fiber.Ctx, err error) error {
+	status := statusOf(err)
+	detail := errorDetail{Message: err.Error(), Type: "engine_error", Code: status}
+	return c.Status(status).JSON(errorBody{Error: detail})
+}
+
+func statusOf(err error) int {
+	var known *fiber.Error
+	switch {
+	case errors.Is(err, ErrLeaving), errors.Is(err, ErrModelNotLoaded):
+		return fiber.StatusServiceUnavailable
+	case errors.Is(err, ErrQueueFull):
+		return fiber.StatusTooManyRequests
+	case errors.Is(err, ErrAttemptKnown), errors.Is(err, ErrOldFencing):
+		return fiber.StatusConflict
+	case errors.Is(err, ErrStreamNotFound):
+		return fiber.StatusNotFound
+	case errors.Is(err, ErrBadRequest):
+		return fiber.StatusBadRequest
+	case errors.As(err, &known):
+		return known.Code
+	default:
+		return fiber.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/internal/enginestub/host.go
@@ -0,0 +1,151 @@
+package enginestub
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/pkg/errors"
+)
+
+// Limits of the HTTP server.
+const (
+	maxBodyBytes     = 16 << 20
+	idleTimeout      = time.Minute
+	shutdownDeadline = 2 * time.Second
+)
+
+// host serves a fiber app on one listener and can break all its connections
+// at once, as the death of the process would.
+type host struct {
+	app *fiber.App
+
+	mu       sync.Mutex
+	closed   bool
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+}
+
+func newHost() *host {
+	return &host{
+		app: fiber.New(fiber.Config{
+			DisableStartupMessage: true,
+			BodyLimit:             maxBodyBytes,
+			IdleTimeout:           idleTimeout,
+			ErrorHandler:          answerError,
+		}),
+		conns: make(map[net.Conn]struct{}),
+	}
+}
+
+// Serve answers on the listener until Close.
+func (h *host) Serve(listener net.Listener) error {
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return listener.Close()
+	}
+	h.listener = listener
+	h.mu.Unlock()
+	err := h.app.Listener(&trackedListener{Listener: listener, host: h})
+	if err != nil && !h.isClosed() {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// Addr is the listener's "IP:port"; empty before Serve.
+func (h *host) Addr() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.listener == nil {
+		return ""
+	}
+	return h.listener.Addr().String()
+}
+
+// BreakConnections closes all connections without an answer; new ones are
+// taken.
+func (h *host) BreakConnections() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for conn := range h.conns {
+		_ = conn.Close()
+	}
+	clear(h.conns)
+}
+
+// Shutdown takes no further connection and waits, up to limit, until the open
+// answers are sent. Close has to follow.
+func (h *host) Shutdown(limit time.Duration) error {
+	return errors.Wrap(h.app.ShutdownWithTimeout(limit), "shut down")
+}
+
+// kill closes the listener and all connections at once.
+func (h *host) kill() {
+	h.mu.Lock()
+	h.closed = true
+	if h.listener != nil {
+		_ = h.listener.Close()
+	}
+	h.mu.Unlock()
+	h.BreakConnections()
+}
+
+// shutdown frees what is left after kill.
+func (h *host) shutdown() {
+	_ = h.app.ShutdownWithTimeout(shutdownDeadline)
+}
+
+func (h *host) isClosed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.closed
+}
+
+// add notes a new connection. One that was accepted while kill ran is closed,
+// else it would outlive the crash and still be answered.
+func (h *host) add(conn net.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		_ = conn.Close()
+		return
+	}
+	h.conns[conn] = struct{}{}
+}
+
+func (h *host) remove(conn net.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.conns, conn)
+}
+
+// trackedListener tells the host of its connections.
+type trackedListener struct {
+	net.Listener
+	host *host
+}
+
+// Accept waits for the next connection.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.host.add(conn)
+	return &trackedConn{Conn: conn, host: l.host}, nil
+}
+
+// trackedConn leaves the host's set when it is closed.
+type trackedConn struct {
+	net.Conn
+	host *host
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.host.remove(c.Conn)
+	return c.Conn.Close()
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -17,6 +17,7 @@
 	DrainFinished   Number = 103
 	ProcessStopped  Number = 104
 	SettingsApplied Number = 105
+	ListenerFailed  Number = 106
 )
 
 // Events of a request.
@@ -42,13 +43,14 @@
 
 // Events of bills and of the settlement of dead routers.
 const (
-	BillHeld          Number = 400
-	BillRefused       Number = 401
-	WitnessChosen     Number = 402
-	SettlementStarted Number = 403
-	RouterSealed      Number = 404
-	SettlementDone    Number = 405
-	SelfFenced        Number = 406
+	BillHeld           Number = 400
+	BillRefused        Number = 401
+	WitnessChosen      Number = 402
+	SettlementStarted  Number = 403
+	RouterSealed       Number = 404
+	SettlementDone     Number = 405
+	SelfFenced         Number = 406
+	WitnessUnreachable Number = 407
 )
 
 // Events of the configuration.
@@ -87,6 +89,7 @@
 	{DrainFinished, slog.LevelInfo, "drain finished"},
 	{ProcessStopped, slog.LevelInfo, "process stopped"},
 	{SettingsApplied, slog.LevelInfo, "settings applied"},
+	{ListenerFailed, slog.LevelError, "listener failed"},
 	{RequestAdmitted, slog.LevelDebug, "request admitted"},
 	{RequestRefused, slog.LevelInfo, "request refused"},
 	{AttemptDispatched, slog.LevelDebug, "attempt dispatched"},
@@ -107,6 +110,7 @@
 	{RouterSealed, slog.LevelInfo, "router sealed at its witness"},
 	{SettlementDone, slog.LevelInfo, "settlement of a router done"},
 	{SelfFenced, slog.LevelError, "this router was sealed by others and stops serving"},
+	{WitnessUnreachable, slog.LevelWarn, "witness unreachable"},
 	{ConfigAccepted, slog.LevelInfo, "configuration change accepted"},
 	{ConfigInForce, slog.LevelInfo, "configuration in force"},
 	{ConfigConflict, slog.LevelInfo, "configuration change lost a race"},
--- /dev/null
+++ b/internal/event/catalogue_test.go
@@ -0,0 +1,65 @@
+package event
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// row matches a row of docs/EVENTS.md that describes an event.
+var row = regexp.MustCompile(`(?m)^\| (\d+) \| ([A-Z]+) \| ([^|]+) \| [^|]+ \| [^|]+ \| [^|]+ \|$`)
+
+func TestCatalogueEqualsPage(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	c.Assert(err, qt.IsNil)
+	var documented, coded [][]string
+	for _, match := range row.FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, match[1:])
+	}
+	for _, kind := range Catalogue {
+		coded = append(coded, []string{strconv.Itoa(int(kind.Number)), kind.Level.String(), kind.Text})
+	}
+	c.Assert(documented, qt.DeepEquals, coded)
+}
+
+func TestNumbersAreUniqueAndInCatalogue(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(byNumber, qt.HasLen, len(Catalogue), qt.Commentf("a number stands twice in the catalogue"))
+	declared := declaredNumbers(c)
+	c.Assert(declared, qt.HasLen, len(Catalogue))
+	for name, number := range declared {
+		_, found := byNumber[number]
+		c.Assert(found, qt.IsTrue, qt.Commentf("%s = %d is not in the catalogue", name, number))
+	}
+}
+
+// declaredNumbers gives the constants of type Number that catalogue.go declares.
+func declaredNumbers(c *qt.C) map[string]Number {
+	file, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+	c.Assert(err, qt.IsNil)
+	declared := map[string]Number{}
+	ast.Inspect(file, func(node ast.Node) bool {
+		spec, isSpec := node.(*ast.ValueSpec)
+		if !isSpec {
+			return true
+		}
+		kind, isIdent := spec.Type.(*ast.Ident)
+		if !isIdent || kind.Name != "Number" {
+			return true
+		}
+		for i, name := range spec.Names {
+			number, err := strconv.Atoi(spec.Values[i].(*ast.BasicLit).Value)
+			c.Assert(err, qt.IsNil)
+			declared[name.Name] = Number(number)
+		}
+		return true
+	})
+	return declared
+}
--- /dev/null
+++ b/internal/gateway/chat_test.go
@@ -0,0 +1,389 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/backend"
+	"chicorytiller.example/chicorytiller/internal/core"
+	"chicorytiller.example/chicorytiller/internal/id"
+)
+
+func helloScript() []step {
+	return []step{word(0, "Hel"), word(1, "lo"), finish(2)}
+}
+
+func TestWholeAnswer(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = helloScript()
+	got := r.chat(false)
+	c.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf(got.body))
+	var whole completionAnswer
+	c.Assert(json.Unmarshal([]byte(got.body), &whole), qt.IsNil)
+	c.Assert(whole.Choices[0].Message.Content, qt.Equals, "Hello")
+	c.Assert(whole.Choices[0].FinishReason, qt.Equals, finishStop)
+	c.Assert(whole.Usage.TotalTokens, qt.Equals, promptOfBody+2)
+	c.Assert(r.gate.finished[0].Answer.Content, qt.Equals, "Hello")
+	c.Assert(r.gate.admits[0].PromptTokens, qt.Equals, promptOfBody)
+	c.Assert(int(r.gate.admits[0].MaxTokens), qt.Equals, 100)
+	c.Assert(r.engine.generated[0].MaxTokens, qt.Equals, r.gate.admits[0].MaxTokens)
+	r.checkSettled(c)
+}
+
+func TestStreamedAnswerHasUsageThenDone(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = helloScript()
+	got := r.chat(true)
+	c.Assert(got.err, qt.IsNil)
+	all := events(got.body)
+	c.Assert(textOf(c, all), qt.Equals, "Hello")
+	c.Assert(all[len(all)-1], qt.Equals, doneMarker)
+	var last chunkAnswer
+	c.Assert(json.Unmarshal([]byte(all[len(all)-2]), &last), qt.IsNil)
+	c.Assert(last.Usage.TotalTokens, qt.Equals, promptOfBody+2)
+	c.Assert(strings.Count(got.body, `"usage"`), qt.Equals, 1)
+	r.checkSettled(c)
+}
+
+// The caller has read all text while the bill is still on its way. It must not
+// see the finish reason before the bill is held: were the router to die in
+// between, the caller would have a whole answer that nobody billed.
+func TestEndIsHeldUntilFinishReturns(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = helloScript()
+	r.gate.finishing = make(chan struct{})
+	r.gate.finishGo = make(chan struct{})
+	conn, reader := r.dial("")
+	defer conn.Close()
+	r.readUntil(reader, `"lo"`)
+	<-r.gate.finishing
+	c.Assert(reader.Buffered() < len(doneMarker), qt.IsTrue) // only the rest of the HTTP chunk
+	close(r.gate.finishGo)
+	r.readUntil(reader, `"finish_reason":"stop"`)
+	r.readUntil(reader, doneMarker)
+}
+
+// The bill can't be held. The caller gets an error event in place of the end, the
+// connection breaks off without [DONE], and nothing claims that it did not run.
+func TestFinishFails(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = helloScript()
+	r.gate.finishErr = &core.Refusal{Cause: core.CauseFenced, Outcome: core.OutcomeNotRun}
+	got := r.chat(true)
+	c.Assert(got.err, qt.IsNotNil)
+	all := events(got.body)
+	c.Assert(got.body, qt.Not(qt.Contains), doneMarker)
+	c.Assert(got.body, qt.Not(qt.Contains), `"stop"`)
+	failure := errorIn(c, all[len(all)-1])
+	c.Assert(failure.Cause, qt.Equals, core.CauseFenced)
+	c.Assert(failure.Outcome, qt.Equals, core.OutcomeUnknown)
+
+	whole := r.chat(false)
+	c.Assert(whole.status, qt.Equals, http.StatusServiceUnavailable)
+	r.checkSettled(c)
+}
+
+// The stream breaks in the middle and is resumed at the same engine, which
+// repeats a chunk. The caller reads the same bytes as without the break.
+func TestResumeGivesTheSameBytes(t *testing.T) {
+	c := qt.New(t)
+	calm := newRig(t)
+	calm.engine.scripts["a1"] = helloScript()
+	want := calm.chat(true, headerIdempotencyKey, "k").body
+
+	for name, break1 := range map[string]step{
+		"connection broken":  broken(),
+		"end without finish": {err: errors.New("EOF")},
+		"chunk out of place": word(5, "X"),
+	} {
+		c.Run(name, func(c *qt.C) {
+			r := newRig(t)
+			r.engine.scripts["a1"] = []step{word(0, "Hel"), break1}
+			r.engine.scripts["a1+1"] = []step{word(0, "Hel"), word(1, "lo"), finish(2)}
+			got := r.chat(true)
+			c.Assert(withoutCreated(got.body), qt.Equals, withoutCreated(want))
+			c.Assert(r.gate.failed, qt.HasLen, 0)
+			r.checkSettled(c)
+		})
+	}
+}
+
+// withoutCreated drops the time stamp of the gateway's own chunk.
+func withoutCreated(body string) string {
+	head, tail, _ := strings.Cut(body, `"created":`)
+	_, tail, _ = strings.Cut(tail, ",")
+	return head + tail
+}
+
+// The engine that ran the stream is lost, and another one starts anew. Its chunks
+// fall differently, but its text agrees with what the caller has: the answer goes
+// on behind it. Where the text differs, the caller gets an explicit error.
+func TestRestartAtAnotherBackendServer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		second []step
+		want   string // "": an error
+	}{
+		"same text, other chunks": {[]step{word(0, "H"), word(1, "ello"), word(2, "!"), finish(3)}, "Hello!"},
+		"other text":              {[]step{word(0, "Hal"), word(1, "lo"), finish(2)}, ""},
+		"shorter than sent":       {[]step{word(0, "He"), finish(1)}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t)
+			r.engine.scripts["a1"] = []step{word(0, "Hel"), broken()}
+			r.engine.scripts["a2"] = tc.second
+			r.gate.redispatches = []core.Dispatch{{Attempt: "a2", Backend: backend.Ref{ID: "b2"}}}
+			got := r.chat(true)
+			all := events(got.body)
+			if tc.want != "" {
+				c.Assert(textOf(c, all), qt.Equals, tc.want)
+				c.Assert(all[len(all)-1], qt.Equals, doneMarker)
+				c.Assert(r.gate.finished[0].Answer.Content, qt.Equals, tc.want)
+			} else {
+				c.Assert(textOf(c, all), qt.Equals, "Hel")
+				failure := errorIn(c, all[len(all)-1])
+				c.Assert(failure.Cause, qt.Equals, core.CauseBackendFailed)
+				c.Assert(failure.Outcome, qt.Equals, core.OutcomeUnknown)
+				c.Assert(got.err, qt.IsNotNil)
+			}
+			c.Assert(errors.Is(r.gate.failed[0].Err, backend.ErrBroken), qt.IsTrue)
+			r.checkSettled(c)
+		})
+	}
+}
+
+func TestWholeAnswerMayRestartWithAnotherText(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = []step{word(0, "Hel"), broken()}
+	r.engine.scripts["a2"] = []step{word(0, "Ciao"), finish(1)}
+	r.gate.redispatches = []core.Dispatch{{Attempt: "a2"}}
+	got := r.chat(false)
+	c.Assert(got.body, qt.Contains, `"content":"Ciao"`)
+	r.checkSettled(c)
+}
+
+// An engine ignores its output cap. The caller's answer and its bill end at what
+// was reserved, and the engine is told to stop.
+func TestCutAtTheReservation(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.gate.reserved = promptOfBody + 2
+	r.engine.scripts["a1"] = []step{word(0, "a"), word(1, "b"), word(2, "c"), finish(3)}
+	got := r.chat(true)
+	c.Assert(textOf(c, events(got.body)), qt.Equals, "ab")
+	c.Assert(got.body, qt.Contains, `"finish_reason":"length"`)
+	c.Assert(r.gate.finished[0].Usage.Total(), qt.Equals, promptOfBody+2)
+	r.shutdown()
+	c.Assert(r.engine.cancelled, qt.HasLen, 1)
+	r.checkSettled(c)
+}
+
+// A wrong count of an engine must not bill more than was reserved.
+func TestUsageIsHeldWithinTheReservation(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	last := finish(1)
+	last.chunk.Usage = &backend.Usage{PromptTokens: 9999, CompletionTokens: 9999}
+	r.engine.scripts["a1"] = []step{word(0, "a"), last}
+	r.chat(false)
+	c.Assert(r.gate.finished[0].Usage.Total(), qt.Equals, promptOfBody+100)
+}
+
+// The caller hangs up in mid-stream: the engine is told to stop, and what was
+// sent is billed. The write that fails comes with the next token.
+func TestCallerHangsUp(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.canceling = make(chan id.Attempt, 1)
+	r.engine.scripts["a1"] = endless()
+	conn, reader := r.dial("")
+	r.readUntil(reader, `"w"`)
+	c.Assert(conn.Close(), qt.IsNil)
+	c.Assert(<-r.engine.canceling, qt.Equals, id.Attempt("a1"))
+	r.shutdown()
+	c.Assert(r.gate.abandoned, qt.DeepEquals, []core.Cause{core.CauseCallerGone})
+	c.Assert(r.gate.used.PromptTokens, qt.Equals, promptOfBody)
+	c.Assert(r.gate.used.CompletionTokens > 0, qt.IsTrue)
+	c.Assert(r.server.InFlight(), qt.Equals, 0)
+	r.checkSettled(c)
+}
+
+// A caller with an idempotency key hangs up. The run goes on without it and is
+// billed once, so that the retry finds the whole answer.
+func TestKeyedCallerHangsUp(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = endless()
+	conn, reader := r.dial("Idempotency-Key: k\r\n")
+	r.readUntil(reader, `"w"`)
+	c.Assert(conn.Close(), qt.IsNil)
+	r.shutdown()
+	c.Assert(r.gate.abandoned, qt.HasLen, 0)
+	c.Assert(r.gate.finished[0].Answer.Content, qt.Equals, strings.Repeat("w", 100))
+	c.Assert(r.engine.cancelled, qt.HasLen, 0)
+	r.checkSettled(c)
+}
+
+func TestDeadline(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script  []step
+		openErr error
+		outcome core.Outcome
+	}{
+		"in flight": {script: []step{{wait: true}}, outcome: core.OutcomeUnknown},
+		"not run":   {openErr: backend.ErrNotRun, outcome: core.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t)
+			start := time.Now()
+			r.server.config.Now = func() time.Time { return start }
+			r.engine.scripts["a1"] = tc.script
+			r.engine.openErr["a1"] = tc.openErr
+			got := r.chat(false, headerDeadline, "20")
+			failure := errorIn(c, got.body)
+			c.Assert(failure.Outcome, qt.Equals, tc.outcome)
+			if tc.openErr == nil {
+				c.Assert(got.status, qt.Equals, http.StatusGatewayTimeout)
+			}
+			c.Assert(r.gate.abandoned, qt.HasLen, 1)
+			r.checkSettled(c)
+		})
+	}
+}
+
+func TestReplay(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.gate.replay = &core.Answer{Content: "Hello", FinishReason: finishStop, Usage: backend.Usage{CompletionTokens: 2}}
+	c.Assert(r.chat(false, headerIdempotencyKey, "k").body, qt.Contains, `"content":"Hello"`)
+	streamed := r.chat(true, headerIdempotencyKey, "k")
+	c.Assert(textOf(c, events(streamed.body)), qt.Equals, "Hello")
+	c.Assert(streamed.body, qt.Contains, doneMarker)
+	c.Assert(len(r.gate.finished)+len(r.gate.abandoned)+len(r.engine.generated), qt.Equals, 0)
+}
+
+// A dispatch that names an earlier attempt's stream continues it from its start;
+// where the engine has dropped it, the answer is generated.
+func TestResumeFrom(t *testing.T) {
+	for name, generated := range map[string]int{"a0+0": 0, "a1": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t)
+			r.gate.first.ResumeFrom = "a0"
+			r.engine.scripts[name] = helloScript()
+			c.Assert(r.chat(false).body, qt.Contains, "Hello")
+			c.Assert(r.engine.generated, qt.HasLen, generated)
+			c.Assert(string(r.gate.finished[0].Attempt), qt.Equals, "a1")
+		})
+	}
+}
+
+// While a stream runs, the router is told to stop. The caller still gets the
+// whole answer, and only then does Shutdown return.
+func TestShutdownLetsAStreamFinish(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.engine.scripts["a1"] = helloScript()
+	r.gate.finishing = make(chan struct{})
+	r.gate.finishGo = make(chan struct{})
+	conn, reader := r.dial("")
+	defer conn.Close()
+	r.readUntil(reader, `"lo"`)
+	<-r.gate.finishing
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); r.shutdown() }()
+	c.Assert(<-r.served, qt.IsNil) // no longer accepting
+	c.Assert(r.server.InFlight(), qt.Equals, 1)
+	close(r.gate.finishGo)
+	r.readUntil(reader, doneMarker)
+	<-stopped
+	c.Assert(r.server.InFlight(), qt.Equals, 0)
+}
+
+func TestBadRequests(t *testing.T) {
+	valid := fmt.Sprintf(testBody, false)
+	with := func(field string) string { return strings.TrimSuffix(valid, "}") + "," + field + "}" }
+	for name, tc := range map[string]struct {
+		body    string
+		headers []string
+		status  int
+		cause   core.Cause
+	}{
+		"no key":            {valid, []string{"Authorization", ""}, 401, core.CauseBadKey},
+		"wrong key":         {valid, []string{"Authorization", "Bearer no"}, 401, core.CauseBadKey},
+		"broken JSON":       {`{"model":`, nil, 400, core.CauseBadRequest},
+		"no object":         {`[]`, nil, 400, core.CauseBadRequest},
+		"not UTF-8":         {"{\"model\":\"\xff\"}", nil, 400, core.CauseBadRequest},
+		"no messages":       {`{"model":"m"}`, nil, 400, core.CauseBadRequest},
+		"empty messages":    {`{"model":"m","messages":[]}`, nil, 400, core.CauseBadRequest},
+		"unknown model":     {strings.Replace(valid, `"m"`, `"x"`, 1), nil, 404, core.CauseUnknownModel},
+		"model not allowed": {strings.Replace(valid, `"m"`, `"other"`, 1), nil, 403, core.CauseNotAllowed},
+		"negative max":      {with(`"max_tokens":-1`), nil, 400, core.CauseBadRequest},
+		"absurd max":        {with(`"max_tokens":1e30`), nil, 400, core.CauseBadRequest},
+		"n of 2":            {with(`"n":2`), nil, 400, core.CauseBadRequest},
+		"tools":             {with(`"tools":[]`), nil, 400, core.CauseBadRequest},
+		"field twice":       {with(`"model":"m"`), nil, 400, core.CauseBadRequest},
+		"image part":        {`{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, core.CauseBadRequest},
+		"past the context":  {strings.Replace(valid, "12345678", strings.Repeat("x", 4000), 1), nil, 413, core.CauseTooLarge},
+		"oversize body":     {strings.Replace(valid, "12345678", strings.Repeat("x", 70<<10), 1), nil, 413, core.CauseTooLarge},
+		"encoded body":      {valid, []string{"Content-Encoding", "gzip"}, 400, core.CauseBadRequest},
+		"bad deadline":      {valid, []string{headerDeadline, "-5"}, 400, core.CauseBadRequest},
+		"long key":          {valid, []string{headerIdempotencyKey, strings.Repeat("k", 256)}, 400, core.CauseBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t)
+			got := r.do(http.MethodPost, pathChat, tc.body, tc.headers...)
+			c.Assert(got.status, qt.Equals, tc.status, qt.Commentf(got.body))
+			failure := errorIn(c, got.body)
+			c.Assert(failure.Cause, qt.Equals, tc.cause)
+			c.Assert(failure.Outcome, qt.Equals, core.OutcomeNotRun)
+			c.Assert(failure.Message, qt.Not(qt.Equals), "")
+			c.Assert(r.gate.admits, qt.HasLen, 0)
+		})
+	}
+}
+
+// A caller's engine calls the request wrong, or no backend server takes it: a
+// typed error, nothing billed, and the outcome says that it did not run.
+func TestNeverRan(t *testing.T) {
+	for failure, cause := range map[error]core.Cause{
+		backend.ErrRejected: core.CauseBadRequest,
+		backend.ErrNotRun:   core.CauseNoBackend,
+	} {
+		c := qt.New(t)
+		r := newRig(t)
+		r.engine.openErr["a1"] = failure
+		got := errorIn(c, r.chat(true).body)
+		c.Assert(got.Cause, qt.Equals, cause)
+		c.Assert(got.Outcome, qt.Equals, core.OutcomeNotRun)
+		c.Assert(r.gate.used, qt.Equals, backend.Usage{})
+		r.checkSettled(c)
+	}
+}
+
+func TestRefusalTellsWhenAndWhere(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	r.gate.snapshot.Routers = append(r.gate.snapshot.Routers,
+		core.RouterView{ID: router("vm2"), CallerAddress: "10.0.0.2:80", Serving: true})
+	r.gate.admitErr = &core.Refusal{Cause: core.CauseDraining, Outcome: core.OutcomeNotRun, RetryAfter: 1200 * time.Millisecond}
+	got := r.chat(true)
+	c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(got.header.Get(headerRetryAfter), qt.Equals, "2")
+	c.Assert(got.header.Get(headerEntry), qt.Equals, "10.0.0.2:80")
+	c.Assert(int(errorIn(c, got.body).RetryAfterMS), qt.Equals, 1200)
+}
--- /dev/null
+++ b/internal/gateway/parse_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/contract"
+	"chicorytiller.example/chicorytiller/internal/id"
+)
+
+var testLimits = parseLimits{messages: 4, maxOutputAsked: 1000}
+
+func TestParseChat(t *testing.T) {
+	c := qt.New(t)
+	body := `{"model":"m","stream":true,"max_tokens":7,"max_completion_tokens":5,"temperature":0.1,"messages":[
+		{"role":"system","content":"ab\u0041"},
+		{"role":"user","name":"xy","content":[{"type":"text","text":"cd"},{"type":"text","text":"é"}]}]}`
+	got, err := parseChat([]byte(body), testLimits)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, chatRequest{Model: "m", Stream: true, ContentBytes: 3 + 2 + 2 + 2, MaxTokens: 5})
+}
+
+func TestBoundsOfTokens(t *testing.T) {
+	c := qt.New(t)
+	model := contract.Model{BytesPerToken: 4}
+	for bytes, want := range map[int64]id.Tokens{0: 0, 1: 1, 4: 1, 5: 2} {
+		c.Assert(promptBound(bytes, model), qt.Equals, want)
+	}
+	c.Assert(outputCap(0, 0, 9), qt.Equals, id.Tokens(9))
+	c.Assert(outputCap(0, 7, 9), qt.Equals, id.Tokens(7))
+	c.Assert(outputCap(5, 7, 9), qt.Equals, id.Tokens(5))
+	c.Assert(outputCap(50, 70, 9), qt.Equals, id.Tokens(9))
+}
+
+// FuzzParseChat holds the parser against the standard library's decoder, as an
+// engine might use it: what passes must mean the same to both, else a request
+// could reserve for less than it runs.
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":3}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"\ud800"}]}]}`))
+	f.Add([]byte(`{"model":"m","model":"n","messages":[]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		got, err := parseChat(body, testLimits)
+		if err != nil {
+			return
+		}
+		var want struct {
+			Model     id.Model `json:"model"`
+			Stream    bool     `json:"stream"`
+			MaxTokens *float64 `json:"max_tokens"`
+			Messages  []struct {
+				Content any `json:"content"`
+			} `json:"messages"`
+		}
+		if err := json.Unmarshal(body, &want); err != nil {
+			t.Fatalf("%q passed, but: %v", body, err)
+		}
+		if got.Model != want.Model || got.Stream != want.Stream {
+			t.Fatalf("%q: got %+v, want %+v", body, got, want)
+		}
+		if want.MaxTokens != nil && float64(got.MaxTokens) > *want.MaxTokens {
+			t.Fatalf("%q: output cap %d above %v", body, got.MaxTokens, *want.MaxTokens)
+		}
+		var least int64
+		for _, message := range want.Messages {
+			if text, ok := message.Content.(string); ok {
+				least += int64(len(text))
+			}
+		}
+		if got.ContentBytes < least {
+			t.Fatalf("%q: counted %d bytes of %d", body, got.ContentBytes, least)
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,144 @@
+// Package gateway is the callers' listener of a router: the OpenAI-compatible
+// chat completions, the model list, the entry addresses and the plain services.
+// It parses and authenticates, asks the core.Gate for leave, drives the backend
+// server and answers. It decides nothing about budgets, limits or routing.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/recover"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/backend"
+	"chicorytiller.example/chicorytiller/internal/core"
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// Paths of the callers' API.
+const (
+	pathChat     = "/v1/chat/completions"
+	pathModels   = "/v1/models"
+	pathEntry    = "/v1/entry"
+	pathServices = "/v1/services/"
+)
+
+// Server is the callers' listener.
+type Server struct {
+	config  Config
+	gate    core.Gate
+	engine  backend.Engine
+	service backend.Service
+	events  *event.Log
+	metrics *metrics
+	app     *fiber.App
+
+	inFlight atomic.Int64
+	// work holds cancellations and runs that go on without their caller.
+	work conc.WaitGroup
+}
+
+// New makes a listener. It fails when its metrics can't be registered.
+func New(config Config, gate core.Gate, engine backend.Engine, service backend.Service,
+	events *event.Log, registerer prometheus.Registerer) (*Server, error) {
+	s := &Server{
+		config:  config.withDefaults(),
+		gate:    gate,
+		engine:  engine,
+		service: service,
+		events:  events,
+	}
+	m, err := newMetrics(registerer, func() float64 { return float64(s.InFlight()) })
+	if err != nil {
+		return nil, errors.Wrap(err, "gateway: metrics")
+	}
+	s.metrics = m
+	s.app = s.newApp()
+	return s, nil
+}
+
+func (s *Server) newApp() *fiber.App {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		BodyLimit:             s.config.BodyLimit,
+		ReadBufferSize:        s.config.HeaderLimit,
+		Concurrency:           s.config.MaxConnections,
+		ReadTimeout:           s.config.ReadTimeout,
+		IdleTimeout:           s.config.IdleTimeout,
+		ErrorHandler:          s.writeError,
+		// Strings taken from a request outlive its handler here (streams and
+		// runs without a caller), so fiber must copy them.
+		Immutable:     true,
+		CaseSensitive: true,
+		// A form would otherwise be parsed away from the body that a plain
+		// service is to get.
+		DisablePreParseMultipartForm: true,
+	})
+	app.Server().CloseOnShutdown = true
+	app.Use(recover.New(recover.Config{EnableStackTrace: true, StackTraceHandler: s.reportPanic}))
+	app.Post(pathChat, s.counted(kindChat, s.chat))
+	app.Get(pathModels, s.counted(kindModels, s.models))
+	app.Get(pathEntry, s.counted(kindEntry, s.entry))
+	app.All(pathServices+":name/*", s.counted(kindService, s.callService))
+	return app
+}
+
+// reportPanic tells of a fault of the program in a handler. Without the recovery
+// one request that meets such a fault would end the process, and with it the
+// streams of all other callers; the handlers' deferred release has by then freed
+// the request's reservation.
+func (s *Server) reportPanic(_ *fiber.Ctx, cause any) {
+	s.events.Emit(event.InvariantBroken,
+		slog.String(event.KeyCause, fmt.Sprint(cause)),
+		slog.String("stack", string(debug.Stack())))
+}
+
+// Serve answers callers until Shutdown. The listener may be a TLS one.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.app.Listener(writeTimeoutListener{Listener: listener, timeout: s.config.WriteTimeout})
+	return errors.Wrap(err, "gateway: serve")
+}
+
+// Shutdown stops accepting and waits until every request in flight has ended,
+// those that go on without their caller included. When ctx ends first it
+// returns its error and leaves the requests running: it never cuts one.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.app.ShutdownWithContext(ctx); err != nil {
+		return errors.Wrap(err, "gateway: shutdown")
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.work.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "gateway: shutdown")
+	}
+}
+
+// InFlight is the number of requests that have not ended yet, those that go on
+// without their caller included.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// counted counts a request in flight while its handler runs.
+func (s *Server) counted(kind requestKind, handler fiber.Handler) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		c.Locals(localKind, kind)
+		return handler(c)
+	}
+}
--- /dev/null
+++ b/internal/load/evidence.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sources names where the evidence of a run is read. Empty parts aren't read.
+type Sources struct {
+	Engines            []string // "IP:port" of each engine stand-in
+	Services           []string // "IP:port" of each service stand-in
+	OperatorURLs       []string // "http://IP:port" of routers' operators' listeners
+	OperatorCredential string
+	Since              time.Time // the run's start
+	// EarlierRuns are the engine runs of before the run; they are left out.
+	EarlierRuns map[string]int
+}
+
+// Empty tells that there is nothing to read.
+func (s Sources) Empty() bool {
+	return len(s.Engines) == 0 && len(s.Services) == 0 && len(s.OperatorURLs) == 0
+}
+
+// Gather reads the evidence from its sources. Bills and budgets are those that
+// the operators' API knows at this moment: routers report them with a lag.
+func (c *Client) Gather(sources Sources) (Evidence, error) {
+	var evidence Evidence
+	var err error
+	if evidence.EngineRuns, err = c.EngineRuns(sources.Engines); err != nil {
+		return Evidence{}, err
+	}
+	for request := range sources.EarlierRuns {
+		delete(evidence.EngineRuns, request)
+	}
+	if evidence.ServiceRuns, err = c.gatherServiceRuns(sources.Services); err != nil {
+		return Evidence{}, err
+	}
+	if len(sources.OperatorURLs) == 0 {
+		return evidence, nil
+	}
+	if evidence.Bills, err = c.gatherBills(sources); err != nil {
+		return Evidence{}, err
+	}
+	evidence.Budgets, err = c.gatherBudgets(sources)
+	return evidence, err
+}
+
+// engineRuns is the answer of an engine stand-in to GET /v1/runs.
+type engineRuns struct {
+	Runs []struct {
+		Request  string `json:"request"`
+		Attempts []struct {
+			Start int `json:"start"` // 0: never started
+		} `json:"attempts"`
+	} `json:"runs"`
+}
+
+// EngineRuns counts the attempts that engines started, by request id. It is nil
+// without engines.
+func (c *Client) EngineRuns(addresses []string) (map[string]int, error) {
+	if len(addresses) == 0 {
+		return nil, nil
+	}
+	counts := map[string]int{}
+	for _, address := range addresses {
+		var answer engineRuns
+		if err := c.getJSON("http://"+address+"/v1/runs", "", &answer); err != nil {
+			return nil, err
+		}
+		for _, run := range answer.Runs {
+			for _, attempt := range run.Attempts {
+				if attempt.Start > 0 {
+					counts[run.Request]++
+				}
+			}
+		}
+	}
+	return counts, nil
+}
+
+// serviceRuns is the answer of a service stand-in to GET /runs.
+type serviceRuns struct {
+	ByBody []struct {
+		ID    string `json:"id"`
+		Count int    `json:"count"`
+	} `json:"by_body"`
+}
+
+// gatherServiceRuns sums the runs by the calls' ids. It is nil without services.
+func (c *Client) gatherServiceRuns(addresses []string) (map[string]int, error) {
+	if len(addresses) == 0 {
+		return nil, nil
+	}
+	counts := map[string]int{}
+	for _, address := range addresses {
+		var answer serviceRuns
+		if err := c.getJSON("http://"+address+"/runs", "", &answer); err != nil {
+			return nil, err
+		}
+		for _, confirmation := range answer.ByBody {
+			counts[confirmation.ID] += confirmation.Count
+		}
+	}
+	return counts, nil
+}
+
+func (c *Client) getJSON(url, credential string, into any) error {
+	body, err := c.get(url, credential)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(body, into), "load: GET %s", url)
+}
--- /dev/null
+++ b/internal/load/evidence_test.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gofiber/fiber/v2"
+
+	"chicorytiller.example/chicorytiller/internal/enginestub"
+	"chicorytiller.example/chicorytiller/internal/id"
+	"chicorytiller.example/chicorytiller/internal/opsapi"
+)
+
+// serve runs a server until the test's end and gives its address.
+func serve(c *qt.C, serve func(net.Listener) error, stop func()) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- serve(listener) }()
+	c.Cleanup(func() {
+		stop()
+		c.Check(<-done, qt.IsNil)
+	})
+	return listener.Addr().String()
+}
+
+// The real engine stand-in must give what the workload wants, and its list of
+// runs must be read rightly.
+func TestEngineStandInIsUnderstood(t *testing.T) {
+	c := qt.New(t)
+	engine := enginestub.New(enginestub.Config{ChunkTokens: 3})
+	address := serve(c, engine.Serve, engine.Close)
+	workload, err := NewWorkload(WorkloadConfig{
+		Seed: 1, RunID: "run", Accounts: 1, Model: "m", PromptBytes: 64,
+		OutputMin: 1, OutputMax: 40, Stream: true, Answer: enginestub.Answer,
+	})
+	c.Assert(err, qt.IsNil)
+	var waits []time.Duration
+	caller := testCaller(&waits, address)
+	ids := map[string]int{}
+	for i := range 20 {
+		result := caller.Call(context.Background(), workload.Request(i))
+		c.Assert(result.Status, qt.Equals, StatusOK, qt.Commentf("%v", result.Err))
+		ids[result.RequestID] = 1
+	}
+	runs, err := caller.client.EngineRuns([]string{address})
+	c.Assert(err, qt.IsNil)
+	c.Assert(ids, qt.HasLen, 20)
+	c.Assert(runs, qt.DeepEquals, ids)
+}
+
+func TestServiceStandInIsUnderstood(t *testing.T) {
+	c := qt.New(t)
+	service := enginestub.NewService(enginestub.ServiceConfig{})
+	address := serve(c, service.Serve, service.Close)
+	var waits []time.Duration
+	caller := testCaller(&waits, address)
+	request := Request{Kind: KindConfirm, Key: "k1", Path: "/confirm", Body: mustMarshal(confirmBody{ID: "k1"})}
+	for range 2 { // the stand-in itself doesn't keep a call from running twice
+		result := caller.Call(context.Background(), request)
+		c.Assert(result.Status, qt.Equals, StatusOK, qt.Commentf("%v", result.Err))
+	}
+	evidence, err := caller.client.Gather(Sources{Services: []string{address}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(evidence.ServiceRuns, qt.DeepEquals, map[string]int{"k1": 2})
+}
+
+// Two routers list the same bill, and one of them a second bill of the request:
+// that is two bills, not three.
+func TestOperatorsAnswersAreUnderstood(t *testing.T) {
+	c := qt.New(t)
+	at := time.Date(2026, 5, 1, 12, 0, 0, 5, time.UTC)
+	bill := opsapi.BillStatus{Request: "r", Account: "a", Budget: "b", Router: id.Router{VM: "v", Incarnation: 1}, Total: 8, At: at}
+	again := bill
+	again.Router.Incarnation = 2
+	listener := func(bills ...opsapi.BillStatus) string {
+		app := fiber.New(fiber.Config{DisableStartupMessage: true})
+		app.Get("/v1/bills", func(ctx *fiber.Ctx) error {
+			c.Check(ctx.Get("Authorization"), qt.Equals, "Bearer secret")
+			c.Check(ctx.Query("since"), qt.Equals, "2026-05-01T11:00:00Z")
+			return ctx.JSON(opsapi.BillList{Bills: bills})
+		})
+		app.Get("/v1/budgets", func(ctx *fiber.Ctx) error {
+			return ctx.JSON(opsapi.BudgetList{Budgets: []opsapi.BudgetStatus{{Budget: "b", Account: "a", ToppedUp: 20, Spent: 16, Granted: 18}}})
+		})
+		return "http://" + serve(c, app.Listener, func() { c.Check(app.Shutdown(), qt.IsNil) })
+	}
+	evidence, err := NewClient(nil).Gather(Sources{
+		OperatorURLs: []string{listener(bill), listener(bill, again)}, OperatorCredential: "secret", Since: at.Add(-time.Hour),
+	})
+	c.Assert(err, qt.IsNil)
+	want := Bill{Request: "r", Account: "a", Budget: "b", Tokens: 8}
+	c.Assert(evidence.Bills, qt.DeepEquals, []Bill{want, want})
+	c.Assert(evidence.Budgets, qt.DeepEquals, []Budget{{"b", "a", 20, 16}})
+}
--- /dev/null
+++ b/internal/load/reconcile.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"fmt"
+)
+
+// Evidence is what engines, services and the operators' API say of a run. A nil
+// part was not asked for and is not checked.
+type Evidence struct {
+	EngineRuns  map[string]int // request id -> runs begun at engines
+	ServiceRuns map[string]int // id in the confirm body, which is the key -> runs
+	Bills       []Bill
+	Budgets     []Budget
+}
+
+// Bill is one bill as the operators' API lists it.
+type Bill struct {
+	Request string
+	Account string
+	Budget  string
+	Tokens  int64
+}
+
+// Budget is one budget as the operators' API lists it, in tokens.
+type Budget struct {
+	ID      string
+	Account string
+	TopUps  int64
+	Spent   int64
+}
+
+// Reconciliation counts contradictions between the answers and the evidence.
+type Reconciliation struct {
+	CheckedAgainst  []string `json:"checked_against"`
+	UntrueRefusals  int      `json:"untrue_refusals"`   // not_run said of what ran
+	UnexplainedRuns int      `json:"unexplained_runs"`  // runs beyond all tries that may have run
+	DuplicateRuns   int      `json:"duplicate_runs"`    // non-idempotent runs past the first
+	ConfirmedNotRun int      `json:"confirmed_not_run"` // a service answer without a run
+	BillsMissing    int      `json:"bills_missing"`
+	BillsDouble     int      `json:"bills_double"`
+	BillsDiffering  int      `json:"bills_differing"`
+	BillsOfNotRun   int      `json:"bills_of_not_run"`
+	Overspend       int64    `json:"overspend"`      // tokens
+	FalseRefusals   int      `json:"false_refusals"` // for lack of budget, with enough left at the end
+	Examples        []string `json:"examples"`
+}
+
+// maxExamples bounds the examples that a report lists.
+const maxExamples = 20
+
+// broken counts what must be zero. False refusals are measured, not promised away.
+func (r *Reconciliation) broken() int {
+	return r.UntrueRefusals + r.UnexplainedRuns + r.DuplicateRuns + r.ConfirmedNotRun + r.BillsMissing +
+		r.BillsDouble + r.BillsDiffering + r.BillsOfNotRun + int(r.Overspend)
+}
+
+func (r *Reconciliation) example(format string, args ...any) {
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Reconcile holds the outcomes of a run against the evidence. Direct are the
+// requests that were made without a router, whose runs engines report as well.
+func Reconcile(outcomes, direct []Outcome, evidence Evidence) *Reconciliation {
+	r := &Reconciliation{}
+	if evidence.EngineRuns != nil {
+		r.CheckedAgainst = append(r.CheckedAgainst, "engines")
+		r.checkEngineRuns(outcomes, evidence.EngineRuns)
+		r.checkUnexplained(outcomes, direct, evidence.EngineRuns)
+	}
+	if evidence.ServiceRuns != nil {
+		r.CheckedAgainst = append(r.CheckedAgainst, "services")
+		r.checkServiceRuns(outcomes, evidence.ServiceRuns)
+	}
+	if evidence.Bills != nil {
+		r.CheckedAgainst = append(r.CheckedAgainst, "bills")
+		r.checkBills(outcomes, evidence.Bills)
+	}
+	if evidence.Budgets != nil {
+		r.CheckedAgainst = append(r.CheckedAgainst, "budgets")
+		r.checkBudgets(outcomes, evidence.Budgets, evidence.Bills)
+	}
+	return r
+}
+
+func (o *Outcome) saidNotRun() bool {
+	return o.Status == StatusRefused && o.Outcome == outcomeNotRun
+}
+
+func (r *Reconciliation) checkEngineRuns(outcomes []Outcome, runs map[string]int) {
+	for i := range outcomes {
+		outcome := &outcomes[i]
+		if outcome.Kind == KindCompletion && outcome.saidNotRun() && runs[outcome.RequestID] > 0 {
+			r.UntrueRefusals++
+			r.example("request %s was refused as not run, and an engine ran it", outcome.RequestID)
+		}
+	}
+}
+
+// checkUnexplained finds untrue refusals that name no request id. A request that
+// ran under an id which its caller never learned must be one of the tries that
+// broke off or ended as unknown. Runs beyond their number were told as not_run.
+func (r *Reconciliation) checkUnexplained(outcomes, direct []Outcome, runs map[string]int) {
+	known := map[string]bool{}
+	doubtful := 0
+	for _, all := range [][]Outcome{outcomes, direct} {
+		for i := range all {
+			known[all[i].RequestID] = true
+			doubtful += all[i].Doubtful
+		}
+	}
+	unknown := 0
+	for request := range runs {
+		if !known[request] {
+			unknown++
+		}
+	}
+	if unknown > doubtful {
+		r.UnexplainedRuns = unknown - doubtful
+		r.example("engines ran %d requests with ids that no answer named; only %d tries may have run unanswered", unknown, doubtful)
+	}
+}
+
+func (r *Reconciliation) checkServiceRuns(outcomes []Outcome, runs map[string]int) {
+	for i := range outcomes {
+		outcome := &outcomes[i]
+		if outcome.Kind != KindConfirm {
+			continue
+		}
+		count := runs[outcome.Key]
+		if count > 1 {
+			r.DuplicateRuns += count - 1
+			r.example("the confirm call with key %s ran %d times", outcome.Key, count)
+		}
+		if outcome.saidNotRun() && count > 0 {
+			r.UntrueRefusals++
+			r.example("the confirm call with key %s was refused as not run, and it ran", outcome.Key)
+		}
+		if outcome.Status == StatusOK && count == 0 {
+			r.ConfirmedNotRun++
+			r.example("the confirm call with key %s was answered, and it never ran", outcome.Key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/workload_test.go
@@ -0,0 +1,39 @@
+package load
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestWorkloadIsFixedByItsSeed(t *testing.T) {
+	c := qt.New(t)
+	cfg := WorkloadConfig{
+		Seed: 7, RunID: "a", Accounts: 3, Model: "m", PromptBytes: 80, OutputMin: 4, OutputMax: 9,
+		Stream: true, Service: "register", ServiceShare: 0.25, Answer: testAnswer,
+	}
+	first, err := NewWorkload(cfg)
+	c.Assert(err, qt.IsNil)
+	second, err := NewWorkload(cfg)
+	c.Assert(err, qt.IsNil)
+	cfg.Seed = 8
+	other, err := NewWorkload(cfg)
+	c.Assert(err, qt.IsNil)
+
+	const requests = 1000
+	keys, confirms, same := map[string]bool{}, 0, 0
+	for i := requests - 1; i >= 0; i-- {
+		request := first.Request(i)
+		c.Assert(request, qt.DeepEquals, second.Request(i))
+		keys[request.Key] = true
+		if request.Kind == KindConfirm {
+			confirms++
+		}
+		if string(request.Body) == string(other.Request(i).Body) && request.Kind == KindCompletion {
+			same++
+		}
+	}
+	c.Assert(keys, qt.HasLen, requests)
+	c.Assert(confirms > 200 && confirms < 300, qt.IsTrue, qt.Commentf("%d confirm calls", confirms))
+	c.Assert(same, qt.Equals, 0)
+}
--- /dev/null
+++ b/internal/timeline/write.go
@@ -0,0 +1,58 @@
+package timeline
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// timeLayout keeps the columns of the table aligned.
+const timeLayout = "2006-01-02T15:04:05.000000Z07:00"
+
+// WriteJSON writes the lines as their logs had them, one a line.
+func WriteJSON(w io.Writer, lines []Line) error {
+	for _, line := range lines {
+		if _, err := w.Write(append(line.Raw, '\n')); err != nil {
+			return errors.Wrap(err, "timeline: writing")
+		}
+	}
+	return nil
+}
+
+// WriteTable writes the lines for a reader.
+func WriteTable(w io.Writer, lines []Line) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "CLOCK\tTIME\tPROCESS\tEVENT\tTEXT\tATTRIBUTES")
+	for i := range lines {
+		line := &lines[i]
+		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\n",
+			line.Clock, line.Time.Format(timeLayout), line.Process, line.Number, line.Text, attrsText(line.Attrs))
+	}
+	return errors.Wrap(table.Flush(), "timeline: writing")
+}
+
+// attrsText quotes values with spaces or control characters, so that a value
+// can't look like another attribute or break the table.
+func attrsText(attrs []Attr) string {
+	var text strings.Builder
+	for i, attr := range attrs {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(attr.Key)
+		text.WriteByte('=')
+		if strings.ContainsFunc(attr.Value, needsQuotes) {
+			fmt.Fprintf(&text, "%q", attr.Value)
+		} else {
+			text.WriteString(attr.Value)
+		}
+	}
+	return text.String()
+}
+
+func needsQuotes(r rune) bool {
+	return r <= ' ' || r == '"' || r == '=' || r == 0x7f
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,5 @@
+// Package version names the release that all programs of the project print.
+package version
+
+// Version is the release.
+const Version = "0.1.0"
