Refuse at once in an outage, hand bills on, call idle grants back

(3) Wallet.CallBack had no caller: a request was refused for lack of budget while another router's grant lay idle. (4) A long random run (2,931 schedules) found not_run said twice of a request that another router had run meanwhile: knowledge that a key is new did not age. Change: refusal in the same step once a draw has failed, with one probe demand kept so that the budget is found again; HandOverMsg and bill.Archive; CallBackMsg; freshness bounded to a second, and a settled asker is not vouched for. The two schedules of (4) pass, but they reach the fault on this tree no more even without the mend, so no test holds it.

--- a/internal/bill/recent.go
+++ b/internal/bill/recent.go
@@ -1,8 +1,6 @@
 package bill
 
 import (
-	"slices"
-
 	"chicorytiller.example/chicorytiller/internal/dedup"
 )
 
@@ -17,11 +15,23 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Bill) int { return b.At.Compare(a.At) })
-	if filter.Limit > 0 && len(out) > filter.Limit {
-		out = out[:filter.Limit]
+	return newestFirst(out, filter.Limit)
+}
+
+// Vouched lists the bills of routers that were sealed here while this was their
+// witness. They stand, whatever becomes of their routers. Bills that an earlier
+// witness holds may stand nowhere.
+func (w *Witness) Vouched() []Bill {
+	out := []Bill{}
+	for _, known := range w.wards {
+		if !known.vouched {
+			continue
+		}
+		for _, e := range known.bills {
+			out = append(out, e.bill)
+		}
 	}
-	return out
+	return newestFirst(out, 0)
 }
 
 // FindKey returns the bill of a key that any other router made, if it is held here.
--- a/internal/bill/ward.go
+++ b/internal/bill/ward.go
@@ -17,6 +17,7 @@
 type ward struct {
 	epoch     uint64 // zero: never adopted, only sealed
 	sealed    bool
+	vouched   bool // sealed while this was the witness that the record named
 	settled   bool
 	settledAt time.Time
 	floor     uint64 // bills with a lower Seq will not be sent again
--- a/internal/bill/witness.go
+++ b/internal/bill/witness.go
@@ -132,6 +132,7 @@
 	if sealed.epoch == 0 || sealed.epoch < epoch {
 		return nil, false
 	}
+	sealed.vouched = true
 	return sealed.sums.Clone(), true
 }
 
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -59,6 +59,9 @@
 
 // Times within a request's path.
 const (
+	// freshFor is how long a request counts as new since its homes said so. It is
+	// less than the time after which others may settle this router.
+	freshFor        = time.Second
 	awaitAnswerFor  = 2 * time.Second        // longest wait of a peer for an answer
 	retrySoon       = 500 * time.Millisecond // told to callers when a state passes by itself
 	retryInProgress = time.Second
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 	wallet   *budget.Wallet
 	book     *bill.Book
 	witness  *bill.Witness
+	archive  *bill.Archive
 	table    *dedup.Table[Answer]
 	home     *dedup.Directory
 	chooser  *route.Chooser
@@ -86,6 +87,7 @@
 		wallet:     budget.NewWallet(cfg.Self, cfg.Budget),
 		book:       bill.NewBook(cfg.Self, cfg.BillRetention, cfg.MaxBills),
 		witness:    bill.NewWitness(cfg.BillRetention, cfg.MaxBills),
+		archive:    bill.NewArchive(cfg.BillRetention, cfg.MaxBills),
 		table:      dedup.NewTable[Answer](cfg.KeyRetention, cfg.KeptAnswersBytes),
 		home:       dedup.NewDirectory(now, cfg.KeyRetention, cfg.MaxKeys),
 		chooser:    route.NewChooser(cfg.Route, cfg.Member.Self.FailureDomain),
@@ -176,6 +178,7 @@
 	c.home.Expire(c.now)
 	c.expireGhosts()
 	c.witness.Forget(c.now)
+	c.archive.Forget(c.now)
 	c.forgetUnrun()
 }
 
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,11 +1,14 @@
 package core
 
 import (
+	"chicorytiller.example/chicorytiller/internal/bill"
 	"chicorytiller.example/chicorytiller/internal/budget"
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/member"
 	"chicorytiller.example/chicorytiller/internal/platform"
 	"chicorytiller.example/chicorytiller/internal/settle"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -70,6 +73,37 @@
 // leave closes this router's part of all budgets and then ends its tenure, so that
 // nobody needs to settle it.
 func (c *Core) leave() {
+	c.handOver(c.others(), c.retireSelf)
+}
+
+// others are the living routers that serve, in an order that differs by router.
+func (c *Core) others() []member.Peer {
+	return c.view.Rendezvous(xxhash.Sum64String(string(c.self.VM)), len(c.view.Alive())+1, func(p member.Peer) bool {
+		return p.Router != c.self && p.State == member.Serving
+	})
+}
+
+// handOver gives the bills that only this router keeps to the first of the others
+// that takes them; then goes on. Failure: all routers are replaced one after the
+// other, and nobody can list the bills of the time before, or tell a retry of it.
+func (c *Core) handOver(others []member.Peer, then func()) {
+	bills := append(c.book.Recent(bill.Filter{}), c.witness.Vouched()...)
+	bills = append(bills, c.archive.Recent(bill.Filter{})...)
+	if len(others) == 0 || len(bills) == 0 {
+		then()
+		return
+	}
+	callPeer(c, others[0], HandOverMsg{Bills: bills}, func(_ HandOverReply, err error) {
+		if err != nil {
+			c.handOver(others[1:], then)
+			return
+		}
+		then()
+	})
+}
+
+// retireSelf closes this router's part of all budgets.
+func (c *Core) retireSelf() {
 	open := c.config.BudgetShards
 	failed := false
 	for shard := range c.config.BudgetShards {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -96,6 +96,58 @@
 	}
 }
 
+// TestOutageRefusesAtOnce: the platform's service goes down and the grants run out.
+// The draw that was due fails; from then on a caller that can't be served is told so
+// at once, and when to come back, not after its request has waited for the next try.
+// Once the service is up again, requests are served.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"), 3)
+		w.topUp("large", "first", 1_000_000)
+		w.pass(3 * time.Second)
+		w.kvDown = true
+		var slowest time.Duration
+		ask := func() {
+			v, asked := w.vms[0], w.now
+			req := core.AdmitRequest{Account: "large", Model: "m", PromptTokens: 50, MaxTokens: 100, Deadline: w.now.Add(20 * time.Second)}
+			v.ask(func(t core.Ticket) core.Event { return core.Admit{Ticket: t, Req: req} }, func(a core.Action) {
+				reply := a.(core.AdmitReply)
+				if reply.Refusal == nil {
+					return
+				}
+				if reply.Refusal.Cause != core.CauseBudgetUnknown || reply.Refusal.RetryAfter <= 0 || reply.Refusal.Outcome != core.OutcomeNotRun {
+					w.t.Fatalf("refused with %+v", reply.Refusal)
+				}
+				slowest = max(slowest, w.now.Sub(asked))
+			})
+		}
+		ask() // its draw is the first to fail
+		w.pass(time.Second)
+		slowest = 0
+		for i := range 100 {
+			w.after(time.Duration(i)*100*time.Millisecond, ask)
+		}
+		w.pass(15 * time.Second)
+		if slowest > 0 {
+			t.Fatalf("a refusal came %s after the request", slowest)
+		}
+		w.kvDown = false
+		w.pass(10 * time.Second)
+		admitted := 0
+		w.vms[0].ask(func(t core.Ticket) core.Event {
+			return core.Admit{Ticket: t, Req: core.AdmitRequest{Account: "large", Model: "m", PromptTokens: 5, MaxTokens: 10, Deadline: w.now.Add(20 * time.Second)}}
+		}, func(a core.Action) {
+			if a.(core.AdmitReply).Refusal == nil {
+				admitted++
+			}
+		})
+		w.pass(5 * time.Second)
+		if admitted != 1 {
+			t.Fatalf("not served again after the outage")
+		}
+	})
+}
+
 // TestCalmFleetAnswersAll: without failures every call that the budgets can pay is
 // answered, and none is refused for lack of budget.
 func TestCalmFleetAnswersAll(t *testing.T) {
--- a/internal/core/homes.go
+++ b/internal/core/homes.go
@@ -151,12 +151,12 @@
 	c.pollHomes(r.key, &homePoll{
 		ask: func(home member.Peer, answered homeAnswered) {
 			c.registerAt(home, r, func(reply RegisterKeyReply, err error) {
-				elsewhere := err == nil && reply.Found && reply.Existing.Serving != c.self
+				elsewhere := err == nil && (reply.Billed != nil || reply.Found && reply.Existing.Serving != c.self)
 				if err == nil && reply.Found && !elsewhere && reply.Existing.Owner() != r.owner {
 					own = &reply.Existing
 				}
 				if answered(reply.Warm, !elsewhere, err) {
-					c.servedElsewhere(r, reply.Existing)
+					c.ranElsewhere(r, reply)
 				}
 			})
 		},
@@ -174,6 +174,19 @@
 	})
 }
 
+// ranElsewhere deals with a key that was billed by a router that left, or that
+// another one serves or served.
+func (c *Core) ranElsewhere(r *request, reply RegisterKeyReply) {
+	switch {
+	case reply.Billed == nil:
+		c.servedElsewhere(r, reply.Existing)
+	case reply.Billed.BodyHash != r.req.BodyHash:
+		c.endKeyed(r, &Refusal{Cause: CauseKeyReused, Outcome: OutcomeNotRun, Detail: "the idempotency key was used with another body"})
+	default:
+		c.repeatFor(r, *reply.Billed)
+	}
+}
+
 func (c *Core) registerAt(home member.Peer, r *request, then func(RegisterKeyReply, error)) {
 	msg := RegisterKeyMsg{Entry: c.ownEntry(r)}
 	if home.Router == c.self {
@@ -187,6 +200,15 @@
 // router knows of an earlier run: as home, as witness or as serving router.
 func (c *Core) registerHere(msg RegisterKeyMsg) RegisterKeyReply {
 	reply := RegisterKeyReply{Warm: c.homeWarm(), Unsettled: c.unsettled()}
+	if msg.Entry.Serving != c.self && c.hasEnded(msg.Entry.Serving) {
+		// The asker was settled and doesn't know it yet. Whoever comes after it may
+		// take its place at once, so it must not believe that the key is its own.
+		reply.Warm, reply.Unsettled = false, true
+	}
+	if b, found := c.archive.FindKey(msg.Entry.Key); found {
+		reply.Billed = &b
+		return reply
+	}
 	if entry, found := c.runElsewhere(msg.Entry.Key, msg.Entry.Serving); found {
 		reply.Existing, reply.Found = entry, true
 		return reply
@@ -310,9 +332,9 @@
 	if s.ended {
 		return
 	}
-	if err == nil && reply.Found && reply.Existing.Serving != c.self {
+	if err == nil && (reply.Billed != nil || reply.Found && reply.Existing.Serving != c.self) {
 		s.ended = true
-		c.servedElsewhere(s.request, reply.Existing)
+		c.ranElsewhere(s.request, reply)
 		return
 	}
 	s.gap = s.gap || err != nil || reply.Unsettled
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -72,7 +72,9 @@
 type RegisterKeyReply struct {
 	Existing dedup.Entry `msgpack:"e"`
 	Found    bool        `msgpack:"f"`
-	Warm     bool        `msgpack:"w"` // 'not found' proves something
+	// Billed is the bill of the key that a router handed on as it left.
+	Billed *bill.Bill `msgpack:"b,omitempty"`
+	Warm   bool       `msgpack:"w"` // 'not found' proves something
 	// Unsettled: the router knows of one that was lost and may still bill.
 	Unsettled bool `msgpack:"u"`
 }
@@ -95,6 +97,24 @@
 // SettledReply is empty.
 type SettledReply struct{}
 
+// CallBackMsg tells a router that the sender starves of a budget of which it holds
+// a grant.
+type CallBackMsg struct {
+	Budget id.Budget `msgpack:"b"`
+}
+
+// CallBackReply is empty.
+type CallBackReply struct{}
+
+// HandOverMsg gives a living router the bills that the sender, which leaves, made or
+// keeps of routers that have gone.
+type HandOverMsg struct {
+	Bills []bill.Bill `msgpack:"b"`
+}
+
+// HandOverReply is empty.
+type HandOverReply struct{}
+
 // RestoredMsg tells that the sender holds the keys that its VM's earlier routers
 // were homes of.
 type RestoredMsg struct{}
--- a/internal/core/money.go
+++ b/internal/core/money.go
@@ -18,6 +18,8 @@
 	waiting map[budget.ShardIndex][]budget.Draw
 	busy    map[budget.ShardIndex]bool
 	holdAt  map[budget.ShardIndex]time.Time // no commit before then
+	// failed are the budgets whose last draw could not be committed, and why.
+	failed map[id.Budget]error
 }
 
 // commitRetry is the pause before a commit of unknown outcome is sent again.
@@ -28,6 +30,7 @@
 		waiting: make(map[budget.ShardIndex][]budget.Draw),
 		busy:    make(map[budget.ShardIndex]bool),
 		holdAt:  make(map[budget.ShardIndex]time.Time),
+		failed:  make(map[id.Budget]error),
 	}
 }
 
@@ -94,6 +97,7 @@
 // parkedGiveUp refuses what waits for draws that could not be committed.
 func (c *Core) parkedGiveUp(draws []budget.Draw, err error) {
 	for _, draw := range draws {
+		c.money.failed[draw.Budget] = err
 		c.emit(event.DrawFailed, slog.String(event.KeyBudget, string(draw.Budget)), slog.Any("error", err))
 		c.refuseParked(draw.Budget, err)
 	}
@@ -101,6 +105,8 @@
 
 func (c *Core) drawDone(draw budget.Draw, err error, record *budget.Record) {
 	b := draw.Budget
+	delete(c.money.failed, b)
+	c.wallet.Release(c.now, id.Request("probe-"+b))
 	if errors.Is(err, budget.ErrRetired) {
 		c.wallet.Retired(b)
 		c.fence("a budget's record says that this router is retired")
@@ -126,6 +132,21 @@
 		slog.Int64("spent", int64(view.Holder.Spent)),
 		slog.Int64("available", int64(view.Available)))
 	c.unpark(b)
+	if len(c.parked[b]) > 0 {
+		c.callBack(b, record)
+	}
+}
+
+// callBack asks the routers that hold grants of a budget to give back what they
+// don't need. Failure: the last of a budget lies idle at one router, which looks at
+// the record once a minute, while another refuses for lack of it.
+func (c *Core) callBack(b id.Budget, record *budget.Record) {
+	for _, holder := range record.OtherHolders(c.self) {
+		peer, alive := c.alivePeer(holder)
+		if alive {
+			callPeer(c, peer, CallBackMsg{Budget: b}, func(CallBackReply, error) {})
+		}
+	}
 }
 
 func orMissing(err error) error {
--- a/internal/core/oracle_test.go
+++ b/internal/core/oracle_test.go
@@ -84,7 +84,7 @@
 // topUp pays into a budget, maybe twice under the same id.
 func (w *world) topUp(account id.ClientAccount, name string, amount id.Tokens) {
 	b := budgetOf(account)
-	books := ledger.New(w.kv, shardsInTest, policyInTest())
+	books := ledger.New(w.kv, shardsInTest, w.policy)
 	op := budget.TopUp{Budget: b, Account: account, ID: name, Amount: amount, At: w.now}
 	result, err := books.Commit(context.Background(), books.ShardOf(b), []budget.Op{op, op})
 	must(w.t, err)
@@ -172,7 +172,7 @@
 
 func (o *oracle) checkBudget(account id.ClientAccount, doubt map[string]bool) {
 	b := budgetOf(account)
-	books := ledger.New(o.w.kv, shardsInTest, policyInTest())
+	books := ledger.New(o.w.kv, shardsInTest, o.w.policy)
 	shard, err := books.Read(context.Background(), books.ShardOf(b))
 	must(o.w.t, err)
 	must(o.w.t, shard.Check())
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -53,6 +53,12 @@
 		c.settledNow(msg.Router)
 		c.witness.Settled(c.now, msg.Router)
 		reply = SettledReply{}
+	case CallBackMsg:
+		c.wallet.CallBack(c.now, msg.Budget)
+		reply = CallBackReply{}
+	case HandOverMsg:
+		c.archive.Add(c.now, msg.Bills)
+		reply = HandOverReply{}
 	case RestoredMsg:
 		c.restored(ev.From)
 		reply = RestoredReply{}
--- a/internal/core/ports_test.go
+++ b/internal/core/ports_test.go
@@ -21,7 +21,7 @@
 	kv := &faultyKV{KV: v.w.kv, vm: v}
 	return &ports{
 		vm: v, kv: kv,
-		ledger: ledger.New(kv, shardsInTest, policyInTest()),
+		ledger: ledger.New(kv, shardsInTest, v.w.policy),
 		claims: ledger.NewClaims(kv, 1, 24*time.Hour, func() time.Time { return v.w.now }),
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,6 +48,7 @@
 	// there is none.
 	fresh   bool
 	pauses  int           // of this process when the request came
+	came    time.Time     // when the request came
 	claimed bool          // its durable claim is this admission's
 	owner   dedup.Owner   // of its key or claim
 	ended   []dedup.Owner // earlier admissions of its key that it takes over from
@@ -74,6 +75,7 @@
 		ticket: ev.Ticket,
 		tried:  make(map[id.Backend]bool),
 		pauses: c.pauses,
+		came:   c.now,
 	}
 	if refusal := c.check(r); refusal != nil {
 		c.refuse(r, refusal)
@@ -241,11 +243,13 @@
 // Failure: a call runs, its answer is lost, and the caller's retry meets a full or
 // stopping router. 'Not run' would make the caller order a second time under a new
 // key. So 'not run' is said of the whole request only where it is known that no
-// earlier call under the key was dispatched. A router that was paused doesn't know:
-// others may have taken the request over meanwhile.
+// earlier call under the key was dispatched. That knowledge ages: a router that was
+// paused or cut off may have been settled, and others may have taken the request
+// over and run it.
 func (c *Core) truthful(r *request, refusal *Refusal) *Refusal {
 	refusal.ThisCall = refusal.Outcome
-	if r.req.IdempotencyKey != "" && (!r.fresh || r.pauses != c.pauses) {
+	stale := r.pauses != c.pauses || c.now.Sub(r.came) > freshFor
+	if r.req.IdempotencyKey != "" && (!r.fresh || stale) {
 		refusal.Outcome = OutcomeUnknown
 	}
 	return refusal
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -106,10 +106,30 @@
 		return
 	}
 	r.phase = phaseParked
+	if err, failing := c.money.failed[r.budget]; failing {
+		// The last draw failed, and the next is put off. Waiting for it would only
+		// bring the same refusal seconds later; the caller is told when to come back.
+		c.end(r)
+		c.refuse(r, budgetRefusal(err))
+		c.probe(r.budget, c.price(r))
+		return
+	}
 	c.parked[r.budget] = append(c.parked[r.budget], r)
 	c.parkedCount++
 }
 
+// probe keeps one demand on a budget whose draws fail. Failure: all requests are
+// refused at once, so that nothing wants a draw any more, none is tried, and the
+// budget is never found to be reachable again.
+func (c *Core) probe(b id.Budget, tokens id.Tokens) {
+	request := id.Request("probe-" + b)
+	c.wallet.Release(c.now, request)
+	if c.wallet.Reserve(c.now, b, request, tokens) == nil {
+		c.wallet.Release(c.now, request)
+		delete(c.money.failed, b)
+	}
+}
+
 // unpark tries the requests that wait for a budget again, oldest first.
 func (c *Core) unpark(b id.Budget) {
 	waiting := c.parked[b]
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -369,5 +369,6 @@
 // Bills lists the recent bills of this router and those it holds for others, so
 // that the bills of a dead router are still listed by its witness.
 func (c *Core) Bills(filter bill.Filter) []bill.Bill {
-	return append(c.book.Recent(filter), c.witness.Recent(filter)...)
+	bills := append(c.book.Recent(filter), c.witness.Recent(filter)...)
+	return append(bills, c.archive.Recent(filter)...)
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -37,6 +37,7 @@
 	vms    []*vm
 	cut    map[[2]int]bool
 	state  *config.State
+	policy budget.Policy
 	lossy  bool // messages and answers of writes get lost
 	oracle *oracle
 }
@@ -65,7 +66,11 @@
 var startOfTest = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
 func newWorld(t *rapid.T, seed uint64, routers int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: startOfTest, cut: map[[2]int]bool{}}
+	return newWorldWith(t, seed, routers, policyInTest())
+}
+
+func newWorldWith(t *rapid.T, seed uint64, routers int, policy budget.Policy) *world {
+	w := &world{t: t, policy: policy, rng: rand.New(rand.NewPCG(seed, 1)), now: startOfTest, cut: map[[2]int]bool{}}
 	w.kv = memkv.New(func() time.Time { return w.now })
 	w.oracle = newOracle(w)
 	w.state = stateForTest(w)
@@ -139,7 +144,7 @@
 				LinkAddress: v.address(), CallerAddress: v.address(), State: member.Draining},
 			Period: 200 * time.Millisecond, SuspectAfter: time.Second, Seeds: seeds,
 		},
-		BudgetShards: shardsInTest, ClaimShards: 1, Budget: policyInTest(), Route: route.DefaultConfig(),
+		BudgetShards: shardsInTest, ClaimShards: 1, Budget: v.w.policy, Route: route.DefaultConfig(),
 		KeyRetention: 10 * time.Minute, MaxKeys: 10_000, KeptAnswersBytes: 2000,
 		BillRetention: 30 * time.Minute, MaxBills: 10_000, SettleAfter: 2 * time.Second, DoubtWait: time.Hour,
 		MaxAttempts: 3, ParkLimit: 100, Random: v.w.rng,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -120,6 +120,16 @@
 	return answer(r, args, reply)
 }
 
+// CallBack receives a CallBackMsg.
+func (r *Receiver) CallBack(args *Args[core.CallBackMsg], reply *Args[core.CallBackReply]) error {
+	return answer(r, args, reply)
+}
+
+// HandOver receives a HandOverMsg.
+func (r *Receiver) HandOver(args *Args[core.HandOverMsg], reply *Args[core.HandOverReply]) error {
+	return answer(r, args, reply)
+}
+
 // Restored receives a RestoredMsg.
 func (r *Receiver) Restored(args *Args[core.RestoredMsg], reply *Args[core.RestoredReply]) error {
 	return answer(r, args, reply)
@@ -172,6 +182,10 @@
 		return send[core.PullKeysMsg, core.PullKeysReply](ctx, c, address, to, "PullKeys", msg)
 	case core.SilentMsg:
 		return send[core.SilentMsg, core.SilentReply](ctx, c, address, to, "Silent", msg)
+	case core.CallBackMsg:
+		return send[core.CallBackMsg, core.CallBackReply](ctx, c, address, to, "CallBack", msg)
+	case core.HandOverMsg:
+		return send[core.HandOverMsg, core.HandOverReply](ctx, c, address, to, "HandOver", msg)
 	case core.RestoredMsg:
 		return send[core.RestoredMsg, core.RestoredReply](ctx, c, address, to, "Restored", msg)
 	case core.SettledMsg:
