--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -80,7 +80,8 @@
 	}
 	if err != nil || !found {
 		// Whether or not the claim was written, this admission ends here and
-		// nothing was dispatched under it: 'not run' is true.
+		// nothing was dispatched under it: 'not run' is true of this call. Of the
+		// whole request it isn't known, and refuse says so.
 		c.claims.unrun[r.key] = r.owner
 		c.claimDo(claim.Release{Key: r.key, Owner: r.owner}, nil)
 		c.endKeyed(r, &Refusal{Cause: CauseClaimUnknown, Outcome: OutcomeNotRun, RetryAfter: retryOutage,
