--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -104,9 +104,15 @@
 			Budgets: []contract.Budget{{ID: budgetOf(a)}}, RequestsPerSecond: 10_000, Burst: 10_000, Concurrency: 10_000,
 			Models: []id.Model{"m"}, Services: []id.Service{"s"}, MaxTokens: 500, DeadlineMS: 20_000})
 	}
+	put(config.KindContract, string(tightAccount), contract.Contract{Account: tightAccount, Keys: []contract.KeyHash{contract.HashKey("tight")},
+		Budgets: []contract.Budget{{ID: budgetOf(tightAccount)}}, RequestsPerSecond: 1, Burst: 1, Concurrency: 100,
+		Models: []id.Model{"m"}, MaxTokens: 500, DeadlineMS: 20_000})
 	return store.State()
 }
 
+// tightAccount may send one request a second. Random callers don't use it.
+const tightAccount id.ClientAccount = "tight"
+
 var accountsInTest = []id.ClientAccount{"large", "small"}
 
 func budgetOf(a id.ClientAccount) id.Budget { return id.Budget(a) + "-b" }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -7,6 +7,7 @@
 	"chicorytiller.example/chicorytiller/internal/budget"
 	"chicorytiller.example/chicorytiller/internal/claim"
 	"chicorytiller.example/chicorytiller/internal/core"
+	"chicorytiller.example/chicorytiller/internal/link"
 	"chicorytiller.example/chicorytiller/internal/member"
 	"chicorytiller.example/chicorytiller/internal/route"
 	"chicorytiller.example/chicorytiller/internal/version"
@@ -24,6 +25,14 @@
 	maxQueuedBytes  = 128 << 20
 )
 
+// withLinkBounds sets the bounds of the calls between routers: the recent bills of a
+// busy router go to a new witness in one message.
+func withLinkBounds(cfg link.Config) link.Config {
+	cfg.MaxMessageBytes = maxMessageBytes
+	cfg.MaxQueuedBytes = maxQueuedBytes
+	return cfg
+}
+
 const claimRetention = claim.DefaultRetention
 
 // coreConfig derives the core's configuration from the settings.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -135,11 +135,9 @@
 		Keys:      keys,
 		Clock:     r.events,
 		ServerTLS: serverTLS,
-		// The recent bills of a busy router go to a new witness in one message.
-		MaxMessageBytes: maxMessageBytes,
-		MaxQueuedBytes:  maxQueuedBytes,
-		ClientTLS:       clientTLS,
+		ClientTLS: clientTLS,
 	}
+	cfg = withLinkBounds(cfg)
 	r.server = link.NewServer(cfg)
 	r.pool = link.NewPool(cfg)
 	return nil
