--- /dev/null
+++ b/cmd/chicory-edge/main.go
@@ -0,0 +1,137 @@
+// Command chicory-edge is the router on each entry VM of the users' platform. It
+// ends with 0 after a planned stop (SIGTERM or SIGINT), with 1 when it can't go on
+// and with 2 when its settings are wrong.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/node"
+	"chicorytiller.example/chicorytiller/internal/version"
+	"chicorytiller.example/chicorytiller/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// settingsEvery is how often the settings file is looked at: it may change without
+// a signal.
+const settingsEvery = 2 * time.Second
+
+// heapGrowth lets the heap grow by half before it is collected: memory is dearer
+// than processor time on entry VMs.
+const heapGrowth = 50
+
+func main() {
+	app := kingpin.New("chicory-edge", "Router between callers and backend servers, on prepaid token budgets.")
+	app.Version(version.Version)
+	app.HelpFlag.Short('h')
+	file := app.Flag("settings", "INI file with the settings, see docs/SETTINGS.md.").Envar("CHICORYTILLER_CONFIG").Required().String()
+	checkOnly := app.Flag("check-settings", "Check the settings, say what is wrong, and end.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	settings, err := node.LoadSettings(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if *checkOnly {
+		fmt.Println("settings are right")
+		return
+	}
+	if err := run(settings, *file); err != nil {
+		slog.Error("chicory-edge stops", "error", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(settings *node.Settings, file string) error {
+	runtime.GOMAXPROCS(1) // an entry VM has a part of one core: more threads only switch
+	debug.SetGCPercent(heapGrowth)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+
+	incarnation := uuid.NewString()
+	buffer := event.NewBuffer(os.Stdout)
+	log := event.New(buffer, settings.VM+"@"+incarnation[:8], slog.LevelInfo, nil)
+	logging, endLog := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer endLog()
+	tasks.Go(func() { buffer.Run(logging) })
+
+	n := node.New(settings, dialect(settings), log, incarnation)
+	tasks.Go(func() { watchSettings(logging, file, n, log) })
+	err := n.Run(ctx)
+	log.Emit(event.ProcessStopped)
+	return err
+}
+
+func dialect(settings *node.Settings) node.Dialect {
+	return node.Dialect{
+		Store:         platform.NewStore(settings.Store),
+		ConfigPrefix:  platform.ConfigPrefix,
+		IsConfig:      platform.IsConfig,
+		DecodeConfig:  platform.DecodeConfig,
+		ServersPrefix: platform.ServersPrefix,
+		DecodeServer:  fleet.DecodeEntry(platform.DecodeServer),
+		Codec:         platform.ServerCodec{},
+		Front:         platform.Front,
+		Directory:     platform.Directory,
+		Ready:         platform.Ready,
+	}
+}
+
+// watchSettings puts changed settings in force, on SIGHUP or when the file changes.
+func watchSettings(ctx context.Context, file string, n *node.Node, log *event.Log) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	seen := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if modified(file).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(file)
+		settings, err := node.LoadSettings(file)
+		if err != nil {
+			log.Emit(event.SettingsRejected, slog.Any(event.KeyCause, err))
+			continue
+		}
+		n.Reload(settings)
+	}
+}
+
+// modified is when the file was last written; zero while it can't be read.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,167 @@
+// Package balance chooses the backend server for a request: the one that is
+// expected to begin its answer first, given what each has to read before it and
+// what it keeps of the request's prompt.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/request"
+)
+
+// Weights of the estimate, in milliseconds unless said otherwise.
+const (
+	// tokensPerMs is how fast an engine reads a prompt. Engines don't tell; 40 is
+	// the measured order of the present ones. Only its ratio to the other
+	// weights matters.
+	tokensPerMs = 40
+	// runningMs is what a request at the server delays a new one: its share of a
+	// step, and of prompts that this router doesn't know of.
+	runningMs = 4
+	// zoneMs is what crossing into another failure domain costs: the round trip,
+	// and bytes that are paid for.
+	zoneMs = 3
+	// serviceMs is one request's stay at a plain service's server.
+	serviceMs = 20
+)
+
+// cacheKept is how long a server is taken to keep a part after its last use.
+const cacheKept = 20 * time.Second
+
+// Chooser chooses servers. It is safe for concurrent use.
+type Chooser struct {
+	zone string // own failure domain
+	now  func() time.Time
+
+	mu   sync.Mutex
+	read map[cached]time.Time // parts that this router had servers read
+}
+
+type cached struct {
+	server, part string
+}
+
+// NewChooser makes a chooser for a router in the given failure domain. A nil now
+// means time.Now.
+func NewChooser(zone string, now func() time.Time) *Chooser {
+	if now == nil {
+		now = time.Now
+	}
+	return &Chooser{zone: zone, now: now, read: make(map[cached]time.Time)}
+}
+
+// Choice is the chosen server and why.
+type Choice struct {
+	Server *fleet.Server
+	// Unread is the prompt tokens that the server is expected to have to read.
+	Unread float64
+	// Score is the estimate that won, in ms.
+	Score float64
+}
+
+// Choose returns the best of the servers that are not excluded; its Server is nil
+// if there is none. Servers that failed lately are taken only if all others are out.
+func (c *Chooser) Choose(servers []*fleet.Server, r *request.Request, excluded func(*fleet.Server) bool) Choice {
+	now := c.now()
+	home := homeOf(servers, r.SharedPart())
+	best := Choice{}
+	bestAvoided := false
+	for _, s := range servers {
+		if s.Leaving() || excluded(s) {
+			continue
+		}
+		status := s.Status(now)
+		choice := c.rate(s, status, r, s == home, now)
+		better := best.Server == nil ||
+			bestAvoided && !status.Avoided ||
+			bestAvoided == status.Avoided && choice.Score < best.Score
+		if better {
+			best, bestAvoided = choice, status.Avoided
+		}
+	}
+	return best
+}
+
+func (c *Chooser) rate(s *fleet.Server, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
+	score := 0.0
+	if s.Zone != c.zone {
+		score += zoneMs
+	}
+	if !r.HasUsage {
+		return Choice{Server: s, Score: score + serviceMs*float64(status.Running)}
+	}
+	unread := float64(r.PromptTokens - c.kept(s, r, isHome, now))
+	score += (status.Prefill+unread)/tokensPerMs + runningMs*float64(status.Running)
+	return Choice{Server: s, Unread: unread, Score: score}
+}
+
+// kept estimates the tokens of the prompt that a server need not read: the longest
+// run of shared parts that it read for this router, or all of them at their home,
+// where every router sends them.
+func (c *Chooser) kept(s *fleet.Server, r *request.Request, isHome bool, now time.Time) int {
+	if isHome {
+		return r.SharedTokens()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := 0
+	for i := 0; i < len(r.Parts)-1; i++ {
+		at, found := c.read[cached{s.ID, r.Parts[i].ID}]
+		if !found || now.Sub(at) > cacheKept {
+			break
+		}
+		sum += r.Parts[i].Tokens
+	}
+	return sum
+}
+
+// Sent notes that a server reads the request's parts.
+func (c *Chooser) Sent(s *fleet.Server, r *request.Request) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := 0; i < len(r.Parts)-1; i++ {
+		c.read[cached{s.ID, r.Parts[i].ID}] = now
+	}
+	c.forget(now)
+}
+
+// readMost bounds the memory of parts; some hundred bytes each.
+const readMost = 8192
+
+func (c *Chooser) forget(now time.Time) {
+	if len(c.read) < readMost {
+		return
+	}
+	for key, at := range c.read {
+		if now.Sub(at) > cacheKept {
+			delete(c.read, key)
+		}
+	}
+	if len(c.read) >= readMost {
+		clear(c.read)
+	}
+}
+
+// homeOf is the server that all routers prefer for a part (rendezvous hashing): a
+// part is then read at one server, and only that server's parts move when it goes.
+func homeOf(servers []*fleet.Server, part string) *fleet.Server {
+	if part == "" {
+		return nil
+	}
+	var home *fleet.Server
+	var highest uint64
+	for _, s := range servers {
+		if s.Leaving() {
+			continue
+		}
+		if rank := xxhash.Sum64String(part + "/" + s.ID); home == nil || rank > highest {
+			home, highest = s, rank
+		}
+	}
+	return home
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -21,22 +21,27 @@
 
 // Events of a request.
 const (
-	RequestAdmitted   Number = 200
-	RequestRefused    Number = 201
-	AttemptDispatched Number = 202
-	AttemptFailed     Number = 203
-	StreamResumed     Number = 204
-	RequestFinished   Number = 205
-	RequestAbandoned  Number = 206
-	RequestReplayed   Number = 207
+	RequestAdmitted    Number = 200
+	RequestRefused     Number = 201
+	AttemptDispatched  Number = 202
+	AttemptFailed      Number = 203
+	StreamResumed      Number = 204
+	RequestFinished    Number = 205
+	RequestAbandoned   Number = 206
+	RequestReplayed    Number = 207
+	RequestServed      Number = 208
+	RequestCut         Number = 210
+	RequestQuarantined Number = 209
 )
 
 // Events of budgets.
 const (
-	DrawIssued  Number = 300
-	DrawLanded  Number = 301
-	DrawFailed  Number = 302
-	TopUpLanded Number = 304
+	DrawIssued     Number = 300
+	DrawLanded     Number = 301
+	DrawFailed     Number = 302
+	TopUpLanded    Number = 304
+	DrawUnknown    Number = 305
+	GrantsReturned Number = 306
 )
 
 // Events of bills and of the settlement of dead routers.
@@ -57,6 +62,9 @@
 	ConfigInForce  Number = 501
 	ConfigConflict Number = 502
 	ConfigRejected Number = 503
+	// SettingsReloaded: the settings file changed and the new settings are in force.
+	SettingsReloaded Number = 504
+	SettingsRejected Number = 505
 )
 
 // Events of membership.
@@ -70,7 +78,14 @@
 
 // Events of backend servers and of the platform.
 const (
+	BackendFound        Number = 705
 	BackendLeaving      Number = 702
+	EntryRejected       Number = 703
+	BackendAvoided      Number = 704
+	StoreUnreachable    Number = 710
+	StoreReachable      Number = 711
+	LeaseLost           Number = 712
+	ReportDropped       Number = 713
 	PlatformUnreachable Number = 750
 	PlatformReachable   Number = 751
 )
@@ -94,10 +109,15 @@
 	{RequestFinished, slog.LevelDebug, "request finished"},
 	{RequestAbandoned, slog.LevelInfo, "request abandoned by its caller"},
 	{RequestReplayed, slog.LevelInfo, "request answered from an earlier run"},
+	{RequestServed, slog.LevelInfo, "request answered"},
+	{RequestCut, slog.LevelWarn, "answer cut off"},
+	{RequestQuarantined, slog.LevelWarn, "request refused: it broke the backend servers that ran it"},
 	{DrawIssued, slog.LevelDebug, "draw issued"},
 	{DrawLanded, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{TopUpLanded, slog.LevelInfo, "top-up landed"},
+	{DrawUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
+	{GrantsReturned, slog.LevelInfo, "grants returned"},
 	{BillHeld, slog.LevelDebug, "bill held by the witness"},
 	{BillRefused, slog.LevelWarn, "bill refused by the witness"},
 	{WitnessChosen, slog.LevelInfo, "witness chosen"},
@@ -110,12 +130,21 @@
 	{ConfigInForce, slog.LevelInfo, "configuration in force"},
 	{ConfigConflict, slog.LevelInfo, "configuration change lost a race"},
 	{ConfigRejected, slog.LevelWarn, "configuration change rejected"},
+	{SettingsReloaded, slog.LevelInfo, "settings reloaded"},
+	{SettingsRejected, slog.LevelError, "changed settings rejected, the old ones stay in force"},
 	{PeerJoined, slog.LevelInfo, "peer joined"},
 	{PeerSuspected, slog.LevelWarn, "peer suspected"},
 	{PeerRecovered, slog.LevelInfo, "peer recovered"},
 	{PeerLeft, slog.LevelInfo, "peer left"},
 	{RosterRead, slog.LevelInfo, "roster of routers read"},
+	{BackendFound, slog.LevelInfo, "backend server found"},
 	{BackendLeaving, slog.LevelInfo, "backend server leaving"},
+	{EntryRejected, slog.LevelWarn, "entry of the store rejected"},
+	{BackendAvoided, slog.LevelWarn, "backend server avoided for a while"},
+	{StoreUnreachable, slog.LevelWarn, "store unreachable"},
+	{StoreReachable, slog.LevelInfo, "store reachable"},
+	{LeaseLost, slog.LevelWarn, "lease of this router's entry lost"},
+	{ReportDropped, slog.LevelWarn, "report of a request that breaks servers dropped"},
 	{PlatformUnreachable, slog.LevelWarn, "platform service unreachable"},
 	{PlatformReachable, slog.LevelInfo, "platform service reachable again"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"log/slog"
+	"sort"
+	"sync"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// Member is a router that takes callers.
+type Member struct {
+	Name    string // VM
+	Address string // IP:port for callers
+	Zone    string // failure domain
+}
+
+// DecodeMember makes a Member from an item.
+type DecodeMember func(store.Item) (Member, error)
+
+// Members follows the routers' leased entries. It is a store.Sink.
+type Members struct {
+	decode DecodeMember
+	log    *event.Log
+	now    func() time.Time
+
+	mu         sync.Mutex
+	present    map[string]Member
+	lapsed     map[string]time.Time // missing since an outage, kept until then
+	graceUntil time.Time
+}
+
+// NewMembers makes an empty list. A nil now means time.Now.
+func NewMembers(decode DecodeMember, log *event.Log, now func() time.Time) *Members {
+	if now == nil {
+		now = time.Now
+	}
+	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), lapsed: make(map[string]time.Time)}
+}
+
+// Contact implements store.Sink.
+func (m *Members) Contact(reached bool, cause error) {
+	LogContact(m.log, "routers", reached, cause)
+}
+
+// Reset implements store.Sink.
+func (m *Members) Reset(items []store.Item, gap time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteGap(gap)
+	seen := make(map[string]bool, len(items))
+	for _, item := range items {
+		seen[item.Key] = true
+		m.put(item)
+	}
+	for key := range m.present {
+		if !seen[key] {
+			m.missing(key)
+		}
+	}
+}
+
+// Apply implements store.Sink.
+func (m *Members) Apply(events []store.Event, gap time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteGap(gap)
+	for _, e := range events {
+		if e.Deleted {
+			m.missing(e.Key)
+			continue
+		}
+		m.put(e.Item)
+	}
+}
+
+// noteGap keeps routers in the list whose leases ran out while the store was
+// away: without it the first reader after an outage sends all callers to itself.
+func (m *Members) noteGap(gap time.Duration) {
+	if gap > lapseGap+memberWait {
+		m.graceUntil = m.now().Add(lapseGrace)
+	}
+}
+
+// memberWait is the longest quiet time between two answers of the members' watch.
+const memberWait = 2500 * time.Millisecond
+
+func (m *Members) put(item store.Item) {
+	member, err := m.decode(item)
+	if err != nil {
+		m.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Any(event.KeyCause, err))
+		return
+	}
+	if _, known := m.present[item.Key]; !known {
+		m.log.Emit(event.PeerJoined, slog.String(event.KeyRouter, member.Name), slog.String("address", member.Address))
+	}
+	m.present[item.Key] = member
+	delete(m.lapsed, item.Key)
+}
+
+func (m *Members) missing(key string) {
+	member, known := m.present[key]
+	if !known {
+		return
+	}
+	if m.now().Before(m.graceUntil) {
+		m.lapsed[key] = m.graceUntil
+		return
+	}
+	m.log.Emit(event.PeerLeft, slog.String(event.KeyRouter, member.Name))
+	delete(m.present, key)
+	delete(m.lapsed, key)
+}
+
+// List returns the routers that take callers, in the order of their names.
+func (m *Members) List() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	for key, until := range m.lapsed {
+		if !now.Before(until) {
+			m.missing(key)
+		}
+	}
+	list := make([]Member, 0, len(m.present))
+	for _, member := range m.present {
+		list = append(list, member)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
--- /dev/null
+++ b/internal/fleet/registry.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"log/slog"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// lapseGap is the silence of the store after which missing entries may have
+// lapsed with it rather than left. It is above the pause between two reads.
+const lapseGap = 1500 * time.Millisecond
+
+// lapseGrace is how long entries that lapsed during an outage stay in use after
+// the store's return: living servers are back within two seconds (users' letter).
+const lapseGrace = 2 * time.Second
+
+// DecodeEntry makes an Entry from an item of the registry.
+type DecodeEntry func(store.Item) (Entry, error)
+
+// Registry follows the backend servers' entries. It is a store.Sink; the view is
+// read by any goroutine.
+type Registry struct {
+	decode DecodeEntry
+	log    *event.Log
+	now    func() time.Time
+
+	servers map[string]*tracked
+	// graceUntil ends the time after an outage in which a missing entry is
+	// still taken for a lapsed one.
+	graceUntil time.Time
+	view       atomic.Pointer[View]
+	reached    atomic.Bool
+}
+
+// tracked is a server with what the registry's last word on it was.
+type tracked struct {
+	server   *Server
+	revision store.Revision
+	// lapsedUntil is set while the entry is missing and the server still used.
+	lapsedUntil time.Time
+}
+
+// View is the servers by service, in the order of their ids. It never changes.
+type View struct {
+	ByService map[string][]*Server
+	Total     int
+}
+
+// NewRegistry makes an empty registry. A nil now means time.Now.
+func NewRegistry(decode DecodeEntry, log *event.Log, now func() time.Time) *Registry {
+	if now == nil {
+		now = time.Now
+	}
+	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked)}
+	r.view.Store(&View{ByService: map[string][]*Server{}})
+	return r
+}
+
+// View returns the servers known now.
+func (r *Registry) View() *View {
+	return r.view.Load()
+}
+
+// Contact implements store.Sink.
+func (r *Registry) Contact(reached bool, cause error) {
+	r.reached.Store(reached)
+	LogContact(r.log, "backend servers", reached, cause)
+}
+
+// Reset implements store.Sink.
+func (r *Registry) Reset(items []store.Item, gap time.Duration) {
+	r.noteGap(gap)
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+		r.put(item)
+	}
+	for key := range r.servers {
+		if !present[key] {
+			r.missing(key)
+		}
+	}
+	r.publish()
+}
+
+// Apply implements store.Sink.
+func (r *Registry) Apply(events []store.Event, gap time.Duration) {
+	r.noteGap(gap)
+	for _, e := range events {
+		if e.Deleted {
+			r.missing(e.Key)
+			continue
+		}
+		r.put(e.Item)
+	}
+	r.publish()
+}
+
+func (r *Registry) noteGap(gap time.Duration) {
+	if gap > lapseGap {
+		r.graceUntil = r.now().Add(lapseGrace)
+	}
+}
+
+func (r *Registry) put(item store.Item) {
+	known := r.servers[item.Key]
+	if known != nil && item.Revision <= known.revision {
+		return
+	}
+	entry, err := r.decode(item)
+	if err != nil {
+		r.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Any(event.KeyCause, err))
+		return
+	}
+	if known == nil {
+		r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision}
+		r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
+			slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining))
+		return
+	}
+	known.revision = item.Revision
+	known.lapsedUntil = time.Time{}
+	if entry.Draining {
+		r.leave(known, "draining")
+	}
+}
+
+// missing handles an entry that is gone. During an outage of the store entries
+// lapse although their servers live; dropping those at once would empty the
+// services at the moment the store returns.
+func (r *Registry) missing(key string) {
+	known := r.servers[key]
+	if known == nil {
+		return
+	}
+	if r.now().Before(r.graceUntil) {
+		if known.lapsedUntil.IsZero() {
+			known.lapsedUntil = r.graceUntil
+		}
+		return
+	}
+	r.drop(key, known)
+}
+
+func (r *Registry) drop(key string, known *tracked) {
+	r.leave(known, "gone")
+	delete(r.servers, key)
+}
+
+func (r *Registry) leave(known *tracked, how string) {
+	if known.server.Leaving() {
+		return
+	}
+	known.server.Leave()
+	r.log.Emit(event.BackendLeaving, slog.String(event.KeyBackend, known.server.ID), slog.String("how", how),
+		slog.Int64("revision", int64(known.revision)))
+}
+
+func (r *Registry) publish() {
+	now := r.now()
+	view := &View{ByService: make(map[string][]*Server)}
+	for key, known := range r.servers {
+		if !known.lapsedUntil.IsZero() && !now.Before(known.lapsedUntil) {
+			r.drop(key, known)
+			continue
+		}
+		if known.server.Leaving() {
+			continue
+		}
+		service := known.server.Service
+		view.ByService[service] = append(view.ByService[service], known.server)
+		view.Total++
+	}
+	for _, servers := range view.ByService {
+		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	}
+	r.view.Store(view)
+}
+
+// LogContact writes that a dependency was lost or regained.
+func LogContact(log *event.Log, what string, reached bool, cause error) {
+	if reached {
+		log.Emit(event.StoreReachable, slog.String("follows", what))
+		return
+	}
+	log.Emit(event.StoreUnreachable, slog.String("follows", what), slog.Any(event.KeyCause, cause))
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,150 @@
+// Package fleet keeps what a router knows of the world around it: the backend
+// servers of each service and the other routers.
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Entry is what a backend server says of itself in the registry.
+type Entry struct {
+	ID      string // one start of the server
+	Service string
+	Address string // IP:port
+	Zone    string // failure domain
+	Slots   int    // requests at once
+	// Draining servers take nothing new.
+	Draining bool
+}
+
+// Load is a backend server's own count of its work, as one answer carried it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Server is a backend server as this router knows it. The entry never changes;
+// the rest is shared by all requests.
+type Server struct {
+	Entry
+
+	leaving atomic.Bool
+
+	mu          sync.Mutex
+	load        Load
+	loadAt      time.Time
+	outstanding int     // own requests in hand
+	sinceLoad   int     // own requests in hand that the last load report may not count
+	prefill     float64 // own prompt tokens sent and not yet answered
+	failures    int     // failures in a row
+	avoidUntil  time.Time
+}
+
+// NewServer makes a server from its entry.
+func NewServer(e Entry) *Server {
+	s := &Server{Entry: e}
+	s.leaving.Store(e.Draining)
+	return s
+}
+
+// Leaving says whether the server is draining or gone: it gets nothing new.
+func (s *Server) Leaving() bool {
+	return s.leaving.Load()
+}
+
+// Leave marks the server as draining or gone. It is never taken back: an entry
+// that were ready again after it drained would be an old one.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Begin counts a request that is being sent, with the prompt tokens that the
+// server will have to read for it.
+func (s *Server) Begin(prefill float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outstanding++
+	s.sinceLoad++
+	s.prefill += prefill
+}
+
+// Answered takes away the prompt tokens of a request whose answer has begun.
+func (s *Server) Answered(prefill float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefill = max(0, s.prefill-prefill)
+}
+
+// End counts a request as no longer in hand.
+func (s *Server) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outstanding--
+	s.sinceLoad = max(0, s.sinceLoad-1)
+}
+
+// Report takes a load that an answer carried.
+func (s *Server) Report(l Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load, s.loadAt, s.sinceLoad = l, now, 0
+}
+
+// First and longest time that a server is avoided after it failed. The first is
+// about a crashed process's restart; the longest keeps a server that is back
+// after an outage of some seconds from idling much longer.
+const (
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 2 * time.Second
+)
+
+// Failed notes that an exchange broke or could not begin. The server is avoided
+// for a while that doubles with each failure in a row.
+func (s *Server) Failed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := avoidFirst << min(s.failures, 4)
+	s.failures++
+	s.avoidUntil = now.Add(min(wait, avoidMost))
+}
+
+// Worked notes a whole answer.
+func (s *Server) Worked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = 0
+	s.avoidUntil = time.Time{}
+}
+
+// Status is a server's state at one moment, for the choice between servers.
+type Status struct {
+	Outstanding int
+	Running     int     // estimate: own and others' requests
+	Prefill     float64 // own prompt tokens not yet read
+	Avoided     bool
+	Failures    int
+}
+
+// loadFresh bounds the age of a load report that counts: a request takes about
+// this long, so an older report says nothing of what runs now.
+const loadFresh = 1500 * time.Millisecond
+
+// Status returns the state now.
+func (s *Server) Status(now time.Time) Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := Status{
+		Outstanding: s.outstanding,
+		Running:     s.outstanding,
+		Prefill:     s.prefill,
+		Avoided:     now.Before(s.avoidUntil),
+		Failures:    s.failures,
+	}
+	if !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadFresh {
+		status.Running = max(s.outstanding, s.load.Running+s.load.Waiting+s.sinceLoad)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,177 @@
+// Package forward is the life of one request inside the router: admitted by the
+// policy, paid for, sent to a backend server, relayed, repeated or continued
+// elsewhere where that is allowed, and settled.
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/retry"
+	"chicorytiller.example/chicorytiller/internal/upstream"
+)
+
+// Caller takes the answer. Exactly one of Refuse, Answer, or Begin followed by
+// End or Abort is called.
+type Caller interface {
+	Refuse(Refusal)
+	// Answer sends a whole answer.
+	Answer(status int, header http.Header, body []byte) error
+	// Begin sends the head of an answer that goes on; length is -1 if unknown.
+	Begin(status int, header http.Header, length int64)
+	// Write sends a part at once.
+	Write(part []byte) error
+	// Abort ends the answer so that it can't be taken for a whole one.
+	Abort()
+}
+
+// ServeFunc takes one decoded request of a caller. ctx ends when the caller leaves.
+type ServeFunc func(ctx context.Context, r *request.Request, caller Caller)
+
+// Exchanger sends attempts to backend servers.
+type Exchanger interface {
+	Do(ctx context.Context, a *upstream.Attempt) (*upstream.Reply, error)
+}
+
+// Budget is where tokens are set aside.
+type Budget interface {
+	Reserve(ctx context.Context, account string, tokens int64) (*escrow.Reservation, error)
+}
+
+// Metrics counts what became of requests.
+type Metrics interface {
+	Served(first, whole time.Duration)
+	Refused(cause Cause)
+	Repeated(why string)
+}
+
+// Forwarder serves requests. Its fields are set once.
+type Forwarder struct {
+	Policy     func() *policy.Policy // nil until one is known
+	Servers    func(service string) []*fleet.Server
+	Budget     Budget
+	Retries    *retry.Budget
+	Quarantine *retry.Quarantine
+	// Report tells the other routers of a content that breaks servers.
+	Report  func(content uint64)
+	Chooser *balance.Chooser
+	Backend Exchanger
+	Log     *event.Log
+	Metrics Metrics
+}
+
+// Serve answers one request. ctx ends when the caller leaves.
+func (f *Forwarder) Serve(ctx context.Context, r *request.Request, caller Caller) {
+	p := f.Policy()
+	cause := f.admit(p, r)
+	if cause != "" {
+		f.refuse(r, caller, refusal(cause), p, nil)
+		return
+	}
+	f.Retries.Request(r.Service)
+	reservation, cause := f.reserve(ctx, r)
+	if cause != "" {
+		f.refuse(r, caller, refusal(cause), p, nil)
+		return
+	}
+	t := newTask(f, p, r, caller)
+	t.run(ctx)
+	reservation.Settle(t.used())
+}
+
+// Refuse answers a request that is not to be served at all.
+func (f *Forwarder) Refuse(r *request.Request, caller Caller, cause Cause) {
+	f.refuse(r, caller, refusal(cause), f.Policy(), nil)
+}
+
+// admit finds account, route and service of a request, or the cause to refuse it.
+func (f *Forwarder) admit(p *policy.Policy, r *request.Request) Cause {
+	if p == nil {
+		return NotReady
+	}
+	r.Route = p.Route(r.Host, r.Path)
+	if r.Route == nil {
+		return NoRoute
+	}
+	r.Account = p.AccountOf(r.Key)
+	if r.Account == nil && !r.Route.Public {
+		return NoAccount
+	}
+	if p.Limits.BodyBytes > 0 && int64(len(r.Body)) > p.Limits.BodyBytes {
+		return TooLarge
+	}
+	if f.Quarantine.Held(contentOf(r)) {
+		return Quarantined
+	}
+	roll := float64(xxhash.Sum64String(r.ID)>>11) / (1 << 53)
+	r.Service = r.Route.Target(roll)
+	return ""
+}
+
+// reserveTimeout bounds the wait for a draw, which takes some ms: a request that
+// waits longer is better served by a try at another router.
+const reserveTimeout = 400 * time.Millisecond
+
+func (f *Forwarder) reserve(ctx context.Context, r *request.Request) (*escrow.Reservation, Cause) {
+	if !r.HasUsage || r.Account == nil || !r.Account.Metered {
+		return nil, ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reservation, err := f.Budget.Reserve(ctx, r.Account.Name, r.Cost())
+	switch {
+	case err == nil:
+		return reservation, ""
+	case errors.Is(err, escrow.ErrExhausted):
+		return nil, Exhausted
+	case errors.Is(err, escrow.ErrContended):
+		return nil, BudgetElsewhere
+	}
+	return nil, BudgetUnreachable
+}
+
+func (f *Forwarder) refuse(r *request.Request, caller Caller, refusal Refusal, p *policy.Policy, t *task) {
+	caller.Refuse(refusal)
+	f.Metrics.Refused(refusal.Cause)
+	attrs := []slog.Attr{
+		slog.String(event.KeyRequest, r.ID),
+		slog.String(event.KeyCause, string(refusal.Cause)),
+		slog.Bool("not_run", refusal.Cause.NotRun()),
+		slog.Int64("ms", time.Since(r.Arrived).Milliseconds()),
+	}
+	if p != nil {
+		attrs = append(attrs, slog.Int64("config", p.Version))
+	}
+	if r.Route != nil {
+		attrs = append(attrs, slog.String("route", r.Route.Name), slog.String("service", r.Service))
+	}
+	if r.Account != nil {
+		attrs = append(attrs, slog.String(event.KeyAccount, r.Account.Name))
+	}
+	if t != nil {
+		attrs = append(attrs, slog.Int("sends", t.sends), slog.String("last", t.lastFailure))
+	}
+	f.Log.Emit(event.RequestRefused, attrs...)
+}
+
+// contentOf hashes what makes a request the same as an earlier one.
+func contentOf(r *request.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target, r.Key} {
+		_, _ = h.WriteString(part) // a hash takes everything
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/forward/refusal.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"time"
+)
+
+// Cause is why a request gets no answer of a backend server.
+type Cause string
+
+// Causes. Those up to Overdue say that the request has not run and never will.
+const (
+	NotReady          Cause = "no_configuration"    // none known yet
+	NoRoute           Cause = "unknown_route"       // no route fits host and path
+	NoAccount         Cause = "unknown_key"         // no client account holds the key
+	TooLarge          Cause = "body_too_large"      // over the configured limit
+	Exhausted         Cause = "budget_exhausted"    // what is left doesn't cover it
+	BudgetElsewhere   Cause = "budget_held"         // the rest is granted to other routers
+	BudgetUnreachable Cause = "budget_unreachable"  // own grant used up, store away
+	NoServer          Cause = "no_backend"          // none to send it to
+	Rejected          Cause = "backend_rejected"    // the server said that it did not run it
+	Stopping          Cause = "router_stopping"     // this process stops
+	Quarantined       Cause = "request_quarantined" // it breaks the servers that run it
+	Overdue           Cause = "overdue_unsent"      // time ran out before it was sent
+	TimedOut          Cause = "timed_out"           // sent, no answer in time
+	BackendFailed     Cause = "backend_failed"      // sent, the exchange broke
+)
+
+// NotRun says whether the cause promises that the request has not run and won't.
+func (c Cause) NotRun() bool {
+	return c != TimedOut && c != BackendFailed
+}
+
+// Refusal is a final answer of the router's own.
+type Refusal struct {
+	Cause Cause
+	// RetryAfter is when another try makes sense; zero: it doesn't say.
+	RetryAfter time.Duration
+}
+
+// Times after which another try makes sense.
+const (
+	// retrySoon suits a rejection: another server or router may be free at once.
+	retrySoon = 250 * time.Millisecond
+	// retryLater suits what a store call or a restarted process has to mend.
+	retryLater = 800 * time.Millisecond
+)
+
+func refusal(c Cause) Refusal {
+	switch c {
+	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer:
+		return Refusal{Cause: c, RetryAfter: retryLater}
+	case Rejected, Stopping, Overdue:
+		return Refusal{Cause: c, RetryAfter: retrySoon}
+	}
+	return Refusal{Cause: c}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,382 @@
+// Package node puts one router together: what it follows in the store, what it
+// listens on, and its planned stop.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/entry"
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/retry"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/upstream"
+)
+
+// Keys of the fleet's own records.
+const (
+	memberPrefix = "chicory/router/"
+	brokenPrefix = "chicory/broken/"
+	fleetPrefix  = "chicory/" // of both
+	budgetPrefix = "chicory-budget/"
+)
+
+// Pace of the followers. Each call to the store is paid for.
+const (
+	// configWait bounds the age of the configuration on a connection that went
+	// silent: below the two seconds within which a version is in force.
+	configWait = 1500 * time.Millisecond
+	// serversPause gathers the servers' heartbeats: an entry that changed must be
+	// known within the two seconds that a draining server still serves.
+	serversPause = 900 * time.Millisecond
+	serversWait  = 500 * time.Millisecond
+	// fleetWait suits changes that are rare.
+	fleetWait = 2500 * time.Millisecond
+	// patience is the time an answer may take beyond its wait, also of a store
+	// that is slow.
+	patience = 1000 * time.Millisecond
+	// configPause keeps a storm of versions from becoming a storm of calls.
+	configPause = 50 * time.Millisecond
+)
+
+// Dialect is what the node needs to speak with its surroundings.
+type Dialect struct {
+	Store         store.Store
+	ConfigPrefix  string
+	IsConfig      func(store.Item) bool
+	DecodeConfig  func(store.Item) (*policy.Policy, error)
+	ServersPrefix string
+	DecodeServer  fleet.DecodeEntry
+	Codec         upstream.Codec
+	// Front, Directory and Ready make the handlers of the three listeners.
+	Front     func(serve forward.ServeFunc, bodyLimit func() int64, closing func() bool) http.Handler
+	Directory func(resolve func(zone string) []string, ttl time.Duration) http.Handler
+	Ready     func(ready func() bool) http.Handler
+}
+
+// Node is one router.
+type Node struct {
+	settings    *Settings
+	dialect     Dialect
+	log         *event.Log
+	incarnation string
+	metrics     *Metrics
+
+	policy   atomic.Pointer[policy.Policy]
+	registry *fleet.Registry
+	members  *fleet.Members
+	keeper   *escrow.Keeper
+	retries  *retry.Budget
+	held     *retry.Quarantine
+	client   *upstream.Client
+	forward  *forward.Forwarder
+	reports  chan uint64
+
+	stopNotice chan struct{} // closed when the stop begins
+	stopping   atomic.Bool
+	stoppedAt  atomic.Int64 // monotonic-free wall time of the stop, Unix ms
+	inHand     atomic.Int64
+}
+
+// New makes a node. incarnation is a name that no other process ever has.
+func New(s *Settings, d Dialect, log *event.Log, incarnation string) *Node {
+	n := &Node{settings: s, dialect: d, log: log, incarnation: incarnation, metrics: NewMetrics(), reports: make(chan uint64, reportsMost),
+		stopNotice: make(chan struct{})}
+	n.registry = fleet.NewRegistry(d.DecodeServer, log, nil)
+	n.members = fleet.NewMembers(decodeMember, log, nil)
+	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
+	n.held = retry.NewQuarantine(nil)
+	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
+	n.keeper = escrow.New(escrow.Options{
+		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Incarnation: incarnation,
+		Budgets: n.budgets, Routers: n.routers, Log: log,
+	})
+	n.forward = &forward.Forwarder{
+		Policy:     n.policy.Load,
+		Servers:    func(service string) []*fleet.Server { return n.registry.View().ByService[service] },
+		Budget:     n.keeper,
+		Retries:    n.retries,
+		Quarantine: n.held,
+		Report:     n.report,
+		Chooser:    balance.NewChooser(s.FailureDomain, nil),
+		Backend:    n.client,
+		Log:        log,
+		Metrics:    n.metrics,
+	}
+	return n
+}
+
+func retryLimits(s *Settings) retry.Limits {
+	return retry.Limits{Window: s.RetryWindow, Ratio: s.RetryRatio, Extra: s.RetryExtra}
+}
+
+// Reload puts changed settings in force. Listen addresses stay as they are.
+func (n *Node) Reload(s *Settings) {
+	n.retries.Set(retryLimits(s), n.sharers())
+	n.log.Emit(event.SettingsReloaded, slog.Float64("retry_ratio", s.RetryRatio), slog.Float64("retry_extra", s.RetryExtra))
+}
+
+// budgets lists the metered accounts and what they paid for.
+func (n *Node) budgets() map[string]int64 {
+	p := n.policy.Load()
+	if p == nil {
+		return nil
+	}
+	paid := make(map[string]int64, len(p.Accounts))
+	for name, account := range p.Accounts {
+		if account.Metered {
+			paid[name] = account.Prepaid
+		}
+	}
+	return paid
+}
+
+// routers is how many routers live, as far as known.
+func (n *Node) routers() int {
+	return max(1, len(n.members.List()))
+}
+
+// sharers is the number of routers to divide the common part of the retry budget
+// by: some more than live, for those that join before all know of them.
+func (n *Node) sharers() int {
+	const joining = 1.5
+	return int(joining*float64(n.routers())) + 1
+}
+
+func (n *Node) ready() bool {
+	return n.policy.Load() != nil && n.registry.View().Total > 0 && !n.stopping.Load()
+}
+
+func (n *Node) self() fleet.Member {
+	return fleet.Member{Name: n.settings.VM, Address: n.settings.Callers, Zone: n.settings.FailureDomain}
+}
+
+// resolve names the routers for a caller. This router counts itself in as long as
+// it is ready, also when its own entry has lapsed with the store.
+func (n *Node) resolve(zone string) []string {
+	members := n.members.List()
+	others := members[:0]
+	for _, m := range members {
+		if m.Name != n.settings.VM {
+			others = append(others, m)
+		}
+	}
+	if n.ready() {
+		others = append(others, n.self())
+	}
+	return entry.Choose(others, zone)
+}
+
+// stopRefuseAfter is how long a stopping router still takes requests: callers keep
+// what they were told for that long and would find nothing else to do with it.
+const stopRefuseAfter = 2500 * time.Millisecond
+
+func (n *Node) serve(ctx context.Context, r *request.Request, caller forward.Caller) {
+	n.inHand.Add(1)
+	defer n.inHand.Add(-1)
+	if n.stopping.Load() && time.Now().UnixMilli()-n.stoppedAt.Load() > stopRefuseAfter.Milliseconds() {
+		n.forward.Refuse(r, caller, forward.Stopping)
+		return
+	}
+	n.forward.Serve(ctx, r, caller)
+}
+
+func (n *Node) bodyLimit() int64 {
+	if p := n.policy.Load(); p != nil {
+		return p.Limits.BodyBytes
+	}
+	return 0
+}
+
+// Run serves until ctx ends, then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	background, endBackground := context.WithCancel(context.Background())
+	defer endBackground()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer endBackground()
+	for _, l := range listeners {
+		tasks.Go(l.serve)
+		defer l.close()
+	}
+	n.follow(background, &tasks)
+	n.log.Emit(event.ProcessStarted, slog.String("callers", n.settings.Callers), slog.String("incarnation", n.incarnation))
+	<-ctx.Done()
+	n.stop()
+	return nil
+}
+
+// listener is one HTTP listener.
+type listener struct {
+	net    net.Listener
+	server *http.Server
+	log    *event.Log
+}
+
+// Limits of callers' connections. The configured idle time is shorter; a router
+// that closes later than callers expect loses nothing.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	headerBytes   = 64 << 10
+)
+
+func (n *Node) listen() ([]*listener, error) {
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Callers, n.dialect.Front(n.serve, n.bodyLimit, n.stopping.Load)},
+		{n.settings.Ready, n.dialect.Ready(n.ready)},
+		{n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
+		{n.settings.Metrics, n.metrics.Handler()},
+	}
+	listeners := make([]*listener, 0, len(handlers))
+	for _, h := range handlers {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			for _, opened := range listeners {
+				opened.close()
+			}
+			return nil, errors.Wrap(err, "listen")
+		}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+		listeners = append(listeners, &listener{net: l, server: server, log: n.log})
+	}
+	return listeners, nil
+}
+
+func (l *listener) serve() {
+	if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+		l.log.Emit(event.ListenerFailed, slog.String("address", l.net.Addr().String()), slog.Any(event.KeyCause, err))
+	}
+}
+
+func (l *listener) close() {
+	_ = l.server.Close() // the process ends
+}
+
+// follow starts what keeps this router's knowledge and its own entry fresh.
+func (n *Node) follow(ctx context.Context, tasks *conc.WaitGroup) {
+	followers := []*store.Follower{
+		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Pause: configPause, Sink: &configSink{node: n}},
+		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Pause: serversPause, Sink: n.registry},
+		{Prefix: fleetPrefix, Wait: fleetWait, Pause: configPause, Sink: &fleetSink{node: n}},
+	}
+	for _, f := range followers {
+		f.Store, f.Patience = n.dialect.Store, patience
+		tasks.Go(func() { f.Run(ctx) })
+	}
+	tasks.Go(func() { n.keeper.Run(ctx) })
+	tasks.Go(func() { n.client.Run(ctx) })
+	tasks.Go(func() { n.announce(ctx) })
+	tasks.Go(func() { n.publishReports(ctx) })
+}
+
+// configSink takes the operator's configuration.
+type configSink struct {
+	node *Node
+}
+
+func (s *configSink) Contact(reached bool, cause error) {
+	fleet.LogContact(s.node.log, "configuration", reached, cause)
+}
+
+func (s *configSink) Reset(items []store.Item, _ time.Duration) {
+	for _, item := range items {
+		s.take(item)
+	}
+}
+
+func (s *configSink) Apply(events []store.Event, _ time.Duration) {
+	for _, e := range events {
+		if !e.Deleted {
+			s.take(e.Item)
+		}
+	}
+}
+
+// take puts a version in force, whole or not at all. Versions never go back.
+func (s *configSink) take(item store.Item) {
+	n := s.node
+	if !n.dialect.IsConfig(item) {
+		return
+	}
+	p, err := n.dialect.DecodeConfig(item)
+	if err != nil {
+		n.log.Emit(event.ConfigRejected, slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
+		return
+	}
+	if current := n.policy.Load(); current != nil && p.Version <= current.Version {
+		return
+	}
+	n.policy.Store(p)
+	n.log.Emit(event.ConfigInForce, slog.Int64("config", p.Version), slog.Int64("revision", int64(item.Revision)))
+}
+
+// fleetSink takes the fleet's own records: routers and quarantined contents.
+type fleetSink struct {
+	node *Node
+}
+
+func (s *fleetSink) Contact(reached bool, cause error) {
+	s.node.members.Contact(reached, cause)
+}
+
+func (s *fleetSink) Reset(items []store.Item, gap time.Duration) {
+	var members []store.Item
+	for _, item := range items {
+		if !s.node.holdBroken(item.Key) {
+			members = append(members, item)
+		}
+	}
+	s.node.members.Reset(members, gap)
+	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
+}
+
+func (s *fleetSink) Apply(events []store.Event, gap time.Duration) {
+	var members []store.Event
+	for _, e := range events {
+		if e.Deleted || !s.node.holdBroken(e.Key) {
+			members = append(members, e)
+		}
+	}
+	s.node.members.Apply(members, gap)
+	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
+}
+
+// memberRecord is the stored form of this router's entry.
+type memberRecord struct {
+	Address string `json:"address"`
+	Zone    string `json:"failure_domain"`
+}
+
+func decodeMember(item store.Item) (fleet.Member, error) {
+	record := memberRecord{}
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return fleet.Member{}, errors.Wrap(err, "router's entry")
+	}
+	if record.Address == "" {
+		return fleet.Member{}, errors.New("router's entry has no address")
+	}
+	return fleet.Member{Name: item.Key[len(memberPrefix):], Address: record.Address, Zone: record.Zone}, nil
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// ErrSettings: the settings file can't be used. The text names section and key.
+var ErrSettings = errors.New("settings")
+
+// Settings of one router, from an INI file; docs/SETTINGS.md lists the keys.
+type Settings struct {
+	VM            string // name of this VM
+	FailureDomain string
+
+	// Listen addresses, IP:port.
+	Callers   string
+	Ready     string
+	Directory string
+	Metrics   string
+
+	Store string // address of the key-value store
+
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// EntryTTL is how long callers may keep the addresses that they were told.
+	EntryTTL time.Duration
+
+	// Repeats of requests, for all routers together.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+
+	// MemoryMB is what the process may use; 0: no bound.
+	MemoryMB int
+}
+
+// entryTTLDefault lets callers leave a stopped router within a second or two, at
+// one small call per caller and second.
+const entryTTLDefault = 1.5
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(ErrSettings, err.Error())
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings checks the bytes of a settings file.
+func ParseSettings(data []byte) (*Settings, error) {
+	file, err := ini.Load(data)
+	if err != nil {
+		return nil, errors.Wrap(ErrSettings, err.Error())
+	}
+	p := &parser{file: file}
+	s := &Settings{
+		VM:            p.text("router", "vm"),
+		FailureDomain: p.text("router", "failure_domain"),
+		Callers:       p.address("listen", "callers"),
+		Ready:         p.address("listen", "ready"),
+		Directory:     p.address("listen", "directory"),
+		Metrics:       p.address("listen", "metrics"),
+		Store:         p.address("store", "address"),
+		Grace:         p.seconds("router", "grace_s", 0),
+		EntryTTL:      p.seconds("router", "entry_ttl_s", entryTTLDefault),
+		RetryRatio:    p.number("retries", "ratio", 0),
+		RetryExtra:    p.number("retries", "extra", 0),
+		RetryWindow:   p.seconds("retries", "window_s", 0),
+		MemoryMB:      int(p.number("router", "memory_mb", 0)),
+	}
+	if p.err != nil {
+		return nil, p.err
+	}
+	return s, nil
+}
+
+// parser keeps the first fault that it finds.
+type parser struct {
+	file *ini.File
+	err  error
+}
+
+func (p *parser) fail(section, key, what string) {
+	if p.err == nil {
+		p.err = errors.Wrapf(ErrSettings, "[%s] %s: %s", section, key, what)
+	}
+}
+
+func (p *parser) text(section, key string) string {
+	value := p.file.Section(section).Key(key).String()
+	if value == "" {
+		p.fail(section, key, "missing")
+	}
+	return value
+}
+
+func (p *parser) address(section, key string) string {
+	value := p.text(section, key)
+	if _, err := netip.ParseAddrPort(value); value != "" && err != nil {
+		p.fail(section, key, "not IP:port: "+value)
+	}
+	return value
+}
+
+// number reads a number that is not negative. A zero fallback means that the key
+// must be there.
+func (p *parser) number(section, key string, fallback float64) float64 {
+	k := p.file.Section(section).Key(key)
+	if k.String() == "" && fallback > 0 {
+		return fallback
+	}
+	value, err := k.Float64()
+	if err != nil || value < 0 {
+		p.fail(section, key, "not a number of zero or more: "+k.String())
+	}
+	return value
+}
+
+func (p *parser) seconds(section, key string, fallback float64) time.Duration {
+	return time.Duration(p.number(section, key, fallback) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/store/follow.go
@@ -0,0 +1,121 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Sink takes what a Follower learns. Calls come from one goroutine, in order.
+type Sink interface {
+	// Reset replaces all that is known under the prefix. gap is the time since
+	// the store last answered; zero at the first read.
+	Reset(items []Item, gap time.Duration)
+	// Apply takes changes, in the order of their revisions.
+	Apply(events []Event, gap time.Duration)
+	// Contact tells whether the last call was answered. It is called at each change.
+	Contact(reached bool, cause error)
+}
+
+// Follower keeps a Sink up to date with all keys under a prefix: one read, then
+// watches from there; another read whenever the history was lost.
+type Follower struct {
+	Store  Store
+	Prefix string
+	// Wait is how long one watch may wait at the store. A watch that is silent
+	// for longer than Wait and Patience is given up and opened anew, since an
+	// open connection can go silent without a reset; so Wait + Patience bounds
+	// the age of what is known.
+	Wait time.Duration
+	// Patience is the time an answer may need beyond Wait.
+	Patience time.Duration
+	// Pause is the least time between two calls. It bounds the calls on a prefix
+	// that changes all the time: changes of one pause come in one answer.
+	Pause time.Duration
+	Sink  Sink
+
+	at      Revision
+	synced  bool
+	lastOK  time.Time
+	reached bool
+	started bool
+}
+
+// retryPause is the wait after a failed call: short beside the second within
+// which a change must be known, long beside a call's few milliseconds.
+const retryPause = 150 * time.Millisecond
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.Pause
+		if err := f.step(ctx); err != nil {
+			pause = retryPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.synced {
+		return f.read(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Patience)
+	defer cancel()
+	snapshot, err := f.Store.Read(ctx, f.Prefix)
+	if err != nil {
+		f.failed(err)
+		return err
+	}
+	f.Sink.Reset(snapshot.Items, f.answered())
+	f.at, f.synced = snapshot.At, true
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Patience)
+	defer cancel()
+	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, f.Wait)
+	if errors.Is(err, ErrCompacted) {
+		f.synced = false
+		return err
+	}
+	if err != nil {
+		f.failed(err)
+		return err
+	}
+	f.Sink.Apply(changes.Events, f.answered())
+	// A watch never moves back: an answer from behind would replay old events.
+	f.at = max(f.at, changes.At)
+	return nil
+}
+
+// answered notes an answer and returns how long there was none before it.
+func (f *Follower) answered() time.Duration {
+	now := time.Now()
+	gap := time.Duration(0)
+	if !f.lastOK.IsZero() {
+		gap = now.Sub(f.lastOK)
+	}
+	f.lastOK = now
+	if !f.reached {
+		f.reached, f.started = true, true
+		f.Sink.Contact(true, nil)
+	}
+	return gap
+}
+
+func (f *Follower) failed(err error) {
+	if f.reached || !f.started {
+		f.reached, f.started = false, true
+		f.Sink.Contact(false, err)
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,104 @@
+// Package store is the port to the linearizable key-value store that outlives the
+// routers: revisions, prefix reads, watches, conditional transactions and leases.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Revision counts the changes of the whole store. Zero means: no such key.
+type Revision int64
+
+// LeaseID names a lease. Zero means: no lease.
+type LeaseID int64
+
+// Errors of the store. Adapters wrap them; test with errors.Is.
+var (
+	// ErrUnavailable: the store refused or can't be reached; nothing was done.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrOutcomeUnknown: the call was sent and not answered. It may have taken
+	// effect, or may still do so later if its condition holds then.
+	ErrOutcomeUnknown = errors.New("store: outcome unknown")
+	// ErrConflict: a condition of the transaction did not hold; nothing was written.
+	ErrConflict = errors.New("store: conflict")
+	// ErrCompacted: the history that a watch asked for is no longer kept.
+	ErrCompacted = errors.New("store: history compacted")
+	// ErrLeaseGone: the lease ended or never was.
+	ErrLeaseGone = errors.New("store: lease gone")
+	// ErrMalformed: the store's answer could not be understood.
+	ErrMalformed = errors.New("store: malformed answer")
+)
+
+// Item is one key's content at its last change.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision Revision
+	Lease    LeaseID
+}
+
+// Event is one change of a key. Of a deleted key only Key and Revision are set.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Snapshot is what a prefix read returned. At is the store's revision when the
+// read began: a watch from there misses nothing.
+type Snapshot struct {
+	Items []Item
+	At    Revision
+}
+
+// Changes is what a watch returned. Events is empty when the wait ran out.
+type Changes struct {
+	Events []Event
+	At     Revision
+}
+
+// Expect is a condition: the key's last change is at Revision (zero: no such key).
+type Expect struct {
+	Key      string
+	Revision Revision
+}
+
+// Put writes a key, bound to a lease if one is named.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Txn is all or nothing.
+type Txn struct {
+	Expect  []Expect
+	Puts    []Put
+	Removes []string
+}
+
+// Result of a transaction. Current holds, after ErrConflict, the present state
+// of the keys that were expected; keys that don't exist are missing from it.
+type Result struct {
+	Revision Revision
+	Current  []Item
+}
+
+// Store is the port. Each call is priced by the platform, also a refused one.
+type Store interface {
+	// Read returns all items under the prefix, at the store's present state.
+	Read(ctx context.Context, prefix string) (Snapshot, error)
+	// Watch returns the changes under the prefix after a revision, as soon as
+	// there is one and at the latest after wait.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+	// Commit runs a transaction.
+	Commit(ctx context.Context, txn Txn) (Result, error)
+	// Grant makes a lease; its keys go when it is not renewed for ttl.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease by its ttl.
+	Renew(ctx context.Context, lease LeaseID) error
+	// End ends a lease and removes its keys.
+	End(ctx context.Context, lease LeaseID) error
+}
