--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -9,7 +9,7 @@
 const (
 	// Horizon is how much of a router's own use a grant covers. Longer rides out
 	// longer outages of the store; shorter strands less when a router dies.
-	Horizon = 5 * time.Second
+	Horizon = 10 * time.Second
 	// refillBelow is the part of the horizon below which more is drawn.
 	refillBelow = 0.5
 	// returnAbove is the multiple of the wanted grant above which the rest goes back.
@@ -19,9 +19,9 @@
 	firstShare = 0.05
 	// endShare bounds one router's draw to this part of an equal share of what is
 	// left, so that the last tokens of a budget are not stranded at one router.
-	endShare = 0.4
+	endShare = 0.7
 	// rateMemory is the time over which a router's use is averaged.
-	rateMemory = 4 * time.Second
+	rateMemory = 6 * time.Second
 )
 
 // purse is one router's grant on one account. All fields are guarded by the Keeper.
