--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -38,7 +38,8 @@
 	Routers     func() int // living routers, at least 1
 	Log         *event.Log
 	Now         func() time.Time
-	// Reserved is told of each change of what is reserved; nil means nobody.
+	// Borrow asks other routers for tokens and returns how many it got.
+	Borrow func(ctx context.Context, account string, tokens int64) int64
 }
 
 // Keeper holds this router's grants. Reservations come from any goroutine; one
@@ -87,13 +88,22 @@
 	})
 }
 
-// Reserve sets tokens aside, and waits for a draw if the grant is too small.
+// Reserve sets tokens aside. If the grant is too small it waits for a draw, and
+// asks other routers where the store can't give: while it is away, and at the end
+// of a budget, what one router lacks lies unused at another.
 func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
-	waited := false
+	waited, asked := false, false
 	for {
 		reservation, changed, err := k.try(account, tokens, waited)
-		if reservation != nil || err != nil {
-			return reservation, err
+		if reservation != nil {
+			return reservation, nil
+		}
+		if err != nil {
+			if asked || errors.Is(err, ErrExhausted) || !k.borrow(ctx, account, tokens) {
+				return nil, err
+			}
+			asked = true
+			continue
 		}
 		waited = true
 		select {
@@ -106,6 +116,30 @@
 	}
 }
 
+// borrow gets what is missing from other routers; it says whether it got any.
+func (k *Keeper) borrow(ctx context.Context, account string, tokens int64) bool {
+	k.mu.Lock()
+	missing := tokens - k.purse(account).available()
+	k.mu.Unlock()
+	got := k.o.Borrow(ctx, account, missing)
+	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, account), slog.Int64("missing", missing), slog.Int64(event.KeyTokens, got))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.purse(account).borrowed += got
+	return got > 0
+}
+
+// Lend gives available tokens to another router. They count as used here from now
+// on: an answer that is lost loses them, and never gives them twice.
+func (k *Keeper) Lend(account string, tokens int64) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.purse(account)
+	given := max(0, min(tokens, p.available()))
+	p.lent += given
+	return given
+}
+
 // try reserves if it can. Else it returns the channel that closes after the next
 // round with the store, or the reason why waiting doesn't help.
 func (k *Keeper) try(account string, tokens int64, waited bool) (*Reservation, <-chan struct{}, error) {
@@ -140,7 +174,7 @@
 		return nil
 	}
 	// Own figures are newer than the record's.
-	spent := p.record.SpentAtLeast() - p.record.Figure(k.o.VM, k.o.Incarnation).Spent + p.spent
+	spent := p.record.SpentAtLeast() - p.record.Figure(k.o.VM, k.o.Incarnation).Spent + p.spent + p.lent - p.borrowed
 	if prepaid-spent < tokens {
 		return ErrExhausted
 	}
@@ -326,7 +360,7 @@
 // from now on, before it is stored; a larger one only once it is stored.
 func (k *Keeper) add(d *draw, p *purse, granted int64) {
 	p.seq++
-	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent}
+	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
 	next := p.record.With(k.o.VM, k.o.Incarnation, figure)
 	p.granted = min(p.granted, granted)
 	d.pendingAt = append(d.pendingAt, p.pendingAt)
@@ -444,7 +478,7 @@
 		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.purses) == txnAccounts {
 			continue
 		}
-		spent := min(p.granted, p.spent+p.reserved)
+		spent := max(0, min(p.granted, p.used()))
 		next := p.record.Without(k.o.VM, k.o.Incarnation, spent)
 		key := k.o.Prefix + p.account
 		p.granted = min(p.granted, spent)
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -16,7 +16,7 @@
 	returnAbove = 2.0
 	// firstShare is the part of a budget that all routers together hold before
 	// they have seen any use of it.
-	firstShare = 0.05
+	firstShare = 0.15
 	// endShare bounds one router's draw to this part of an equal share of what is
 	// left, so that the last tokens of a budget are not stranded at one router.
 	endShare = 0.7
@@ -30,6 +30,8 @@
 	granted  int64 // lower bound of what the record gives this incarnation
 	spent    int64
 	reserved int64
+	lent     int64 // given to other routers
+	borrowed int64 // got from other routers
 	largest  int64 // largest reservation asked for lately
 	missing  int64 // what waiting reservations lack
 
@@ -64,8 +66,14 @@
 	}
 }
 
+// used is what of the grant is no longer to be had. Tokens borrowed from others
+// come on top of the grant.
+func (p *purse) used() int64 {
+	return p.spent + p.reserved + p.lent - p.borrowed
+}
+
 func (p *purse) available() int64 {
-	return p.granted - p.spent - p.reserved
+	return p.granted - p.used()
 }
 
 // settle books what a reservation really used.
@@ -97,19 +105,18 @@
 	return max(0, prepaid-p.record.Given())
 }
 
-// target is the grant that this router should hold: what is spent and reserved,
-// the horizon's use, and room for the largest request.
-func (p *purse) target(prepaid int64, routers int) int64 {
+// wanted is what should be available here: the horizon's use, and at first an
+// equal part of what all routers hold before use is seen.
+func (p *purse) wanted(prepaid int64, routers int) int64 {
 	first := firstShare * float64(prepaid) / float64(max(1, routers))
-	ahead := max(p.rate*Horizon.Seconds(), first) + float64(p.largest)
-	return p.spent + p.reserved + int64(ahead)
+	return int64(max(p.rate*Horizon.Seconds(), first))
 }
 
 // plan returns the grant to ask for next, and whether a write is due.
 func (p *purse) plan(prepaid int64, routers int) (granted int64, due bool) {
 	free := p.free(prepaid)
 	fair := int64(endShare * float64(free+max(0, p.available())) / float64(max(1, routers)))
-	ahead := p.target(prepaid, routers) - p.spent - p.reserved
+	ahead := p.wanted(prepaid, routers)
 	scarce := ahead > fair
 	ahead = min(ahead, fair)
 	ahead = max(ahead, p.missing)
@@ -123,7 +130,7 @@
 		return p.granted + more, true
 	case scarce && float64(available) > returnAbove*float64(ahead) && available > p.largest:
 		// Others may be refused for what lies here unused.
-		return p.spent + p.reserved + max(ahead, p.largest), true
+		return p.used() + max(ahead, p.largest), true
 	}
 	return p.granted, false
 }
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -22,7 +22,8 @@
 	Seq int64 `json:"seq"`
 	// Granted is the total of tokens given out to it.
 	Granted int64 `json:"granted"`
-	// Spent is what it had spent of them at that write.
+	// Spent is what it had spent of them at that write, with what it lent to others
+	// and without what it borrowed from them; so it can be negative.
 	Spent int64 `json:"spent"`
 }
 
@@ -56,8 +57,8 @@
 	}
 	for _, incarnations := range r.Holders {
 		for _, f := range incarnations {
-			if f.Granted < 0 || f.Spent < 0 {
-				return Record{}, errors.Wrap(ErrRecord, "negative figure")
+			if f.Granted < 0 {
+				return Record{}, errors.Wrap(ErrRecord, "negative grant")
 			}
 		}
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,6 +42,7 @@
 	TopUpLanded    Number = 304
 	DrawUnknown    Number = 305
 	GrantsReturned Number = 306
+	TokensBorrowed Number = 307
 )
 
 // Events of bills and of the settlement of dead routers.
@@ -118,6 +119,7 @@
 	{TopUpLanded, slog.LevelInfo, "top-up landed"},
 	{DrawUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
 	{GrantsReturned, slog.LevelInfo, "grants returned"},
+	{TokensBorrowed, slog.LevelInfo, "tokens borrowed from other routers"},
 	{BillHeld, slog.LevelDebug, "bill held by the witness"},
 	{BillRefused, slog.LevelWarn, "bill refused by the witness"},
 	{WitnessChosen, slog.LevelInfo, "witness chosen"},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -14,6 +14,7 @@
 type Member struct {
 	Name    string // VM
 	Address string // IP:port for callers
+	Peer    string // IP:port for other routers
 	Zone    string // failure domain
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/peers"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
@@ -103,7 +104,7 @@
 	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
 	n.keeper = escrow.New(escrow.Options{
 		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Incarnation: incarnation,
-		Budgets: n.budgets, Routers: n.routers, Log: log,
+		Budgets: n.budgets, Routers: n.routers, Log: log, Borrow: peers.NewClient(n.peerAddresses).Borrow,
 	})
 	n.forward = &forward.Forwarder{
 		Policy:     n.policy.Load,
@@ -162,7 +163,19 @@
 }
 
 func (n *Node) self() fleet.Member {
-	return fleet.Member{Name: n.settings.VM, Address: n.settings.Callers, Zone: n.settings.FailureDomain}
+	return fleet.Member{Name: n.settings.VM, Address: n.settings.Callers, Peer: n.settings.Peers, Zone: n.settings.FailureDomain}
+}
+
+// peerAddresses lists the other routers for peers.Client.
+func (n *Node) peerAddresses() []string {
+	members := n.members.List()
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.Name != n.settings.VM && m.Peer != "" {
+			addresses = append(addresses, m.Peer)
+		}
+	}
+	return addresses
 }
 
 // resolve names the routers for a caller. This router counts itself in as long as
@@ -217,6 +230,12 @@
 		tasks.Go(l.serve)
 		defer l.close()
 	}
+	peerListener, err := net.Listen("tcp", n.settings.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	defer func() { _ = peerListener.Close() }() // the process ends
+	go n.servePeers(peerListener)
 	n.follow(background, &tasks)
 	n.log.Emit(event.ProcessStarted, slog.String("callers", n.settings.Callers), slog.String("incarnation", n.incarnation))
 	<-ctx.Done()
@@ -265,6 +284,16 @@
 	return listeners, nil
 }
 
+func (n *Node) servePeers(l net.Listener) {
+	if err := peers.Serve(l, n.keeper, n.known); !errors.Is(err, net.ErrClosed) {
+		n.log.Emit(event.ListenerFailed, slog.String("address", n.settings.Peers), slog.Any(event.KeyCause, err))
+	}
+}
+
+func (n *Node) known() peers.Known {
+	return peers.Known{}
+}
+
 func (l *listener) serve() {
 	if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
 		l.log.Emit(event.ListenerFailed, slog.String("address", l.net.Addr().String()), slog.Any(event.KeyCause, err))
@@ -367,6 +396,7 @@
 // memberRecord is the stored form of this router's entry.
 type memberRecord struct {
 	Address string `json:"address"`
+	Peer    string `json:"peer"`
 	Zone    string `json:"failure_domain"`
 }
 
@@ -378,5 +408,5 @@
 	if record.Address == "" {
 		return fleet.Member{}, errors.New("router's entry has no address")
 	}
-	return fleet.Member{Name: item.Key[len(memberPrefix):], Address: record.Address, Zone: record.Zone}, nil
+	return fleet.Member{Name: item.Key[len(memberPrefix):], Address: record.Address, Peer: record.Peer, Zone: record.Zone}, nil
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -22,6 +22,11 @@
 	Ready     string
 	Directory string
 	Metrics   string
+	Peers     string // other routers
+
+	// Seeds are addresses of some routers, which may be stale; for a start while
+	// the store is away.
+	Seeds []string
 
 	Store string // address of the key-value store
 
@@ -66,6 +71,8 @@
 		Ready:         p.address("listen", "ready"),
 		Directory:     p.address("listen", "directory"),
 		Metrics:       p.address("listen", "metrics"),
+		Peers:         p.address("listen", "peers"),
+		Seeds:         p.addresses("router", "seeds"),
 		Store:         p.address("store", "address"),
 		Grace:         p.seconds("router", "grace_s", 0),
 		EntryTTL:      p.seconds("router", "entry_ttl_s", entryTTLDefault),
@@ -108,6 +115,17 @@
 	return value
 }
 
+// addresses reads a comma-separated list, which may be empty.
+func (p *parser) addresses(section, key string) []string {
+	list := p.file.Section(section).Key(key).Strings(",")
+	for _, value := range list {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			p.fail(section, key, "not IP:port: "+value)
+		}
+	}
+	return list
+}
+
 // number reads a number that is not negative. A zero fallback means that the key
 // must be there.
 func (p *parser) number(section, key string, fallback float64) float64 {
--- /dev/null
+++ b/internal/peers/client.go
@@ -0,0 +1,134 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrUnreachable: a peer did not answer in time.
+var ErrUnreachable = errors.New("peers: unreachable")
+
+// Patience with peers. A caller waits for the outcome.
+const (
+	dialTimeout = 200 * time.Millisecond
+	callTimeout = 250 * time.Millisecond
+	// avoidFor keeps a peer that didn't answer from being asked again at once.
+	avoidFor = 2 * time.Second
+	// askedMost bounds the peers asked for one loan: in a large fleet a few hold
+	// enough, and each costs a round trip.
+	askedMost = 12
+)
+
+// Client asks peers. It is safe for concurrent use.
+type Client struct {
+	// addresses lists the other routers' addresses.
+	addresses func() []string
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+	avoided map[string]time.Time
+}
+
+// NewClient makes a client; addresses lists the other routers as known now.
+func NewClient(addresses func() []string) *Client {
+	return &Client{addresses: addresses, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
+}
+
+// Borrow asks peers in random order until it has the tokens or ctx ends. It
+// returns what it got, which may be less or nothing. A loan whose answer is lost
+// is lost to the budget, never given twice.
+func (c *Client) Borrow(ctx context.Context, account string, tokens int64) int64 {
+	addresses := c.addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	got := int64(0)
+	asked := 0
+	for _, address := range addresses {
+		if got >= tokens || asked == askedMost || ctx.Err() != nil {
+			break
+		}
+		if c.avoiding(address) {
+			continue
+		}
+		asked++
+		loan := Loan{}
+		if err := c.call(ctx, address, "Lend", LoanRequest{Account: account, Tokens: tokens - got}, &loan); err != nil {
+			continue // the peer is avoided now; others are asked
+		}
+		got += loan.Tokens
+	}
+	return got
+}
+
+// Known asks one peer for what it knows.
+func (c *Client) Known(ctx context.Context, address string) (Known, error) {
+	known := Known{}
+	err := c.call(ctx, address, "Known", KnownRequest{}, &known)
+	return known, err
+}
+
+func (c *Client) avoiding(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.avoided[address])
+}
+
+func (c *Client) call(ctx context.Context, address, method string, request, answer any) error {
+	client, err := c.client(address)
+	if err != nil {
+		c.avoid(address, nil)
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	call := client.Go(serviceName+"."+method, request, answer, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			c.avoid(address, client)
+			return errors.Wrap(ErrUnreachable, call.Error.Error())
+		}
+		return nil
+	case <-ctx.Done():
+		c.avoid(address, client)
+		return ErrUnreachable
+	}
+}
+
+func (c *Client) client(address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	client := c.clients[address]
+	c.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	connection, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	client = rpc.NewClient(connection)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.clients[address]; other != nil {
+		_ = client.Close() // another goroutine was first; nothing was sent on this one
+		return other, nil
+	}
+	c.clients[address] = client
+	return client, nil
+}
+
+// avoid notes that a peer failed, and drops its connection: it may be silent.
+func (c *Client) avoid(address string, client *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[address] = time.Now().Add(avoidFor)
+	if client != nil && c.clients[address] == client {
+		delete(c.clients, address)
+		_ = client.Close() // it has failed already
+	}
+}
