--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -92,41 +92,65 @@
 // asks other routers where the store can't give: while it is away, and at the end
 // of a budget, what one router lacks lies unused at another.
 func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
-	waited, asked := false, false
+	waited := false
 	for {
 		reservation, changed, err := k.try(account, tokens, waited)
 		if reservation != nil {
 			return reservation, nil
 		}
+		if errors.Is(err, ErrExhausted) {
+			return nil, err
+		}
 		if err != nil {
-			if asked || errors.Is(err, ErrExhausted) || !k.borrow(ctx, account, tokens) {
-				return nil, err
-			}
-			asked = true
-			continue
+			return k.borrow(ctx, account, tokens, err)
 		}
 		waited = true
 		select {
 		case <-ctx.Done():
-			k.giveUp(account, tokens)
+			k.stopWaiting(account, tokens)
 			return nil, ErrUnreachable
 		case <-changed:
-			k.giveUp(account, tokens)
+			k.stopWaiting(account, tokens)
+		case <-time.After(drawPatience):
+			k.stopWaiting(account, tokens)
+			reservation, err := k.borrow(ctx, account, tokens, ErrUnreachable)
+			if err == nil {
+				return reservation, nil
+			}
 		}
 	}
 }
 
-// borrow gets what is missing from other routers; it says whether it got any.
-func (k *Keeper) borrow(ctx context.Context, account string, tokens int64) bool {
+// drawPatience is how long a reservation waits for a draw before it asks other
+// routers: some times what a store in good health takes. That the store is away
+// shows only after callTimeout.
+const drawPatience = 60 * time.Millisecond
+
+// borrow sets aside what is here and gets the rest from other routers. What is
+// here is set aside first: else requests that come meanwhile take it, and each of
+// them comes up short after it has borrowed.
+func (k *Keeper) borrow(ctx context.Context, account string, tokens int64, short error) (*Reservation, error) {
 	k.mu.Lock()
-	missing := tokens - k.purse(account).available()
+	p := k.purse(account)
+	here := max(0, min(tokens, p.available()))
+	p.reserved += here
+	free := p.free(k.o.Budgets()[account])
 	k.mu.Unlock()
+
+	missing := tokens - here
 	got := k.o.Borrow(ctx, account, missing)
-	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, account), slog.Int64("missing", missing), slog.Int64(event.KeyTokens, got))
+	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, account), slog.Int64("missing", missing),
+		slog.Int64(event.KeyTokens, got), slog.Int64("free", free), slog.Any(event.KeyCause, short))
+
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.purse(account).borrowed += got
-	return got > 0
+	p.borrowed += got
+	if got < missing {
+		p.reserved -= here
+		return nil, short
+	}
+	p.reserved += missing
+	return &Reservation{keeper: k, purse: p, tokens: tokens}, nil
 }
 
 // Lend gives available tokens to another router. They count as used here from now
@@ -162,7 +186,7 @@
 			return nil, nil, err
 		}
 	}
-	p.missing += tokens - max(0, min(p.available(), tokens))
+	p.waiting += tokens
 	k.nudge()
 	return nil, k.changed, nil
 }
@@ -181,11 +205,11 @@
 	return ErrContended
 }
 
-func (k *Keeper) giveUp(account string, tokens int64) {
+func (k *Keeper) stopWaiting(account string, tokens int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := k.purse(account)
-	p.missing = max(0, p.missing-tokens)
+	p.waiting -= tokens
 }
 
 func (k *Keeper) purse(account string) *purse {
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -33,7 +33,7 @@
 	lent     int64 // given to other routers
 	borrowed int64 // got from other routers
 	largest  int64 // largest reservation asked for lately
-	missing  int64 // what waiting reservations lack
+	waiting  int64 // asked for by reservations that wait for a draw
 
 	rate   float64 // tokens a second, averaged
 	rateAt time.Time
@@ -119,10 +119,10 @@
 	ahead := p.wanted(prepaid, routers)
 	scarce := ahead > fair
 	ahead = min(ahead, fair)
-	ahead = max(ahead, p.missing)
+	ahead = max(ahead, p.waiting)
 	available := p.available()
 	switch {
-	case p.missing > 0 && free > 0 || float64(available) < refillBelow*float64(ahead) && free > 0:
+	case available < p.waiting && free > 0 || float64(available) < refillBelow*float64(ahead) && free > 0:
 		more := min(ahead-available, free)
 		if more <= 0 {
 			return p.granted, false
