Free what a dead router surely has not spent

Ruled out: shorter grants (cuts of 8 s need them). A router keeps a ledger with a ceiling per account and a stamp of its clock; out of contact it opens the rest slowly; its successor frees what it can't have reached.

--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
+	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/node"
@@ -77,16 +78,21 @@
 	defer endLog()
 	tasks.Go(func() { buffer.Run(logging) })
 
-	n := node.New(settings, dialect(settings), log, incarnation)
+	clock, err := escrow.SystemClock()
+	if err != nil {
+		return err
+	}
+	n := node.New(settings, dialect(settings, clock), log, incarnation)
 	tasks.Go(func() { watchSettings(logging, file, n, log) })
-	err := n.Run(ctx)
+	err = n.Run(ctx)
 	log.Emit(event.ProcessStopped)
 	return err
 }
 
-func dialect(settings *node.Settings) node.Dialect {
+func dialect(settings *node.Settings, clock func() escrow.Stamp) node.Dialect {
 	return node.Dialect{
 		Store:         platform.NewStore(settings.Store),
+		Clock:         clock,
 		ConfigPrefix:  platform.ConfigPrefix,
 		IsConfig:      platform.IsConfig,
 		DecodeConfig:  platform.DecodeConfig,
--- /dev/null
+++ b/internal/escrow/clock.go
@@ -0,0 +1,26 @@
+package escrow
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// SystemClock returns a reader of this VM's clocks.
+func SystemClock() (func() Stamp, error) {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return nil, errors.Wrap(err, "boot id")
+	}
+	boot := strings.TrimSpace(string(id))
+	return func() Stamp {
+		steady := unix.Timespec{}
+		if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
+			panic(err) // the steady clock exists on every Linux
+		}
+		return Stamp{Boot: boot, Steady: time.Duration(steady.Nano()), Wall: time.Now()}
+	}, nil
+}
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -31,17 +31,24 @@
 // Options of a Keeper.
 type Options struct {
 	Store       store.Store
-	Prefix      string // of the records' keys
+	Prefix      string // of all keys
 	VM          string
+	Address     string // of the VM; no other VM has it
 	Incarnation string // of this process; no other process ever has it
 	Budgets     Budgets
 	Routers     func() int // living routers, at least 1
 	Log         *event.Log
-	Now         func() time.Time
+	Clock       func() Stamp
 	// Borrow asks other routers for tokens and returns how many it got.
 	Borrow func(ctx context.Context, account string, tokens int64) int64
 }
 
+// Keys below the prefix.
+const (
+	accountKeys = "account/" // a Record each
+	ledgerKeys  = "router/"  // a Ledger each
+)
+
 // Keeper holds this router's grants. Reservations come from any goroutine; one
 // goroutine (Run) speaks with the store.
 type Keeper struct {
@@ -53,14 +60,29 @@
 	wake    chan struct{}
 	away    bool // the last call to the store failed
 	stopped bool
+
+	// predecessor is the ledger that an earlier process on this VM left, and born a
+	// moment at which that process was surely dead.
+	predecessor    Ledger
+	born           Stamp
+	ledgerRevision int64
+	ledgerKnown    bool
+	// stampedAt is when the last write without Open was sent; it may have landed
+	// whatever became of its answer.
+	stampedAt time.Duration
 }
 
 // New makes a keeper without grants. Run fetches the first ones.
 func New(o Options) *Keeper {
-	if o.Now == nil {
-		o.Now = time.Now
+	return &Keeper{o: o, purses: make(map[string]*purse), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
+}
+
+// open is the part above the ceilings that may be used now.
+func (k *Keeper) open() float64 {
+	if !k.away {
+		return 0
 	}
-	return &Keeper{o: o, purses: make(map[string]*purse), changed: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return opened(k.o.Clock().Steady - k.stampedAt)
 }
 
 // Reservation sets tokens aside for one request.
@@ -82,9 +104,6 @@
 		// What was delivered beyond the reservation can't be unspent; it is booked
 		// whole, and the available rest goes below zero until the next draw.
 		r.purse.settle(r.tokens, used)
-		if r.purse.available() < r.purse.largest {
-			r.keeper.nudge()
-		}
 	})
 }
 
@@ -132,7 +151,7 @@
 func (k *Keeper) borrow(ctx context.Context, account string, tokens int64, short error) (*Reservation, error) {
 	k.mu.Lock()
 	p := k.purse(account)
-	here := max(0, min(tokens, p.available()))
+	here := max(0, min(tokens, p.available(k.open())))
 	p.reserved += here
 	free := p.free(k.o.Budgets()[account])
 	k.mu.Unlock()
@@ -159,7 +178,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := k.purse(account)
-	given := max(0, min(tokens, p.available()))
+	given := max(0, min(tokens, p.available(k.open())))
 	p.lent += given
 	return given
 }
@@ -171,9 +190,9 @@
 	defer k.mu.Unlock()
 	p := k.purse(account)
 	p.largest = max(p.largest, tokens)
-	if p.available() >= tokens {
+	if p.available(k.open()) >= tokens {
 		p.reserved += tokens
-		if float64(p.available()) < refillBelow*float64(p.largest) {
+		if _, short := p.raised(p.granted, k.o.Budgets()[account], k.o.Routers()); short {
 			k.nudge()
 		}
 		return &Reservation{keeper: k, purse: p, tokens: tokens}, nil, nil
@@ -194,7 +213,7 @@
 // lack tells why the record can't give what is missing; nil if it can.
 func (k *Keeper) lack(p *purse, tokens int64) error {
 	prepaid := k.o.Budgets()[p.account]
-	if p.free(prepaid) >= tokens-p.available() {
+	if p.free(prepaid)+p.granted-p.used() >= tokens {
 		return nil
 	}
 	// Own figures are newer than the record's.
@@ -215,7 +234,7 @@
 func (k *Keeper) purse(account string) *purse {
 	p := k.purses[account]
 	if p == nil {
-		p = &purse{account: account, pendingAt: noWrite, record: Record{Holders: map[string]map[string]Figure{}}}
+		p = newPurse(account)
 		k.purses[account] = p
 	}
 	return p
@@ -230,29 +249,32 @@
 
 // Pace of the talks with the store.
 const (
-	// roundEvery bounds the age of grants that nobody asked for.
-	roundEvery = 500 * time.Millisecond
+	// stampEvery bounds the age of the stamp: what a router's successor can't free
+	// grows with it.
+	stampEvery = 1 * time.Second
 	// roundPause keeps a router with many small draws from calling without pause.
 	roundPause = 40 * time.Millisecond
 	// callTimeout is far above the store's usual few milliseconds, and short
 	// beside the time a caller waits.
 	callTimeout = 900 * time.Millisecond
-	// txnAccounts keeps a transaction, two rows an account, below the store's 32.
+	// txnAccounts keeps a transaction, two rows an account and two for the ledger,
+	// within the store's 32.
 	txnAccounts = 14
 )
 
 // Run talks with the store until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(roundEvery)
+	ticker := time.NewTicker(stampEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.round(ctx, true)
 		case <-k.wake:
+			k.round(ctx, false)
 		}
-		k.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -261,16 +283,15 @@
 	}
 }
 
-// round brings records, grants and reservations in line once.
-func (k *Keeper) round(ctx context.Context) {
+// round brings records, grants and reservations in line once. stamp says that the
+// ledger is to be written in any case.
+func (k *Keeper) round(ctx context.Context, stamp bool) {
 	defer k.broadcast()
-	if k.mustRead() {
-		if !k.read(ctx) {
-			return
-		}
+	if k.mustRead() && !k.read(ctx) {
+		return
 	}
-	for _, draw := range k.plan() {
-		k.commit(ctx, draw)
+	if d, due := k.plan(stamp); due {
+		k.commit(ctx, d)
 	}
 }
 
@@ -287,6 +308,9 @@
 	budgets := k.o.Budgets()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.ledgerKnown {
+		return true
+	}
 	for account := range budgets {
 		if !k.purse(account).decided {
 			return true
@@ -306,14 +330,20 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	found := make(map[string]bool, len(snapshot.Items))
+	k.ledgerKnown, k.ledgerRevision = true, 0
 	for _, item := range snapshot.Items {
-		account := strings.TrimPrefix(item.Key, k.o.Prefix)
-		found[account] = true
-		k.learn(k.purse(account), item)
+		key := strings.TrimPrefix(item.Key, k.o.Prefix)
+		if account, isRecord := strings.CutPrefix(key, accountKeys); isRecord {
+			found[account] = true
+			k.learn(k.purse(account), item)
+		}
+		if key == ledgerKeys+k.o.VM {
+			k.learnLedger(item)
+		}
 	}
 	for account, p := range k.purses {
 		if !found[account] && !p.decided {
-			p.record, p.revision, p.decided = Record{Holders: map[string]map[string]Figure{}}, 0, true
+			p.learned(newRecord(), 0, Figure{})
 		}
 	}
 	return true
@@ -332,52 +362,79 @@
 	p.learned(record, int64(item.Revision), record.Figure(k.o.VM, k.o.Incarnation))
 }
 
-// draw is one transaction: the new figures of some accounts.
+// learnLedger takes this VM's ledger as the store has it. Ceilings only rise, so
+// one that is stored may be used whatever else is under way.
+func (k *Keeper) learnLedger(item store.Item) {
+	k.ledgerRevision = int64(item.Revision)
+	ledger, err := DecodeLedger(item.Value)
+	if err != nil {
+		k.o.Log.Emit(event.InvariantBroken, slog.String("key", item.Key), slog.Any(event.KeyCause, err))
+		return
+	}
+	if ledger.Incarnation != k.o.Incarnation {
+		k.predecessor = ledger
+		return
+	}
+	for account, ceiling := range ledger.Ceilings {
+		k.purse(account).ceiling = max(k.purse(account).ceiling, ceiling)
+	}
+}
+
+// draw is one transaction: new figures of some accounts, and the ledger.
 type draw struct {
 	purses  []*purse
 	figures []Figure
 	records []Record
 	// pendingAt is what each purse had before this transaction.
 	pendingAt []int64
+	ledger    Ledger
 	txn       store.Txn
 }
 
-// plan works out the writes that are due now.
-func (k *Keeper) plan() []draw {
+// plan works out the write that is due now, if any.
+func (k *Keeper) plan(stamp bool) (draw, bool) {
 	budgets := k.o.Budgets()
 	routers := max(1, k.o.Routers())
-	now := k.o.Now()
+	now := k.o.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.stopped {
-		return nil
+	if k.stopped || len(budgets) == 0 {
+		return draw{}, false
 	}
 	accounts := make([]string, 0, len(budgets))
 	for account := range budgets {
 		accounts = append(accounts, account)
 	}
 	sort.Strings(accounts)
-	var draws []draw
-	current := draw{}
+	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: now,
+		Open: k.away, Ceilings: make(map[string]int64, len(accounts))}}
+	due := stamp
 	for _, account := range accounts {
 		p := k.purse(account)
-		p.updateRate(now)
-		granted, due := p.plan(budgets[account], routers)
-		// An undecided write must be followed by another of the same record:
-		// that moves the revision, after which the lost one can't land any more.
-		if !due && p.pendingAt == noWrite || !p.decided {
-			continue
-		}
-		k.add(&current, p, granted)
-		if len(current.purses) == txnAccounts {
-			draws = append(draws, current)
-			current = draw{}
+		p.updateRate(now.Steady)
+		granted, wanted := p.plan(budgets[account], routers)
+		// An unanswered write must be followed by another of the same record: that
+		// moves the revision, after which the first one can't land any more.
+		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.purses) < txnAccounts {
+			k.add(&d, p, granted)
+			due = true
+		} else {
+			granted = p.granted
 		}
+		ceiling, short := p.raised(granted, budgets[account], routers)
+		d.ledger.Ceilings[account] = ceiling
+		due = due || short
+	}
+	if !due {
+		return draw{}, false
 	}
-	if len(current.purses) > 0 {
-		draws = append(draws, current)
+	if !d.ledger.Open {
+		k.stampedAt = now.Steady
 	}
-	return draws
+	key := k.o.Prefix + ledgerKeys + k.o.VM
+	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(k.ledgerRevision)})
+	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: d.ledger.Encode()})
+	return d, true
 }
 
 // add puts one account's new figure into a transaction. A smaller grant counts
@@ -385,18 +442,33 @@
 func (k *Keeper) add(d *draw, p *purse, granted int64) {
 	p.seq++
 	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
-	next := p.record.With(k.o.VM, k.o.Incarnation, figure)
+	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(p.account))
 	p.granted = min(p.granted, granted)
 	d.pendingAt = append(d.pendingAt, p.pendingAt)
 	p.pendingAt = p.revision
-	key := k.o.Prefix + p.account
 	d.purses = append(d.purses, p)
 	d.figures = append(d.figures, figure)
+	d.put(k.accountKey(p), p.revision, next)
+}
+
+// put adds the write of a record under the condition that it is at a revision.
+func (d *draw) put(key string, revision int64, next Record) {
 	d.records = append(d.records, next)
-	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(p.revision)})
+	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(revision)})
 	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: next.Encode()})
 }
 
+func (k *Keeper) accountKey(p *purse) string {
+	return k.o.Prefix + accountKeys + p.account
+}
+
+// mostSpent judges this VM's dead incarnations by the ledger that the last left.
+func (k *Keeper) mostSpent(account string) MostSpent {
+	return func(incarnation string, granted int64) int64 {
+		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born)
+	}
+}
+
 func (k *Keeper) commit(ctx context.Context, d draw) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -416,6 +488,7 @@
 			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
 		}
 	default:
+		k.ledgerKnown = false
 		for _, p := range d.purses {
 			p.decided = false
 		}
@@ -424,6 +497,10 @@
 }
 
 func (k *Keeper) landed(d draw, result store.Result) {
+	k.ledgerRevision = int64(result.Revision)
+	for account, ceiling := range d.ledger.Ceilings {
+		k.purse(account).ceiling = max(k.purse(account).ceiling, ceiling)
+	}
 	for i, p := range d.purses {
 		p.learned(d.records[i], int64(result.Revision), d.figures[i])
 		k.o.Log.Emit(event.DrawLanded, slog.String(event.KeyBudget, p.account), slog.Int64("granted", p.granted),
@@ -437,11 +514,12 @@
 	for _, item := range result.Current {
 		current[item.Key] = item
 	}
+	if item, found := current[k.o.Prefix+ledgerKeys+k.o.VM]; found {
+		k.learnLedger(item)
+	}
 	for i, p := range d.purses {
-		if len(d.pendingAt) > 0 {
-			p.pendingAt = d.pendingAt[i] // this transaction is answered: it never lands
-		}
-		item, found := current[k.o.Prefix+p.account]
+		p.pendingAt = d.pendingAt[i] // this transaction is answered: it never lands
+		item, found := current[k.accountKey(p)]
 		switch {
 		case found:
 			k.learn(p, item)
@@ -502,14 +580,11 @@
 		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.purses) == txnAccounts {
 			continue
 		}
-		spent := max(0, min(p.granted, p.used()))
-		next := p.record.Without(k.o.VM, k.o.Incarnation, spent)
-		key := k.o.Prefix + p.account
-		p.granted = min(p.granted, spent)
+		used := max(0, min(p.granted, p.used()))
+		p.granted = min(p.granted, used)
+		d.pendingAt = append(d.pendingAt, p.pendingAt)
 		d.purses = append(d.purses, p)
-		d.records = append(d.records, next)
-		d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(p.revision)})
-		d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: next.Encode()})
+		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(p.account)))
 	}
 	return d, len(d.purses) > 0
 }
--- /dev/null
+++ b/internal/escrow/ledger.go
@@ -0,0 +1,109 @@
+package escrow
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// A router holds more than it spends in normal times, to ride out an outage of the
+// store. What it holds would be lost with it, so it also keeps a ledger in the
+// store: a ceiling for each account that it doesn't exceed while it is in contact,
+// and a stamp of its clock. Out of contact it may go beyond, but only slowly, as
+// opened says. The next process on the same VM knows from the stamp how long its
+// predecessor can have been out of contact, and with that how much of the grant it
+// can have spent at most; the rest is free again.
+//
+// A predecessor is surely dead when its successor runs: both have the VM's address
+// and listen on the same ports.
+
+const (
+	// openAfter is the time since the last stamp within which the ceiling holds. It
+	// covers the pause between stamps and some lost answers.
+	openAfter = 2 * time.Second
+	// openWhole is the time since the last stamp after which all may be spent. It is
+	// the horizon, so that use at the usual rate never waits for the opening.
+	openWhole = Horizon
+	// clockMargin is how far a VM's time of day may have been moved between two
+	// processes. It matters after a loss of power only: else the steady clock tells.
+	clockMargin = 3 * time.Second
+	// stampOldest bounds the age of a stamp on a steady clock that is believed: a
+	// clock that began anew shows anything.
+	stampOldest = 10 * time.Minute
+)
+
+// opened is the part of what lies above the ceiling that may be spent when the
+// last stamp is so old.
+func opened(age time.Duration) float64 {
+	part := float64(age-openAfter) / float64(openWhole-openAfter)
+	return min(1, max(0, part))
+}
+
+// Stamp is a reading of a VM's clocks.
+type Stamp struct {
+	Boot   string        `json:"boot"`   // differs after a restart of the VM
+	Steady time.Duration `json:"steady"` // since an unknown moment of this boot
+	Wall   time.Time     `json:"wall"`
+}
+
+// ageAt is the longest time that can have passed between the stamp and now; ok is
+// false if nothing can be said.
+func (s Stamp) ageAt(now Stamp) (age time.Duration, ok bool) {
+	age = now.Steady - s.Steady
+	if s.Boot == now.Boot && age >= 0 && age < stampOldest {
+		return age, true
+	}
+	age = now.Wall.Sub(s.Wall)
+	if age < -clockMargin {
+		return 0, false
+	}
+	return age + clockMargin, true
+}
+
+// Ledger is what one router says of its own spending.
+type Ledger struct {
+	Format      int    `json:"format"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"` // of the VM
+	Stamp       Stamp  `json:"stamp"`   // before this write was sent
+	// Open: the ceilings may have been exceeded.
+	Open bool `json:"open"`
+	// Ceilings is the most used of each grant at the stamp and openAfter later.
+	Ceilings map[string]int64 `json:"ceilings"`
+}
+
+// DecodeLedger reads a stored ledger.
+func DecodeLedger(data []byte) (Ledger, error) {
+	l := Ledger{}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return Ledger{}, errors.Wrap(ErrRecord, err.Error())
+	}
+	if l.Format != recordFormat {
+		return Ledger{}, errors.Wrapf(ErrRecord, "format %d", l.Format)
+	}
+	return l, nil
+}
+
+// Encode gives the stored form.
+func (l Ledger) Encode() []byte {
+	data, err := json.Marshal(l)
+	if err != nil {
+		panic(err) // plain integers and strings always encode
+	}
+	return data
+}
+
+// MostSpent is the most that a dead incarnation of a VM can have spent of a grant,
+// as its successor at the same address may conclude from the ledger.
+func (l Ledger) MostSpent(account, incarnation, address string, granted int64, now Stamp) int64 {
+	if l.Incarnation != incarnation || l.Address != address || l.Open {
+		return granted
+	}
+	age, ok := l.Stamp.ageAt(now)
+	if !ok {
+		return granted
+	}
+	ceiling := min(granted, l.Ceilings[account])
+	return ceiling + int64(opened(age)*float64(granted-ceiling))
+}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -7,36 +7,44 @@
 
 // Sizes of grants.
 const (
-	// Horizon is how much of a router's own use a grant covers. Longer rides out
-	// longer outages of the store; shorter strands less when a router dies.
+	// Horizon is how much of a router's own use a grant covers: longer than the
+	// store's usual outages of some eight seconds.
 	Horizon = 10 * time.Second
-	// refillBelow is the part of the horizon below which more is drawn.
+	// aheadOf is how much of its use a router's ceiling is above what it has used:
+	// longer than openAfter, so that the ceiling alone carries it into an outage.
+	aheadOf = 2500 * time.Millisecond
+	// refillBelow is the part of what is wanted below which more is drawn.
 	refillBelow = 0.5
 	// returnAbove is the multiple of the wanted grant above which the rest goes back.
 	returnAbove = 2.0
 	// firstShare is the part of a budget that all routers together hold before
 	// they have seen any use of it.
 	firstShare = 0.15
+	// firstCeiling is the part of a first grant that the ceiling lets them use.
+	firstCeiling = 0.3
 	// endShare bounds one router's draw to this part of an equal share of what is
-	// left, so that the last tokens of a budget are not stranded at one router.
+	// left, so that the last tokens of a budget are not held by the first to ask.
 	endShare = 0.7
 	// rateMemory is the time over which a router's use is averaged.
 	rateMemory = 6 * time.Second
+	// rateInterval is the least time between two updates of the rate.
+	rateInterval = 250 * time.Millisecond
 )
 
 // purse is one router's grant on one account. All fields are guarded by the Keeper.
 type purse struct {
 	account  string
 	granted  int64 // lower bound of what the record gives this incarnation
+	ceiling  int64 // of the stored ledger
 	spent    int64
 	reserved int64
 	lent     int64 // given to other routers
 	borrowed int64 // got from other routers
-	largest  int64 // largest reservation asked for lately
+	largest  int64 // largest reservation asked for
 	waiting  int64 // asked for by reservations that wait for a draw
 
 	rate   float64 // tokens a second, averaged
-	rateAt time.Time
+	rateAt time.Duration
 	use    int64 // settled since rateAt
 
 	seq      int64 // of this incarnation's writes of the record
@@ -53,6 +61,10 @@
 // noWrite says that no write of a record is unanswered.
 const noWrite = -1
 
+func newPurse(account string) *purse {
+	return &purse{account: account, pendingAt: noWrite, record: newRecord()}
+}
+
 // learned takes the record as the store has it. Once its revision has passed what
 // the unanswered writes expect, none of them can land any more, and this
 // incarnation's figure in it is the truth.
@@ -72,8 +84,12 @@
 	return p.spent + p.reserved + p.lent - p.borrowed
 }
 
-func (p *purse) available() int64 {
-	return p.granted - p.used()
+// available is what may be reserved when the part open of what lies above the
+// ceiling may be used.
+func (p *purse) available(open float64) int64 {
+	ceiling := min(p.granted, p.ceiling)
+	limit := ceiling + int64(open*float64(p.granted-ceiling))
+	return limit - p.used()
 }
 
 // settle books what a reservation really used.
@@ -83,15 +99,8 @@
 	p.use += used
 }
 
-// rateInterval is the least time between two updates of the rate.
-const rateInterval = 250 * time.Millisecond
-
-func (p *purse) updateRate(now time.Time) {
-	if p.rateAt.IsZero() {
-		p.rateAt = now
-		return
-	}
-	passed := now.Sub(p.rateAt)
+func (p *purse) updateRate(now time.Duration) {
+	passed := now - p.rateAt
 	if passed < rateInterval {
 		return
 	}
@@ -105,32 +114,37 @@
 	return max(0, prepaid-p.record.Given())
 }
 
-// wanted is what should be available here: the horizon's use, and at first an
-// equal part of what all routers hold before use is seen.
-func (p *purse) wanted(prepaid int64, routers int) int64 {
-	first := firstShare * float64(prepaid) / float64(max(1, routers))
-	return int64(max(p.rate*Horizon.Seconds(), first))
+// first is what a router holds before it has seen any use.
+func first(prepaid int64, routers int) float64 {
+	return firstShare * float64(prepaid) / float64(max(1, routers))
 }
 
 // plan returns the grant to ask for next, and whether a write is due.
 func (p *purse) plan(prepaid int64, routers int) (granted int64, due bool) {
 	free := p.free(prepaid)
-	fair := int64(endShare * float64(free+max(0, p.available())) / float64(max(1, routers)))
-	ahead := p.wanted(prepaid, routers)
+	left := p.granted - p.used()
+	ahead := int64(max(p.rate*Horizon.Seconds(), first(prepaid, routers)))
+	fair := int64(endShare * float64(free+max(0, left)) / float64(max(1, routers)))
 	scarce := ahead > fair
-	ahead = min(ahead, fair)
-	ahead = max(ahead, p.waiting)
-	available := p.available()
+	ahead = max(min(ahead, fair), p.waiting)
 	switch {
-	case available < p.waiting && free > 0 || float64(available) < refillBelow*float64(ahead) && free > 0:
-		more := min(ahead-available, free)
-		if more <= 0 {
-			return p.granted, false
-		}
-		return p.granted + more, true
-	case scarce && float64(available) > returnAbove*float64(ahead) && available > p.largest:
+	case free > 0 && (left < p.waiting || float64(left) < refillBelow*float64(ahead)):
+		more := min(ahead-left, free)
+		return p.granted + max(0, more), more > 0
+	case scarce && float64(left) > returnAbove*float64(ahead) && left > p.largest:
 		// Others may be refused for what lies here unused.
 		return p.used() + max(ahead, p.largest), true
 	}
 	return p.granted, false
 }
+
+// raised returns the ceiling to ask for next, for the given grant, and whether
+// what is left below the present one is short.
+func (p *purse) raised(granted, prepaid int64, routers int) (ceiling int64, short bool) {
+	ahead := int64(max(p.rate*aheadOf.Seconds(), firstCeiling*first(prepaid, routers)))
+	ahead = max(ahead, p.waiting)
+	left := min(p.granted, p.ceiling) - p.used()
+	ceiling = max(p.ceiling, min(granted, p.used()+ahead))
+	short = ceiling > p.ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
+	return ceiling, short
+}
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -5,8 +5,8 @@
 // The record holds, per router incarnation, the total granted to it as an absolute
 // figure. A router is the only writer of its own figure and never spends beyond the
 // last one that it knows to be stored, so the sum of all figures bounds what was
-// spent. A grant dies with its router: its unspent rest stays counted as given out.
-// Grants are therefore sized for a few seconds of use, and planned stops return them.
+// spent. Planned stops return what is left; of a router that died, its successor
+// on the same VM frees what it surely has not spent (see Ledger).
 package escrow
 
 import (
@@ -17,8 +17,7 @@
 
 // Figure is what one router incarnation was granted.
 type Figure struct {
-	// Seq counts the incarnation's writes, so that it recognises after an
-	// unanswered write whether it took effect.
+	// Seq counts the incarnation's writes; zero means that it has no figure.
 	Seq int64 `json:"seq"`
 	// Granted is the total of tokens given out to it.
 	Granted int64 `json:"granted"`
@@ -30,25 +29,28 @@
 // Record is the durable state of one account's budget.
 type Record struct {
 	Format int `json:"format"`
-	// Closed is the tokens of incarnations that are no longer listed: what they
-	// returned is not in it, what they lost is.
+	// Closed is what incarnations that are no longer listed can have spent at most.
 	Closed int64 `json:"closed"`
+	// ClosedSpent is what they spent at least.
+	ClosedSpent int64 `json:"closed_spent"`
 	// Holders is by VM, then by incarnation.
 	Holders map[string]map[string]Figure `json:"holders"`
 }
 
-// recordFormat is the version of the stored form.
+// recordFormat is the version of the stored forms.
 const recordFormat = 1
 
 // ErrRecord: a stored record can't be used. Nothing is granted on it.
 var ErrRecord = errors.New("escrow: unusable record")
 
-// DecodeRecord reads a stored record. No bytes mean a new one.
+// newRecord is the record of an account that was never granted anything.
+func newRecord() Record {
+	return Record{Format: recordFormat, Holders: map[string]map[string]Figure{}}
+}
+
+// DecodeRecord reads a stored record.
 func DecodeRecord(data []byte) (Record, error) {
-	r := Record{Format: recordFormat, Holders: map[string]map[string]Figure{}}
-	if len(data) == 0 {
-		return r, nil
-	}
+	r := newRecord()
 	if err := json.Unmarshal(data, &r); err != nil {
 		return Record{}, errors.Wrap(ErrRecord, err.Error())
 	}
@@ -80,24 +82,23 @@
 // Given is the tokens given out in all.
 func (r Record) Given() int64 {
 	sum := r.Closed
-	for _, incarnations := range r.Holders {
-		for _, f := range incarnations {
-			sum += f.Granted
-		}
-	}
+	r.each(func(f Figure) { sum += f.Granted })
 	return sum
 }
 
-// SpentAtLeast is what was surely spent: the holders' figures are a lower bound.
-// Of closed holders all counts, since nothing of it can be granted again.
+// SpentAtLeast is what was surely spent: the figures lag behind.
 func (r Record) SpentAtLeast() int64 {
-	sum := r.Closed
+	sum := r.ClosedSpent
+	r.each(func(f Figure) { sum += f.Spent })
+	return sum
+}
+
+func (r Record) each(visit func(Figure)) {
 	for _, incarnations := range r.Holders {
 		for _, f := range incarnations {
-			sum += f.Spent
+			visit(f)
 		}
 	}
-	return sum
 }
 
 // Figure returns the figure of one incarnation.
@@ -105,39 +106,41 @@
 	return r.Holders[vm][incarnation]
 }
 
+// MostSpent is the most that a dead incarnation can have spent of its grant.
+type MostSpent func(incarnation string, granted int64) int64
+
 // With returns a copy in which an incarnation has the given figure. Earlier
-// incarnations of the same VM are closed: their processes are gone, and what they
-// had not returned may have been spent.
-func (r Record) With(vm, incarnation string, f Figure) Record {
-	next := r.copyWithout(vm)
+// incarnations of the same VM are closed: their processes are gone.
+func (r Record) With(vm, incarnation string, f Figure, mostSpent MostSpent) Record {
+	next := r.closing(vm, incarnation, mostSpent)
 	next.Holders[vm] = map[string]Figure{incarnation: f}
-	for other, figure := range r.Holders[vm] {
-		if other != incarnation {
-			next.Closed += figure.Granted
-		}
-	}
 	return next
 }
 
-// Without returns a copy in which an incarnation has stopped, having spent
-// exactly spent and returned the rest.
-func (r Record) Without(vm, incarnation string, spent int64) Record {
-	next := r.copyWithout(vm)
-	next.Closed += spent
-	for other, figure := range r.Holders[vm] {
-		if other != incarnation {
-			next.Closed += figure.Granted
-		}
-	}
+// Without returns a copy in which an incarnation has stopped, having used exactly
+// used and returned the rest.
+func (r Record) Without(vm, incarnation string, used int64, mostSpent MostSpent) Record {
+	next := r.closing(vm, incarnation, mostSpent)
+	next.Closed += used
+	next.ClosedSpent += used
 	return next
 }
 
-func (r Record) copyWithout(vm string) Record {
-	next := Record{Format: recordFormat, Closed: r.Closed, Holders: make(map[string]map[string]Figure, len(r.Holders)+1)}
+// closing copies the record without the VM's figures; all of them but the present
+// incarnation's are closed.
+func (r Record) closing(vm, present string, mostSpent MostSpent) Record {
+	next := Record{Format: recordFormat, Closed: r.Closed, ClosedSpent: r.ClosedSpent,
+		Holders: make(map[string]map[string]Figure, len(r.Holders)+1)}
 	for name, incarnations := range r.Holders {
 		if name != vm {
 			next.Holders[name] = incarnations
 		}
 	}
+	for incarnation, f := range r.Holders[vm] {
+		if incarnation != present {
+			next.Closed += mostSpent(incarnation, f.Granted)
+			next.ClosedSpent += f.Spent
+		}
+	}
 	return next
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 // Dialect is what the node needs to speak with its surroundings.
 type Dialect struct {
 	Store         store.Store
+	Clock         func() escrow.Stamp
 	ConfigPrefix  string
 	IsConfig      func(store.Item) bool
 	DecodeConfig  func(store.Item) (*policy.Policy, error)
@@ -103,7 +104,7 @@
 	n.held = retry.NewQuarantine(nil)
 	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
 	n.keeper = escrow.New(escrow.Options{
-		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Incarnation: incarnation,
+		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
 		Budgets: n.budgets, Routers: n.routers, Log: log, Borrow: peers.NewClient(n.peerAddresses).Borrow,
 	})
 	n.forward = &forward.Forwarder{
