--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -39,14 +39,16 @@
 	Routers     func() int // living routers, at least 1
 	Log         *event.Log
 	Clock       func() Stamp
-	// Borrow asks other routers for tokens and returns how many it got.
-	Borrow func(ctx context.Context, account string, tokens int64) int64
+	// Borrow asks other routers for tokens. It returns how many it got, and how many
+	// those that answered have used.
+	Borrow func(ctx context.Context, account string, tokens int64) (got, used int64)
 }
 
 // Keys below the prefix.
 const (
 	accountKeys = "account/" // a Record each
 	ledgerKeys  = "router/"  // a Ledger each
+	contactKeys = "contact/" // the incarnation, under its contact lease
 )
 
 // Keeper holds this router's grants. Reservations come from any goroutine; one
@@ -63,8 +65,13 @@
 
 	// predecessor is the ledger that an earlier process on this VM left, and born a
 	// moment at which that process was surely dead.
-	predecessor    Ledger
-	born           Stamp
+	predecessor Ledger
+	born        Stamp
+	// vouched is the incarnation whose contact lease had not run out at the first
+	// read.
+	vouched        string
+	contactLease   store.LeaseID // 0: none yet
+	contactPut     bool          // the contact key is bound to it
 	ledgerRevision int64
 	ledgerKnown    bool
 	// stampedAt is when the last write without Open was sent; it may have landed
@@ -153,19 +160,26 @@
 	p := k.purse(account)
 	here := max(0, min(tokens, p.available(k.open())))
 	p.reserved += here
-	free := p.free(k.o.Budgets()[account])
+	prepaid, record := k.o.Budgets()[account], p.record
 	k.mu.Unlock()
 
 	missing := tokens - here
-	got := k.o.Borrow(ctx, account, missing)
+	got, used := k.o.Borrow(ctx, account, missing)
 	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, account), slog.Int64("missing", missing),
-		slog.Int64(event.KeyTokens, got), slog.Int64("free", free), slog.Any(event.KeyCause, short))
+		slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
+		slog.Int64("spent_at_least", record.SpentAtLeast()), slog.Int64("closed", record.Closed), slog.Any(event.KeyCause, short))
 
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.borrowed += got
 	if got < missing {
 		p.reserved -= here
+		// All that is surely used, with reservations at their most. What nobody
+		// could tell of may still come back, so that is no reason to say exhausted.
+		used += p.record.ClosedSpent + p.used()
+		if prepaid-used < tokens {
+			return nil, ErrExhausted
+		}
 		return nil, short
 	}
 	p.reserved += missing
@@ -174,13 +188,14 @@
 
 // Lend gives available tokens to another router. They count as used here from now
 // on: an answer that is lost loses them, and never gives them twice.
-func (k *Keeper) Lend(account string, tokens int64) int64 {
+func (k *Keeper) Lend(account string, tokens int64) (given, used int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p := k.purse(account)
-	given := max(0, min(tokens, p.available(k.open())))
+	used = p.used()
+	given = max(0, min(tokens, p.available(k.open())))
 	p.lent += given
-	return given
+	return given, used
 }
 
 // try reserves if it can. Else it returns the channel that closes after the next
@@ -216,11 +231,6 @@
 	if p.free(prepaid)+p.granted-p.used() >= tokens {
 		return nil
 	}
-	// Own figures are newer than the record's.
-	spent := p.record.SpentAtLeast() - p.record.Figure(k.o.VM, k.o.Incarnation).Spent + p.spent + p.lent - p.borrowed
-	if prepaid-spent < tokens {
-		return ErrExhausted
-	}
 	return ErrContended
 }
 
@@ -256,7 +266,7 @@
 	roundPause = 40 * time.Millisecond
 	// callTimeout is far above the store's usual few milliseconds, and short
 	// beside the time a caller waits.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// txnAccounts keeps a transaction, two rows an account and two for the ledger,
 	// within the store's 32.
 	txnAccounts = 14
@@ -290,9 +300,28 @@
 	if k.mustRead() && !k.read(ctx) {
 		return
 	}
-	if d, due := k.plan(stamp); due {
-		k.commit(ctx, d)
+	if d, due := k.plan(stamp); due && k.commit(ctx, d) {
+		k.keepContact(ctx)
+	}
+}
+
+// keepContact renews the contact lease, or gets one, right after a write landed.
+func (k *Keeper) keepContact(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if k.contactLease != 0 {
+		err := k.o.Store.Renew(ctx, k.contactLease)
+		if !errors.Is(err, store.ErrLeaseGone) {
+			return // another failure is met by the next write
+		}
+		k.contactLease, k.contactPut = 0, false
+	}
+	lease, err := k.o.Store.Grant(ctx, contactLease)
+	if err != nil {
+		k.o.Log.Emit(event.LeaseLost, slog.String("lease_of", "contact"), slog.Any(event.KeyCause, err))
+		return
 	}
+	k.contactLease = lease
 }
 
 func (k *Keeper) broadcast() {
@@ -340,6 +369,9 @@
 		if key == ledgerKeys+k.o.VM {
 			k.learnLedger(item)
 		}
+		if key == contactKeys+k.o.VM {
+			k.vouched = string(item.Value)
+		}
 	}
 	for account, p := range k.purses {
 		if !found[account] && !p.decided {
@@ -388,6 +420,7 @@
 	// pendingAt is what each purse had before this transaction.
 	pendingAt []int64
 	ledger    Ledger
+	contact   bool // the contact key is written
 	txn       store.Txn
 }
 
@@ -434,6 +467,11 @@
 	key := k.o.Prefix + ledgerKeys + k.o.VM
 	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(k.ledgerRevision)})
 	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: d.ledger.Encode()})
+	if k.contactLease != 0 && !k.contactPut {
+		contact := store.Put{Key: k.o.Prefix + contactKeys + k.o.VM, Value: []byte(k.o.Incarnation), Lease: k.contactLease}
+		d.txn.Puts = append(d.txn.Puts, contact)
+		d.contact = true
+	}
 	return d, true
 }
 
@@ -465,11 +503,12 @@
 // mostSpent judges this VM's dead incarnations by the ledger that the last left.
 func (k *Keeper) mostSpent(account string) MostSpent {
 	return func(incarnation string, granted int64) int64 {
-		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born)
+		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.vouched == incarnation)
 	}
 }
 
-func (k *Keeper) commit(ctx context.Context, d draw) {
+// commit runs the transaction and says whether it landed.
+func (k *Keeper) commit(ctx context.Context, d draw) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := k.o.Store.Commit(ctx, d.txn)
@@ -481,8 +520,11 @@
 		k.landed(d, result)
 	case errors.Is(err, store.ErrConflict):
 		k.conflicted(d, result)
-	case errors.Is(err, store.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrLeaseGone):
 		// Nothing was done: the records are still as known.
+		if errors.Is(err, store.ErrLeaseGone) {
+			k.contactLease, k.contactPut = 0, false
+		}
 		for i, p := range d.purses {
 			p.pendingAt = d.pendingAt[i]
 			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
@@ -494,10 +536,12 @@
 		}
 		k.o.Log.Emit(event.DrawUnknown, slog.Int("accounts", len(d.purses)), slog.Any(event.KeyCause, err))
 	}
+	return err == nil
 }
 
 func (k *Keeper) landed(d draw, result store.Result) {
 	k.ledgerRevision = int64(result.Revision)
+	k.contactPut = k.contactPut || d.contact
 	for account, ceiling := range d.ledger.Ceilings {
 		k.purse(account).ceiling = max(k.purse(account).ceiling, ceiling)
 	}
@@ -534,7 +578,7 @@
 
 // contact notes whether the store answered.
 func (k *Keeper) contact(err error) {
-	reached := err == nil || errors.Is(err, store.ErrConflict)
+	reached := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLeaseGone)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if reached == !k.away {
@@ -548,12 +592,41 @@
 	k.o.Log.Emit(event.StoreUnreachable, slog.String("follows", "budgets"), slog.Any(event.KeyCause, err))
 }
 
+// HandOver gives unspent tokens to another router, where they can't be returned: the
+// store is away. give reports whether the other router took them.
+func (k *Keeper) HandOver(give func(account string, tokens int64) bool) {
+	k.mu.Lock()
+	left := make(map[string]int64)
+	for account, p := range k.purses {
+		if tokens := p.available(k.open()); tokens > 0 {
+			left[account] = tokens
+			p.lent += tokens
+		}
+	}
+	k.mu.Unlock()
+	for account, tokens := range left {
+		taken := give(account, tokens)
+		k.o.Log.Emit(event.TokensHandedOver, slog.String(event.KeyBudget, account), slog.Int64(event.KeyTokens, tokens), slog.Bool("taken", taken))
+	}
+}
+
+// Accept takes tokens that a stopping router hands over.
+func (k *Keeper) Accept(account string, tokens int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.purse(account).borrowed += max(0, tokens)
+}
+
 // Return gives all unspent grants back, at a planned stop. Requests that still
 // run keep their reservations out of it; they count as spent.
 func (k *Keeper) Return(ctx context.Context) error {
 	k.mu.Lock()
 	k.stopped = true
+	away := k.away
 	k.mu.Unlock()
+	if away {
+		return ErrUnreachable
+	}
 	const rounds = 8 // each conflict means that another router's write landed
 	var err error
 	for i := 0; i < rounds; i++ {
@@ -599,6 +672,12 @@
 		k.conflicted(d, result)
 		return err
 	}
+	if errors.Is(err, store.ErrUnavailable) {
+		for i, p := range d.purses { // nothing was done: the grants are still here
+			p.pendingAt = d.pendingAt[i]
+			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
+		}
+	}
 	if err != nil {
 		return errors.Wrap(err, "return of grants")
 	}
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -21,13 +21,19 @@
 const (
 	// openAfter is the time since the last stamp within which the ceiling holds. It
 	// covers the pause between stamps and some lost answers.
-	openAfter = 2 * time.Second
+	openAfter = 2300 * time.Millisecond
 	// openWhole is the time since the last stamp after which all may be spent. It is
 	// the horizon, so that use at the usual rate never waits for the opening.
-	openWhole = Horizon
+	openWhole = 5000 * time.Millisecond
 	// clockMargin is how far a VM's time of day may have been moved between two
 	// processes. It matters after a loss of power only: else the steady clock tells.
-	clockMargin = 3 * time.Second
+	clockMargin = 2200 * time.Millisecond
+	// clockDrift is the margin where the store vouches for the time of day: the
+	// predecessor's contact lease, which it renewed right after its last stamp, is
+	// still there.
+	clockDrift = 300 * time.Millisecond
+	// contactLease bounds what the store vouches for.
+	contactLease = 4 * time.Second
 	// stampOldest bounds the age of a stamp on a steady clock that is believed: a
 	// clock that began anew shows anything.
 	stampOldest = 10 * time.Minute
@@ -48,14 +54,17 @@
 }
 
 // ageAt is the longest time that can have passed between the stamp and now; ok is
-// false if nothing can be said.
-func (s Stamp) ageAt(now Stamp) (age time.Duration, ok bool) {
+// false if nothing can be said. vouched says that the store vouches for it.
+func (s Stamp) ageAt(now Stamp, vouched bool) (age time.Duration, ok bool) {
 	age = now.Steady - s.Steady
 	if s.Boot == now.Boot && age >= 0 && age < stampOldest {
 		return age, true
 	}
 	age = now.Wall.Sub(s.Wall)
-	if age < -clockMargin {
+	switch {
+	case vouched && age >= 0 && age <= contactLease:
+		return age + clockDrift, true
+	case age < -clockMargin:
 		return 0, false
 	}
 	return age + clockMargin, true
@@ -95,12 +104,13 @@
 }
 
 // MostSpent is the most that a dead incarnation of a VM can have spent of a grant,
-// as its successor at the same address may conclude from the ledger.
-func (l Ledger) MostSpent(account, incarnation, address string, granted int64, now Stamp) int64 {
+// as its successor at the same address may conclude from the ledger. vouched says
+// that the incarnation's contact lease has not run out.
+func (l Ledger) MostSpent(account, incarnation, address string, granted int64, now Stamp, vouched bool) int64 {
 	if l.Incarnation != incarnation || l.Address != address || l.Open {
 		return granted
 	}
-	age, ok := l.Stamp.ageAt(now)
+	age, ok := l.Stamp.ageAt(now, vouched)
 	if !ok {
 		return granted
 	}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -9,10 +9,10 @@
 const (
 	// Horizon is how much of a router's own use a grant covers: longer than the
 	// store's usual outages of some eight seconds.
-	Horizon = 10 * time.Second
+	Horizon = 9000 * time.Millisecond
 	// aheadOf is how much of its use a router's ceiling is above what it has used:
 	// longer than openAfter, so that the ceiling alone carries it into an outage.
-	aheadOf = 2500 * time.Millisecond
+	aheadOf = 3500 * time.Millisecond
 	// refillBelow is the part of what is wanted below which more is drawn.
 	refillBelow = 0.5
 	// returnAbove is the multiple of the wanted grant above which the rest goes back.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,13 +36,14 @@
 
 // Events of budgets.
 const (
-	DrawIssued     Number = 300
-	DrawLanded     Number = 301
-	DrawFailed     Number = 302
-	TopUpLanded    Number = 304
-	DrawUnknown    Number = 305
-	GrantsReturned Number = 306
-	TokensBorrowed Number = 307
+	DrawIssued       Number = 300
+	DrawLanded       Number = 301
+	DrawFailed       Number = 302
+	TopUpLanded      Number = 304
+	DrawUnknown      Number = 305
+	GrantsReturned   Number = 306
+	TokensBorrowed   Number = 307
+	TokensHandedOver Number = 308
 )
 
 // Events of bills and of the settlement of dead routers.
@@ -120,6 +121,7 @@
 	{DrawUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
 	{GrantsReturned, slog.LevelInfo, "grants returned"},
 	{TokensBorrowed, slog.LevelInfo, "tokens borrowed from other routers"},
+	{TokensHandedOver, slog.LevelInfo, "tokens handed over at a stop"},
 	{BillHeld, slog.LevelDebug, "bill held by the witness"},
 	{BillRefused, slog.LevelWarn, "bill refused by the witness"},
 	{WitnessChosen, slog.LevelInfo, "witness chosen"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,7 @@
 	retries  *retry.Budget
 	held     *retry.Quarantine
 	client   *upstream.Client
+	peers    *peers.Client
 	forward  *forward.Forwarder
 	reports  chan uint64
 
@@ -103,9 +104,10 @@
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.held = retry.NewQuarantine(nil)
 	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
+	n.peers = peers.NewClient(n.peerAddresses)
 	n.keeper = escrow.New(escrow.Options{
 		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
-		Budgets: n.budgets, Routers: n.routers, Log: log, Borrow: peers.NewClient(n.peerAddresses).Borrow,
+		Budgets: n.budgets, Routers: n.routers, Log: log, Borrow: n.peers.Borrow,
 	})
 	n.forward = &forward.Forwarder{
 		Policy:     n.policy.Load,
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -36,6 +36,16 @@
 	defer cancel()
 	if err := n.keeper.Return(ctx); err != nil {
 		n.log.Emit(event.DrawFailed, slog.Any(event.KeyCause, err))
+		n.handOver()
 	}
 	n.log.Emit(event.DrainFinished, slog.Int64("in_hand", n.inHand.Load()), slog.Int64("ms", time.Since(began).Milliseconds()))
 }
+
+// handOver gives what can't be returned to another router.
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), returnTime/3)
+	defer cancel()
+	n.keeper.HandOver(func(account string, tokens int64) bool {
+		return n.peers.HandOver(ctx, account, tokens)
+	})
+}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -41,12 +41,12 @@
 }
 
 // Borrow asks peers in random order until it has the tokens or ctx ends. It
-// returns what it got, which may be less or nothing. A loan whose answer is lost
-// is lost to the budget, never given twice.
-func (c *Client) Borrow(ctx context.Context, account string, tokens int64) int64 {
+// returns what it got, which may be less or nothing, and what the peers that were
+// asked have used. A loan whose answer is lost is lost to the budget, never given
+// twice.
+func (c *Client) Borrow(ctx context.Context, account string, tokens int64) (got, used int64) {
 	addresses := c.addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	got := int64(0)
 	asked := 0
 	for _, address := range addresses {
 		if got >= tokens || asked == askedMost || ctx.Err() != nil {
@@ -61,8 +61,22 @@
 			continue // the peer is avoided now; others are asked
 		}
 		got += loan.Tokens
+		used += loan.Used
 	}
-	return got
+	return got, used
+}
+
+// HandOver gives tokens to the first peer that takes them; it says whether one did.
+// Only one is asked after a lost answer: it may have taken them.
+func (c *Client) HandOver(ctx context.Context, account string, tokens int64) bool {
+	for _, address := range c.addresses() {
+		if c.avoiding(address) {
+			continue
+		}
+		err := c.call(ctx, address, "HandOver", LoanRequest{Account: account, Tokens: tokens}, &struct{}{})
+		return err == nil
+	}
+	return false
 }
 
 // Known asks one peer for what it knows.
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -21,6 +21,8 @@
 // Loan is what the peer gives; it has counted that as used by itself.
 type Loan struct {
 	Tokens int64
+	// Used is the tokens that the peer has spent or reserved, without the loan.
+	Used int64
 }
 
 // KnownRequest asks for what the peer knows.
@@ -35,8 +37,11 @@
 
 // Lender gives granted tokens away.
 type Lender interface {
-	// Lend takes up to tokens out of what is available and returns how many.
-	Lend(account string, tokens int64) int64
+	// Lend takes up to tokens out of what is available and returns how many, and
+	// how many were used before.
+	Lend(account string, tokens int64) (given, used int64)
+	// Accept takes tokens that another router hands over.
+	Accept(account string, tokens int64)
 }
 
 // Service is what peers call.
@@ -47,7 +52,13 @@
 
 // Lend gives a loan.
 func (s *Service) Lend(request LoanRequest, loan *Loan) error {
-	loan.Tokens = s.lender.Lend(request.Account, request.Tokens)
+	loan.Tokens, loan.Used = s.lender.Lend(request.Account, request.Tokens)
+	return nil
+}
+
+// HandOver takes the tokens of a router that stops.
+func (s *Service) HandOver(request LoanRequest, _ *struct{}) error {
+	s.lender.Accept(request.Account, request.Tokens)
 	return nil
 }
 
