Give each account's grant a home router; top it up with each stamp

Now one router, by rendezvous hash, holds an account's grant; others borrow a request's tokens and hand back.

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -36,12 +36,25 @@
 	Address     string // of the VM; no other VM has it
 	Incarnation string // of this process; no other process ever has it
 	Budgets     Budgets
-	Routers     func() int // living routers, at least 1
 	Log         *event.Log
 	Clock       func() Stamp
-	// Borrow asks other routers for tokens. It returns how many it got, and how many
-	// those that answered have used.
-	Borrow func(ctx context.Context, account string, tokens int64) (got, used int64)
+	// Home is the address of the router that holds an account's grant for all, by
+	// this router's view; empty if it is this one. Views may differ for a while:
+	// that costs some draws more, nothing else.
+	Home  func(account string) string
+	Peers Peers
+}
+
+// Peers are the other routers.
+type Peers interface {
+	// BorrowFrom asks one router for tokens and returns how many it gave.
+	BorrowFrom(ctx context.Context, address, account string, tokens int64) int64
+	// Borrow asks one after the other. It returns how many tokens it got, and how
+	// many those that answered have used.
+	Borrow(ctx context.Context, account string, tokens int64) (got, used int64)
+	// HandOver gives tokens by account to a router; sent is false if it surely got
+	// none of them.
+	HandOver(ctx context.Context, address string, tokens map[string]int64) (sent bool)
 }
 
 // Keys below the prefix.
@@ -114,133 +127,6 @@
 	})
 }
 
-// Reserve sets tokens aside. If the grant is too small it waits for a draw, and
-// asks other routers where the store can't give: while it is away, and at the end
-// of a budget, what one router lacks lies unused at another.
-func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
-	waited := false
-	for {
-		reservation, changed, err := k.try(account, tokens, waited)
-		if reservation != nil {
-			return reservation, nil
-		}
-		if errors.Is(err, ErrExhausted) {
-			return nil, err
-		}
-		if err != nil {
-			return k.borrow(ctx, account, tokens, err)
-		}
-		waited = true
-		select {
-		case <-ctx.Done():
-			k.stopWaiting(account, tokens)
-			return nil, ErrUnreachable
-		case <-changed:
-			k.stopWaiting(account, tokens)
-		case <-time.After(drawPatience):
-			k.stopWaiting(account, tokens)
-			reservation, err := k.borrow(ctx, account, tokens, ErrUnreachable)
-			if err == nil {
-				return reservation, nil
-			}
-		}
-	}
-}
-
-// drawPatience is how long a reservation waits for a draw before it asks other
-// routers: some times what a store in good health takes. That the store is away
-// shows only after callTimeout.
-const drawPatience = 60 * time.Millisecond
-
-// borrow sets aside what is here and gets the rest from other routers. What is
-// here is set aside first: else requests that come meanwhile take it, and each of
-// them comes up short after it has borrowed.
-func (k *Keeper) borrow(ctx context.Context, account string, tokens int64, short error) (*Reservation, error) {
-	k.mu.Lock()
-	p := k.purse(account)
-	here := max(0, min(tokens, p.available(k.open())))
-	p.reserved += here
-	prepaid, record := k.o.Budgets()[account], p.record
-	k.mu.Unlock()
-
-	missing := tokens - here
-	got, used := k.o.Borrow(ctx, account, missing)
-	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, account), slog.Int64("missing", missing),
-		slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
-		slog.Int64("spent_at_least", record.SpentAtLeast()), slog.Int64("closed", record.Closed), slog.Any(event.KeyCause, short))
-
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p.borrowed += got
-	if got < missing {
-		p.reserved -= here
-		// All that is surely used, with reservations at their most. What nobody
-		// could tell of may still come back, so that is no reason to say exhausted.
-		used += p.record.ClosedSpent + p.used()
-		if prepaid-used < tokens {
-			return nil, ErrExhausted
-		}
-		return nil, short
-	}
-	p.reserved += missing
-	return &Reservation{keeper: k, purse: p, tokens: tokens}, nil
-}
-
-// Lend gives available tokens to another router. They count as used here from now
-// on: an answer that is lost loses them, and never gives them twice.
-func (k *Keeper) Lend(account string, tokens int64) (given, used int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p := k.purse(account)
-	used = p.used()
-	given = max(0, min(tokens, p.available(k.open())))
-	p.lent += given
-	return given, used
-}
-
-// try reserves if it can. Else it returns the channel that closes after the next
-// round with the store, or the reason why waiting doesn't help.
-func (k *Keeper) try(account string, tokens int64, waited bool) (*Reservation, <-chan struct{}, error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p := k.purse(account)
-	p.largest = max(p.largest, tokens)
-	if p.available(k.open()) >= tokens {
-		p.reserved += tokens
-		if _, short := p.raised(p.granted, k.o.Budgets()[account], k.o.Routers()); short {
-			k.nudge()
-		}
-		return &Reservation{keeper: k, purse: p, tokens: tokens}, nil, nil
-	}
-	if k.away {
-		return nil, nil, ErrUnreachable
-	}
-	if waited && p.decided {
-		if err := k.lack(p, tokens); err != nil {
-			return nil, nil, err
-		}
-	}
-	p.waiting += tokens
-	k.nudge()
-	return nil, k.changed, nil
-}
-
-// lack tells why the record can't give what is missing; nil if it can.
-func (k *Keeper) lack(p *purse, tokens int64) error {
-	prepaid := k.o.Budgets()[p.account]
-	if p.free(prepaid)+p.granted-p.used() >= tokens {
-		return nil
-	}
-	return ErrContended
-}
-
-func (k *Keeper) stopWaiting(account string, tokens int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	p := k.purse(account)
-	p.waiting -= tokens
-}
-
 func (k *Keeper) purse(account string) *purse {
 	p := k.purses[account]
 	if p == nil {
@@ -281,6 +167,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.sweep(ctx)
 			k.round(ctx, true)
 		case <-k.wake:
 			k.round(ctx, false)
@@ -427,7 +314,6 @@
 // plan works out the write that is due now, if any.
 func (k *Keeper) plan(stamp bool) (draw, bool) {
 	budgets := k.o.Budgets()
-	routers := max(1, k.o.Routers())
 	now := k.o.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -442,10 +328,15 @@
 	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: now,
 		Open: k.away, Ceilings: make(map[string]int64, len(accounts))}}
 	due := stamp
+	topUp := refillBelow
+	if stamp {
+		topUp = topUpBelow
+	}
 	for _, account := range accounts {
 		p := k.purse(account)
 		p.updateRate(now.Steady)
-		granted, wanted := p.plan(budgets[account], routers)
+		home := k.o.Home(account) == ""
+		granted, wanted := p.plan(budgets[account], home, topUp)
 		// An unanswered write must be followed by another of the same record: that
 		// moves the revision, after which the first one can't land any more.
 		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.purses) < txnAccounts {
@@ -454,7 +345,7 @@
 		} else {
 			granted = p.granted
 		}
-		ceiling, short := p.raised(granted, budgets[account], routers)
+		ceiling, short := p.raised(granted, budgets[account], home)
 		d.ledger.Ceilings[account] = ceiling
 		due = due || short
 	}
@@ -591,99 +482,3 @@
 	}
 	k.o.Log.Emit(event.StoreUnreachable, slog.String("follows", "budgets"), slog.Any(event.KeyCause, err))
 }
-
-// HandOver gives unspent tokens to another router, where they can't be returned: the
-// store is away. give reports whether the other router took them.
-func (k *Keeper) HandOver(give func(account string, tokens int64) bool) {
-	k.mu.Lock()
-	left := make(map[string]int64)
-	for account, p := range k.purses {
-		if tokens := p.available(k.open()); tokens > 0 {
-			left[account] = tokens
-			p.lent += tokens
-		}
-	}
-	k.mu.Unlock()
-	for account, tokens := range left {
-		taken := give(account, tokens)
-		k.o.Log.Emit(event.TokensHandedOver, slog.String(event.KeyBudget, account), slog.Int64(event.KeyTokens, tokens), slog.Bool("taken", taken))
-	}
-}
-
-// Accept takes tokens that a stopping router hands over.
-func (k *Keeper) Accept(account string, tokens int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.purse(account).borrowed += max(0, tokens)
-}
-
-// Return gives all unspent grants back, at a planned stop. Requests that still
-// run keep their reservations out of it; they count as spent.
-func (k *Keeper) Return(ctx context.Context) error {
-	k.mu.Lock()
-	k.stopped = true
-	away := k.away
-	k.mu.Unlock()
-	if away {
-		return ErrUnreachable
-	}
-	const rounds = 8 // each conflict means that another router's write landed
-	var err error
-	for i := 0; i < rounds; i++ {
-		d, any := k.closing()
-		if !any {
-			return nil
-		}
-		if err = k.close(ctx, d); err == nil {
-			continue
-		}
-		if errors.Is(err, store.ErrConflict) {
-			continue
-		}
-		return err
-	}
-	return err
-}
-
-func (k *Keeper) closing() (draw, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	d := draw{}
-	for _, p := range k.purses {
-		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.purses) == txnAccounts {
-			continue
-		}
-		used := max(0, min(p.granted, p.used()))
-		p.granted = min(p.granted, used)
-		d.pendingAt = append(d.pendingAt, p.pendingAt)
-		d.purses = append(d.purses, p)
-		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(p.account)))
-	}
-	return d, len(d.purses) > 0
-}
-
-func (k *Keeper) close(ctx context.Context, d draw) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	result, err := k.o.Store.Commit(ctx, d.txn)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if errors.Is(err, store.ErrConflict) {
-		k.conflicted(d, result)
-		return err
-	}
-	if errors.Is(err, store.ErrUnavailable) {
-		for i, p := range d.purses { // nothing was done: the grants are still here
-			p.pendingAt = d.pendingAt[i]
-			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
-		}
-	}
-	if err != nil {
-		return errors.Wrap(err, "return of grants")
-	}
-	for i, p := range d.purses {
-		p.record, p.revision = d.records[i], int64(result.Revision)
-		k.o.Log.Emit(event.GrantsReturned, slog.String(event.KeyBudget, p.account), slog.Int64("spent", p.spent))
-	}
-	return nil
-}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -13,18 +13,17 @@
 	// aheadOf is how much of its use a router's ceiling is above what it has used:
 	// longer than openAfter, so that the ceiling alone carries it into an outage.
 	aheadOf = 3500 * time.Millisecond
-	// refillBelow is the part of what is wanted below which more is drawn.
+	// refillBelow is the part of what is wanted below which a write of its own is due.
 	refillBelow = 0.5
-	// returnAbove is the multiple of the wanted grant above which the rest goes back.
-	returnAbove = 2.0
-	// firstShare is the part of a budget that all routers together hold before
-	// they have seen any use of it.
+	// topUpBelow is that part where a write is sent in any case.
+	topUpBelow = 0.95
+	// firstShare is the part of a budget that its home holds before use is seen.
 	firstShare = 0.15
-	// firstCeiling is the part of a first grant that the ceiling lets them use.
-	firstCeiling = 0.3
-	// endShare bounds one router's draw to this part of an equal share of what is
-	// left, so that the last tokens of a budget are not held by the first to ask.
-	endShare = 0.7
+	// firstCeiling is the part of it that the ceiling lets it use.
+	firstCeiling = 0.04
+	// endShare bounds what a home holds to a part of what is left, so that another
+	// router can draw when the home is lost.
+	endShare = 0.8
 	// rateMemory is the time over which a router's use is averaged.
 	rateMemory = 6 * time.Second
 	// rateInterval is the least time between two updates of the rate.
@@ -40,12 +39,12 @@
 	reserved int64
 	lent     int64 // given to other routers
 	borrowed int64 // got from other routers
-	largest  int64 // largest reservation asked for
 	waiting  int64 // asked for by reservations that wait for a draw
 
-	rate   float64 // tokens a second, averaged
+	rate   float64 // tokens a second, averaged since the first use
+	weight float64 // of what rate averages: near 0 at first, 1 in the long run
 	rateAt time.Duration
-	use    int64 // settled since rateAt
+	use    int64 // settled and lent since rateAt, without what came back
 
 	seq      int64 // of this incarnation's writes of the record
 	decided  bool  // the record below was read from the store
@@ -99,14 +98,17 @@
 	p.use += used
 }
 
+// updateRate averages the use over rateMemory, or since the first use if that is
+// shorter: without that the first outage finds too small a grant.
 func (p *purse) updateRate(now time.Duration) {
 	passed := now - p.rateAt
-	if passed < rateInterval {
+	if passed < rateInterval || p.weight == 0 && p.use == 0 {
 		return
 	}
-	weight := 1 - math.Exp(-passed.Seconds()/rateMemory.Seconds())
-	p.rate += weight * (float64(p.use)/passed.Seconds() - p.rate)
-	p.use, p.rateAt = 0, now
+	part := 1 - math.Exp(-min(passed, rateInterval*4).Seconds()/rateMemory.Seconds())
+	weight := p.weight + part*(1-p.weight)
+	p.rate = max(0, p.rate+part/weight*(float64(p.use)/passed.Seconds()-p.rate))
+	p.weight, p.use, p.rateAt = weight, 0, now
 }
 
 // free is what the record leaves to grant.
@@ -114,37 +116,44 @@
 	return max(0, prepaid-p.record.Given())
 }
 
-// first is what a router holds before it has seen any use.
-func first(prepaid int64, routers int) float64 {
-	return firstShare * float64(prepaid) / float64(max(1, routers))
-}
-
-// plan returns the grant to ask for next, and whether a write is due.
-func (p *purse) plan(prepaid int64, routers int) (granted int64, due bool) {
+// plan returns the grant to ask for next, and whether a write is due. home says
+// that this router is the account's home: it holds for all, the others only what
+// they could not get from it.
+//
+// topUp is the part of what is wanted below which a draw is due: where a write is
+// sent anyway it costs nothing to draw early.
+func (p *purse) plan(prepaid int64, home bool, topUp float64) (granted int64, due bool) {
 	free := p.free(prepaid)
 	left := p.granted - p.used()
-	ahead := int64(max(p.rate*Horizon.Seconds(), first(prepaid, routers)))
-	fair := int64(endShare * float64(free+max(0, left)) / float64(max(1, routers)))
-	scarce := ahead > fair
+	ahead := p.ahead(Horizon, firstShare, prepaid, home)
+	fair := int64(endShare * float64(free+max(0, left)))
 	ahead = max(min(ahead, fair), p.waiting)
 	switch {
-	case free > 0 && (left < p.waiting || float64(left) < refillBelow*float64(ahead)):
+	case free > 0 && (left < p.waiting || float64(left) < topUp*float64(ahead)):
 		more := min(ahead-left, free)
 		return p.granted + max(0, more), more > 0
-	case scarce && float64(left) > returnAbove*float64(ahead) && left > p.largest:
-		// Others may be refused for what lies here unused.
-		return p.used() + max(ahead, p.largest), true
+	case !home && p.waiting == 0 && left > 0 && p.ceiling < p.granted:
+		// A former home's rest. What is below the ceiling goes to the new home.
+		return max(p.used(), min(p.granted, p.ceiling)), true
 	}
 	return p.granted, false
 }
 
 // raised returns the ceiling to ask for next, for the given grant, and whether
 // what is left below the present one is short.
-func (p *purse) raised(granted, prepaid int64, routers int) (ceiling int64, short bool) {
-	ahead := int64(max(p.rate*aheadOf.Seconds(), firstCeiling*first(prepaid, routers)))
-	ahead = max(ahead, p.waiting)
+func (p *purse) raised(granted, prepaid int64, home bool) (ceiling int64, short bool) {
+	ahead := max(p.ahead(aheadOf, firstCeiling, prepaid, home), p.waiting)
 	left := min(p.granted, p.ceiling) - p.used()
 	ceiling = max(p.ceiling, min(granted, p.used()+ahead))
 	short = ceiling > p.ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
 	return ceiling, short
 }
+
+// ahead is what should be left for a time of use. At first, before use is seen, a
+// home holds a part of the budget.
+func (p *purse) ahead(time time.Duration, share float64, prepaid int64, home bool) int64 {
+	if !home {
+		return 0
+	}
+	return int64(max(p.rate*time.Seconds(), share*float64(prepaid)))
+}
--- /dev/null
+++ b/internal/escrow/reserve.go
@@ -0,0 +1,258 @@
+package escrow
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// Reserve sets tokens aside: out of what is here, else from the account's home,
+// else by a draw of its own. Where the store can't give either, it asks all other
+// routers: while it is away, and at the end of a budget, what one router lacks lies
+// unused at another.
+func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
+	h := k.begin(account, tokens)
+	if home := k.o.Home(account); h.missing > 0 && home != "" {
+		h.got(k.o.Peers.BorrowFrom(ctx, home, account, h.missing))
+	}
+	if h.missing == 0 {
+		return h.reservation(), nil
+	}
+	err := k.draw(ctx, h)
+	if err != nil && ctx.Err() == nil {
+		err = k.borrow(ctx, h, err)
+	}
+	if err != nil {
+		h.release()
+		return nil, err
+	}
+	return h.reservation(), nil
+}
+
+// hold is a reservation that is being put together. What it has is set aside at
+// once: else requests that come meanwhile take it, and all of them come up short.
+type hold struct {
+	keeper  *Keeper
+	purse   *purse
+	tokens  int64
+	missing int64
+}
+
+func (k *Keeper) begin(account string, tokens int64) *hold {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := &hold{keeper: k, purse: k.purse(account), tokens: tokens, missing: tokens}
+	h.fill()
+	if _, short := h.purse.raised(h.purse.granted, k.o.Budgets()[account], k.o.Home(account) == ""); short {
+		k.nudge()
+	}
+	return h
+}
+
+// fill takes from the purse what it can. The keeper is locked.
+func (h *hold) fill() {
+	here := max(0, min(h.missing, h.purse.available(h.keeper.open())))
+	h.purse.reserved += here
+	h.missing -= here
+}
+
+// got adds what another router gave.
+func (h *hold) got(tokens int64) {
+	h.keeper.mu.Lock()
+	defer h.keeper.mu.Unlock()
+	h.purse.borrowed += tokens
+	h.purse.reserved += min(tokens, h.missing)
+	h.missing -= min(tokens, h.missing)
+}
+
+func (h *hold) release() {
+	h.keeper.mu.Lock()
+	defer h.keeper.mu.Unlock()
+	h.purse.reserved -= h.tokens - h.missing
+}
+
+func (h *hold) reservation() *Reservation {
+	return &Reservation{keeper: h.keeper, purse: h.purse, tokens: h.tokens}
+}
+
+// drawPatience is how long a reservation waits for a draw before it asks other
+// routers: some times what a store in good health takes. That the store is away
+// shows only after callTimeout.
+const drawPatience = 60 * time.Millisecond
+
+// draw waits until the hold is filled by a draw, or says why it can't be.
+func (k *Keeper) draw(ctx context.Context, h *hold) error {
+	patience := time.NewTimer(drawPatience)
+	defer patience.Stop()
+	for round := 0; ; round++ {
+		changed, err := k.await(h, round > 0)
+		if changed == nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			err = ErrUnreachable
+		case <-patience.C:
+			err = ErrUnreachable
+		case <-changed:
+		}
+		k.stopWaiting(h)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// await fills the hold if it can, and returns nothing. Else it returns the channel
+// that closes after the next round with the store, or why waiting doesn't help.
+func (k *Keeper) await(h *hold, waited bool) (<-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.fill()
+	switch {
+	case h.missing == 0:
+		return nil, nil
+	case k.away:
+		return nil, ErrUnreachable
+	case waited && h.purse.decided && k.lacks(h):
+		return nil, ErrContended
+	}
+	h.purse.waiting += h.missing
+	k.nudge()
+	return k.changed, nil
+}
+
+// lacks says whether the record can't give what is missing.
+func (k *Keeper) lacks(h *hold) bool {
+	p := h.purse
+	return p.free(k.o.Budgets()[p.account])+p.granted-p.used() < h.missing
+}
+
+func (k *Keeper) stopWaiting(h *hold) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.purse.waiting -= h.missing
+}
+
+// borrow gets what is missing from any other routers.
+func (k *Keeper) borrow(ctx context.Context, h *hold, short error) error {
+	missing := h.missing
+	got, used := k.o.Peers.Borrow(ctx, h.purse.account, missing)
+	h.got(got)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	record := h.purse.record
+	prepaid := k.o.Budgets()[h.purse.account]
+	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, h.purse.account), slog.Int64("missing", missing),
+		slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
+		slog.Int64("closed", record.Closed), slog.Int64("used", used), slog.Any(event.KeyCause, short))
+	if h.missing == 0 {
+		return nil
+	}
+	// All that is surely used, with reservations at their most. What nobody could
+	// tell of may still come back, so that is no reason to say exhausted.
+	used += record.ClosedSpent + h.purse.used() - (h.tokens - h.missing)
+	if prepaid-used < h.tokens {
+		return ErrExhausted
+	}
+	return short
+}
+
+// lendPatience is how long a router that is asked waits for a draw of its own.
+const lendPatience = 100 * time.Millisecond
+
+// Lend gives tokens to another router, as many as it can get hold of without asking
+// others, and tells how many are used here. What it gives counts as used from then
+// on: an answer that is lost loses them, and never gives them twice.
+func (k *Keeper) Lend(account string, tokens int64) (given, used int64) {
+	h := k.begin(account, tokens)
+	if h.missing > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), lendPatience)
+		defer cancel()
+		if err := k.draw(ctx, h); err != nil {
+			k.o.Log.Emit(event.LoanShort, slog.String(event.KeyBudget, account), slog.Int64("missing", h.missing), slog.Any(event.KeyCause, err))
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	given = h.tokens - h.missing
+	h.purse.reserved -= given
+	used = h.purse.used()
+	h.purse.lent += given
+	h.purse.use += given
+	return given, used
+}
+
+// sweepTime bounds the handing back of tokens to their accounts' homes.
+const sweepTime = 300 * time.Millisecond
+
+// sweep hands what is left here to the accounts' homes, so that it is not lost in
+// small parts with every router, and not missing where it is needed.
+func (k *Keeper) sweep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sweepTime)
+	defer cancel()
+	for home, left := range k.strays() {
+		k.give(ctx, home, left)
+	}
+}
+
+// strays takes what is left here of accounts whose home is another router, by home.
+func (k *Keeper) strays() map[string]map[string]int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	byHome := make(map[string]map[string]int64)
+	for account, p := range k.purses {
+		home := k.o.Home(account)
+		tokens := p.available(k.open())
+		if home == "" || tokens <= 0 {
+			continue
+		}
+		if byHome[home] == nil {
+			byHome[home] = make(map[string]int64)
+		}
+		byHome[home][account] = tokens
+		p.lent += tokens
+	}
+	return byHome
+}
+
+// give hands tokens to a router. They were counted as lent before.
+func (k *Keeper) give(ctx context.Context, address string, tokens map[string]int64) {
+	if k.o.Peers.HandOver(ctx, address, tokens) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for account, n := range tokens {
+		k.purse(account).lent -= n
+	}
+}
+
+// HandOver gives all unspent tokens to another router, where they can't be
+// returned: at a stop while the store is away.
+func (k *Keeper) HandOver(ctx context.Context, address string) {
+	k.mu.Lock()
+	left := make(map[string]int64)
+	for account, p := range k.purses {
+		if tokens := p.available(k.open()); tokens > 0 {
+			left[account] = tokens
+			p.lent += tokens
+		}
+	}
+	k.mu.Unlock()
+	k.o.Log.Emit(event.TokensHandedOver, slog.String(event.KeyRouter, address), slog.Int("accounts", len(left)))
+	k.give(ctx, address, left)
+}
+
+// Accept takes tokens that another router hands over.
+func (k *Keeper) Accept(tokens map[string]int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for account, n := range tokens {
+		p := k.purse(account)
+		p.borrowed += max(0, n)
+		p.use -= max(0, n)
+	}
+}
--- /dev/null
+++ b/internal/escrow/stop.go
@@ -0,0 +1,82 @@
+package escrow
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// Return gives all unspent grants back, at a planned stop. Requests that still
+// run keep their reservations out of it; they count as spent.
+func (k *Keeper) Return(ctx context.Context) error {
+	k.mu.Lock()
+	k.stopped = true
+	away := k.away
+	k.mu.Unlock()
+	if away {
+		return ErrUnreachable
+	}
+	const rounds = 8 // each conflict means that another router's write landed
+	var err error
+	for i := 0; i < rounds; i++ {
+		d, any := k.closing()
+		if !any {
+			return nil
+		}
+		if err = k.close(ctx, d); err == nil {
+			continue
+		}
+		if errors.Is(err, store.ErrConflict) {
+			continue
+		}
+		return err
+	}
+	return err
+}
+
+func (k *Keeper) closing() (draw, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d := draw{}
+	for _, p := range k.purses {
+		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.purses) == txnAccounts {
+			continue
+		}
+		used := max(0, min(p.granted, p.used()))
+		p.granted = min(p.granted, used)
+		d.pendingAt = append(d.pendingAt, p.pendingAt)
+		d.purses = append(d.purses, p)
+		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(p.account)))
+	}
+	return d, len(d.purses) > 0
+}
+
+func (k *Keeper) close(ctx context.Context, d draw) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := k.o.Store.Commit(ctx, d.txn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if errors.Is(err, store.ErrConflict) {
+		k.conflicted(d, result)
+		return err
+	}
+	if errors.Is(err, store.ErrUnavailable) {
+		for i, p := range d.purses { // nothing was done: the grants are still here
+			p.pendingAt = d.pendingAt[i]
+			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
+		}
+	}
+	if err != nil {
+		return errors.Wrap(err, "return of grants")
+	}
+	for i, p := range d.purses {
+		p.record, p.revision = d.records[i], int64(result.Revision)
+		k.o.Log.Emit(event.GrantsReturned, slog.String(event.KeyBudget, p.account), slog.Int64("spent", p.spent))
+	}
+	return nil
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,7 @@
 	GrantsReturned   Number = 306
 	TokensBorrowed   Number = 307
 	TokensHandedOver Number = 308
+	LoanShort        Number = 309
 )
 
 // Events of bills and of the settlement of dead routers.
@@ -121,7 +122,8 @@
 	{DrawUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
 	{GrantsReturned, slog.LevelInfo, "grants returned"},
 	{TokensBorrowed, slog.LevelInfo, "tokens borrowed from other routers"},
-	{TokensHandedOver, slog.LevelInfo, "tokens handed over at a stop"},
+	{TokensHandedOver, slog.LevelInfo, "tokens handed over to another router"},
+	{LoanShort, slog.LevelDebug, "loan smaller than asked for"},
 	{BillHeld, slog.LevelDebug, "bill held by the witness"},
 	{BillRefused, slog.LevelWarn, "bill refused by the witness"},
 	{WitnessChosen, slog.LevelInfo, "witness chosen"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
@@ -107,7 +108,7 @@
 	n.peers = peers.NewClient(n.peerAddresses)
 	n.keeper = escrow.New(escrow.Options{
 		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
-		Budgets: n.budgets, Routers: n.routers, Log: log, Borrow: n.peers.Borrow,
+		Budgets: n.budgets, Home: n.homeOf, Log: log, Peers: n.peers,
 	})
 	n.forward = &forward.Forwarder{
 		Policy:     n.policy.Load,
@@ -293,6 +294,22 @@
 	}
 }
 
+// homeOf is the address of the router that holds an account's grant; empty if it
+// is this one. Rendezvous hashing moves few accounts when a router comes or goes.
+func (n *Node) homeOf(account string) string {
+	home := n.self()
+	highest := xxhash.Sum64String(account + "/" + home.Name)
+	for _, m := range n.members.List() {
+		if rank := xxhash.Sum64String(account + "/" + m.Name); m.Peer != "" && rank > highest {
+			home, highest = m, rank
+		}
+	}
+	if home.Name == n.settings.VM {
+		return ""
+	}
+	return home.Peer
+}
+
 func (n *Node) known() peers.Known {
 	return peers.Known{}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -43,9 +43,11 @@
 
 // handOver gives what can't be returned to another router.
 func (n *Node) handOver() {
+	others := n.peerAddresses()
+	if len(others) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), returnTime/3)
 	defer cancel()
-	n.keeper.HandOver(func(account string, tokens int64) bool {
-		return n.peers.HandOver(ctx, account, tokens)
-	})
+	n.keeper.HandOver(ctx, others[0])
 }
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -14,6 +14,9 @@
 // ErrUnreachable: a peer did not answer in time.
 var ErrUnreachable = errors.New("peers: unreachable")
 
+// ErrNotSent: no connection to a peer came about.
+var ErrNotSent = errors.New("peers: not sent")
+
 // Patience with peers. A caller waits for the outcome.
 const (
 	dialTimeout = 200 * time.Millisecond
@@ -66,17 +69,26 @@
 	return got, used
 }
 
-// HandOver gives tokens to the first peer that takes them; it says whether one did.
-// Only one is asked after a lost answer: it may have taken them.
-func (c *Client) HandOver(ctx context.Context, account string, tokens int64) bool {
-	for _, address := range c.addresses() {
-		if c.avoiding(address) {
-			continue
-		}
-		err := c.call(ctx, address, "HandOver", LoanRequest{Account: account, Tokens: tokens}, &struct{}{})
-		return err == nil
+// BorrowFrom asks one peer for tokens and returns how many it gave.
+func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64) int64 {
+	if c.avoiding(address) {
+		return 0
+	}
+	loan := Loan{}
+	if err := c.call(ctx, address, "Lend", LoanRequest{Account: account, Tokens: tokens}, &loan); err != nil {
+		return 0 // the peer is avoided now
+	}
+	return loan.Tokens
+}
+
+// HandOver gives tokens to a peer. It returns false only if the peer surely got
+// none of them: no connection came about.
+func (c *Client) HandOver(ctx context.Context, address string, tokens map[string]int64) bool {
+	if c.avoiding(address) {
+		return false
 	}
-	return false
+	err := c.call(ctx, address, "HandOver", Tokens(tokens), &struct{}{})
+	return !errors.Is(err, ErrNotSent)
 }
 
 // Known asks one peer for what it knows.
@@ -96,7 +108,7 @@
 	client, err := c.client(address)
 	if err != nil {
 		c.avoid(address, nil)
-		return errors.Wrap(ErrUnreachable, err.Error())
+		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -41,7 +41,7 @@
 	// how many were used before.
 	Lend(account string, tokens int64) (given, used int64)
 	// Accept takes tokens that another router hands over.
-	Accept(account string, tokens int64)
+	Accept(tokens map[string]int64)
 }
 
 // Service is what peers call.
@@ -56,9 +56,12 @@
 	return nil
 }
 
-// HandOver takes the tokens of a router that stops.
-func (s *Service) HandOver(request LoanRequest, _ *struct{}) error {
-	s.lender.Accept(request.Account, request.Tokens)
+// Tokens are tokens by account.
+type Tokens map[string]int64
+
+// HandOver takes tokens that the peer has no use for.
+func (s *Service) HandOver(tokens Tokens, _ *struct{}) error {
+	s.lender.Accept(tokens)
 	return nil
 }
 
