--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -24,7 +24,7 @@
 	openAfter = 2300 * time.Millisecond
 	// openWhole is the time since the last stamp after which all may be spent. It is
 	// the horizon, so that use at the usual rate never waits for the opening.
-	openWhole = 5000 * time.Millisecond
+	openWhole = 5500 * time.Millisecond
 	// clockMargin is how far a VM's time of day may have been moved between two
 	// processes. It matters after a loss of power only: else the steady clock tells.
 	clockMargin = 2200 * time.Millisecond
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -86,7 +86,7 @@
 }
 
 // memberWait is the longest quiet time between two answers of the members' watch.
-const memberWait = 2500 * time.Millisecond
+const memberWait = 3000 * time.Millisecond
 
 func (m *Members) put(item store.Item) {
 	member, err := m.decode(item)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,16 +41,16 @@
 const (
 	// configWait bounds the age of the configuration on a connection that went
 	// silent: below the two seconds within which a version is in force.
-	configWait = 1500 * time.Millisecond
+	configWait = 3000 * time.Millisecond
 	// serversPause gathers the servers' heartbeats: an entry that changed must be
 	// known within the two seconds that a draining server still serves.
-	serversPause = 900 * time.Millisecond
-	serversWait  = 500 * time.Millisecond
+	serversPause = 1200 * time.Millisecond
+	serversWait  = 300 * time.Millisecond
 	// fleetWait suits changes that are rare.
-	fleetWait = 2500 * time.Millisecond
+	fleetWait = 3000 * time.Millisecond
 	// patience is the time an answer may take beyond its wait, also of a store
 	// that is slow.
-	patience = 1000 * time.Millisecond
+	patience = 800 * time.Millisecond
 	// configPause keeps a storm of versions from becoming a storm of calls.
 	configPause = 50 * time.Millisecond
 )
