Take only a long silence for an outage of the store; free a predecessor's grants anywhere

The limit is 3 s now, below the 3.6 s of three heartbeats. Besides, only an account's home freed what its VM's dead process had held; any successor does now. Ruled out: late reads (all routers had the tombstone at 16.8 s).

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -339,6 +339,8 @@
 		granted, wanted := p.plan(budgets[account], home, topUp)
 		// An unanswered write must be followed by another of the same record: that
 		// moves the revision, after which the first one can't land any more.
+		// What a predecessor on this VM left is freed at once, whoever is home now.
+		wanted = wanted || p.record.Left(k.o.VM, k.o.Incarnation)
 		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.purses) < txnAccounts {
 			k.add(&d, p, granted)
 			due = true
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -106,6 +106,17 @@
 	return r.Holders[vm][incarnation]
 }
 
+// Left says whether the record still lists incarnations of a VM other than the
+// present one.
+func (r Record) Left(vm, present string) bool {
+	for incarnation := range r.Holders[vm] {
+		if incarnation != present {
+			return true
+		}
+	}
+	return false
+}
+
 // MostSpent is the most that a dead incarnation can have spent of its grant.
 type MostSpent func(incarnation string, granted int64) int64
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -11,8 +11,10 @@
 )
 
 // lapseGap is the silence of the store after which missing entries may have
-// lapsed with it rather than left. It is above the pause between two reads.
-const lapseGap = 1500 * time.Millisecond
+// lapsed with it rather than left. It is far above the pause between two reads, so
+// that a usual pause is never taken for an outage, and below the three heartbeats
+// that an entry survives.
+const lapseGap = 3 * time.Second
 
 // lapseGrace is how long entries that lapsed during an outage stay in use after
 // the store's return: living servers are back within two seconds (users' letter).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,10 @@
 	configWait = 3000 * time.Millisecond
 	// serversPause gathers the servers' heartbeats: an entry that changed must be
 	// known within the two seconds that a draining server still serves.
-	serversPause = 1200 * time.Millisecond
+	serversPause = 900 * time.Millisecond
 	serversWait  = 300 * time.Millisecond
+	// serversPatience lets one call fail within those two seconds.
+	serversPatience = 500 * time.Millisecond
 	// fleetWait suits changes that are rare.
 	fleetWait = 3000 * time.Millisecond
 	// patience is the time an answer may take beyond its wait, also of a store
@@ -327,12 +329,12 @@
 // follow starts what keeps this router's knowledge and its own entry fresh.
 func (n *Node) follow(ctx context.Context, tasks *conc.WaitGroup) {
 	followers := []*store.Follower{
-		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Pause: configPause, Sink: &configSink{node: n}},
-		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Pause: serversPause, Sink: n.registry},
-		{Prefix: fleetPrefix, Wait: fleetWait, Pause: configPause, Sink: &fleetSink{node: n}},
+		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Patience: patience, Pause: configPause, Sink: &configSink{node: n}},
+		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: serversPause, Sink: n.registry},
+		{Prefix: fleetPrefix, Wait: fleetWait, Patience: patience, Pause: configPause, Sink: &fleetSink{node: n}},
 	}
 	for _, f := range followers {
-		f.Store, f.Patience = n.dialect.Store, patience
+		f.Store = n.dialect.Store
 		tasks.Go(func() { f.Run(ctx) })
 	}
 	tasks.Go(func() { n.keeper.Run(ctx) })
