--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -150,6 +150,8 @@
 	stampEvery = 1 * time.Second
 	// roundPause keeps a router with many small draws from calling without pause.
 	roundPause = 40 * time.Millisecond
+	// awayPause is the pause while the store is away.
+	awayPause = 250 * time.Millisecond
 	// callTimeout is far above the store's usual few milliseconds, and short
 	// beside the time a caller waits.
 	callTimeout = 600 * time.Millisecond
@@ -170,16 +172,34 @@
 			k.sweep(ctx)
 			k.round(ctx, true)
 		case <-k.wake:
-			k.round(ctx, false)
+			k.round(ctx, k.isAway())
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(roundPause):
+		case <-time.After(k.pause()):
 		}
 	}
 }
 
+func (k *Keeper) isAway() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.away
+}
+
+// pause is the wait until the next round may begin. While the store is away the
+// next round is due by itself, so that its return is noticed soon.
+func (k *Keeper) pause() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.away {
+		return roundPause
+	}
+	k.nudge()
+	return awayPause
+}
+
 // round brings records, grants and reservations in line once. stamp says that the
 // ledger is to be written in any case.
 func (k *Keeper) round(ctx context.Context, stamp bool) {
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -165,7 +165,7 @@
 
 // Lend gives tokens to another router, as many as it can get hold of without asking
 // others, and tells how many are used here. What it gives counts as used from then
-// on: an answer that is lost loses them, and never gives them twice.
+// on.
 func (k *Keeper) Lend(account string, tokens int64) (given, used int64) {
 	h := k.begin(account, tokens)
 	if h.missing > 0 {
@@ -185,6 +185,15 @@
 	return given, used
 }
 
+// TakeBack undoes a loan that its borrower never got.
+func (k *Keeper) TakeBack(account string, tokens int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.purse(account)
+	p.lent -= tokens
+	p.use -= tokens
+}
+
 // sweepTime bounds the handing back of tokens to their accounts' homes.
 const sweepTime = 300 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.held = retry.NewQuarantine(nil)
 	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
-	n.peers = peers.NewClient(n.peerAddresses)
+	n.peers = peers.NewClient(incarnation, n.peerAddresses)
 	n.keeper = escrow.New(escrow.Options{
 		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
 		Budgets: n.budgets, Home: n.homeOf, Log: log, Peers: n.peers,
@@ -200,20 +200,36 @@
 	return entry.Choose(others, zone)
 }
 
-// stopRefuseAfter is how long a stopping router still takes requests: callers keep
-// what they were told for that long and would find nothing else to do with it.
-const stopRefuseAfter = 2500 * time.Millisecond
+// stopTakes is how long a stopping router still takes requests of any length:
+// callers come until what they were told of addresses is old. Later it takes only
+// those that surely end before the process does.
+const stopTakes = 2500 * time.Millisecond
 
 func (n *Node) serve(ctx context.Context, r *request.Request, caller forward.Caller) {
 	n.inHand.Add(1)
 	defer n.inHand.Add(-1)
-	if n.stopping.Load() && time.Now().UnixMilli()-n.stoppedAt.Load() > stopRefuseAfter.Milliseconds() {
+	if n.stopping.Load() && !n.endsInTime(r) {
 		n.forward.Refuse(r, caller, forward.Stopping)
 		return
 	}
 	n.forward.Serve(ctx, r, caller)
 }
 
+// endsInTime says whether a stopping router may still take a request.
+func (n *Node) endsInTime(r *request.Request) bool {
+	since := time.Since(time.UnixMilli(n.stoppedAt.Load()))
+	if since < stopTakes {
+		return true
+	}
+	p := n.policy.Load()
+	if p == nil {
+		return false
+	}
+	route := p.Route(r.Host, r.Path)
+	left := n.settings.Grace - returnTime - since
+	return route != nil && route.Timeout > 0 && route.Timeout < left
+}
+
 func (n *Node) bodyLimit() int64 {
 	if p := n.policy.Load(); p != nil {
 		return p.Limits.BodyBytes
@@ -297,12 +313,18 @@
 }
 
 // homeOf is the address of the router that holds an account's grant; empty if it
-// is this one. Rendezvous hashing moves few accounts when a router comes or goes.
+// is this one. Rendezvous hashing moves few accounts when a router comes or goes. A
+// router that stops is home of nothing: it hands its grants on while it still serves.
 func (n *Node) homeOf(account string) string {
-	home := n.self()
-	highest := xxhash.Sum64String(account + "/" + home.Name)
+	home, highest := n.self(), uint64(0)
+	if !n.stopping.Load() {
+		highest = xxhash.Sum64String(account + "/" + home.Name)
+	}
 	for _, m := range n.members.List() {
-		if rank := xxhash.Sum64String(account + "/" + m.Name); m.Peer != "" && rank > highest {
+		if m.Name == n.settings.VM || m.Peer == "" {
+			continue
+		}
+		if rank := xxhash.Sum64String(account + "/" + m.Name); rank > highest {
 			home, highest = m, rank
 		}
 	}
@@ -339,6 +361,7 @@
 	}
 	tasks.Go(func() { n.keeper.Run(ctx) })
 	tasks.Go(func() { n.client.Run(ctx) })
+	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.announce(ctx) })
 	tasks.Go(func() { n.publishReports(ctx) })
 }
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,22 +32,34 @@
 // Client asks peers. It is safe for concurrent use.
 type Client struct {
 	// addresses lists the other routers' addresses.
-	addresses func() []string
+	addresses   func() []string
+	incarnation string
+	serial      atomic.Uint64
+
+	mu        sync.Mutex
+	clients   map[string]*rpc.Client
+	avoided   map[string]time.Time
+	unsettled []unsettled
+}
 
-	mu      sync.Mutex
-	clients map[string]*rpc.Client
-	avoided map[string]time.Time
+// unsettled is a transfer whose answer was lost: a loan to be voided, or a gift to
+// be sent again.
+type unsettled struct {
+	address string
+	since   time.Time
+	loan    TransferID
+	gift    *Gift // nil: a loan
 }
 
-// NewClient makes a client; addresses lists the other routers as known now.
-func NewClient(addresses func() []string) *Client {
-	return &Client{addresses: addresses, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
+// NewClient makes a client for a process; addresses lists the other routers as
+// known now.
+func NewClient(incarnation string, addresses func() []string) *Client {
+	return &Client{incarnation: incarnation, addresses: addresses, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
 }
 
 // Borrow asks peers in random order until it has the tokens or ctx ends. It
 // returns what it got, which may be less or nothing, and what the peers that were
-// asked have used. A loan whose answer is lost is lost to the budget, never given
-// twice.
+// asked have used.
 func (c *Client) Borrow(ctx context.Context, account string, tokens int64) (got, used int64) {
 	addresses := c.addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
@@ -59,10 +72,7 @@
 			continue
 		}
 		asked++
-		loan := Loan{}
-		if err := c.call(ctx, address, "Lend", LoanRequest{Account: account, Tokens: tokens - got}, &loan); err != nil {
-			continue // the peer is avoided now; others are asked
-		}
+		loan := c.lend(ctx, address, account, tokens-got)
 		got += loan.Tokens
 		used += loan.Used
 	}
@@ -74,11 +84,75 @@
 	if c.avoiding(address) {
 		return 0
 	}
+	return c.lend(ctx, address, account, tokens).Tokens
+}
+
+// lend asks for a loan. One whose answer is lost is not used, and voided later.
+func (c *Client) lend(ctx context.Context, address, account string, tokens int64) Loan {
+	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens}
 	loan := Loan{}
-	if err := c.call(ctx, address, "Lend", LoanRequest{Account: account, Tokens: tokens}, &loan); err != nil {
-		return 0 // the peer is avoided now
+	err := c.call(ctx, address, "Lend", request, &loan)
+	if err == nil {
+		return loan
+	}
+	if !errors.Is(err, ErrNotSent) {
+		c.settleLater(unsettled{address: address, since: time.Now(), loan: request.ID})
 	}
-	return loan.Tokens
+	return Loan{}
+}
+
+func (c *Client) nextID() TransferID {
+	return TransferID{Incarnation: c.incarnation, Serial: c.serial.Add(1)}
+}
+
+func (c *Client) settleLater(u unsettled) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsettled = append(c.unsettled, u)
+}
+
+// Pace of the settling of transfers.
+const (
+	settleEvery = 500 * time.Millisecond
+	// settleFor is how long a peer is tried: one that doesn't answer for so long
+	// is gone, and what it held with it.
+	settleFor = 30 * time.Second
+)
+
+// Run settles transfers whose answers were lost, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(settleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.settle(ctx)
+		}
+	}
+}
+
+func (c *Client) settle(ctx context.Context) {
+	c.mu.Lock()
+	due := c.unsettled
+	c.unsettled = nil
+	c.mu.Unlock()
+	for _, u := range due {
+		if time.Since(u.since) > settleFor {
+			continue
+		}
+		if c.avoiding(u.address) || c.settleOne(ctx, u) != nil {
+			c.settleLater(u)
+		}
+	}
+}
+
+func (c *Client) settleOne(ctx context.Context, u unsettled) error {
+	if u.gift != nil {
+		return c.call(ctx, u.address, "HandOver", *u.gift, &struct{}{})
+	}
+	return c.call(ctx, u.address, "Void", u.loan, &struct{}{})
 }
 
 // HandOver gives tokens to a peer. It returns false only if the peer surely got
@@ -87,8 +161,15 @@
 	if c.avoiding(address) {
 		return false
 	}
-	err := c.call(ctx, address, "HandOver", Tokens(tokens), &struct{}{})
-	return !errors.Is(err, ErrNotSent)
+	gift := Gift{ID: c.nextID(), Tokens: tokens}
+	err := c.call(ctx, address, "HandOver", gift, &struct{}{})
+	if errors.Is(err, ErrNotSent) {
+		return false
+	}
+	if err != nil {
+		c.settleLater(unsettled{address: address, since: time.Now(), gift: &gift})
+	}
+	return true
 }
 
 // Known asks one peer for what it knows.
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -12,8 +12,15 @@
 // serviceName is the name of the RPC service.
 const serviceName = "Router"
 
+// TransferID names one loan or one handing-over among all routers' for ever.
+type TransferID struct {
+	Incarnation string // of the router that asked or gives
+	Serial      uint64
+}
+
 // LoanRequest asks for tokens of an account's budget.
 type LoanRequest struct {
+	ID      TransferID
 	Account string
 	Tokens  int64
 }
@@ -25,6 +32,12 @@
 	Used int64
 }
 
+// Gift is tokens by account that a router has no use for.
+type Gift struct {
+	ID     TransferID
+	Tokens map[string]int64
+}
+
 // KnownRequest asks for what the peer knows.
 type KnownRequest struct{}
 
@@ -40,28 +53,45 @@
 	// Lend takes up to tokens out of what is available and returns how many, and
 	// how many were used before.
 	Lend(account string, tokens int64) (given, used int64)
+	// TakeBack undoes a loan that its borrower never got.
+	TakeBack(account string, tokens int64)
 	// Accept takes tokens that another router hands over.
 	Accept(tokens map[string]int64)
 }
 
 // Service is what peers call.
 type Service struct {
-	lender Lender
-	known  func() Known
+	lender    Lender
+	known     func() Known
+	transfers *transfers
 }
 
 // Lend gives a loan.
 func (s *Service) Lend(request LoanRequest, loan *Loan) error {
+	if s.transfers.voided(request.ID) {
+		return nil // its borrower gave up on it
+	}
 	loan.Tokens, loan.Used = s.lender.Lend(request.Account, request.Tokens)
+	if !s.transfers.lent(request.ID, request.Account, loan.Tokens) {
+		s.lender.TakeBack(request.Account, loan.Tokens)
+		loan.Tokens = 0
+	}
 	return nil
 }
 
-// Tokens are tokens by account.
-type Tokens map[string]int64
+// Void undoes a loan whose answer was lost, whether it was given yet or not.
+func (s *Service) Void(id TransferID, _ *struct{}) error {
+	if account, tokens := s.transfers.void(id); tokens > 0 {
+		s.lender.TakeBack(account, tokens)
+	}
+	return nil
+}
 
-// HandOver takes tokens that the peer has no use for.
-func (s *Service) HandOver(tokens Tokens, _ *struct{}) error {
-	s.lender.Accept(tokens)
+// HandOver takes tokens that the peer has no use for. It is idempotent.
+func (s *Service) HandOver(gift Gift, _ *struct{}) error {
+	if s.transfers.first(gift.ID) {
+		s.lender.Accept(gift.Tokens)
+	}
 	return nil
 }
 
@@ -74,7 +104,7 @@
 // Serve answers peers until the listener is closed.
 func Serve(l net.Listener, lender Lender, known func() Known) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{lender: lender, known: known}); err != nil {
+	if err := server.RegisterName(serviceName, &Service{lender: lender, known: known, transfers: newTransfers()}); err != nil {
 		return err
 	}
 	for {
