Open grants at a stated pace out of contact, not by a part of what is held

Cause: after 5.5 s out of contact a whole grant counted as spent at death, however little the router used. The ledger states a pace of 1.5 usual rates and 0.7% of the budget a second.

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -97,12 +97,12 @@
 	return &Keeper{o: o, purses: make(map[string]*purse), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
 }
 
-// open is the part above the ceilings that may be used now.
-func (k *Keeper) open() float64 {
+// age is how old the last stamp is; zero in contact, where the ceilings hold.
+func (k *Keeper) age() time.Duration {
 	if !k.away {
 		return 0
 	}
-	return opened(k.o.Clock().Steady - k.stampedAt)
+	return k.o.Clock().Steady - k.stampedAt
 }
 
 // Reservation sets tokens aside for one request.
@@ -346,7 +346,7 @@
 	}
 	sort.Strings(accounts)
 	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: now,
-		Open: k.away, Ceilings: make(map[string]int64, len(accounts))}}
+		Open: k.away, Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
 	due := stamp
 	topUp := refillBelow
 	if stamp {
@@ -369,6 +369,9 @@
 		}
 		ceiling, short := p.raised(granted, budgets[account], home)
 		d.ledger.Ceilings[account] = ceiling
+		pace := p.newPace(budgets[account])
+		d.ledger.Paces[account] = pace
+		p.pace = min(p.pace, pace)
 		due = due || short
 	}
 	if !due {
@@ -457,6 +460,7 @@
 	k.contactPut = k.contactPut || d.contact
 	for account, ceiling := range d.ledger.Ceilings {
 		k.purse(account).ceiling = max(k.purse(account).ceiling, ceiling)
+		k.purse(account).pace = d.ledger.Paces[account]
 	}
 	for i, p := range d.purses {
 		p.learned(d.records[i], int64(result.Revision), d.figures[i])
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -10,8 +10,8 @@
 // A router holds more than it spends in normal times, to ride out an outage of the
 // store. What it holds would be lost with it, so it also keeps a ledger in the
 // store: a ceiling for each account that it doesn't exceed while it is in contact,
-// and a stamp of its clock. Out of contact it may go beyond, but only slowly, as
-// opened says. The next process on the same VM knows from the stamp how long its
+// and a stamp of its clock. Out of contact it may go beyond, but only at a pace that
+// the ledger states. The next process on the same VM knows from the stamp how long its
 // predecessor can have been out of contact, and with that how much of the grant it
 // can have spent at most; the rest is free again.
 //
@@ -22,9 +22,6 @@
 	// openAfter is the time since the last stamp within which the ceiling holds. It
 	// covers the pause between stamps and some lost answers.
 	openAfter = 2300 * time.Millisecond
-	// openWhole is the time since the last stamp after which all may be spent. It is
-	// the horizon, so that use at the usual rate never waits for the opening.
-	openWhole = 5500 * time.Millisecond
 	// clockMargin is how far a VM's time of day may have been moved between two
 	// processes. It matters after a loss of power only: else the steady clock tells.
 	clockMargin = 2200 * time.Millisecond
@@ -39,11 +36,10 @@
 	stampOldest = 10 * time.Minute
 )
 
-// opened is the part of what lies above the ceiling that may be spent when the
-// last stamp is so old.
-func opened(age time.Duration) float64 {
-	part := float64(age-openAfter) / float64(openWhole-openAfter)
-	return min(1, max(0, part))
+// beyond is how much above its ceiling a router may go when its last stamp is so
+// old, at a pace in tokens a second.
+func beyond(age time.Duration, pace int64) int64 {
+	return int64(float64(pace) * max(0, age-openAfter).Seconds())
 }
 
 // Stamp is a reading of a VM's clocks.
@@ -80,6 +76,8 @@
 	Open bool `json:"open"`
 	// Ceilings is the most used of each grant at the stamp and openAfter later.
 	Ceilings map[string]int64 `json:"ceilings"`
+	// Paces is how many tokens a second may be used beyond that, out of contact.
+	Paces map[string]int64 `json:"paces"`
 }
 
 // DecodeLedger reads a stored ledger.
@@ -114,6 +112,5 @@
 	if !ok {
 		return granted
 	}
-	ceiling := min(granted, l.Ceilings[account])
-	return ceiling + int64(opened(age)*float64(granted-ceiling))
+	return min(granted, l.Ceilings[account]+beyond(age, l.Paces[account]))
 }
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -21,6 +21,10 @@
 	firstShare = 0.25
 	// firstCeiling is the part of it that the ceiling lets it use.
 	firstCeiling = 0.03
+	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
+	// budget a second on top, for accounts whose few requests are large.
+	paceAbove = 1.5
+	paceLeast = 0.007
 	// endShare bounds what a home holds to a part of what is left, so that another
 	// router can draw when the home is lost.
 	endShare = 0.8
@@ -35,6 +39,7 @@
 	account  string
 	granted  int64 // lower bound of what the record gives this incarnation
 	ceiling  int64 // of the stored ledger
+	pace     int64 // lowest of the ledgers that may be stored
 	spent    int64
 	reserved int64
 	lent     int64 // given to other routers
@@ -83,12 +88,14 @@
 	return p.spent + p.reserved + p.lent - p.borrowed
 }
 
-// available is what may be reserved when the part open of what lies above the
-// ceiling may be used.
-func (p *purse) available(open float64) int64 {
-	ceiling := min(p.granted, p.ceiling)
-	limit := ceiling + int64(open*float64(p.granted-ceiling))
-	return limit - p.used()
+// available is what may be reserved at an age of the last stamp; zero in contact.
+func (p *purse) available(age time.Duration) int64 {
+	return min(p.granted, p.ceiling+beyond(age, p.pace)) - p.used()
+}
+
+// newPace is the pace to state: above the usual use, for its ups and downs.
+func (p *purse) newPace(prepaid int64) int64 {
+	return int64(paceAbove*p.rate + paceLeast*float64(prepaid))
 }
 
 // settle books what a reservation really used.
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -53,7 +53,7 @@
 
 // fill takes from the purse what it can. The keeper is locked.
 func (h *hold) fill() {
-	here := max(0, min(h.missing, h.purse.available(h.keeper.open())))
+	here := max(0, min(h.missing, h.purse.available(h.keeper.age())))
 	h.purse.reserved += here
 	h.missing -= here
 }
@@ -214,7 +214,7 @@
 	byHome := make(map[string]map[string]int64)
 	for account, p := range k.purses {
 		home := k.o.Home(account)
-		tokens := p.available(k.open())
+		tokens := p.available(k.age())
 		if home == "" || tokens <= 0 {
 			continue
 		}
@@ -245,7 +245,7 @@
 	k.mu.Lock()
 	left := make(map[string]int64)
 	for account, p := range k.purses {
-		if tokens := p.available(k.open()); tokens > 0 {
+		if tokens := p.available(k.age()); tokens > 0 {
 			left[account] = tokens
 			p.lent += tokens
 		}
