--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -47,8 +47,9 @@
 
 // Peers are the other routers.
 type Peers interface {
-	// BorrowFrom asks one router for tokens and returns how many it gave.
-	BorrowFrom(ctx context.Context, address, account string, tokens int64) int64
+	// BorrowFrom asks one router for tokens. It returns how many it gave, and whether
+	// it could have drawn more if there were more.
+	BorrowFrom(ctx context.Context, address, account string, tokens int64) (got int64, drew bool)
 	// Borrow asks one after the other. It returns how many tokens it got, and how
 	// many those that answered have used.
 	Borrow(ctx context.Context, account string, tokens int64) (got, used int64)
@@ -87,6 +88,7 @@
 	contactPut     bool          // the contact key is bound to it
 	ledgerRevision int64
 	ledgerKnown    bool
+	readAt         time.Duration // of the last read of all records
 	// stampedAt is when the last write without Open was sent; it may have landed
 	// whatever became of its answer.
 	stampedAt time.Duration
@@ -148,6 +150,8 @@
 	// stampEvery bounds the age of the stamp: what a router's successor can't free
 	// grows with it.
 	stampEvery = 1 * time.Second
+	// readEvery bounds the reads of the records while a budget is short.
+	readEvery = 700 * time.Millisecond
 	// roundPause keeps a router with many small draws from calling without pause.
 	roundPause = 40 * time.Millisecond
 	// awayPause is the pause while the store is away.
@@ -204,7 +208,7 @@
 // ledger is to be written in any case.
 func (k *Keeper) round(ctx context.Context, stamp bool) {
 	defer k.broadcast()
-	if k.mustRead() && !k.read(ctx) {
+	if (k.mustRead() || k.scarce()) && !k.read(ctx) {
 		return
 	}
 	if d, due := k.plan(stamp); due && k.commit(ctx, d) {
@@ -255,6 +259,24 @@
 	return false
 }
 
+// scarce says whether a reservation waits for more than its record can give, as the
+// record was last seen. Others may have returned or freed tokens since, which
+// nothing but another read shows.
+func (k *Keeper) scarce() bool {
+	budgets := k.o.Budgets()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.o.Clock().Steady-k.readAt < readEvery {
+		return false
+	}
+	for account, p := range k.purses {
+		if p.waiting > 0 && p.free(budgets[account])+p.granted-p.used() < p.waiting {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Keeper) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -265,6 +287,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.readAt = k.o.Clock().Steady
 	found := make(map[string]bool, len(snapshot.Items))
 	k.ledgerKnown, k.ledgerRevision = true, 0
 	for _, item := range snapshot.Items {
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -14,13 +14,19 @@
 // unused at another.
 func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
 	h := k.begin(account, tokens)
+	drew := false
 	if home := k.o.Home(account); h.missing > 0 && home != "" {
-		h.got(k.o.Peers.BorrowFrom(ctx, home, account, h.missing))
+		var got int64
+		got, drew = k.o.Peers.BorrowFrom(ctx, home, account, h.missing)
+		h.got(got)
 	}
 	if h.missing == 0 {
 		return h.reservation(), nil
 	}
-	err := k.draw(ctx, h)
+	err := ErrContended // where the home has tried to draw
+	if !drew {
+		err = k.draw(ctx, h)
+	}
 	if err != nil && ctx.Err() == nil {
 		err = k.borrow(ctx, h, err)
 	}
@@ -164,9 +170,9 @@
 const lendPatience = 100 * time.Millisecond
 
 // Lend gives tokens to another router, as many as it can get hold of without asking
-// others, and tells how many are used here. What it gives counts as used from then
-// on.
-func (k *Keeper) Lend(account string, tokens int64) (given, used int64) {
+// others, and tells how many are used here and whether the store is away. What it
+// gives counts as used from then on.
+func (k *Keeper) Lend(account string, tokens int64) (given, used int64, away bool) {
 	h := k.begin(account, tokens)
 	if h.missing > 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), lendPatience)
@@ -182,7 +188,7 @@
 	used = h.purse.used()
 	h.purse.lent += given
 	h.purse.use += given
-	return given, used
+	return given, used, k.away
 }
 
 // TakeBack undoes a loan that its borrower never got.
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -72,33 +72,38 @@
 			continue
 		}
 		asked++
-		loan := c.lend(ctx, address, account, tokens-got)
+		loan, err := c.lend(ctx, address, account, tokens-got)
+		if err != nil {
+			continue // the peer is avoided now; others are asked
+		}
 		got += loan.Tokens
 		used += loan.Used
 	}
 	return got, used
 }
 
-// BorrowFrom asks one peer for tokens and returns how many it gave.
-func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64) int64 {
+// BorrowFrom asks one peer for tokens. It returns how many it gave, and whether
+// it could have drawn more if there were more.
+func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64) (got int64, drew bool) {
 	if c.avoiding(address) {
-		return 0
+		return 0, false
 	}
-	return c.lend(ctx, address, account, tokens).Tokens
+	loan, err := c.lend(ctx, address, account, tokens)
+	return loan.Tokens, err == nil && !loan.Away
 }
 
 // lend asks for a loan. One whose answer is lost is not used, and voided later.
-func (c *Client) lend(ctx context.Context, address, account string, tokens int64) Loan {
+func (c *Client) lend(ctx context.Context, address, account string, tokens int64) (Loan, error) {
 	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens}
 	loan := Loan{}
 	err := c.call(ctx, address, "Lend", request, &loan)
 	if err == nil {
-		return loan
+		return loan, nil
 	}
 	if !errors.Is(err, ErrNotSent) {
 		c.settleLater(unsettled{address: address, since: time.Now(), loan: request.ID})
 	}
-	return Loan{}
+	return Loan{}, err
 }
 
 func (c *Client) nextID() TransferID {
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -30,6 +30,8 @@
 	Tokens int64
 	// Used is the tokens that the peer has spent or reserved, without the loan.
 	Used int64
+	// Away: the peer is out of contact with the store, and could not draw.
+	Away bool
 }
 
 // Gift is tokens by account that a router has no use for.
@@ -50,9 +52,9 @@
 
 // Lender gives granted tokens away.
 type Lender interface {
-	// Lend takes up to tokens out of what is available and returns how many, and
-	// how many were used before.
-	Lend(account string, tokens int64) (given, used int64)
+	// Lend takes up to tokens out of what is available or can be drawn and returns
+	// how many, how many were used before, and whether the store is away.
+	Lend(account string, tokens int64) (given, used int64, away bool)
 	// TakeBack undoes a loan that its borrower never got.
 	TakeBack(account string, tokens int64)
 	// Accept takes tokens that another router hands over.
@@ -71,7 +73,7 @@
 	if s.transfers.voided(request.ID) {
 		return nil // its borrower gave up on it
 	}
-	loan.Tokens, loan.Used = s.lender.Lend(request.Account, request.Tokens)
+	loan.Tokens, loan.Used, loan.Away = s.lender.Lend(request.Account, request.Tokens)
 	if !s.transfers.lent(request.ID, request.Account, loan.Tokens) {
 		s.lender.TakeBack(request.Account, loan.Tokens)
 		loan.Tokens = 0
