Prove the escrow under random schedules; learn all records at the first read

Cause: a router's first round wrote its ledger but drew nothing, since accounts that it had not met counted as unread (found by TestFirstGrantComesBeforeTheFirstRequest).

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -280,6 +280,7 @@
 func (k *Keeper) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	budgets := k.o.Budgets()
 	snapshot, err := k.o.Store.Read(ctx, k.o.Prefix)
 	k.contact(err)
 	if err != nil {
@@ -303,8 +304,8 @@
 			k.vouched = string(item.Value)
 		}
 	}
-	for account, p := range k.purses {
-		if !found[account] && !p.decided {
+	for account := range budgets {
+		if p := k.purse(account); !found[account] && !p.decided {
 			p.learned(newRecord(), 0, Figure{})
 		}
 	}
--- /dev/null
+++ b/internal/escrow/keeper_test.go
@@ -0,0 +1,184 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+// bench is one keeper on a store, with a clock that only the test moves.
+type bench struct {
+	store  *memstore.Store
+	steady time.Duration
+	paid   map[string]int64
+}
+
+func newBench(paid int64) *bench {
+	b := &bench{paid: map[string]int64{"boatyard": paid}}
+	b.store = memstore.New(func() time.Time { return time.Unix(0, 0).Add(b.steady) })
+	return b
+}
+
+func (b *bench) keeper(incarnation string, peers Peers) *Keeper {
+	return New(Options{
+		Store: b.store, Prefix: "budget/", VM: "vm", Address: "vm", Incarnation: incarnation,
+		Budgets: func() map[string]int64 { return b.paid }, Log: event.Discard(),
+		Clock: func() Stamp { return Stamp{Boot: "boot", Steady: b.steady, Wall: noon.Add(b.steady)} },
+		Home:  func(string) string { return "" }, Peers: peers,
+	})
+}
+
+func (b *bench) record(c *qt.C) Record {
+	snapshot, err := b.store.Read(context.Background(), "budget/account/boatyard")
+	c.Assert(err, qt.IsNil)
+	c.Assert(snapshot.Items, qt.HasLen, 1)
+	record, err := DecodeRecord(snapshot.Items[0].Value)
+	c.Assert(err, qt.IsNil)
+	return record
+}
+
+// A caller of a budget that nobody used yet is served at once: the router holds a
+// part of it before the first request.
+func TestFirstGrantComesBeforeTheFirstRequest(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	reservation, err := k.Reserve(context.Background(), "boatyard", 20_000)
+	c.Assert(err, qt.IsNil)
+	reservation.Settle(5_000)
+	reservation.Settle(20_000)
+	c.Assert(k.purse("boatyard").spent, qt.Equals, int64(5_000), qt.Commentf("only the first settlement counts"))
+}
+
+// A process dies while it is in contact with the store; its successor on the VM has
+// all back that lay above the ceiling.
+func TestSuccessorFreesWhatWasOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.keeper("p1", noPeers{}).round(context.Background(), true)
+	c.Assert(b.record(c).Given() >= 200_000, qt.IsTrue)
+
+	b.steady += time.Second
+	b.keeper("p2", noPeers{}).round(context.Background(), true)
+	c.Assert(b.record(c).Closed <= 30_000, qt.IsTrue, qt.Commentf("closed %d", b.record(c).Closed))
+}
+
+// The same, but the process was out of contact for a minute before it died: all
+// that it held may be spent.
+func TestSuccessorOfAnIsolatedProcessFreesNothing(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.keeper("p1", noPeers{}).round(context.Background(), true)
+	granted := b.record(c).Given()
+
+	b.steady += time.Minute
+	b.keeper("p2", noPeers{}).round(context.Background(), true)
+	c.Assert(b.record(c).Closed, qt.Equals, granted)
+}
+
+// A planned stop returns all that was not spent.
+func TestStopReturnsTheRest(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	reservation, err := k.Reserve(context.Background(), "boatyard", 10_000)
+	c.Assert(err, qt.IsNil)
+	reservation.Settle(7_000)
+	c.Assert(k.Return(context.Background()), qt.IsNil)
+	c.Assert(b.record(c).Given(), qt.Equals, int64(7_000))
+}
+
+// A ledger write is answered by nothing and done seconds later. It must not put an
+// older ledger in the place of a newer one.
+func TestLateLedgerDoesNotReplaceANewerOne(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Late })
+	b.steady += time.Second
+	k.round(context.Background(), true)
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Answered })
+	b.steady += 5 * time.Second
+	k.round(context.Background(), true)
+	newest := ledgerOf(c, b)
+	b.store.Settle()
+	c.Assert(ledgerOf(c, b), qt.DeepEquals, newest)
+}
+
+func ledgerOf(c *qt.C, b *bench) Ledger {
+	snapshot, err := b.store.Read(context.Background(), "budget/router/vm")
+	c.Assert(err, qt.IsNil)
+	ledger, err := DecodeLedger(snapshot.Items[0].Value)
+	c.Assert(err, qt.IsNil)
+	return ledger
+}
+
+// fewPeers lend what they have and tell what they used.
+type fewPeers struct {
+	noPeers
+	left, used int64
+}
+
+func (p fewPeers) Borrow(_ context.Context, _ string, tokens int64) (int64, int64) {
+	return min(tokens, p.left), p.used
+}
+
+// The store is away and this router has nothing left: others lend. Without them the
+// caller is told to come back, not that its budget is exhausted.
+func TestOutageIsRiddenOutOnLoans(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.store.SetDown(true)
+	k := b.keeper("p1", fewPeers{left: 10_000})
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.IsNil)
+
+	k = b.keeper("p2", noPeers{})
+	k.round(context.Background(), true)
+	_, err = k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Equals, ErrUnreachable)
+}
+
+// A caller is told that its budget is exhausted only where that is sure: the sum of
+// what routers say they used leaves too little. Tokens that a lost router holds
+// are no proof.
+func TestExhaustedIsSaidOnlyWhenSure(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(100_000)
+	lost := newRecord().With("lost-vm", "gone", Figure{Seq: 1, Granted: 100_000}, nil)
+	b.store.Put("budget/account/boatyard", lost.Encode())
+
+	k := b.keeper("p1", fewPeers{used: 0})
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Not(qt.Equals), ErrExhausted)
+	c.Assert(err, qt.IsNotNil)
+
+	k = b.keeper("p2", fewPeers{used: 95_000})
+	k.round(context.Background(), true)
+	_, err = k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Equals, ErrExhausted)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(newRecord().With("vm", "p", Figure{Seq: 1, Granted: 5}, nil).Encode())
+	f.Add(Ledger{Format: recordFormat, Incarnation: "p"}.Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if record, err := DecodeRecord(data); err == nil {
+			_ = record.With("vm", "new", Figure{}, func(_ string, granted int64) int64 { return granted }).Encode()
+		}
+		if ledger, err := DecodeLedger(data); err == nil {
+			_ = ledger.MostSpent("a", "p", "vm", 10, Stamp{}, true)
+		}
+	})
+}
--- /dev/null
+++ b/internal/escrow/ledger_test.go
@@ -0,0 +1,102 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func stampAt(boot string, steady time.Duration, wall time.Duration) Stamp {
+	return Stamp{Boot: boot, Steady: steady, Wall: noon.Add(wall)}
+}
+
+// A successor may free only what its predecessor can't have reached. The age of
+// the last stamp decides: by the steady clock after a kill, by the time of day
+// after a loss of power.
+func TestAgeOfAStamp(t *testing.T) {
+	last := stampAt("boot-1", time.Hour, 0)
+	for _, test := range []struct {
+		name    string
+		now     Stamp
+		vouched bool
+		age     time.Duration
+		unknown bool
+	}{
+		{name: "same boot", now: stampAt("boot-1", time.Hour+2*time.Second, -time.Hour), age: 2 * time.Second},
+		{name: "another boot with a plausible steady clock", now: stampAt("boot-2", time.Hour+time.Second, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "steady clock that ran back", now: stampAt("boot-1", time.Minute, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "steady clock far ahead", now: stampAt("boot-1", 3*time.Hour, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "vouched for by the store", now: stampAt("boot-2", 0, 2*time.Second), vouched: true, age: 2*time.Second + clockDrift},
+		{name: "vouched for, but older than the lease", now: stampAt("boot-2", 0, 9*time.Second), vouched: true, age: 9*time.Second + clockMargin},
+		{name: "vouched for, but before the stamp", now: stampAt("boot-2", 0, -time.Second), vouched: true, age: clockMargin - time.Second},
+		{name: "time of day moved back too far", now: stampAt("boot-2", 0, -time.Minute), unknown: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			age, ok := last.ageAt(test.now, test.vouched)
+			qt.Assert(t, ok, qt.Equals, !test.unknown)
+			qt.Assert(t, age, qt.Equals, test.age)
+		})
+	}
+}
+
+// The predecessor held 1,000 tokens, of which 300 lay below its ceiling. What it
+// may have spent beyond follows from its pace and the time out of contact; whatever
+// leaves doubt counts the whole grant.
+func TestMostSpent(t *testing.T) {
+	ledger := Ledger{Incarnation: "old", Address: "vm", Stamp: stampAt("boot", 0, 0),
+		Ceilings: map[string]int64{"boatyard": 300}, Paces: map[string]int64{"boatyard": 100}}
+	open := ledger
+	open.Open = true
+	at := func(age time.Duration) Stamp { return stampAt("boot", age, age) }
+	for _, test := range []struct {
+		name                 string
+		ledger               Ledger
+		incarnation, address string
+		now                  Stamp
+		want                 int64
+	}{
+		{"in contact", ledger, "old", "vm", at(openAfter), 300},
+		{"two seconds out of contact", ledger, "old", "vm", at(openAfter + 2*time.Second), 500},
+		{"long out of contact", ledger, "old", "vm", at(time.Minute), 1000},
+		{"ledger written out of contact", open, "old", "vm", at(0), 1000},
+		{"another incarnation's ledger", ledger, "older", "vm", at(0), 1000},
+		{"another VM of the same name", ledger, "old", "vm-2", at(0), 1000},
+		{"no clock to go by", ledger, "old", "vm", stampAt("other", 0, -time.Hour), 1000},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.ledger.MostSpent("boatyard", test.incarnation, test.address, 1000, test.now, false), qt.Equals, test.want)
+		})
+	}
+	qt.Assert(t, ledger.MostSpent("boatyard", "old", "vm", 200, at(0), false), qt.Equals, int64(200), qt.Commentf("a grant below its ceiling"))
+}
+
+// A router gives tokens back; the write is not answered. It may still land, so the
+// router must not use them, whatever the record says; only a record of a higher
+// revision proves that it can't land any more.
+func TestUnansweredReturnIsNotSpent(t *testing.T) {
+	p := newPurse("boatyard")
+	p.learned(newRecord(), 5, Figure{Granted: 1000})
+	qt.Assert(t, p.granted, qt.Equals, int64(1000))
+	p.granted, p.pendingAt = 400, 5 // sent: granted 400, expected at revision 5
+
+	p.learned(newRecord(), 5, Figure{Granted: 1000})
+	qt.Assert(t, p.granted, qt.Equals, int64(400), qt.Commentf("the write may land yet"))
+
+	p.learned(newRecord(), 6, Figure{Granted: 1000})
+	qt.Assert(t, p.granted, qt.Equals, int64(1000), qt.Commentf("another write came first"))
+}
+
+// The pace in force is the lowest that a successor may find: a write that states a
+// higher one counts only when it is known to be stored.
+func TestPaceRisesOnlyWhenStored(t *testing.T) {
+	p := newPurse("boatyard")
+	p.granted, p.ceiling, p.pace = 10_000, 100, 50
+	age := openAfter + 2*time.Second
+	qt.Assert(t, p.available(0), qt.Equals, int64(100))
+	qt.Assert(t, p.available(age), qt.Equals, int64(200))
+	p.granted = 150
+	qt.Assert(t, p.available(age), qt.Equals, int64(150), qt.Commentf("never beyond the grant"))
+}
--- /dev/null
+++ b/internal/escrow/world_test.go
@@ -0,0 +1,271 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fixedseed"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Main(m, map[string]string{"rapid.steps": "120", "rapid.checks": "300"})
+}
+
+// Budgets of the world. The first is small beside one request, the second roomy.
+var paid = map[string]int64{"boatyard": 60_000, "depot": 150_000}
+
+// world is some routers on one store, under any schedule of failures. Nothing runs
+// by itself: each action is one step, and time moves only by the action tick.
+type world struct {
+	t       *rapid.T
+	store   *memstore.Store
+	steady  time.Duration
+	wall    time.Time
+	routers []*router
+	born    int
+	// consumed is what backend servers have delivered, by account: the truth that
+	// must never pass what was paid.
+	consumed map[string]int64
+}
+
+// router is one VM with its present process.
+type router struct {
+	vm     string
+	keeper *Keeper
+	open   []*Reservation
+	boot   int
+	// skew is how far this VM's steady clock is off: it begins anew at each boot.
+	skew time.Duration
+}
+
+func newWorld(t *rapid.T, vms int) *world {
+	w := &world{t: t, wall: time.Unix(1_800_000_000, 0), consumed: make(map[string]int64)}
+	w.store = memstore.New(func() time.Time { return time.Unix(0, 0).Add(w.steady) })
+	for i := 0; i < vms; i++ {
+		w.routers = append(w.routers, &router{vm: fmt.Sprintf("vm-%d", i)})
+		w.start(w.routers[i])
+	}
+	return w
+}
+
+// start begins a new process on a VM; the one before is dead.
+func (w *world) start(r *router) {
+	w.born++
+	boot := fmt.Sprintf("%s-boot-%d", r.vm, r.boot)
+	skew := r.skew
+	r.open = nil
+	r.keeper = New(Options{
+		Store: w.store, Prefix: "budget/", VM: r.vm, Address: r.vm, Incarnation: fmt.Sprintf("p%d", w.born),
+		Budgets: func() map[string]int64 { return paid },
+		Log:     event.Discard(),
+		Clock: func() Stamp {
+			return Stamp{Boot: boot, Steady: w.steady + skew, Wall: w.wall.Add(w.steady)}
+		},
+		Home:  func(account string) string { return w.homeOf(r, account) },
+		Peers: noPeers{},
+	})
+}
+
+// homeOf spreads the accounts over the routers.
+func (w *world) homeOf(r *router, account string) string {
+	home := w.routers[len(account)%len(w.routers)]
+	if home == r {
+		return ""
+	}
+	return home.vm
+}
+
+// noPeers: in these schedules loans are actions of their own.
+type noPeers struct{}
+
+func (noPeers) BorrowFrom(context.Context, string, string, int64) (int64, bool) { return 0, false }
+func (noPeers) Borrow(context.Context, string, int64) (int64, int64)            { return 0, 0 }
+func (noPeers) HandOver(context.Context, string, map[string]int64) bool         { return false }
+
+func (w *world) router(name string) *router {
+	return w.routers[rapid.IntRange(0, len(w.routers)-1).Draw(w.t, name)]
+}
+
+func (w *world) account() string {
+	return rapid.SampledFrom([]string{"boatyard", "depot"}).Draw(w.t, "account")
+}
+
+// reserve sets tokens aside, if the router has them at hand.
+func (w *world) reserve(*rapid.T) {
+	r, account := w.router("router"), w.account()
+	tokens := rapid.Int64Range(1, 15_000).Draw(w.t, "tokens")
+	h := r.keeper.begin(account, tokens)
+	if h.missing > 0 {
+		h.release()
+		// A reservation that waits makes the next round draw for it.
+		if rapid.Bool().Draw(w.t, "waits") {
+			if changed, _ := r.keeper.await(h, false); changed != nil {
+				r.keeper.round(context.Background(), false)
+				r.keeper.stopWaiting(h)
+			}
+		}
+		return
+	}
+	r.open = append(r.open, h.reservation())
+}
+
+// work is some seconds of steady use at one router: it draws, and delivers all that
+// it gets.
+func (w *world) work(*rapid.T) {
+	r, account := w.router("router"), w.account()
+	for i := rapid.IntRange(1, 12).Draw(w.t, "requests"); i > 0; i-- {
+		h := r.keeper.begin(account, rapid.Int64Range(1, 15_000).Draw(w.t, "tokens"))
+		if changed, _ := r.keeper.await(h, false); changed != nil {
+			r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "stamp"))
+			r.keeper.stopWaiting(h)
+		}
+		if changed, _ := r.keeper.await(h, true); changed != nil {
+			r.keeper.stopWaiting(h)
+		}
+		if h.missing > 0 {
+			h.release()
+			w.steady += 300 * time.Millisecond
+			continue
+		}
+		w.consumed[account] += h.tokens
+		h.reservation().Settle(h.tokens)
+		w.steady += 100 * time.Millisecond
+	}
+}
+
+// settle ends a request that delivered some of what was reserved.
+func (w *world) settle(*rapid.T) {
+	r := w.router("router")
+	if len(r.open) == 0 {
+		return
+	}
+	last := len(r.open) - 1
+	reservation := r.open[last]
+	r.open = r.open[:last]
+	used := rapid.Int64Range(0, reservation.tokens).Draw(w.t, "used")
+	w.consumed[reservation.purse.account] += used
+	reservation.Settle(used)
+}
+
+func (w *world) round(*rapid.T) {
+	r := w.router("router")
+	r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "stamp"))
+}
+
+// lend moves tokens between two routers; the answer may be lost and the loan
+// voided, or lost for good.
+func (w *world) lend(*rapid.T) {
+	from, to, account := w.router("from"), w.router("to"), w.account()
+	from.keeper.mu.Lock()
+	available := from.keeper.purse(account).available(from.keeper.age())
+	from.keeper.mu.Unlock()
+	if from == to || available <= 0 {
+		return
+	}
+	given, _, _ := from.keeper.Lend(account, rapid.Int64Range(1, available).Draw(w.t, "tokens"))
+	switch rapid.SampledFrom([]string{"arrives", "voided", "lost"}).Draw(w.t, "answer") {
+	case "arrives":
+		to.keeper.Accept(map[string]int64{account: given})
+	case "voided":
+		from.keeper.TakeBack(account, given)
+	}
+}
+
+// die ends a process; what it had reserved may have been delivered whole.
+func (w *world) die(r *router) {
+	for _, reservation := range r.open {
+		w.consumed[reservation.purse.account] += rapid.Int64Range(0, reservation.tokens).Draw(w.t, "delivered")
+	}
+}
+
+func (w *world) kill(*rapid.T) {
+	r := w.router("router")
+	w.die(r)
+	w.tickBy("down")
+	w.start(r)
+}
+
+// losePower is a kill after which the steady clock shows anything.
+func (w *world) losePower(*rapid.T) {
+	r := w.router("router")
+	w.die(r)
+	w.tickBy("down")
+	r.boot++
+	r.skew = time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(w.t, "skew"))
+	w.start(r)
+}
+
+func (w *world) stop(*rapid.T) {
+	r := w.router("router")
+	for len(r.open) > 0 {
+		reservation := r.open[0]
+		r.open = r.open[1:]
+		w.consumed[reservation.purse.account] += reservation.tokens
+		reservation.Settle(reservation.tokens)
+	}
+	_ = r.keeper.Return(context.Background()) // an outage keeps it from returning
+	w.start(r)
+}
+
+func (w *world) tickBy(name string) {
+	w.steady += time.Duration(rapid.Int64Range(0, 4000).Draw(w.t, name)) * time.Millisecond
+}
+
+func (w *world) tick(*rapid.T) {
+	w.tickBy("ms")
+}
+
+func (w *world) outage(*rapid.T) {
+	w.store.SetDown(rapid.IntRange(0, 3).Draw(w.t, "down") == 0)
+}
+
+// fates makes the store lose answers, or do writes late.
+func (w *world) fates(*rapid.T) {
+	fate := rapid.SampledFrom([]memstore.Fate{memstore.Answered, memstore.Answered, memstore.Answered, memstore.Lost, memstore.Late, memstore.Dropped}).Draw(w.t, "fate")
+	w.store.SetFate(func(store.Txn) memstore.Fate { return fate })
+}
+
+func (w *world) settleLate(*rapid.T) {
+	w.store.Settle()
+}
+
+// check is the promise: nobody consumes more than was paid, also if all that is
+// reserved now gets delivered whole.
+func (w *world) check(t *rapid.T) {
+	most := make(map[string]int64)
+	for account, n := range w.consumed {
+		most[account] = n
+	}
+	for _, r := range w.routers {
+		for _, reservation := range r.open {
+			most[reservation.purse.account] += reservation.tokens
+		}
+	}
+	for account, n := range most {
+		if n > paid[account] {
+			t.Fatalf("%s: %d tokens of %d paid", account, n, paid[account])
+		}
+	}
+}
+
+// A caller sees nothing of it, but the client account pays for tokens twice: under
+// kills, losses of power, outages, lost and late writes, loans whose answers are
+// lost, and planned stops in any order, all routers together never deliver more
+// than the budget.
+func TestNoScheduleSpendsMoreThanWasPaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(1, 4).Draw(t, "vms"))
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": w.reserve, "work": w.work, "work more": w.work, "work on": w.work, "settle": w.settle, "round": w.round, "round again": w.round,
+			"lend": w.lend, "kill": w.kill, "lose power": w.losePower, "stop": w.stop, "tick": w.tick,
+			"outage": w.outage, "fates": w.fates, "settle late": w.settleLate, "": w.check,
+		})
+	})
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -31,6 +31,7 @@
 	present    map[string]Member
 	lapsed     map[string]time.Time // missing since an outage, kept until then
 	graceUntil time.Time
+	reached    bool
 }
 
 // NewMembers makes an empty list. A nil now means time.Now.
@@ -41,8 +42,16 @@
 	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), lapsed: make(map[string]time.Time)}
 }
 
-// Contact implements store.Sink.
+// Contact implements store.Sink. Lapsed entries get their time to come back anew
+// with each return of the store, and none of it while the store is away: else a
+// second outage right after the first empties the list.
 func (m *Members) Contact(reached bool, cause error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reached = reached
+	for key := range m.lapsed {
+		m.lapsed[key] = m.now().Add(lapseGrace)
+	}
 	LogContact(m.log, "routers", reached, cause)
 }
 
@@ -121,7 +130,7 @@
 	defer m.mu.Unlock()
 	now := m.now()
 	for key, until := range m.lapsed {
-		if !now.Before(until) {
+		if m.reached && !now.Before(until) {
 			m.missing(key)
 		}
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -35,7 +35,6 @@
 	// still taken for a lapsed one.
 	graceUntil time.Time
 	view       atomic.Pointer[View]
-	reached    atomic.Bool
 }
 
 // tracked is a server with what the registry's last word on it was.
@@ -67,9 +66,14 @@
 	return r.view.Load()
 }
 
-// Contact implements store.Sink.
+// Contact implements store.Sink. Lapsed entries get their time to come back anew
+// with each return of the store.
 func (r *Registry) Contact(reached bool, cause error) {
-	r.reached.Store(reached)
+	for _, known := range r.servers {
+		if !known.lapsedUntil.IsZero() {
+			known.lapsedUntil = r.now().Add(lapseGrace)
+		}
+	}
 	LogContact(r.log, "backend servers", reached, cause)
 }
 
--- /dev/null
+++ b/internal/store/memstore/memstore.go
@@ -0,0 +1,319 @@
+// Package memstore is an in-process store.Store whose faults are set at run time:
+// outages, lost and late answers, a forgotten history. It stands in for the
+// platform's store in tests and trials.
+package memstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// Fate is what becomes of a write.
+type Fate int
+
+// Fates of writes.
+const (
+	// Answered: the write is done, and its caller told.
+	Answered Fate = iota
+	// Lost: the write is done, its answer is lost.
+	Lost
+	// Late: the answer is lost, and the write is done at the next Settle, if its
+	// conditions still hold then.
+	Late
+	// Dropped: neither done nor answered.
+	Dropped
+)
+
+// Store implements store.Store. It is safe for concurrent use.
+type Store struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	revision store.Revision
+	items    map[string]store.Item
+	history  []store.Event
+	// compacted is the revision up to which the history is gone.
+	compacted store.Revision
+	leases    map[store.LeaseID]*lease
+	lastLease store.LeaseID
+	changed   chan struct{} // closed and replaced at each change
+	down      bool
+	fate      func(store.Txn) Fate
+	late      []store.Txn
+	calls     int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New makes an empty store. Leases follow the clock now; nil means time.Now.
+func New(now func() time.Time) *Store {
+	if now == nil {
+		now = time.Now
+	}
+	return &Store{now: now, revision: 1, items: make(map[string]store.Item), leases: make(map[store.LeaseID]*lease),
+		changed: make(chan struct{}), fate: func(store.Txn) Fate { return Answered }}
+}
+
+// SetDown begins or ends an outage; waiting watches are cut.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.notify()
+}
+
+// SetFate chooses what becomes of each later transaction.
+func (s *Store) SetFate(fate func(store.Txn) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = fate
+}
+
+// Settle does the late writes whose conditions still hold, in their order.
+func (s *Store) Settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := s.late
+	s.late = nil
+	for _, txn := range late {
+		if _, err := s.apply(txn); err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrLeaseGone) {
+			panic(err) // apply knows no other error
+		}
+	}
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+	s.notify()
+}
+
+// Calls is how many calls came.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a key without conditions, as an operator or a backend server does.
+func (s *Store) Put(key string, value []byte) store.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(store.Put{Key: key, Value: value})
+}
+
+// Remove deletes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
+// begin counts a call and lets leases run out; it fails during an outage.
+func (s *Store) begin() error {
+	s.calls++
+	if s.down {
+		return store.ErrUnavailable
+	}
+	now := s.now()
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.end(id)
+		}
+	}
+	return nil
+}
+
+// Read implements store.Store.
+func (s *Store) Read(_ context.Context, prefix string) (store.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return store.Snapshot{}, err
+	}
+	snapshot := store.Snapshot{At: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Items = append(snapshot.Items, item)
+		}
+	}
+	sort.Slice(snapshot.Items, func(i, j int) bool { return snapshot.Items[i].Key < snapshot.Items[j].Key })
+	return snapshot, nil
+}
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, changed, err := s.changesSince(prefix, after)
+		if err != nil || len(changes.Events) > 0 {
+			return changes, err
+		}
+		select {
+		case <-ctx.Done():
+			return store.Changes{}, store.ErrOutcomeUnknown
+		case <-timer.C:
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) changesSince(prefix string, after store.Revision) (store.Changes, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return store.Changes{}, nil, err
+	}
+	if after < s.compacted {
+		return store.Changes{}, nil, store.ErrCompacted
+	}
+	changes := store.Changes{At: s.revision}
+	for _, e := range s.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			changes.Events = append(changes.Events, e)
+		}
+	}
+	return changes, s.changed, nil
+}
+
+// Commit implements store.Store.
+func (s *Store) Commit(_ context.Context, txn store.Txn) (store.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return store.Result{}, err
+	}
+	switch s.fate(txn) {
+	case Lost:
+		if _, err := s.apply(txn); err != nil {
+			return store.Result{}, store.ErrOutcomeUnknown
+		}
+		return store.Result{}, store.ErrOutcomeUnknown
+	case Late:
+		s.late = append(s.late, txn)
+		return store.Result{}, store.ErrOutcomeUnknown
+	case Dropped:
+		return store.Result{}, store.ErrOutcomeUnknown
+	}
+	return s.apply(txn)
+}
+
+func (s *Store) apply(txn store.Txn) (store.Result, error) {
+	holds := true
+	result := store.Result{}
+	for _, e := range txn.Expect {
+		item, found := s.items[e.Key]
+		if found {
+			result.Current = append(result.Current, item)
+		}
+		holds = holds && item.Revision == e.Revision
+	}
+	if !holds {
+		return result, store.ErrConflict
+	}
+	for _, p := range txn.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return store.Result{}, store.ErrLeaseGone
+		}
+	}
+	for _, p := range txn.Puts {
+		s.write(p)
+	}
+	for _, key := range txn.Removes {
+		s.remove(key)
+	}
+	// All writes of one transaction have its revision.
+	for _, p := range txn.Puts {
+		item := s.items[p.Key]
+		item.Revision = s.revision
+		s.items[p.Key] = item
+	}
+	return store.Result{Revision: s.revision}, nil
+}
+
+func (s *Store) write(p store.Put) store.Revision {
+	s.revision++
+	item := store.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Lease: p.Lease}
+	s.items[p.Key] = item
+	s.history = append(s.history, store.Event{Item: item})
+	s.notify()
+	return s.revision
+}
+
+func (s *Store) remove(key string) {
+	if _, found := s.items[key]; !found {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, store.Event{Item: store.Item{Key: key, Revision: s.revision}, Deleted: true})
+	s.notify()
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, expires: s.now().Add(ttl)}
+	return s.lastLease, nil
+}
+
+// Renew implements store.Store.
+func (s *Store) Renew(_ context.Context, id store.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return err
+	}
+	l := s.leases[id]
+	if l == nil {
+		return store.ErrLeaseGone
+	}
+	l.expires = s.now().Add(l.ttl)
+	return nil
+}
+
+// End implements store.Store.
+func (s *Store) End(_ context.Context, id store.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return err
+	}
+	s.end(id)
+	return nil
+}
+
+func (s *Store) end(id store.LeaseID) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+}
