--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -89,6 +89,7 @@
 	StoreReachable      Number = 711
 	LeaseLost           Number = 712
 	ReportDropped       Number = 713
+	Bootstrapped        Number = 714
 	PlatformUnreachable Number = 750
 	PlatformReachable   Number = 751
 )
@@ -151,6 +152,7 @@
 	{StoreReachable, slog.LevelInfo, "store reachable"},
 	{LeaseLost, slog.LevelWarn, "lease of this router's entry lost"},
 	{ReportDropped, slog.LevelWarn, "report of a request that breaks servers dropped"},
+	{Bootstrapped, slog.LevelInfo, "started on another router's knowledge"},
 	{PlatformUnreachable, slog.LevelWarn, "platform service unreachable"},
 	{PlatformReachable, slog.LevelInfo, "platform service reachable again"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -29,9 +29,11 @@
 
 	mu         sync.Mutex
 	present    map[string]Member
-	lapsed     map[string]time.Time // missing since an outage, kept until then
+	items      map[string]store.Item // of those present, as stored
+	lapsed     map[string]time.Time  // missing since an outage, kept until then
 	graceUntil time.Time
 	reached    bool
+	seeded     bool // known from another router only
 }
 
 // NewMembers makes an empty list. A nil now means time.Now.
@@ -39,7 +41,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), lapsed: make(map[string]time.Time)}
+	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), items: make(map[string]store.Item), lapsed: make(map[string]time.Time)}
 }
 
 // Contact implements store.Sink. Lapsed entries get their time to come back anew
@@ -89,7 +91,8 @@
 // noteGap keeps routers in the list whose leases ran out while the store was
 // away: without it the first reader after an outage sends all callers to itself.
 func (m *Members) noteGap(gap time.Duration) {
-	if gap > lapseGap+memberWait {
+	if gap > lapseGap+memberWait || m.seeded {
+		m.seeded = false
 		m.graceUntil = m.now().Add(lapseGrace)
 	}
 }
@@ -106,7 +109,7 @@
 	if _, known := m.present[item.Key]; !known {
 		m.log.Emit(event.PeerJoined, slog.String(event.KeyRouter, member.Name), slog.String("address", member.Address))
 	}
-	m.present[item.Key] = member
+	m.present[item.Key], m.items[item.Key] = member, item
 	delete(m.lapsed, item.Key)
 }
 
@@ -121,9 +124,31 @@
 	}
 	m.log.Emit(event.PeerLeft, slog.String(event.KeyRouter, member.Name))
 	delete(m.present, key)
+	delete(m.items, key)
 	delete(m.lapsed, key)
 }
 
+// Seed takes another router's knowledge, before the store was ever reached.
+func (m *Members) Seed(items []store.Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, item := range items {
+		m.put(item)
+	}
+	m.seeded = true
+}
+
+// Items returns the entries as they were stored, for another router.
+func (m *Members) Items() []store.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	items := make([]store.Item, 0, len(m.items))
+	for _, item := range m.items {
+		items = append(items, item)
+	}
+	return items
+}
+
 // List returns the routers that take callers, in the order of their names.
 func (m *Members) List() []Member {
 	m.mu.Lock()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,14 +24,17 @@
 // DecodeEntry makes an Entry from an item of the registry.
 type DecodeEntry func(store.Item) (Entry, error)
 
-// Registry follows the backend servers' entries. It is a store.Sink; the view is
-// read by any goroutine.
+// Registry follows the backend servers' entries. It is a store.Sink, and safe for
+// concurrent use.
 type Registry struct {
 	decode DecodeEntry
 	log    *event.Log
 	now    func() time.Time
 
+	mu      sync.Mutex
 	servers map[string]*tracked
+	// seeded: what is known came from another router while the store was away.
+	seeded bool
 	// graceUntil ends the time after an outage in which a missing entry is
 	// still taken for a lapsed one.
 	graceUntil time.Time
@@ -41,6 +45,7 @@
 type tracked struct {
 	server   *Server
 	revision store.Revision
+	item     store.Item // as it was stored last
 	// lapsedUntil is set while the entry is missing and the server still used.
 	lapsedUntil time.Time
 }
@@ -69,6 +74,8 @@
 // Contact implements store.Sink. Lapsed entries get their time to come back anew
 // with each return of the store.
 func (r *Registry) Contact(reached bool, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, known := range r.servers {
 		if !known.lapsedUntil.IsZero() {
 			known.lapsedUntil = r.now().Add(lapseGrace)
@@ -79,6 +86,8 @@
 
 // Reset implements store.Sink.
 func (r *Registry) Reset(items []store.Item, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.noteGap(gap)
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -95,6 +104,8 @@
 
 // Apply implements store.Sink.
 func (r *Registry) Apply(events []store.Event, gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.noteGap(gap)
 	for _, e := range events {
 		if e.Deleted {
@@ -106,8 +117,31 @@
 	r.publish()
 }
 
+// Seed takes another router's knowledge, before the store was ever reached.
+func (r *Registry) Seed(items []store.Item) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, item := range items {
+		r.put(item)
+	}
+	r.seeded = true
+	r.publish()
+}
+
+// Items returns the entries as they were stored last, for another router.
+func (r *Registry) Items() []store.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	items := make([]store.Item, 0, len(r.servers))
+	for _, known := range r.servers {
+		items = append(items, known.item)
+	}
+	return items
+}
+
 func (r *Registry) noteGap(gap time.Duration) {
-	if gap > lapseGap {
+	if gap > lapseGap || r.seeded {
+		r.seeded = false
 		r.graceUntil = r.now().Add(lapseGrace)
 	}
 }
@@ -123,12 +157,12 @@
 		return
 	}
 	if known == nil {
-		r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision}
+		r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision, item: item}
 		r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
 			slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining))
 		return
 	}
-	known.revision = item.Revision
+	known.revision, known.item = item.Revision, item
 	known.lapsedUntil = time.Time{}
 	if entry.Draining {
 		r.leave(known, "draining")
--- /dev/null
+++ b/internal/node/bootstrap.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// Pace of a start while the store is away.
+const (
+	// bootstrapAfter leaves the store its time: it is the better source.
+	bootstrapAfter = 300 * time.Millisecond
+	bootstrapEvery = 500 * time.Millisecond
+)
+
+// bootstrap learns configuration, backend servers and routers from another router,
+// if the store can't be reached at the start. Without it a router that starts in an
+// outage refuses everything until the outage ends.
+func (n *Node) bootstrap(ctx context.Context) {
+	pause := bootstrapAfter
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = bootstrapEvery
+		if n.policy.Load() != nil && n.registry.View().Total > 0 {
+			return
+		}
+		for _, seed := range n.settings.Seeds {
+			if seed != n.settings.Peers && n.learnFrom(ctx, seed) {
+				return
+			}
+		}
+	}
+}
+
+// learnFrom takes over what a router knows; false if it knows nothing either.
+func (n *Node) learnFrom(ctx context.Context, address string) bool {
+	known, err := n.peers.Known(ctx, address)
+	if err != nil || len(known.Config) == 0 || len(known.Servers) == 0 {
+		return false // the next seed, or the next round
+	}
+	(&configSink{node: n}).Reset(known.Config, 0)
+	n.registry.Seed(known.Servers)
+	n.members.Seed(known.Members)
+	n.log.Emit(event.Bootstrapped, slog.String("from", address), slog.Int("servers", len(known.Servers)), slog.Int("routers", len(known.Members)))
+	return true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,16 +82,19 @@
 	incarnation string
 	metrics     *Metrics
 
-	policy   atomic.Pointer[policy.Policy]
-	registry *fleet.Registry
-	members  *fleet.Members
-	keeper   *escrow.Keeper
-	retries  *retry.Budget
-	held     *retry.Quarantine
-	client   *upstream.Client
-	peers    *peers.Client
-	forward  *forward.Forwarder
-	reports  chan uint64
+	policy atomic.Pointer[policy.Policy]
+	// configItem is what the policy was decoded from.
+	configItem atomic.Pointer[store.Item]
+	configMu   sync.Mutex // orders changes of both
+	registry   *fleet.Registry
+	members    *fleet.Members
+	keeper     *escrow.Keeper
+	retries    *retry.Budget
+	held       *retry.Quarantine
+	client     *upstream.Client
+	peers      *peers.Client
+	forward    *forward.Forwarder
+	reports    chan uint64
 
 	stopNotice chan struct{} // closed when the stop begins
 	stopping   atomic.Bool
@@ -334,8 +338,13 @@
 	return home.Peer
 }
 
+// known is what another router that starts while the store is away needs.
 func (n *Node) known() peers.Known {
-	return peers.Known{}
+	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items()}
+	if item := n.configItem.Load(); item != nil {
+		known.Config = []store.Item{*item}
+	}
+	return known
 }
 
 func (l *listener) serve() {
@@ -362,6 +371,7 @@
 	tasks.Go(func() { n.keeper.Run(ctx) })
 	tasks.Go(func() { n.client.Run(ctx) })
 	tasks.Go(func() { n.peers.Run(ctx) })
+	tasks.Go(func() { n.bootstrap(ctx) })
 	tasks.Go(func() { n.announce(ctx) })
 	tasks.Go(func() { n.publishReports(ctx) })
 }
@@ -400,10 +410,13 @@
 		n.log.Emit(event.ConfigRejected, slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
 		return
 	}
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
 	if current := n.policy.Load(); current != nil && p.Version <= current.Version {
 		return
 	}
 	n.policy.Store(p)
+	n.configItem.Store(&item)
 	n.log.Emit(event.ConfigInForce, slog.Int64("config", p.Version), slog.Int64("revision", int64(item.Revision)))
 }
 
