--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -84,9 +84,12 @@
 	}
 	n := node.New(settings, dialect(settings, clock), log, incarnation)
 	tasks.Go(func() { watchSettings(logging, file, n, log) })
-	err = n.Run(ctx)
+	if err := n.Listen(); err != nil {
+		return err
+	}
+	n.Run(ctx)
 	log.Emit(event.ProcessStopped)
-	return err
+	return nil
 }
 
 func dialect(settings *node.Settings, clock func() escrow.Stamp) node.Dialect {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// clock is moved by the test only.
+type clock struct {
+	at time.Time
+}
+
+func (c *clock) now() time.Time { return c.at }
+
+func (c *clock) pass(d time.Duration) { c.at = c.at.Add(d) }
+
+func newRegistry() (*Registry, *clock) {
+	c := &clock{at: time.Unix(1000, 0)}
+	decode := func(item store.Item) (Entry, error) {
+		e := Entry{}
+		return e, errors.Wrap(json.Unmarshal(item.Value, &e), "entry")
+	}
+	return NewRegistry(decode, event.Discard(), c.now), c
+}
+
+func entryItem(id string, revision store.Revision, draining bool) store.Item {
+	value, err := json.Marshal(Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Draining: draining})
+	if err != nil {
+		panic(err)
+	}
+	return store.Item{Key: "servers/" + id, Value: value, Revision: revision}
+}
+
+func put(item store.Item) store.Event { return store.Event{Item: item} }
+
+func gone(id string, revision store.Revision) store.Event {
+	return store.Event{Item: store.Item{Key: "servers/" + id, Revision: revision}, Deleted: true}
+}
+
+func ids(r *Registry) []string {
+	list := []string{}
+	for _, s := range r.View().ByService["engines"] {
+		list = append(list, s.ID)
+	}
+	return list
+}
+
+const usual = time.Second // between two answers of the store
+
+// A server says that it drains, and an older entry of it arrives afterwards. It must
+// get nothing new: requests sent to it would be cut when it exits.
+func TestDrainingIsNeverTakenBack(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
+	server := r.View().ByService["engines"][0]
+
+	r.Apply([]store.Event{put(entryItem("a", 5, true))}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+	qt.Assert(t, server.Leaving(), qt.IsTrue, qt.Commentf("also for requests that chose from an older view"))
+
+	r.Apply([]store.Event{put(entryItem("a", 3, false)), put(entryItem("a", 6, false))}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+}
+
+// An entry is removed while the store is in health: its server has left, and is out
+// at once. The usual pause between two reads is no outage.
+func TestRemovedEntryIsOutAtOnce(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Apply([]store.Event{gone("a", 3)}, 1600*time.Millisecond)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+}
+
+// The store is away for ten seconds and entries lapse with it. Living servers are
+// back within two seconds of its return; one that isn't is gone.
+func TestLapsedEntriesGetTwoSecondsToComeBack(t *testing.T) {
+	r, c := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	c.pass(10 * time.Second)
+	r.Apply([]store.Event{gone("a", 3), gone("b", 4)}, 10*time.Second)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
+	c.pass(time.Second)
+	r.Apply([]store.Event{put(entryItem("a", 5, false))}, usual)
+	c.pass(1100 * time.Millisecond)
+	r.Apply(nil, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
+}
+
+// The store returns for a moment and is away again before the two seconds are over.
+// The time to come back begins anew with its next return.
+func TestSecondOutageDoesNotUseUpTheGrace(t *testing.T) {
+	r, c := newRegistry()
+	r.Contact(true, nil)
+	r.Reset([]store.Item{entryItem("a", 1, false)}, 0)
+	c.pass(10 * time.Second)
+	r.Apply([]store.Event{gone("a", 3)}, 10*time.Second)
+	r.Contact(false, store.ErrUnavailable)
+	c.pass(5 * time.Second)
+	r.Contact(true, nil)
+	r.Apply(nil, 5*time.Second)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
+}
+
+// A read after a lost history replaces all that was known.
+func TestResetDropsWhatIsMissing(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Reset([]store.Item{entryItem("b", 2, false)}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+}
+
+// An entry that can't be read changes nothing, and takes nobody along.
+func TestMalformedEntryIsLeftOut(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false), {Key: "servers/x", Value: []byte("{"), Revision: 2}}, 0)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
+}
+
+// A server that failed is avoided for a while that grows with each failure, and
+// free again at the first whole answer.
+func TestFailedServerIsAvoidedForAWhile(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	s := NewServer(Entry{ID: "a"})
+	s.Failed(c.now())
+	qt.Assert(t, s.Status(c.now()).Avoided, qt.IsTrue)
+	c.pass(avoidFirst)
+	qt.Assert(t, s.Status(c.now()).Avoided, qt.IsFalse)
+	for i := 0; i < 10; i++ {
+		s.Failed(c.now())
+	}
+	c.pass(avoidMost)
+	qt.Assert(t, s.Status(c.now()).Avoided, qt.IsFalse)
+	s.Failed(c.now())
+	s.Worked()
+	qt.Assert(t, s.Status(c.now()).Avoided, qt.IsFalse)
+}
+
+// A load report counts all routers' requests; own ones sent since then come on top,
+// and an old report counts for nothing.
+func TestLoadReportIsMovedByOwnRequests(t *testing.T) {
+	c := &clock{at: time.Unix(1000, 0)}
+	s := NewServer(Entry{ID: "a"})
+	s.Report(Load{Running: 5, Waiting: 2}, c.now())
+	s.Begin(100)
+	qt.Assert(t, s.Status(c.now()).Running, qt.Equals, 8)
+	c.pass(2 * loadFresh)
+	qt.Assert(t, s.Status(c.now()).Running, qt.Equals, 1)
+	s.Answered(100)
+	s.End()
+	qt.Assert(t, s.Status(c.now()), qt.Equals, Status{})
+}
+
+func memberItem(name string) store.Item {
+	return store.Item{Key: "router/" + name, Value: []byte(name)}
+}
+
+func newMembers() (*Members, *clock) {
+	c := &clock{at: time.Unix(1000, 0)}
+	decode := func(item store.Item) (Member, error) { return Member{Name: string(item.Value)}, nil }
+	return NewMembers(decode, event.Discard(), c.now), c
+}
+
+// Two cuts follow each other within two seconds. A router that forgets the others
+// between them sends all callers to itself and has nobody to borrow from.
+func TestRoutersAreNotForgottenBetweenTwoOutages(t *testing.T) {
+	m, c := newMembers()
+	m.Contact(true, nil)
+	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, 0)
+	c.pass(9 * time.Second)
+	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}, {Item: memberItem("b"), Deleted: true}}, 9*time.Second)
+	m.Contact(false, store.ErrUnavailable)
+	c.pass(3 * time.Second)
+	qt.Assert(t, m.List(), qt.HasLen, 2)
+	m.Contact(true, nil)
+	c.pass(lapseGrace)
+	qt.Assert(t, m.List(), qt.HasLen, 0, qt.Commentf("who is still missing then is gone"))
+}
+
+// A router whose lease ran out in health is out of the list at once.
+func TestDeadRouterLeavesTheList(t *testing.T) {
+	m, _ := newMembers()
+	m.Contact(true, nil)
+	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, 0)
+	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}}, usual)
+	qt.Assert(t, m.List(), qt.DeepEquals, []Member{{Name: "b"}})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,9 @@
 	forward    *forward.Forwarder
 	reports    chan uint64
 
+	listeners    []*listener
+	peerListener net.Listener
+
 	stopNotice chan struct{} // closed when the stop begins
 	stopping   atomic.Bool
 	stoppedAt  atomic.Int64 // monotonic-free wall time of the stop, Unix ms
@@ -241,32 +244,74 @@
 	return 0
 }
 
-// Run serves until ctx ends, then stops as planned.
-func (n *Node) Run(ctx context.Context) error {
-	background, endBackground := context.WithCancel(context.Background())
-	defer endBackground()
-	listeners, err := n.listen()
+// Listen opens the listeners. Addresses with port 0 get a free one; Settings tells
+// which afterwards.
+func (n *Node) Listen() error {
+	handlers := []struct {
+		address *string
+		handler http.Handler
+	}{
+		{&n.settings.Callers, n.dialect.Front(n.serve, n.bodyLimit, n.stopping.Load)},
+		{&n.settings.Ready, n.dialect.Ready(n.ready)},
+		{&n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
+		{&n.settings.Metrics, n.metrics.Handler()},
+	}
+	for _, h := range handlers {
+		l, err := listenOn(h.address)
+		if err != nil {
+			n.closeListeners()
+			return err
+		}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+		n.listeners = append(n.listeners, &listener{net: l, server: server, log: n.log})
+	}
+	var err error
+	if n.peerListener, err = listenOn(&n.settings.Peers); err != nil {
+		n.closeListeners()
+	}
+	return err
+}
+
+// listenOn opens a listener and notes the address that it got.
+func listenOn(address *string) (net.Listener, error) {
+	l, err := net.Listen("tcp", *address)
 	if err != nil {
-		return err
+		return nil, errors.Wrap(err, "listen")
+	}
+	*address = l.Addr().String()
+	return l, nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		l.close()
+	}
+	if n.peerListener != nil {
+		_ = n.peerListener.Close() // the process ends
 	}
+}
+
+// Settings are the settings in force.
+func (n *Node) Settings() Settings {
+	return *n.settings
+}
+
+// Run serves, after Listen, until ctx ends, and then stops as planned.
+func (n *Node) Run(ctx context.Context) {
+	background, endBackground := context.WithCancel(context.Background())
 	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	defer endBackground()
-	for _, l := range listeners {
+	for _, l := range n.listeners {
 		tasks.Go(l.serve)
-		defer l.close()
 	}
-	peerListener, err := net.Listen("tcp", n.settings.Peers)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	defer func() { _ = peerListener.Close() }() // the process ends
-	go n.servePeers(peerListener)
+	tasks.Go(n.servePeers)
 	n.follow(background, &tasks)
 	n.log.Emit(event.ProcessStarted, slog.String("callers", n.settings.Callers), slog.String("incarnation", n.incarnation))
 	<-ctx.Done()
 	n.stop()
-	return nil
+	n.closeListeners()
+	endBackground()
+	tasks.Wait()
 }
 
 // listener is one HTTP listener.
@@ -284,34 +329,8 @@
 	headerBytes   = 64 << 10
 )
 
-func (n *Node) listen() ([]*listener, error) {
-	handlers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{n.settings.Callers, n.dialect.Front(n.serve, n.bodyLimit, n.stopping.Load)},
-		{n.settings.Ready, n.dialect.Ready(n.ready)},
-		{n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
-		{n.settings.Metrics, n.metrics.Handler()},
-	}
-	listeners := make([]*listener, 0, len(handlers))
-	for _, h := range handlers {
-		l, err := net.Listen("tcp", h.address)
-		if err != nil {
-			for _, opened := range listeners {
-				opened.close()
-			}
-			return nil, errors.Wrap(err, "listen")
-		}
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
-		listeners = append(listeners, &listener{net: l, server: server, log: n.log})
-	}
-	return listeners, nil
-}
-
-func (n *Node) servePeers(l net.Listener) {
-	if err := peers.Serve(l, n.keeper, n.known); !errors.Is(err, net.ErrClosed) {
+func (n *Node) servePeers() {
+	if err := peers.Serve(n.peerListener, n.keeper, n.known); !errors.Is(err, net.ErrClosed) {
 		n.log.Emit(event.ListenerFailed, slog.String("address", n.settings.Peers), slog.Any(event.KeyCause, err))
 	}
 }
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -114,6 +114,6 @@
 		if err != nil {
 			return err
 		}
-		go server.ServeConn(connection)
+		go server.ServeConn(connection) // ends with its connection
 	}
 }
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,84 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytiller.example/chicorytiller/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Main(m, nil)
+}
+
+var limits = Limits{Window: 10 * time.Second, Ratio: 0.2, Extra: 54}
+
+// Several routers take repeats as fast as they are allowed, at any times. In any
+// window the repeats of all together stay within the ratio of the requests counted
+// in that window or one of the two before it, and the extra.
+func TestRepeatsOfAllRoutersStayWithinTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		routers := rapid.IntRange(1, 9).Draw(t, "routers")
+		budgets := make([]*Budget, routers)
+		for i := range budgets {
+			budgets[i] = NewBudget(limits, routers, func() time.Time { return now })
+		}
+		var requests, repeats []time.Time
+		for step := 0; step < 300; step++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			for i := rapid.IntRange(0, 5).Draw(t, "requests"); i > 0; i-- {
+				b.Request("engines")
+				requests = append(requests, now)
+			}
+			for b.Take("engines") {
+				repeats = append(repeats, now)
+			}
+			in := count(repeats, now.Add(-limits.Window), now)
+			most := max(count(requests, now.Add(-limits.Window), now), count(requests, now.Add(-2*limits.Window), now.Add(-limits.Window)))
+			if float64(in) > limits.Ratio*float64(most)+limits.Extra {
+				t.Fatalf("%d repeats for %d requests", in, most)
+			}
+		}
+	})
+}
+
+func count(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// A request crashes each server that runs it, and its caller sends it again. After
+// two crashes it is held here, and on another router's word at once.
+func TestContentThatBreaksServersIsHeld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQuarantine(func() time.Time { return now })
+	qt.Assert(t, Due(q.Broke(7)), qt.IsFalse)
+	qt.Assert(t, q.Held(7), qt.IsFalse, qt.Commentf("one break may be the network's"))
+	qt.Assert(t, Due(q.Broke(7)), qt.IsTrue)
+	qt.Assert(t, q.Held(7), qt.IsTrue)
+	qt.Assert(t, q.Held(8), qt.IsFalse)
+	now = now.Add(suspectKept)
+	qt.Assert(t, q.Held(7), qt.IsFalse)
+
+	q.Hold(9)
+	qt.Assert(t, q.Held(9), qt.IsTrue)
+}
+
+// A mass break of connections makes many innocents suspect; the memory is bounded.
+func TestSuspectsAreBounded(t *testing.T) {
+	q := NewQuarantine(nil)
+	for content := uint64(0); content < 2*suspectsMost; content++ {
+		q.Broke(content)
+	}
+	qt.Assert(t, len(q.broken) <= suspectsMost, qt.IsTrue)
+}
