--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -151,7 +151,7 @@
 	// grows with it.
 	stampEvery = 1 * time.Second
 	// readEvery bounds the reads of the records while a budget is short.
-	readEvery = 700 * time.Millisecond
+	readEvery = 1500 * time.Millisecond
 	// roundPause keeps a router with many small draws from calling without pause.
 	roundPause = 40 * time.Millisecond
 	// awayPause is the pause while the store is away.
@@ -168,12 +168,16 @@
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(stampEvery)
 	defer ticker.Stop()
+	sweeps := time.NewTicker(sweepEvery)
+	defer sweeps.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-sweeps.C:
 			k.sweep(ctx)
+			continue
+		case <-ticker.C:
 			k.round(ctx, true)
 		case <-k.wake:
 			k.round(ctx, k.isAway())
@@ -259,9 +263,10 @@
 	return false
 }
 
-// scarce says whether a reservation waits for more than its record can give, as the
-// record was last seen. Others may have returned or freed tokens since, which
-// nothing but another read shows.
+// scarce says whether a router lacks more than a record can give, as it was last
+// seen. Others may have returned or freed tokens since, which nothing but another
+// read shows: without it a home that found all granted elsewhere at its start
+// never draws again.
 func (k *Keeper) scarce() bool {
 	budgets := k.o.Budgets()
 	k.mu.Lock()
@@ -269,8 +274,11 @@
 	if k.o.Clock().Steady-k.readAt < readEvery {
 		return false
 	}
-	for account, p := range k.purses {
-		if p.waiting > 0 && p.free(budgets[account])+p.granted-p.used() < p.waiting {
+	for account, prepaid := range budgets {
+		p := k.purse(account)
+		left := p.granted - p.used()
+		wanted := max(p.waiting, int64(refillBelow*float64(p.ahead(Horizon, firstShare, prepaid, k.o.Home(account) == ""))))
+		if left < wanted && p.free(prepaid) < wanted-left {
 			return true
 		}
 	}
@@ -371,7 +379,7 @@
 	sort.Strings(accounts)
 	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: now,
 		Open: k.away, Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
-	due := stamp
+	due := stamp && (k.away || k.holds())
 	topUp := refillBelow
 	if stamp {
 		topUp = topUpBelow
@@ -415,6 +423,17 @@
 	return d, true
 }
 
+// holds says whether this router was granted anything. One that only borrows needs
+// no ledger: its successor has nothing to free.
+func (k *Keeper) holds() bool {
+	for account, p := range k.purses {
+		if p.granted > 0 || p.pendingAt != noWrite || k.o.Home(account) == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // add puts one account's new figure into a transaction. A smaller grant counts
 // from now on, before it is stored; a larger one only once it is stored.
 func (k *Keeper) add(d *draw, p *purse, granted int64) {
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -68,7 +68,25 @@
 
 	b.steady += time.Second
 	b.keeper("p2", noPeers{}).round(context.Background(), true)
-	c.Assert(b.record(c).Closed <= 30_000, qt.IsTrue, qt.Commentf("closed %d", b.record(c).Closed))
+	c.Assert(b.record(c).Closed <= int64(firstCeiling*1_000_000), qt.IsTrue, qt.Commentf("closed %d", b.record(c).Closed))
+}
+
+// A router that holds nothing finds the store away when it needs a draw. It must find
+// out by itself that the store is back, or it refuses for ever after.
+func TestReturnOfTheStoreIsNoticedWithoutAnyGrant(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "elsewhere"
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	k.purse("boatyard").waiting = 10
+	b.store.SetDown(true)
+	k.round(context.Background(), false)
+	c.Assert(k.isAway(), qt.IsTrue)
+	k.purse("boatyard").waiting = 0
+	b.store.SetDown(false)
+	k.round(context.Background(), k.isAway())
+	c.Assert(k.isAway(), qt.IsFalse)
 }
 
 // The same, but the process was out of contact for a minute before it died: all
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -21,7 +21,7 @@
 const (
 	// openAfter is the time since the last stamp within which the ceiling holds. It
 	// covers the pause between stamps and some lost answers.
-	openAfter = 2300 * time.Millisecond
+	openAfter = 2 * time.Second
 	// clockMargin is how far a VM's time of day may have been moved between two
 	// processes. It matters after a loss of power only: else the steady clock tells.
 	clockMargin = 2200 * time.Millisecond
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -9,7 +9,7 @@
 const (
 	// Horizon is how much of a router's own use a grant covers: longer than the
 	// store's usual outages of some eight seconds.
-	Horizon = 12 * time.Second
+	Horizon = 20 * time.Second
 	// aheadOf is how much of its use a router's ceiling is above what it has used:
 	// longer than openAfter, so that the ceiling alone carries it into an outage.
 	aheadOf = 3500 * time.Millisecond
@@ -18,13 +18,13 @@
 	// topUpBelow is that part where a write is sent in any case.
 	topUpBelow = 0.95
 	// firstShare is the part of a budget that its home holds before use is seen.
-	firstShare = 0.25
+	firstShare = 0.6
 	// firstCeiling is the part of it that the ceiling lets it use.
 	firstCeiling = 0.03
 	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large.
-	paceAbove = 1.5
-	paceLeast = 0.007
+	paceAbove = 2
+	paceLeast = 0.008
 	// endShare bounds what a home holds to a part of what is left, so that another
 	// router can draw when the home is lost.
 	endShare = 0.8
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -200,8 +200,13 @@
 	p.use -= tokens
 }
 
-// sweepTime bounds the handing back of tokens to their accounts' homes.
-const sweepTime = 300 * time.Millisecond
+const (
+	// sweepEvery bounds how long tokens lie unused: a request reserves its most,
+	// and leaves about half of it.
+	sweepEvery = 400 * time.Millisecond
+	// sweepTime bounds the handing back of tokens to their accounts' homes.
+	sweepTime = 300 * time.Millisecond
+)
 
 // sweep hands what is left here to the accounts' homes, so that it is not lost in
 // small parts with every router, and not missing where it is needed.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -149,6 +149,14 @@
 	return items
 }
 
+// Has says whether an entry is present, by its key.
+func (m *Members) Has(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, found := m.present[key]
+	return found
+}
+
 // List returns the routers that take callers, in the order of their names.
 func (m *Members) List() []Member {
 	m.mu.Lock()
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -30,7 +30,7 @@
 		case n.stopping.Load():
 			n.withdraw(lease)
 			return
-		case lease == 0 && n.ready():
+		case lease == 0 && n.informed():
 			lease = n.enter(ctx)
 		case lease != 0:
 			lease = n.renew(ctx, lease)
@@ -38,12 +38,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(entryRenew):
+		case <-time.After(n.announcePause(lease)):
 		case <-n.stopNotice:
 		}
 	}
 }
 
+// entryPoll is how often a starting router looks whether it may enter.
+const entryPoll = 50 * time.Millisecond
+
+func (n *Node) announcePause(lease store.LeaseID) time.Duration {
+	if lease == 0 && !n.informed() {
+		return entryPoll
+	}
+	return entryRenew
+}
+
 // enter writes the entry under a new lease. It returns 0 if that failed.
 func (n *Node) enter(ctx context.Context) store.LeaseID {
 	ctx, cancel := context.WithTimeout(ctx, entryCall)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,12 +43,12 @@
 	// configWait bounds the age of the configuration on a connection that went
 	// silent: below the two seconds within which a version is in force.
 	configWait = 3000 * time.Millisecond
-	// serversPause gathers the servers' heartbeats: an entry that changed must be
-	// known within the two seconds that a draining server still serves.
-	serversPause = 900 * time.Millisecond
-	serversWait  = 300 * time.Millisecond
-	// serversPatience lets one call fail within those two seconds.
+	// serversWait and serversPatience, together with the pause between two calls,
+	// let one call fail within the time that a draining server still serves.
+	serversWait     = 300 * time.Millisecond
 	serversPatience = 500 * time.Millisecond
+	// serversMargin is kept free in half of that time.
+	serversMargin = 100 * time.Millisecond
 	// fleetWait suits changes that are rare.
 	fleetWait = 3000 * time.Millisecond
 	// patience is the time an answer may take beyond its wait, also of a store
@@ -99,6 +99,7 @@
 	listeners    []*listener
 	peerListener net.Listener
 
+	born       time.Time
 	stopNotice chan struct{} // closed when the stop begins
 	stopping   atomic.Bool
 	stoppedAt  atomic.Int64 // monotonic-free wall time of the stop, Unix ms
@@ -108,7 +109,7 @@
 // New makes a node. incarnation is a name that no other process ever has.
 func New(s *Settings, d Dialect, log *event.Log, incarnation string) *Node {
 	n := &Node{settings: s, dialect: d, log: log, incarnation: incarnation, metrics: NewMetrics(), reports: make(chan uint64, reportsMost),
-		stopNotice: make(chan struct{})}
+		stopNotice: make(chan struct{}), born: time.Now()}
 	n.registry = fleet.NewRegistry(d.DecodeServer, log, nil)
 	n.members = fleet.NewMembers(decodeMember, log, nil)
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
@@ -144,10 +145,21 @@
 	n.log.Emit(event.SettingsReloaded, slog.Float64("retry_ratio", s.RetryRatio), slog.Float64("retry_extra", s.RetryExtra))
 }
 
+// strangerFor is how long a router that started may miss itself in the list of
+// routers before it draws all the same.
+const strangerFor = 3 * time.Second
+
+// knowsFleet says whether this router has seen the list of routers since it entered
+// it. Before that each router takes itself for the home of all accounts, and all of
+// them together would draw the whole of each budget.
+func (n *Node) knowsFleet() bool {
+	return time.Since(n.born) > strangerFor || n.members.Has(memberPrefix+n.settings.VM)
+}
+
 // budgets lists the metered accounts and what they paid for.
 func (n *Node) budgets() map[string]int64 {
 	p := n.policy.Load()
-	if p == nil {
+	if p == nil || !n.knowsFleet() {
 		return nil
 	}
 	paid := make(map[string]int64, len(p.Accounts))
@@ -171,8 +183,14 @@
 	return int(joining*float64(n.routers())) + 1
 }
 
+// informed says whether this router knows where requests go.
+func (n *Node) informed() bool {
+	return n.policy.Load() != nil && n.registry.View().Total > 0
+}
+
+// ready says whether callers should come.
 func (n *Node) ready() bool {
-	return n.policy.Load() != nil && n.registry.View().Total > 0 && !n.stopping.Load()
+	return n.informed() && n.knowsFleet() && !n.stopping.Load()
 }
 
 func (n *Node) self() fleet.Member {
@@ -380,7 +398,7 @@
 func (n *Node) follow(ctx context.Context, tasks *conc.WaitGroup) {
 	followers := []*store.Follower{
 		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Patience: patience, Pause: configPause, Sink: &configSink{node: n}},
-		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: serversPause, Sink: n.registry},
+		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: n.serversPause(), Sink: n.registry},
 		{Prefix: fleetPrefix, Wait: fleetWait, Patience: patience, Pause: configPause, Sink: &fleetSink{node: n}},
 	}
 	for _, f := range followers {
@@ -395,6 +413,12 @@
 	tasks.Go(func() { n.publishReports(ctx) })
 }
 
+// serversPause gathers the servers' heartbeats, which change all entries all the
+// time, into few calls.
+func (n *Node) serversPause() time.Duration {
+	return max(serversMargin, n.settings.Drain/2-serversMargin)
+}
+
 // configSink takes the operator's configuration.
 type configSink struct {
 	node *Node
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -30,6 +30,9 @@
 
 	Store string // address of the key-value store
 
+	// Drain is how long a backend server still serves after it said that it leaves.
+	Drain time.Duration
+
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
 	// EntryTTL is how long callers may keep the addresses that they were told.
@@ -74,6 +77,7 @@
 		Peers:         p.address("listen", "peers"),
 		Seeds:         p.addresses("router", "seeds"),
 		Store:         p.address("store", "address"),
+		Drain:         time.Duration(p.number("store", "drain_ms", 0)) * time.Millisecond,
 		Grace:         p.seconds("router", "grace_s", 0),
 		EntryTTL:      p.seconds("router", "entry_ttl_s", entryTTLDefault),
 		RetryRatio:    p.number("retries", "ratio", 0),
