Write ledgers of an outage under the stamp of the last contact

Ledgers have no open state now: out of contact they carry the last stamp. A stranded router names others to those who ask.

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -76,6 +76,8 @@
 	wake    chan struct{}
 	away    bool // the last call to the store failed
 	stopped bool
+	// stranded counts reservations in a row that found nobody to give tokens.
+	stranded int
 
 	// predecessor is the ledger that an earlier process on this VM left, and born a
 	// moment at which that process was surely dead.
@@ -89,9 +91,10 @@
 	ledgerRevision int64
 	ledgerKnown    bool
 	readAt         time.Duration // of the last read of all records
-	// stampedAt is when the last write without Open was sent; it may have landed
-	// whatever became of its answer.
-	stampedAt time.Duration
+	// stamped is when the last write was sent that was sent in contact; it may have
+	// landed whatever became of its answer. Out of contact all spending beyond the
+	// ceilings is counted from there, and so are all ledgers written meanwhile.
+	stamped Stamp
 }
 
 // New makes a keeper without grants. Run fetches the first ones.
@@ -104,7 +107,7 @@
 	if !k.away {
 		return 0
 	}
-	return k.o.Clock().Steady - k.stampedAt
+	return k.o.Clock().Steady - k.stamped.Steady
 }
 
 // Reservation sets tokens aside for one request.
@@ -377,8 +380,12 @@
 		accounts = append(accounts, account)
 	}
 	sort.Strings(accounts)
-	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: now,
-		Open: k.away, Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
+	stamped := k.stamped
+	if !k.away {
+		stamped = now
+	}
+	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: stamped,
+		Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
 	due := stamp && (k.away || k.holds())
 	topUp := refillBelow
 	if stamp {
@@ -409,9 +416,7 @@
 	if !due {
 		return draw{}, false
 	}
-	if !d.ledger.Open {
-		k.stampedAt = now.Steady
-	}
+	k.stamped = stamped
 	key := k.o.Prefix + ledgerKeys + k.o.VM
 	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(k.ledgerRevision)})
 	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: d.ledger.Encode()})
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -71,9 +71,9 @@
 	Format      int    `json:"format"`
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"` // of the VM
-	Stamp       Stamp  `json:"stamp"`   // before this write was sent
-	// Open: the ceilings may have been exceeded.
-	Open bool `json:"open"`
+	// Stamp is a moment of contact: before this write was sent, or, if the store was
+	// away then, before the last write that was sent while it was not.
+	Stamp Stamp `json:"stamp"`
 	// Ceilings is the most used of each grant at the stamp and openAfter later.
 	Ceilings map[string]int64 `json:"ceilings"`
 	// Paces is how many tokens a second may be used beyond that, out of contact.
@@ -105,7 +105,7 @@
 // as its successor at the same address may conclude from the ledger. vouched says
 // that the incarnation's contact lease has not run out.
 func (l Ledger) MostSpent(account, incarnation, address string, granted int64, now Stamp, vouched bool) int64 {
-	if l.Incarnation != incarnation || l.Address != address || l.Open {
+	if l.Incarnation != incarnation || l.Address != address {
 		return granted
 	}
 	age, ok := l.Stamp.ageAt(now, vouched)
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chicorytiller.example/chicorytiller/internal/event"
 )
 
@@ -21,6 +23,7 @@
 		h.got(got)
 	}
 	if h.missing == 0 {
+		k.noteStranded(false)
 		return h.reservation(), nil
 	}
 	err := ErrContended // where the home has tried to draw
@@ -30,6 +33,7 @@
 	if err != nil && ctx.Err() == nil {
 		err = k.borrow(ctx, h, err)
 	}
+	k.noteStranded(errors.Is(err, ErrUnreachable))
 	if err != nil {
 		h.release()
 		return nil, err
@@ -37,6 +41,29 @@
 	return h.reservation(), nil
 }
 
+// strandedMost is how many reservations in a row find neither the store nor tokens
+// at other routers before this router counts as stranded.
+const strandedMost = 3
+
+// noteStranded counts reservations that found nobody.
+func (k *Keeper) noteStranded(stranded bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !stranded {
+		k.stranded = 0
+		return
+	}
+	k.stranded++
+}
+
+// Stranded says whether this router can't pay for requests while others may: it is
+// cut off from the store and from them. Callers are better served elsewhere.
+func (k *Keeper) Stranded() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.away && k.stranded >= strandedMost
+}
+
 // hold is a reservation that is being put together. What it has is set aside at
 // once: else requests that come meanwhile take it, and all of them come up short.
 type hold struct {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -84,7 +84,6 @@
 	BackendFound        Number = 705
 	BackendLeaving      Number = 702
 	EntryRejected       Number = 703
-	BackendAvoided      Number = 704
 	StoreUnreachable    Number = 710
 	StoreReachable      Number = 711
 	LeaseLost           Number = 712
@@ -147,7 +146,6 @@
 	{BackendFound, slog.LevelInfo, "backend server found"},
 	{BackendLeaving, slog.LevelInfo, "backend server leaving"},
 	{EntryRejected, slog.LevelWarn, "entry of the store rejected"},
-	{BackendAvoided, slog.LevelWarn, "backend server avoided for a while"},
 	{StoreUnreachable, slog.LevelWarn, "store unreachable"},
 	{StoreReachable, slog.LevelInfo, "store reachable"},
 	{LeaseLost, slog.LevelWarn, "lease of this router's entry lost"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,8 @@
 }
 
 // resolve names the routers for a caller. This router counts itself in as long as
-// it is ready, also when its own entry has lapsed with the store.
+// it is ready, also when its own entry has lapsed with the store; but not while it
+// is stranded and knows others.
 func (n *Node) resolve(zone string) []string {
 	members := n.members.List()
 	others := members[:0]
@@ -219,7 +220,7 @@
 			others = append(others, m)
 		}
 	}
-	if n.ready() {
+	if n.ready() && (len(others) == 0 || !n.keeper.Stranded()) {
 		others = append(others, n.self())
 	}
 	return entry.Choose(others, zone)
