--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -40,6 +40,10 @@
 // than processor time on entry VMs.
 const heapGrowth = 50
 
+// heapShare is the part of the process's memory above which the heap is collected
+// at any price: beyond the limit the process is killed.
+const heapShare = 0.7
+
 func main() {
 	app := kingpin.New("chicory-edge", "Router between callers and backend servers, on prepaid token budgets.")
 	app.Version(version.Version)
@@ -66,6 +70,9 @@
 func run(settings *node.Settings, file string) error {
 	runtime.GOMAXPROCS(1) // an entry VM has a part of one core: more threads only switch
 	debug.SetGCPercent(heapGrowth)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMB) * (1 << 20)))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 
--- /dev/null
+++ b/internal/escrow/draw.go
@@ -0,0 +1,215 @@
+package escrow
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// draw is one transaction: new figures of some accounts, and the ledger.
+type draw struct {
+	purses  []*purse
+	figures []Figure
+	records []Record
+	// pendingAt is what each purse had before this transaction.
+	pendingAt []int64
+	ledger    Ledger
+	contact   bool // the contact key is written
+	txn       store.Txn
+}
+
+// plan works out the write that is due now, if any.
+func (k *Keeper) plan(stamp bool) (draw, bool) {
+	budgets := k.o.Budgets()
+	now := k.o.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped || len(budgets) == 0 {
+		return draw{}, false
+	}
+	accounts := make([]string, 0, len(budgets))
+	for account := range budgets {
+		accounts = append(accounts, account)
+	}
+	sort.Strings(accounts)
+	stamped := k.stamped
+	if !k.away {
+		stamped = now
+	}
+	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: stamped,
+		Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
+	due := stamp && (k.away || k.holds())
+	topUp := refillBelow
+	if stamp {
+		topUp = topUpBelow
+	}
+	for _, account := range accounts {
+		p := k.purse(account)
+		p.updateRate(now.Steady)
+		home := k.o.Home(account) == ""
+		granted, wanted := p.plan(budgets[account], home, topUp)
+		// An unanswered write must be followed by another of the same record: that
+		// moves the revision, after which the first one can't land any more.
+		// What a predecessor on this VM left is freed at once, whoever is home now.
+		wanted = wanted || p.record.Left(k.o.VM, k.o.Incarnation)
+		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.purses) < txnAccounts {
+			k.add(&d, p, granted)
+			due = true
+		} else {
+			granted = p.granted
+		}
+		ceiling, short := p.raised(granted, budgets[account], home)
+		d.ledger.Ceilings[account] = ceiling
+		pace := p.newPace(budgets[account])
+		d.ledger.Paces[account] = pace
+		p.pace = min(p.pace, pace)
+		due = due || short
+	}
+	if !due {
+		return draw{}, false
+	}
+	k.stamped = stamped
+	key := k.o.Prefix + ledgerKeys + k.o.VM
+	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(k.ledgerRevision)})
+	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: d.ledger.Encode()})
+	if k.contactLease != 0 && !k.contactPut {
+		contact := store.Put{Key: k.o.Prefix + contactKeys + k.o.VM, Value: []byte(k.o.Incarnation), Lease: k.contactLease}
+		d.txn.Puts = append(d.txn.Puts, contact)
+		d.contact = true
+	}
+	return d, true
+}
+
+// holds says whether this router was granted anything. One that only borrows needs
+// no ledger: its successor has nothing to free.
+func (k *Keeper) holds() bool {
+	for account, p := range k.purses {
+		if p.granted > 0 || p.pendingAt != noWrite || k.o.Home(account) == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// add puts one account's new figure into a transaction. A smaller grant counts
+// from now on, before it is stored; a larger one only once it is stored.
+func (k *Keeper) add(d *draw, p *purse, granted int64) {
+	p.seq++
+	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
+	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(p.account))
+	p.granted = min(p.granted, granted)
+	d.pendingAt = append(d.pendingAt, p.pendingAt)
+	p.pendingAt = p.revision
+	d.purses = append(d.purses, p)
+	d.figures = append(d.figures, figure)
+	d.put(k.accountKey(p), p.revision, next)
+}
+
+// put adds the write of a record under the condition that it is at a revision.
+func (d *draw) put(key string, revision int64, next Record) {
+	d.records = append(d.records, next)
+	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(revision)})
+	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: next.Encode()})
+}
+
+func (k *Keeper) accountKey(p *purse) string {
+	return k.o.Prefix + accountKeys + p.account
+}
+
+// mostSpent judges this VM's dead incarnations by the ledger that the last left.
+func (k *Keeper) mostSpent(account string) MostSpent {
+	return func(incarnation string, granted int64) int64 {
+		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.vouched == incarnation)
+	}
+}
+
+// commit runs the transaction and says whether it landed.
+func (k *Keeper) commit(ctx context.Context, d draw) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := k.o.Store.Commit(ctx, d.txn)
+	k.contact(err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		k.landed(d, result)
+	case errors.Is(err, store.ErrConflict):
+		k.conflicted(d, result)
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrLeaseGone):
+		// Nothing was done: the records are still as known.
+		if errors.Is(err, store.ErrLeaseGone) {
+			k.contactLease, k.contactPut = 0, false
+		}
+		for i, p := range d.purses {
+			p.pendingAt = d.pendingAt[i]
+			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
+		}
+	default:
+		k.ledgerKnown = false
+		for _, p := range d.purses {
+			p.decided = false
+		}
+		k.o.Log.Emit(event.DrawUnknown, slog.Int("accounts", len(d.purses)), slog.Any(event.KeyCause, err))
+	}
+	return err == nil
+}
+
+func (k *Keeper) landed(d draw, result store.Result) {
+	k.ledgerRevision = int64(result.Revision)
+	k.contactPut = k.contactPut || d.contact
+	for account, ceiling := range d.ledger.Ceilings {
+		k.purse(account).ceiling = max(k.purse(account).ceiling, ceiling)
+		k.purse(account).pace = d.ledger.Paces[account]
+	}
+	for i, p := range d.purses {
+		p.learned(d.records[i], int64(result.Revision), d.figures[i])
+		k.o.Log.Emit(event.DrawLanded, slog.String(event.KeyBudget, p.account), slog.Int64("granted", p.granted),
+			slog.Int64("spent", p.spent), slog.Int64("reserved", p.reserved), slog.Int64("revision", p.revision))
+	}
+}
+
+// conflicted takes the records as they are and tries again in the next round.
+func (k *Keeper) conflicted(d draw, result store.Result) {
+	current := make(map[string]store.Item, len(result.Current))
+	for _, item := range result.Current {
+		current[item.Key] = item
+	}
+	if item, found := current[k.o.Prefix+ledgerKeys+k.o.VM]; found {
+		k.learnLedger(item)
+	}
+	for i, p := range d.purses {
+		p.pendingAt = d.pendingAt[i] // this transaction is answered: it never lands
+		item, found := current[k.accountKey(p)]
+		switch {
+		case found:
+			k.learn(p, item)
+		case p.revision == 0:
+			p.learned(p.record, 0, Figure{})
+		default:
+			p.decided = false
+		}
+	}
+	k.nudge()
+}
+
+// contact notes whether the store answered.
+func (k *Keeper) contact(err error) {
+	reached := err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLeaseGone)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if reached == !k.away {
+		return
+	}
+	k.away = !reached
+	if reached {
+		k.o.Log.Emit(event.StoreReachable, slog.String("follows", "budgets"))
+		return
+	}
+	k.o.Log.Emit(event.StoreUnreachable, slog.String("follows", "budgets"), slog.Any(event.KeyCause, err))
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -14,7 +14,6 @@
 	Service string
 	Address string // IP:port
 	Zone    string // failure domain
-	Slots   int    // requests at once
 	// Draining servers take nothing new.
 	Draining bool
 }
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// follow starts what keeps this router's knowledge and its own entry fresh.
+func (n *Node) follow(ctx context.Context, tasks *conc.WaitGroup) {
+	followers := []*store.Follower{
+		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Patience: patience, Pause: configPause, Sink: &configSink{node: n}},
+		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: n.serversPause(), Sink: n.registry},
+		{Prefix: fleetPrefix, Wait: fleetWait, Patience: patience, Pause: configPause, Sink: &fleetSink{node: n}},
+	}
+	for _, f := range followers {
+		f.Store = n.dialect.Store
+		tasks.Go(func() { f.Run(ctx) })
+	}
+	tasks.Go(func() { n.keeper.Run(ctx) })
+	tasks.Go(func() { n.client.Run(ctx) })
+	tasks.Go(func() { n.peers.Run(ctx) })
+	tasks.Go(func() { n.bootstrap(ctx) })
+	tasks.Go(func() { n.announce(ctx) })
+	tasks.Go(func() { n.publishReports(ctx) })
+}
+
+// serversPause gathers the servers' heartbeats, which change all entries all the
+// time, into few calls.
+func (n *Node) serversPause() time.Duration {
+	return max(serversMargin, n.settings.Drain/2-serversMargin)
+}
+
+// configSink takes the operator's configuration.
+type configSink struct {
+	node *Node
+}
+
+func (s *configSink) Contact(reached bool, cause error) {
+	fleet.LogContact(s.node.log, "configuration", reached, cause)
+}
+
+func (s *configSink) Reset(items []store.Item, _ time.Duration) {
+	for _, item := range items {
+		s.take(item)
+	}
+}
+
+func (s *configSink) Apply(events []store.Event, _ time.Duration) {
+	for _, e := range events {
+		if !e.Deleted {
+			s.take(e.Item)
+		}
+	}
+}
+
+// take puts a version in force, whole or not at all. Versions never go back.
+func (s *configSink) take(item store.Item) {
+	n := s.node
+	if !n.dialect.IsConfig(item) {
+		return
+	}
+	p, err := n.dialect.DecodeConfig(item)
+	if err != nil {
+		n.log.Emit(event.ConfigRejected, slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
+		return
+	}
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if current := n.policy.Load(); current != nil && p.Version <= current.Version {
+		return
+	}
+	n.policy.Store(p)
+	n.configItem.Store(&item)
+	n.log.Emit(event.ConfigInForce, slog.Int64("config", p.Version), slog.Int64("revision", int64(item.Revision)))
+}
+
+// fleetSink takes the fleet's own records: routers and quarantined contents.
+type fleetSink struct {
+	node *Node
+}
+
+func (s *fleetSink) Contact(reached bool, cause error) {
+	s.node.members.Contact(reached, cause)
+}
+
+func (s *fleetSink) Reset(items []store.Item, gap time.Duration) {
+	var members []store.Item
+	for _, item := range items {
+		if !s.node.holdBroken(item.Key) {
+			members = append(members, item)
+		}
+	}
+	s.node.members.Reset(members, gap)
+	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
+}
+
+func (s *fleetSink) Apply(events []store.Event, gap time.Duration) {
+	var members []store.Event
+	for _, e := range events {
+		if e.Deleted || !s.node.holdBroken(e.Key) {
+			members = append(members, e)
+		}
+	}
+	s.node.members.Apply(members, gap)
+	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
+}
+
+// memberRecord is the stored form of this router's entry.
+type memberRecord struct {
+	Address string `json:"address"`
+	Peer    string `json:"peer"`
+	Zone    string `json:"failure_domain"`
+}
+
+func decodeMember(item store.Item) (fleet.Member, error) {
+	record := memberRecord{}
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return fleet.Member{}, errors.Wrap(err, "router's entry")
+	}
+	if record.Address == "" {
+		return fleet.Member{}, errors.New("router's entry has no address")
+	}
+	return fleet.Member{Name: item.Key[len(memberPrefix):], Address: record.Address, Peer: record.Peer, Zone: record.Zone}, nil
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -75,8 +75,6 @@
 	Name string
 	// TokensPerEvent is what one event of a stream holds at most.
 	TokensPerEvent int
-	// CacheTokens is the memory of one model engine, in tokens; 0 for plain services.
-	CacheTokens int
 }
 
 // Account is a client account: who pays.
@@ -93,9 +91,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
+	BodyBytes int64
 }
 
 // Policy is one version of the configuration. It is never changed once built.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -42,7 +42,6 @@
 	PromptTokens int
 	OutputTokens int // at most
 	Parts        []Part
-	LengthHint   int // caller's guess at the output tokens; 0 if none
 
 	// ResumeAfter is the id of the last event that the caller has, if HasResume.
 	ResumeAfter int64
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,7 +47,6 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
-	used    bool // it carried a request before
 	expires time.Time
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -196,7 +196,6 @@
 	if r.KeepAlive > 0 {
 		idle = r.KeepAlive - idleMargin
 	}
-	r.conn.used = true
 	r.conn.expires = time.Now().Add(idle)
 	r.client.pool(r.server).put(r.conn)
 }
