--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -151,7 +151,7 @@
 const (
 	// stampEvery bounds the age of the stamp: what a router's successor can't free
 	// grows with it.
-	stampEvery = 1 * time.Second
+	stampEvery = 700 * time.Millisecond
 	// readEvery bounds the reads of the records while a budget is short.
 	readEvery = 1500 * time.Millisecond
 	// roundPause keeps a router with many small draws from calling without pause.
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -10,9 +10,11 @@
 	// Horizon is how much of a router's own use a grant covers: longer than the
 	// store's usual outages of some eight seconds.
 	Horizon = 20 * time.Second
-	// aheadOf is how much of its use a router's ceiling is above what it has used:
-	// longer than openAfter, so that the ceiling alone carries it into an outage.
-	aheadOf = 3500 * time.Millisecond
+	// aheadOf is how much of its use a router's ceiling is above what it has used.
+	// What lies between is lost to the budget when the router dies: a second of use
+	// is some two hundredths of a day's. A budget that is short by three hundredths
+	// refuses all that still comes although it was paid for.
+	aheadOf = 1200 * time.Millisecond
 	// refillBelow is the part of what is wanted below which a write of its own is due.
 	refillBelow = 0.5
 	// topUpBelow is that part where a write is sent in any case.
@@ -20,7 +22,7 @@
 	// firstShare is the part of a budget that its home holds before use is seen.
 	firstShare = 0.6
 	// firstCeiling is the part of it that the ceiling lets it use.
-	firstCeiling = 0.03
+	firstCeiling = 0.01
 	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large.
 	paceAbove = 2
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -33,6 +33,9 @@
 	if err != nil && ctx.Err() == nil {
 		err = k.borrow(ctx, h, err)
 	}
+	for errors.Is(err, ErrUnreachable) && k.opensSoon() && pause(ctx, openPoll) {
+		err = k.again(ctx, h)
+	}
 	k.noteStranded(errors.Is(err, ErrUnreachable))
 	if err != nil {
 		h.release()
@@ -41,6 +44,48 @@
 	return h.reservation(), nil
 }
 
+// openPoll is how often a reservation that waits for the opening tries again, and
+// opensWithin the time after which waiting is left to the caller.
+const (
+	openPoll    = 120 * time.Millisecond
+	opensWithin = 1500 * time.Millisecond
+)
+
+// opensSoon says whether the store has been away for so short a time that what is
+// held beyond the ceilings opens while a caller waits. Ceilings are low, so that
+// little is lost with a router that dies; the first seconds of an outage are
+// bridged by waiting.
+func (k *Keeper) opensSoon() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.away && k.age() < openAfter+opensWithin
+}
+
+// pause waits; false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// again tries to fill a hold from here and from its home.
+func (k *Keeper) again(ctx context.Context, h *hold) error {
+	k.mu.Lock()
+	h.fill()
+	k.mu.Unlock()
+	if home := k.o.Home(h.purse.account); h.missing > 0 && home != "" {
+		got, _ := k.o.Peers.BorrowFrom(ctx, home, h.purse.account, h.missing)
+		h.got(got)
+	}
+	if h.missing > 0 {
+		return ErrUnreachable
+	}
+	return nil
+}
+
 // strandedMost is how many reservations in a row find neither the store nor tokens
 // at other routers before this router counts as stranded.
 const strandedMost = 3
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -119,9 +119,10 @@
 	return ""
 }
 
-// reserveTimeout bounds the wait for a draw, which takes some ms: a request that
-// waits longer is better served by a try at another router.
-const reserveTimeout = 400 * time.Millisecond
+// reserveTimeout bounds the wait for tokens. A draw takes some ms; at the beginning
+// of an outage the grant opens within some two seconds, and most of what waits for
+// it is still answered in time.
+const reserveTimeout = 1200 * time.Millisecond
 
 func (f *Forwarder) reserve(ctx context.Context, r *request.Request) (*escrow.Reservation, Cause) {
 	if !r.HasUsage || r.Account == nil || !r.Account.Metered {
