--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -29,8 +29,9 @@
 	// predecessor's contact lease, which it renewed right after its last stamp, is
 	// still there.
 	clockDrift = 300 * time.Millisecond
-	// contactLease bounds what the store vouches for.
-	contactLease = 4 * time.Second
+	// contactLease bounds what the store vouches for: long enough for an outage, a
+	// loss of power right in it, and the restart.
+	contactLease = 10 * time.Second
 	// stampOldest bounds the age of a stamp on a steady clock that is believed: a
 	// clock that began anew shows anything.
 	stampOldest = 10 * time.Minute
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -30,7 +30,8 @@
 		{name: "steady clock that ran back", now: stampAt("boot-1", time.Minute, 9*time.Second), age: 9*time.Second + clockMargin},
 		{name: "steady clock far ahead", now: stampAt("boot-1", 3*time.Hour, 9*time.Second), age: 9*time.Second + clockMargin},
 		{name: "vouched for by the store", now: stampAt("boot-2", 0, 2*time.Second), vouched: true, age: 2*time.Second + clockDrift},
-		{name: "vouched for, but older than the lease", now: stampAt("boot-2", 0, 9*time.Second), vouched: true, age: 9*time.Second + clockMargin},
+		{name: "vouched for through an outage and a restart", now: stampAt("boot-2", 0, 5400*time.Millisecond), vouched: true, age: 5400*time.Millisecond + clockDrift},
+		{name: "vouched for, but older than the lease", now: stampAt("boot-2", 0, 11*time.Second), vouched: true, age: 11*time.Second + clockMargin},
 		{name: "vouched for, but before the stamp", now: stampAt("boot-2", 0, -time.Second), vouched: true, age: clockMargin - time.Second},
 		{name: "time of day moved back too far", now: stampAt("boot-2", 0, -time.Minute), unknown: true},
 	} {
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -25,8 +25,8 @@
 	firstCeiling = 0.01
 	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large.
-	paceAbove = 2
-	paceLeast = 0.008
+	paceAbove = 1.5
+	paceLeast = 0.006
 	// endShare bounds what a home holds to a part of what is left, so that another
 	// router can draw when the home is lost.
 	endShare = 0.8
