--- a/cmd/chicory-dev/main.go
+++ b/cmd/chicory-dev/main.go
@@ -1,11 +1,10 @@
 // Command chicory-dev runs a whole small fleet in one process on loopback: three
-// routers, engines, a plain service and the platform's service in memory. It
+// routers, engines, a plain service and the store in memory. It
 // prints the addresses and calls to copy. It ends with 0 on SIGTERM or SIGINT.
 package main
 
 import (
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,19 +12,25 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"chicorytiller.example/chicorytiller/internal/dev"
+	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/version"
+	"chicorytiller.example/chicorytiller/platform"
 )
 
 func main() {
 	app := kingpin.New("chicory-dev", "A small fleet in one process, for a first look.")
 	app.Version(version.Version)
 	app.HelpFlag.Short('h')
-	options := dev.Options{Log: os.Stderr, LogLevel: slog.LevelInfo}
+	options := dev.Options{
+		ServeWith: platform.StoreHandler,
+		Open:      func(address string) store.Store { return platform.NewStore(address) },
+	}
 	app.Flag("routers", "Number of routers.").Default("3").IntVar(&options.Routers)
 	app.Flag("engines", "Number of engines.").Default("3").IntVar(&options.Engines)
 	app.Flag("slots", "Requests that one engine runs at once.").Default("16").IntVar(&options.Slots)
 	app.Flag("token-time", "Time between two tokens of an engine.").Default("20ms").DurationVar(&options.Token)
 	app.Flag("first-port", "Port of the first router's callers' listener; the others follow. 0 takes free ones.").Default("8080").IntVar(&options.FirstAt)
+	app.Flag("store-port", "Port of the store. 0 takes a free one.").Default("8079").IntVar(&options.StoreAt)
 	logFile := app.Flag("log", "File for the events of all routers.").Default(os.DevNull).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(options, *logFile); err != nil {
--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -1,105 +1,24 @@
-// Command chicory-edge is the router on each entry VM of the users' platform. It
-// ends with 0 after a planned stop (SIGTERM or SIGINT), with 1 when it can't go on
-// and with 2 when its settings are wrong.
+// Command chicory-edge is the router on each entry VM of the users' platform.
 package main
 
 import (
-	"context"
-	"fmt"
-	"log/slog"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
-	"time"
-
-	"github.com/alecthomas/kingpin/v2"
-	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
-
+	"chicorytiller.example/chicorytiller/internal/daemon"
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/node"
-	"chicorytiller.example/chicorytiller/internal/version"
 	"chicorytiller.example/chicorytiller/platform"
 )
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
-// settingsEvery is how often the settings file is looked at: it may change without
-// a signal.
-const settingsEvery = 2 * time.Second
-
-// heapGrowth lets the heap grow by half before it is collected: memory is dearer
-// than processor time on entry VMs.
-const heapGrowth = 50
-
-// heapShare is the part of the process's memory above which the heap is collected
-// at any price: beyond the limit the process is killed.
-const heapShare = 0.7
-
 func main() {
-	app := kingpin.New("chicory-edge", "Router between callers and backend servers, on prepaid token budgets.")
-	app.Version(version.Version)
-	app.HelpFlag.Short('h')
-	file := app.Flag("settings", "INI file with the settings, see docs/SETTINGS.md.").Envar("CHICORYTILLER_CONFIG").Required().String()
-	checkOnly := app.Flag("check-settings", "Check the settings, say what is wrong, and end.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-
-	settings, err := node.LoadSettings(*file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	if *checkOnly {
-		fmt.Println("settings are right")
-		return
-	}
-	if err := run(settings, *file); err != nil {
-		slog.Error("chicory-edge stops", "error", err)
-		os.Exit(exitFailed)
-	}
-}
-
-func run(settings *node.Settings, file string) error {
-	runtime.GOMAXPROCS(1) // an entry VM has a part of one core: more threads only switch
-	debug.SetGCPercent(heapGrowth)
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMB) * (1 << 20)))
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-
-	incarnation := uuid.NewString()
-	buffer := event.NewBuffer(os.Stdout)
-	log := event.New(buffer, settings.VM+"@"+incarnation[:8], slog.LevelInfo, nil)
-	logging, endLog := context.WithCancel(context.Background())
-	var tasks conc.WaitGroup
-	defer tasks.Wait()
-	defer endLog()
-	tasks.Go(func() { buffer.Run(logging) })
-
-	clock, err := escrow.SystemClock()
-	if err != nil {
-		return err
-	}
-	n := node.New(settings, dialect(settings, clock), log, incarnation)
-	tasks.Go(func() { watchSettings(logging, file, n, log) })
-	if err := n.Listen(); err != nil {
-		return err
-	}
-	n.Run(ctx)
-	log.Emit(event.ProcessStopped)
-	return nil
+	daemon.Program{
+		Name:    "chicory-edge",
+		Help:    "Router between callers and backend servers on the users' platform, on prepaid token budgets.",
+		Dialect: dialect,
+	}.Main()
 }
 
-func dialect(settings *node.Settings, clock func() escrow.Stamp) node.Dialect {
+func dialect(settings *node.Settings, clock func() escrow.Stamp, _ *event.Log) node.Dialect {
 	return node.Dialect{
 		Store:         platform.NewStore(settings.Store),
 		Clock:         clock,
@@ -108,46 +27,9 @@
 		DecodeConfig:  platform.DecodeConfig,
 		ServersPrefix: platform.ServersPrefix,
 		DecodeServer:  fleet.DecodeEntry(platform.DecodeServer),
-		Codec:         platform.ServerCodec{},
+		Codec:         platform.ServerCodec,
 		Front:         platform.Front,
 		Directory:     platform.Directory,
 		Ready:         platform.Ready,
 	}
 }
-
-// watchSettings puts changed settings in force, on SIGHUP or when the file changes.
-func watchSettings(ctx context.Context, file string, n *node.Node, log *event.Log) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	ticker := time.NewTicker(settingsEvery)
-	defer ticker.Stop()
-	seen := modified(file)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-ticker.C:
-			if modified(file).Equal(seen) {
-				continue
-			}
-		}
-		seen = modified(file)
-		settings, err := node.LoadSettings(file)
-		if err != nil {
-			log.Emit(event.SettingsRejected, slog.Any(event.KeyCause, err))
-			continue
-		}
-		n.Reload(settings)
-	}
-}
-
-// modified is when the file was last written; zero while it can't be read.
-func modified(file string) time.Time {
-	info, err := os.Stat(file)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
--- a/cmd/chicory-engine/main.go
+++ b/cmd/chicory-engine/main.go
@@ -60,6 +60,7 @@
 	app := kingpin.New("chicory-engine", "A stand-in model engine or plain service.")
 	app.Version(version.Version)
 	app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").StringVar(&opts.listen)
+	app.Flag("id", "Name of the backend server; requests that are meant for another one are rejected.").StringVar(&opts.engine.ID)
 	app.Flag("kind", "Kind of backend server.").Default(kindEngine).EnumVar(&opts.kind, kindEngine, kindService)
 	app.Flag("model", "Model that is loaded (repeatable); none: any.").StringsVar(&opts.engine.Models)
 	app.Flag("slots", "Requests that run at once.").Default("64").IntVar(&opts.engine.Slots)
@@ -68,17 +69,14 @@
 	app.Flag("prompt-token-time", "Time per prompt token that isn't cached.").Default("0s").DurationVar(&opts.engine.PromptTokenTime)
 	app.Flag("chunk-tokens", "Most tokens of one chunk.").Default("1").IntVar(&opts.engine.ChunkTokens)
 	app.Flag("cache-tokens", "Tokens that the prefix cache holds.").Default("0").IntVar(&opts.engine.CacheTokens)
-	app.Flag("load-lag", "Age of load reports.").Default("0s").DurationVar(&opts.engine.LoadLag)
-	app.Flag("stream-keep", "How long an ended stream can be resumed.").Default("30s").DurationVar(&opts.engine.StreamKeep)
-	app.Flag("checks-fencing", "Refuse orders with an old fencing number.").BoolVar(&opts.engine.ChecksFencing)
 	app.Flag("crash-marker", "Text in a request that crashes the process.").StringVar(&opts.engine.CrashMarker)
 	app.Flag("crash-after-tokens", "Tokens of the marked request before the crash.").Default("0").IntVar(&opts.engine.CrashAfterTokens)
 	app.Flag("crash-point", "When a marked call crashes a service.").Default("before").EnumVar(&crashPoint, "before", "after")
 	app.Flag("delay", "Time that a service takes for a call.").Default("0s").DurationVar(&opts.service.Delay)
 	app.Flag("drain-limit", "Longest wait for running requests after SIGTERM.").Default("1m").DurationVar(&opts.drainLimit)
 	kingpin.MustParse(app.Parse(args))
+	opts.service.ID = opts.engine.ID
 	opts.service.Slots = opts.engine.Slots
-	opts.service.LoadLag = opts.engine.LoadLag
 	opts.service.CrashMarker = opts.engine.CrashMarker
 	opts.service.CrashPoint = enginestub.CrashPoint(crashPoint)
 	return opts
--- a/cmd/chicory-load/options.go
+++ b/cmd/chicory-load/options.go
@@ -38,11 +38,9 @@
 	backoff       time.Duration
 	rotate        bool
 
-	engines            string
-	services           string
-	operatorURLs       []string
-	operatorCredential string
-	settle             time.Duration
+	engines  string
+	services string
+	store    string
 
 	output string
 	report string
@@ -94,9 +92,7 @@
 func checkFlags(app *kingpin.Application, o *options) {
 	app.Flag("engines", "IP:port,... of the engine stand-ins, to check refusals against GET /v1/runs").StringVar(&o.engines)
 	app.Flag("services", "IP:port,... of the service stand-ins, to check runs against GET /runs").StringVar(&o.services)
-	app.Flag("operator-url", "URL of a router's operators' listener, to check bills and budgets (repeatable: bills of all)").StringsVar(&o.operatorURLs)
-	app.Flag("operator-credential", "Credential of the operators' listener").Envar("CHICORY_CREDENTIAL").StringVar(&o.operatorCredential)
-	app.Flag("settle", "Wait at most this long for bills to be complete").Default("10s").DurationVar(&o.settle)
+	app.Flag("store", "IP:port of the store, to check budgets").StringVar(&o.store)
 	app.Flag("output", "table or json").Default("table").EnumVar(&o.output, "table", "json")
 	app.Flag("report", "Write the JSON report to this file as well").StringVar(&o.report)
 }
--- a/cmd/chicory-load/run.go
+++ b/cmd/chicory-load/run.go
@@ -12,11 +12,10 @@
 
 	"chicorytiller.example/chicorytiller/internal/enginestub"
 	"chicorytiller.example/chicorytiller/internal/load"
+	"chicorytiller.example/chicorytiller/internal/operate"
+	"chicorytiller.example/chicorytiller/platform"
 )
 
-// settlePoll is the time between two readings of the bills.
-const settlePoll = 500 * time.Millisecond
-
 // reportMode is the file mode of a report.
 const reportMode = 0o644
 
@@ -45,7 +44,7 @@
 	}
 	finished := runner.Run(ctx)
 	report := finished.Report()
-	if report.Reconciliation, err = reconcile(ctx, o.settle, client, sources, finished); err != nil {
+	if report.Reconciliation, err = reconcile(client, sources, finished); err != nil {
 		return 0, err
 	}
 	return report.Broken(), write(o, report, stdout)
@@ -122,35 +121,41 @@
 // sourcesOf names the evidence to read, less what engines ran before this run.
 func sourcesOf(o *options, client *load.Client) (load.Sources, error) {
 	sources := load.Sources{
-		Engines:            splitList(o.engines),
-		Services:           splitList(o.services),
-		OperatorURLs:       o.operatorURLs,
-		OperatorCredential: o.operatorCredential,
-		Since:              time.Now(),
+		Engines:  splitList(o.engines),
+		Services: splitList(o.services),
+	}
+	if o.store != "" {
+		sources.Budgets = func() ([]load.Budget, error) { return budgetsOf(o.store) }
 	}
 	var err error
 	sources.EarlierRuns, err = client.EngineRuns(sources.Engines)
 	return sources, err
 }
 
-// reconcile reads the evidence until no bill is missing or the time to settle is
-// over: routers report bills with a lag.
-func reconcile(ctx context.Context, settle time.Duration, client *load.Client, sources load.Sources, finished *load.Run) (*load.Reconciliation, error) {
+// storeTimeout bounds the reading of the budgets.
+const storeTimeout = 5 * time.Second
+
+func budgetsOf(address string) ([]load.Budget, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	known, err := operate.Budgets(ctx, platform.NewStore(address))
+	budgets := make([]load.Budget, 0, len(known))
+	for _, b := range known {
+		budgets = append(budgets, load.Budget{Account: b.Account, Prepaid: b.Prepaid, Granted: b.Granted})
+	}
+	return budgets, err
+}
+
+// reconcile holds what was answered against the evidence.
+func reconcile(client *load.Client, sources load.Sources, finished *load.Run) (*load.Reconciliation, error) {
 	if sources.Empty() {
 		return nil, nil
 	}
-	until := time.Now().Add(settle)
-	for {
-		evidence, err := client.Gather(sources)
-		if err != nil {
-			return nil, err
-		}
-		result := load.Reconcile(finished.Outcomes(), finished.Direct(), evidence)
-		if result.BillsMissing == 0 || time.Now().After(until) || ctx.Err() != nil {
-			return result, nil
-		}
-		time.Sleep(settlePoll)
+	evidence, err := client.Gather(sources)
+	if err != nil {
+		return nil, err
 	}
+	return load.Reconcile(finished.Outcomes(), finished.Direct(), evidence), nil
 }
 
 func splitList(text string) []string {
--- a/cmd/chicoryctl/main.go
+++ b/cmd/chicoryctl/main.go
@@ -1,16 +1,18 @@
-// Command chicoryctl operates a router fleet: contracts, budgets and top-ups,
-// backend servers, services, models, settings, routers and bills. Its help lists
-// the exit codes.
+// Command chicoryctl operates a router fleet through its store: the operators'
+// document, top-ups, backend servers, routers. Its help lists the exit codes.
 package main
 
 import (
 	"os"
 
 	"chicorytiller.example/chicorytiller/internal/ctl"
+	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/version"
+	"chicorytiller.example/chicorytiller/platform"
 )
 
 func main() {
 	streams := ctl.IO{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
-	os.Exit(ctl.Run(version.Version, os.Args[1:], streams))
+	open := func(address string) store.Store { return platform.NewStore(address) }
+	os.Exit(ctl.Run(version.Version, os.Args[1:], streams, open))
 }
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -11,7 +11,8 @@
 type Contract struct {
 	Account           id.ClientAccount `json:"account"`
 	Keys              []KeyHash        `json:"keys"`
-	Budgets           []Budget         `json:"budgets"`
+	Prepaid           id.Tokens        `json:"prepaid"`             // tokens that the account may consume in all
+	Payments          []string         `json:"payments"`            // ids of those that are in Prepaid, the newest last
 	RequestsPerSecond float64          `json:"requests_per_second"` // over the whole fleet
 	Burst             int              `json:"burst"`
 	Concurrency       int              `json:"concurrency"` // requests in flight over the whole fleet
@@ -26,13 +27,6 @@
 // Keys are long random strings, so that an unsalted hash gives nothing away.
 type KeyHash string
 
-// Budget says which of the account's requests draw on one prepaid budget.
-type Budget struct {
-	ID       id.Budget    `json:"id"`
-	Models   []id.Model   `json:"models"`   // empty: every model of the contract
-	Services []id.Service `json:"services"` // empty: every service of the contract
-}
-
 // BackendKind tells engines from plain services.
 type BackendKind string
 
@@ -45,13 +39,11 @@
 // BackendServer is one engine or one instance of a plain service.
 type BackendServer struct {
 	ID            id.Backend       `json:"id"`
-	VM            id.VM            `json:"vm"` // its row in the platform's VM list
 	Kind          BackendKind      `json:"kind"`
 	Address       string           `json:"address"` // "IP:port"
 	FailureDomain id.FailureDomain `json:"failure_domain"`
 	Models        []id.Model       `json:"models"`  // of an engine
 	Service       id.Service       `json:"service"` // of a service instance
-	ChecksFencing bool             `json:"checks_fencing"`
 	Leaving       bool             `json:"leaving"`
 }
 
@@ -63,6 +55,8 @@
 	// PricePerCall is what one call draws from the budget.
 	PricePerCall id.Tokens `json:"price_per_call"`
 	TimeoutMS    int64     `json:"timeout_ms"`
+	// Attempts is the most instances that one call may be sent to.
+	Attempts int `json:"attempts"`
 }
 
 // Model is a model that engines serve.
@@ -72,4 +66,8 @@
 	// token, so that ceil(bytes/BytesPerToken) bounds a prompt's tokens from above.
 	BytesPerToken int       `json:"bytes_per_token"`
 	ContextTokens id.Tokens `json:"context_tokens"`
+	// TokensPerEvent is the most tokens that one event of a stream holds.
+	TokensPerEvent int `json:"tokens_per_event"`
+	// Attempts is the most engines that one request may be sent to.
+	Attempts int `json:"attempts"`
 }
--- a/internal/contract/limits.go
+++ b/internal/contract/limits.go
@@ -30,48 +30,6 @@
 	return time.Duration(s.TimeoutMS) * time.Millisecond
 }
 
-// BudgetFor gives the budget that a request draws on: of a service call when
-// service is not empty, else of the model. It is false when the contract doesn't
-// allow the request or no budget covers it.
-func (c *Contract) BudgetFor(model id.Model, service id.Service) (id.Budget, bool) {
-	if service != "" {
-		return c.BudgetForService(service)
-	}
-	return c.BudgetForModel(model)
-}
-
-// BudgetForModel gives the budget that requests for the model draw on: the first
-// that names the model, else the first that covers every model.
-func (c *Contract) BudgetForModel(model id.Model) (id.Budget, bool) {
-	if !c.AllowsModel(model) {
-		return "", false
-	}
-	return chooseBudget(c.Budgets, model, func(b Budget) []id.Model { return b.Models })
-}
-
-// BudgetForService gives the budget that calls of the service draw on, by the
-// same rule as BudgetForModel.
-func (c *Contract) BudgetForService(service id.Service) (id.Budget, bool) {
-	if !c.AllowsService(service) {
-		return "", false
-	}
-	return chooseBudget(c.Budgets, service, func(b Budget) []id.Service { return b.Services })
-}
-
-func chooseBudget[T comparable](budgets []Budget, name T, covered func(Budget) []T) (id.Budget, bool) {
-	general := id.Budget("")
-	for _, budget := range budgets {
-		names := covered(budget)
-		if slices.Contains(names, name) {
-			return budget.ID, true
-		}
-		if len(names) == 0 && general == "" {
-			general = budget.ID
-		}
-	}
-	return general, general != ""
-}
-
 // IsNonIdempotent tells whether a call must run at most once. callPath may carry
 // a query.
 //
--- a/internal/contract/validate.go
+++ b/internal/contract/validate.go
@@ -22,13 +22,17 @@
 	MaxWindowMS          = int64(24 * 60 * 60 * 1000)
 	MaxBytesPerToken     = 1024
 	MaxPricePerCall      = id.Tokens(1_000_000_000)
+	MaxPrepaid           = id.Tokens(1_000_000_000_000_000)
+	MaxTokensPerEvent    = 1024
+	MaxAttempts          = 10
 )
 
 const (
-	wantName    = "1 to 128 letters, digits, '.', '_', ':' or '-', beginning with a letter or digit"
-	wantKeyHash = "64 lower-case hexadecimal digits (SHA-256 of the key)"
-	wantUnique  = "named once"
-	wantWindow  = "1 to 86400000 (milliseconds)"
+	wantName     = "1 to 128 letters, digits, '.', '_', ':' or '-', beginning with a letter or digit"
+	wantKeyHash  = "64 lower-case hexadecimal digits (SHA-256 of the key)"
+	wantUnique   = "named once"
+	wantAttempts = "1 to 10"
+	wantWindow   = "1 to 86400000 (milliseconds)"
 )
 
 var (
@@ -67,7 +71,7 @@
 		"at least one model, or services at least one service", c.Models)
 	checkNames(&f, "models", c.Models)
 	checkNames(&f, "services", c.Services)
-	f.checkBudgets(c)
+	f.require(within(c.Prepaid, 0, MaxPrepaid), "prepaid", "0 to 1000000000000000", c.Prepaid)
 	return f.asError("contract", string(c.Account))
 }
 
@@ -81,37 +85,10 @@
 	}
 }
 
-func (f *faults) checkBudgets(c *Contract) {
-	f.require(len(c.Budgets) > 0, "budgets", "at least one budget (there is no overdraft)", c.Budgets)
-	seen := make(map[id.Budget]bool, len(c.Budgets))
-	for i, budget := range c.Budgets {
-		field := fmt.Sprintf("budgets[%d]", i)
-		f.require(ValidName(string(budget.ID)), field+".id", wantName, budget.ID)
-		f.require(!seen[budget.ID], field+".id", wantUnique, budget.ID)
-		seen[budget.ID] = true
-		checkNames(f, field+".models", budget.Models)
-		checkNames(f, field+".services", budget.Services)
-		checkSubset(f, field+".models", "a model of the contract", budget.Models, c.Models)
-		checkSubset(f, field+".services", "a service of the contract", budget.Services, c.Services)
-	}
-	if len(c.Budgets) == 0 {
-		return
-	}
-	for i, model := range c.Models {
-		_, covered := c.BudgetForModel(model)
-		f.require(covered, fmt.Sprintf("models[%d]", i), "covered by a budget", model)
-	}
-	for i, service := range c.Services {
-		_, covered := c.BudgetForService(service)
-		f.require(covered, fmt.Sprintf("services[%d]", i), "covered by a budget", service)
-	}
-}
-
 // Validate checks the backend server by itself; see Contract.Validate.
 func (b *BackendServer) Validate() error {
 	var f faults
 	f.require(ValidName(string(b.ID)), "id", wantName, b.ID)
-	f.require(ValidName(string(b.VM)), "vm", wantName, b.VM)
 	f.require(ValidName(string(b.FailureDomain)), "failure_domain", wantName, b.FailureDomain)
 	address, err := netip.ParseAddrPort(b.Address)
 	f.require(err == nil && address.Port() != 0, "address", "an IP number and port, as 10.0.0.7:8000", b.Address)
@@ -138,6 +115,7 @@
 		f.require(callPattern.MatchString(call) && !strings.Contains(call, ".."),
 			fmt.Sprintf("non_idempotent[%d]", i), `"METHOD /path-prefix" or "* /path-prefix"`, call)
 	}
+	f.require(within(s.Attempts, 1, MaxAttempts), "attempts", wantAttempts, s.Attempts)
 	return f.asError("service", string(s.Name))
 }
 
@@ -147,6 +125,8 @@
 	f.require(ValidName(string(m.Name)), "name", wantName, m.Name)
 	f.require(within(m.BytesPerToken, 1, MaxBytesPerToken), "bytes_per_token", "1 to 1024", m.BytesPerToken)
 	f.require(within(m.ContextTokens, 1, MaxTokensOfRequest), "context_tokens", "1 to 100000000", m.ContextTokens)
+	f.require(within(m.TokensPerEvent, 1, MaxTokensPerEvent), "tokens_per_event", "1 to 1024", m.TokensPerEvent)
+	f.require(within(m.Attempts, 1, MaxAttempts), "attempts", wantAttempts, m.Attempts)
 	return f.asError("model", string(m.Name))
 }
 
@@ -163,13 +143,3 @@
 		seen[name] = true
 	}
 }
-
-func checkSubset[T ~string](f *faults, field, want string, names, of []T) {
-	allowed := make(map[T]bool, len(of))
-	for _, name := range of {
-		allowed[name] = true
-	}
-	for i, name := range names {
-		f.require(allowed[name], fmt.Sprintf("%s[%d]", field, i), want, name)
-	}
-}
--- a/internal/enginestub/answererror.go
+++ b/internal/enginestub/answererror.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/native"
 )
 
 // errorBody is the OpenAI form of an error answer.
@@ -20,6 +22,9 @@
 // that nothing ran.
 func answerError(c *fiber.Ctx, err error) error {
 	status := statusOf(err)
+	if status == fiber.StatusServiceUnavailable || status == fiber.StatusTooManyRequests || status == fiber.StatusMisdirectedRequest {
+		c.Set(native.HeaderNotExecuted, "1")
+	}
 	detail := errorDetail{Message: err.Error(), Type: "engine_error", Code: status}
 	return c.Status(status).JSON(errorBody{Error: detail})
 }
@@ -31,10 +36,10 @@
 		return fiber.StatusServiceUnavailable
 	case errors.Is(err, ErrQueueFull):
 		return fiber.StatusTooManyRequests
-	case errors.Is(err, ErrAttemptKnown), errors.Is(err, ErrOldFencing):
+	case errors.Is(err, ErrMisdirected):
+		return fiber.StatusMisdirectedRequest
+	case errors.Is(err, ErrAttemptKnown):
 		return fiber.StatusConflict
-	case errors.Is(err, ErrStreamNotFound):
-		return fiber.StatusNotFound
 	case errors.Is(err, ErrBadRequest):
 		return fiber.StatusBadRequest
 	case errors.As(err, &known):
--- a/internal/enginestub/control.go
+++ b/internal/enginestub/control.go
@@ -1,30 +1,12 @@
 package enginestub
 
-import (
-	"time"
+import "fmt"
 
-	"chicorytiller.example/chicorytiller/internal/backend"
-	"chicorytiller.example/chicorytiller/internal/id"
-)
-
-// recordLoad notes the load after a change.
-func (e *scheduler) recordLoad(now time.Time) {
-	e.load.record(now, backend.LoadReport{
-		Running:       len(e.running),
-		Waiting:       len(e.waiting),
-		OutstandingTk: id.Tokens(e.outstanding),
-		Slots:         e.cfg.Slots,
-		Leaving:       e.leaving,
-		Models:        e.models,
-	})
-}
-
-func (e *scheduler) loadReport() backend.LoadReport {
+// load is "running,waiting,slots".
+func (e *scheduler) load() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	e.recordLoad(now)
-	return e.load.at(now)
+	return fmt.Sprintf("%d,%d,%d", len(e.running), len(e.waiting), e.cfg.Slots)
 }
 
 func (e *scheduler) runReport() RunReport {
@@ -37,7 +19,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = true
-	e.recordLoad(e.now())
 }
 
 func (e *scheduler) setPaused(paused bool) {
--- a/internal/enginestub/enginehandlers.go
+++ b/internal/enginestub/enginehandlers.go
@@ -1,27 +1,34 @@
 package enginestub
 
 import (
-	"encoding/json"
-	"net/url"
+	"io"
+	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
-)
 
-// Headers by which a router names its work.
-const (
-	headerRequestID = "X-Request-Id"
-	headerAttemptID = "X-Attempt-Id"
+	"chicorytiller.example/chicorytiller/internal/native"
 )
 
 func (s *Server) routes() {
+	s.app.Use(s.accept)
 	s.app.Post("/v1/chat/completions", s.handleGenerate)
-	s.app.Get("/v1/streams/:attempt", s.handleResume)
-	s.app.Delete("/v1/streams/:attempt", s.handleCancel)
-	s.app.Get("/v1/load", s.handleLoad)
 	s.app.Get("/v1/runs", s.handleRuns)
-	s.app.Post("/v1/orders", s.handleOrder)
+}
+
+// accept answers under the request's id, tells the load, and rejects what is meant
+// for another backend server.
+func (h *httpServer) accept(c *fiber.Ctx) error {
+	if request := c.Get(native.HeaderRequestID); request != "" {
+		c.Set(native.HeaderRequestID, request)
+	}
+	meant := c.Get(native.HeaderBackend)
+	if h.id != "" && meant != "" && meant != h.id {
+		return ErrMisdirected
+	}
+	return c.Next()
 }
 
 func (s *Server) handleGenerate(c *fiber.Ctx) error {
@@ -29,94 +36,68 @@
 	if err != nil {
 		return err
 	}
-	if !req.stream {
-		return errors.Wrap(ErrBadRequest, "only streamed answers are given")
-	}
-	requestID := s.headerOr(c, headerRequestID)
-	attemptID := s.headerOr(c, headerAttemptID)
+	requestID, attemptID := s.name(strings.Clone(c.Get(native.HeaderRequestID)))
 	seq, err := s.scheduler.submit(requestID, attemptID, req)
 	if err != nil {
 		return err
 	}
-	return s.answerStream(c, seq, 0)
-}
-
-func (s *Server) handleResume(c *fiber.Ctx) error {
-	seq, err := s.stream(c)
-	if err != nil {
-		return err
-	}
-	offset := c.QueryInt("offset", 0)
-	if offset < 0 || offset > len(seq.answer) {
-		return errors.Wrapf(ErrBadRequest, "offset %d of %d tokens", offset, len(seq.answer))
+	c.Set(native.HeaderLoad, s.scheduler.load())
+	if !req.stream {
+		return s.answerWhole(c, seq)
 	}
-	return s.answerStream(c, seq, offset)
+	return s.answerStream(c, seq, firstEvent(c))
 }
 
-func (s *Server) handleCancel(c *fiber.Ctx) error {
-	attempt, err := attemptParam(c)
+// firstEvent is how many events the caller has already.
+func firstEvent(c *fiber.Ctx) int {
+	last, err := strconv.Atoi(c.Get(native.HeaderLastEvent))
 	if err != nil {
-		return err
+		return 0 // none given, or none that this server gave
 	}
-	err = s.scheduler.cancel(attempt)
-	if err != nil {
-		return err
-	}
-	return c.SendStatus(fiber.StatusNoContent)
-}
-
-func (s *Server) handleLoad(c *fiber.Ctx) error {
-	return c.JSON(s.scheduler.loadReport())
+	return last
 }
 
 func (s *Server) handleRuns(c *fiber.Ctx) error {
 	return c.JSON(s.Runs())
 }
 
-func (s *Server) handleOrder(c *fiber.Ctx) error {
-	var order Order
-	err := json.Unmarshal(c.Body(), &order)
-	if err != nil {
-		return errors.Wrap(ErrBadRequest, err.Error())
-	}
-	err = s.orders.take(order)
-	if err != nil {
-		return err
+func (s *Server) answerStream(c *fiber.Ctx, seq *sequence, events int) error {
+	offset := events * s.cfg.ChunkTokens
+	if offset < 0 || offset > len(seq.answer) {
+		s.scheduler.cancel(seq.attemptID)
+		return errors.Wrapf(ErrBadRequest, "event %d of an answer of %d tokens", events, len(seq.answer))
 	}
-	return c.JSON(order)
-}
-
-// answerStream sends the head of the answer at once, so that the caller knows
-// that the request was accepted, and then the chunks as they are made.
-func (s *Server) answerStream(c *fiber.Ctx, seq *sequence, offset int) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	response := &c.Context().Response
 	response.ImmediateHeaderFlush = true
-	response.SetBodyStream(newEventReader(seq, offset, s.cfg.ChunkTokens), -1)
+	response.SetBodyStream(&streamBody{eventReader: newEventReader(seq, offset, s.cfg.ChunkTokens), engine: s.scheduler}, -1)
 	return nil
 }
 
-func (s *Server) stream(c *fiber.Ctx) (*sequence, error) {
-	attempt, err := attemptParam(c)
-	if err != nil {
-		return nil, err
-	}
-	return s.scheduler.find(attempt)
+// streamBody frees the engine when its reader has left.
+type streamBody struct {
+	*eventReader
+	engine *scheduler
 }
 
-func attemptParam(c *fiber.Ctx) (string, error) {
-	attempt, err := url.PathUnescape(c.Params("attempt"))
-	if err != nil {
-		return "", errors.Wrap(ErrBadRequest, err.Error())
-	}
-	return attempt, nil
+var _ io.ReadCloser = (*streamBody)(nil)
+
+// Close implements io.Closer.
+func (b *streamBody) Close() error {
+	b.engine.cancel(b.seq.attemptID)
+	return nil
 }
 
-// headerOr copies a header, as fiber reuses its memory after the request.
-func (s *Server) headerOr(c *fiber.Ctx, name string) string {
-	value := strings.Clone(c.Get(name))
-	if value == "" {
-		return s.nextUnnamed()
+// answerWhole answers in one piece, once all tokens are there.
+func (s *Server) answerWhole(c *fiber.Ctx, seq *sequence) error {
+	defer s.scheduler.cancel(seq.attemptID)
+	for sent, ended := 0, false; sent < len(seq.answer); {
+		if sent, ended = seq.progress.wait(sent); ended && sent < len(seq.answer) {
+			return ErrLeaving // stopped in the middle
+		}
 	}
-	return value
+	c.Set(native.HeaderOutput, strconv.Itoa(len(seq.answer)))
+	c.Status(http.StatusOK)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(wholeAnswer(seq))
 }
--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -21,13 +21,15 @@
 	DefaultSlots         = 64
 	DefaultMaxWaiting    = 10000
 	DefaultBytesPerToken = 4
-	DefaultStreamKeep    = 30 * time.Second
 	DefaultChunkTokens   = 1
 )
 
 // Config sets up an engine. Zero values mean the defaults, and no time at all
 // for TokenTime and PromptTokenTime.
 type Config struct {
+	// ID is the backend server's name: requests that are meant for another one are
+	// rejected. Empty: all are taken.
+	ID              string
 	Models          []string // loaded models; none: any model is served
 	Slots           int      // sequences that run at once
 	MaxWaiting      int      // sequences that wait before new ones get 429
@@ -36,9 +38,6 @@
 	BytesPerToken   int
 	ChunkTokens     int // most tokens of one chunk
 	CacheTokens     int // size of the prefix cache; 0: none
-	LoadLag         time.Duration
-	StreamKeep      time.Duration // how long an ended stream can be resumed
-	ChecksFencing   bool          // refuse orders with an old fencing number
 	// CrashMarker in a prompt makes the engine crash when that request has
 	// CrashAfterTokens tokens, or all but the last. Empty: never.
 	CrashMarker      string
@@ -53,8 +52,7 @@
 	*httpServer
 	cfg       Config
 	scheduler *scheduler
-	orders    *orderBook
-	unnamed   atomic.Int64 // requests that came without an id
+	attempts  atomic.Int64 // so far
 	tasks     conc.WaitGroup
 }
 
@@ -66,9 +64,8 @@
 	if len(now) > 0 {
 		clock = now[0]
 	}
-	s := &Server{httpServer: newHTTPServer(), cfg: cfg}
+	s := &Server{httpServer: newHTTPServer(cfg.ID), cfg: cfg}
 	s.scheduler = newScheduler(cfg, clock, s.crash)
-	s.orders = newOrderBook(cfg.ChecksFencing, s.scheduler)
 	s.routes()
 	s.tasks.Go(s.scheduler.loop)
 	return s
@@ -117,8 +114,13 @@
 	}
 }
 
-func (s *Server) nextUnnamed() string {
-	return "unnamed-" + strconv.FormatInt(s.unnamed.Add(1), 10)
+// name names one attempt of a request, and the request itself if it came without an id.
+func (s *Server) name(given string) (request, attempt string) {
+	number := strconv.FormatInt(s.attempts.Add(1), 10)
+	if given == "" {
+		given = "unnamed-" + number
+	}
+	return given, given + "#" + number
 }
 
 func (cfg Config) withDefaults() Config {
@@ -126,7 +128,6 @@
 	setDefault(&cfg.MaxWaiting, DefaultMaxWaiting)
 	setDefault(&cfg.BytesPerToken, DefaultBytesPerToken)
 	setDefault(&cfg.ChunkTokens, DefaultChunkTokens)
-	setDefault(&cfg.StreamKeep, DefaultStreamKeep)
 	return cfg
 }
 
--- a/internal/enginestub/events.go
+++ b/internal/enginestub/events.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // batchBytes is how many bytes of events are made for one write. A step of
@@ -20,6 +21,7 @@
 	pending     []byte
 	unread      []byte // the rest of pending
 	done        bool   // all events are made
+	cut         bool   // the engine stopped before the end
 }
 
 func newEventReader(seq *sequence, offset, chunkTokens int) *eventReader {
@@ -35,6 +37,9 @@
 // by a crash ends without a finish reason.
 func (r *eventReader) Read(p []byte) (int, error) {
 	if len(r.unread) == 0 {
+		if r.cut {
+			return 0, io.ErrUnexpectedEOF // no proper end: the answer isn't whole
+		}
 		if r.done {
 			return 0, io.EOF
 		}
@@ -47,21 +52,19 @@
 
 // fill makes the events of the tokens that there are, up to about batchBytes.
 func (r *eventReader) fill() {
-	generated, ended := r.seq.progress.wait(r.sent)
+	generated, ended := r.seq.progress.wait(min(r.sent+r.chunkTokens, len(r.seq.answer)) - 1)
 	total := len(r.seq.answer)
 	r.pending = r.pending[:0]
-	if r.sent == total {
-		r.appendChunk(0) // a resume after the last token still gets the finish
-	}
-	for r.sent < generated && len(r.pending) < batchBytes {
+	// A chunk is whole unless it is the last, so that its number tells its tokens.
+	for (generated-r.sent >= r.chunkTokens || generated == total && r.sent < total) && len(r.pending) < batchBytes {
 		r.appendChunk(min(r.chunkTokens, generated-r.sent))
 	}
 	switch {
 	case r.sent == total:
 		r.appendEnd()
 		r.done = true
-	case ended && r.sent == generated:
-		r.done = true
+	case ended && generated < total:
+		r.done, r.cut = true, true
 	}
 	r.unread = r.pending
 }
@@ -72,7 +75,9 @@
 func (r *eventReader) appendChunk(tokens int) {
 	offset := r.sent
 	r.sent += tokens
-	b := append(r.pending, "data: "...)
+	b := append(r.pending, "id: "...)
+	b = strconv.AppendInt(b, int64((r.sent+r.chunkTokens-1)/r.chunkTokens), 10)
+	b = append(b, "\ndata: "...)
 	b = append(b, r.head...)
 	b = append(b, `"choices":[{"index":0,"delta":{"content":"`...)
 	for _, index := range r.seq.answer[offset:r.sent] {
@@ -85,11 +90,7 @@
 	} else {
 		b = append(b, "null"...)
 	}
-	b = append(b, `}],"offset":`...)
-	b = strconv.AppendInt(b, int64(offset), 10)
-	b = append(b, `,"tokens":`...)
-	b = strconv.AppendInt(b, int64(tokens), 10)
-	r.pending = append(b, "}\n\n"...)
+	r.pending = append(b, "}]}\n\n"...)
 }
 
 // appendEnd appends the usage, if it was asked for, and the end mark.
@@ -147,3 +148,29 @@
 	}
 	return encoded
 }
+
+// wholeAnswer is an answer in one piece, in OpenAI's shape.
+func wholeAnswer(seq *sequence) []byte {
+	text := strings.Builder{}
+	for _, index := range seq.answer {
+		_, _ = text.WriteString(vocabulary[index]) // a builder takes everything
+	}
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Index        int     `json:"index"`
+		Message      message `json:"message"`
+		FinishReason string  `json:"finish_reason"`
+	}
+	return mustMarshal(struct {
+		ID      string          `json:"id"`
+		Object  string          `json:"object"`
+		Created int64           `json:"created"`
+		Model   string          `json:"model"`
+		Choices []choice        `json:"choices"`
+		Usage   json.RawMessage `json:"usage"`
+	}{seq.requestID, "chat.completion", seq.created.Unix(), seq.req.model,
+		[]choice{{Message: message{Role: "assistant", Content: text.String()}, FinishReason: seq.finish}}, usageJSON(seq)})
+}
--- a/internal/enginestub/httpserver.go
+++ b/internal/enginestub/httpserver.go
@@ -19,6 +19,7 @@
 // httpServer serves a fiber app on one listener and can break all its connections
 // at once, as the death of the process would.
 type httpServer struct {
+	id  string // of the backend server; empty: requests for any are taken
 	app *fiber.App
 
 	mu       sync.Mutex
@@ -27,8 +28,9 @@
 	conns    map[net.Conn]struct{}
 }
 
-func newHTTPServer() *httpServer {
+func newHTTPServer(id string) *httpServer {
 	return &httpServer{
+		id: id,
 		app: fiber.New(fiber.Config{
 			DisableStartupMessage: true,
 			BodyLimit:             maxBodyBytes,
--- a/internal/enginestub/scheduler.go
+++ b/internal/enginestub/scheduler.go
@@ -28,9 +28,7 @@
 	waiting     waitingHeap
 	running     []*sequence
 	byAttempt   map[string]*sequence
-	ended       []*sequence // by the time of their end, kept for resume
 	cache       *prefixCache
-	load        laggedLoad
 	runs        *runLog
 	models      []string
 	anyModel    bool
@@ -51,12 +49,10 @@
 		quit:      make(chan struct{}),
 		byAttempt: make(map[string]*sequence),
 		cache:     newPrefixCache(cfg.CacheTokens),
-		load:      laggedLoad{lag: cfg.LoadLag},
 		runs:      newRunLog(),
 		models:    slices.Clone(cfg.Models),
 		anyModel:  len(cfg.Models) == 0,
 	}
-	e.recordLoad(now())
 	return e
 }
 
@@ -121,7 +117,6 @@
 	clear(e.running[len(kept):])
 	e.running = kept
 	if changed {
-		e.recordLoad(now)
 		return 0, false // a slot is free: admit at once
 	}
 	return e.untilDue(now)
@@ -153,7 +148,6 @@
 		s.readyAt = now.Add(time.Duration(toRead) * e.cfg.PromptTokenTime)
 		e.outstanding -= s.run.PromptTokens
 		e.running = append(e.running, s)
-		e.recordLoad(now)
 	}
 }
 
@@ -169,29 +163,7 @@
 	s.run.Tokens = generated
 	ended := generated == len(s.answer)
 	if ended {
-		e.end(s, RunFinished, now)
+		s.run.State = RunFinished
 	}
 	s.progress.set(generated, ended)
 }
-
-// end keeps the sequence for a resume, for a while.
-func (e *scheduler) end(s *sequence, state RunState, now time.Time) {
-	s.run.State = state
-	s.endedAt = now
-	e.ended = append(e.ended, s)
-	e.forget(now)
-}
-
-// forget drops the streams that ended more than StreamKeep ago.
-func (e *scheduler) forget(now time.Time) {
-	drop := 0
-	for drop < len(e.ended) && now.Sub(e.ended[drop].endedAt) > e.cfg.StreamKeep {
-		s := e.ended[drop]
-		if e.byAttempt[s.attemptID] == s {
-			delete(e.byAttempt, s.attemptID)
-		}
-		e.ended[drop] = nil
-		drop++
-	}
-	e.ended = e.ended[drop:]
-}
--- a/internal/enginestub/sequence.go
+++ b/internal/enginestub/sequence.go
@@ -18,8 +18,7 @@
 	queueAt   int      // place in the waiting heap, -1 when not there
 	created   time.Time
 	readyAt   time.Time // when the prompt is read
-	endedAt   time.Time
-	crashAt   int // tokens with which the engine crashes; -1: never
+	crashAt   int       // tokens with which the engine crashes; -1: never
 	run       *AttemptRun
 
 	progress progress
--- a/internal/enginestub/service.go
+++ b/internal/enginestub/service.go
@@ -11,7 +11,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
 
-	"chicorytiller.example/chicorytiller/internal/backend"
+	"chicorytiller.example/chicorytiller/internal/native"
 )
 
 // CrashPoint is when a marked call crashes a plain service.
@@ -25,12 +25,12 @@
 
 // ServiceConfig sets up a plain service.
 type ServiceConfig struct {
+	ID          string        // as of an engine
 	Slots       int           // reported only
 	Delay       time.Duration // before each effect
-	LoadLag     time.Duration
-	CrashMarker string     // in a body; empty: never
-	CrashPoint  CrashPoint // CrashBeforeEffect when empty
-	OnCrash     func()     // called once after all connections are closed
+	CrashMarker string        // in a body; empty: never
+	CrashPoint  CrashPoint    // CrashBeforeEffect when empty
+	OnCrash     func()        // called once after all connections are closed
 }
 
 // Service is the plain service "confirmations".
@@ -47,7 +47,6 @@
 	running   int
 	leaving   bool
 	stopped   bool
-	load      laggedLoad
 }
 
 // NewService makes a plain service. now is its clock; without one it is
@@ -55,20 +54,19 @@
 func NewService(cfg ServiceConfig, now ...func() time.Time) *Service {
 	setDefault(&cfg.Slots, DefaultSlots)
 	s := &Service{
-		httpServer: newHTTPServer(),
+		httpServer: newHTTPServer(cfg.ID),
 		cfg:        cfg,
 		now:        time.Now,
 		quit:       make(chan struct{}),
 		byRequest:  make(map[string]*Confirmation),
 		byBody:     make(map[string]*Confirmation),
-		load:       laggedLoad{lag: cfg.LoadLag},
 	}
 	if len(now) > 0 {
 		s.now = now[0]
 	}
+	s.app.Use(s.accept)
 	s.app.Post("/confirm", s.handleConfirm)
 	s.app.Get("/runs", s.handleRuns)
-	s.app.Get("/v1/load", s.handleLoad)
 	return s
 }
 
@@ -124,7 +122,7 @@
 		return ErrLeaving
 	}
 	bodyHash := strconv.FormatUint(xxhash.Sum64(c.Body()), 16)
-	err = s.confirm(call.ID, strings.Clone(c.Get(headerRequestID)), bodyHash)
+	err = s.confirm(call.ID, strings.Clone(c.Get(native.HeaderRequestID)), bodyHash)
 	if err != nil {
 		return err
 	}
@@ -139,13 +137,6 @@
 	return c.JSON(s.Runs())
 }
 
-func (s *Service) handleLoad(c *fiber.Ctx) error {
-	s.effects.Lock()
-	defer s.effects.Unlock()
-	s.recordLoad()
-	return c.JSON(s.load.at(s.now()))
-}
-
 func (s *Service) begin() error {
 	s.effects.Lock()
 	defer s.effects.Unlock()
@@ -153,7 +144,6 @@
 		return ErrLeaving
 	}
 	s.running++
-	s.recordLoad()
 	return nil
 }
 
@@ -161,15 +151,6 @@
 	s.effects.Lock()
 	defer s.effects.Unlock()
 	s.running--
-	s.recordLoad()
-}
-
-func (s *Service) recordLoad() {
-	s.load.record(s.now(), backend.LoadReport{
-		Running: s.running,
-		Slots:   s.cfg.Slots,
-		Leaving: s.leaving,
-	})
 }
 
 // wait takes the call's time; false means that the service stopped meanwhile.
--- a/internal/enginestub/submit.go
+++ b/internal/enginestub/submit.go
@@ -14,7 +14,7 @@
 	ErrQueueFull      = errors.New("enginestub: queue is full")
 	ErrModelNotLoaded = errors.New("enginestub: model is not loaded")
 	ErrAttemptKnown   = errors.New("enginestub: attempt is known already")
-	ErrStreamNotFound = errors.New("enginestub: no such stream")
+	ErrMisdirected    = errors.New("enginestub: meant for another backend server")
 )
 
 // submit queues an attempt.
@@ -22,20 +22,17 @@
 	s := e.newSequence(requestID, attemptID, req)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	e.forget(now)
 	err := e.refusal(s)
 	if err != nil {
 		return nil, err
 	}
 	e.arrivals++
 	s.arrival = e.arrivals
-	s.created = now
+	s.created = e.now()
 	e.byAttempt[attemptID] = s
 	e.runs.add(requestID, s.run)
 	e.outstanding += s.run.PromptTokens + len(s.answer)
 	heap.Push(&e.waiting, s)
-	e.recordLoad(now)
 	e.wakeUp()
 	return s, nil
 }
@@ -83,27 +80,14 @@
 	}
 }
 
-// find gives a stream that runs or is still kept.
-func (e *scheduler) find(attemptID string) (*sequence, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.forget(e.now())
-	s := e.byAttempt[attemptID]
-	if s == nil || s.run.State == RunCancelled {
-		return nil, ErrStreamNotFound
-	}
-	return s, nil
-}
-
-// cancel stops an attempt and frees its slot. A finished one is dropped.
-func (e *scheduler) cancel(attemptID string) error {
+// cancel stops an attempt and frees its slot; one that has finished is forgotten.
+func (e *scheduler) cancel(attemptID string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.byAttempt[attemptID]
 	if s == nil {
-		return ErrStreamNotFound
+		return
 	}
-	now := e.now()
 	delete(e.byAttempt, attemptID)
 	switch s.run.State {
 	case RunWaiting:
@@ -113,11 +97,9 @@
 		e.running = slices.DeleteFunc(e.running, func(other *sequence) bool { return other == s })
 		e.outstanding -= len(s.answer) - s.run.Tokens
 	default:
-		return nil
+		return
 	}
 	s.run.State = RunCancelled
 	s.progress.set(s.run.Tokens, true)
-	e.recordLoad(now)
 	e.wakeUp()
-	return nil
 }
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -118,7 +118,7 @@
 }
 
 func (k *Keeper) accountKey(p *purse) string {
-	return k.o.Prefix + accountKeys + p.account
+	return k.o.Prefix + AccountKeys + p.account
 }
 
 // mostSpent judges this VM's dead incarnations by the ledger that the last left.
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -59,7 +59,7 @@
 
 // Keys below the prefix.
 const (
-	accountKeys = "account/" // a Record each
+	AccountKeys = "account/" // a Record each
 	ledgerKeys  = "router/"  // a Ledger each
 	contactKeys = "contact/" // the incarnation, under its contact lease
 )
@@ -303,7 +303,7 @@
 	k.ledgerKnown, k.ledgerRevision = true, 0
 	for _, item := range snapshot.Items {
 		key := strings.TrimPrefix(item.Key, k.o.Prefix)
-		if account, isRecord := strings.CutPrefix(key, accountKeys); isRecord {
+		if account, isRecord := strings.CutPrefix(key, AccountKeys); isRecord {
 			found[account] = true
 			k.learn(k.purse(account), item)
 		}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -46,7 +46,10 @@
 	if e.HasID {
 		t.lastEvent, t.hasEvent = e.ID, true
 	}
-	t.events++
+	// Beside events with ids, those without hold no tokens: an end mark, a summary.
+	if e.HasID || !t.hasEvent {
+		t.events++
+	}
 	return t.caller.Write(e.Raw)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/limit"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
@@ -67,6 +68,8 @@
 	Report  func(content uint64)
 	Chooser *balance.Chooser
 	Backend Exchanger
+	// Limits holds accounts to their contracts.
+	Limits  *limit.Limiter
 	Log     *event.Log
 	Metrics Metrics
 }
@@ -76,13 +79,19 @@
 	p := f.Policy()
 	cause := f.admit(p, r)
 	if cause != "" {
-		f.refuse(r, caller, refusal(cause), p, nil)
+		f.refuse(r, caller, RefusalOf(cause), p, nil)
 		return
 	}
+	done, refused := f.withinLimits(r)
+	if refused != nil {
+		f.refuse(r, caller, *refused, p, nil)
+		return
+	}
+	defer done()
 	f.Retries.Request(r.Service)
 	reservation, cause := f.reserve(ctx, r)
 	if cause != "" {
-		f.refuse(r, caller, refusal(cause), p, nil)
+		f.refuse(r, caller, RefusalOf(cause), p, nil)
 		return
 	}
 	t := newTask(f, p, r, caller)
@@ -91,8 +100,8 @@
 }
 
 // Refuse answers a request that is not to be served at all.
-func (f *Forwarder) Refuse(r *request.Request, caller Caller, cause Cause) {
-	f.refuse(r, caller, refusal(cause), f.Policy(), nil)
+func (f *Forwarder) Refuse(r *request.Request, caller Caller, refusal Refusal) {
+	f.refuse(r, caller, refusal, f.Policy(), nil)
 }
 
 // admit finds account, route and service of a request, or the cause to refuse it.
@@ -119,6 +128,20 @@
 	return ""
 }
 
+// withinLimits holds the request against the limits of its account's contract, if it
+// has one.
+func (f *Forwarder) withinLimits(r *request.Request) (done func(), refused *Refusal) {
+	if r.Account == nil || r.Account.Contract == nil {
+		return func() {}, nil
+	}
+	c := r.Account.Contract
+	done, wait, ok := f.Limits.Admit(r.Account.Name, limit.Limits{PerSecond: c.RequestsPerSecond, Burst: c.Burst, AtOnce: c.Concurrency})
+	if !ok {
+		return nil, &Refusal{Cause: TooMany, RetryAfter: wait}
+	}
+	return done, nil
+}
+
 // reserveTimeout bounds the wait for tokens. A draw takes some ms; at the beginning
 // of an outage the grant opens within some two seconds, and most of what waits for
 // it is still answered in time.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -9,25 +9,32 @@
 
 // Causes. Those up to Overdue say that the request has not run and never will.
 const (
-	NotReady          Cause = "no_configuration"    // none known yet
-	NoRoute           Cause = "unknown_route"       // no route fits host and path
-	NoAccount         Cause = "unknown_key"         // no client account holds the key
-	TooLarge          Cause = "body_too_large"      // over the configured limit
-	Exhausted         Cause = "budget_exhausted"    // what is left doesn't cover it
-	BudgetElsewhere   Cause = "budget_held"         // the rest is granted to other routers
-	BudgetUnreachable Cause = "budget_unreachable"  // own grant used up, store away
-	NoServer          Cause = "no_backend"          // none to send it to
-	Rejected          Cause = "backend_rejected"    // the server said that it did not run it
-	Stopping          Cause = "router_stopping"     // this process stops
-	Quarantined       Cause = "request_quarantined" // it breaks the servers that run it
-	Overdue           Cause = "overdue_unsent"      // time ran out before it was sent
-	TimedOut          Cause = "timed_out"           // sent, no answer in time
-	BackendFailed     Cause = "backend_failed"      // sent, the exchange broke
+	NotReady          Cause = "no_configuration" // none known yet
+	Malformed         Cause = "bad_request"      // the interface can't make a request of it
+	NoRoute           Cause = "unknown_route"    // no route fits host and path
+	NoAccount         Cause = "unknown_key"      // no client account holds the key
+	NotAllowed        Cause = "not_in_contract"  // the account may not use the service
+	TooLarge          Cause = "body_too_large"   // over the configured limit
+	TooMany           Cause = "over_limit"       // of the account's requests at once or a second
+	KeyMissing        Cause = "idempotency_key_required"
+	KeyReused         Cause = "idempotency_key_reused"    // with another request
+	KeyTaken          Cause = "idempotency_key_in_use"    // its first request is not over, or its answer not kept
+	KeyUnclaimed      Cause = "idempotency_key_unclaimed" // store away
+	Exhausted         Cause = "budget_exhausted"          // what is left doesn't cover it
+	BudgetElsewhere   Cause = "budget_held"               // the rest is granted to other routers
+	BudgetUnreachable Cause = "budget_unreachable"        // own grant used up, store away
+	NoServer          Cause = "no_backend"                // none to send it to
+	Rejected          Cause = "backend_rejected"          // the server said that it did not run it
+	Stopping          Cause = "router_stopping"           // this process stops
+	Quarantined       Cause = "request_quarantined"       // it breaks the servers that run it
+	Overdue           Cause = "overdue_unsent"            // time ran out before it was sent
+	TimedOut          Cause = "timed_out"                 // sent, no answer in time
+	BackendFailed     Cause = "backend_failed"            // sent, the exchange broke
 )
 
 // NotRun says whether the cause promises that the request has not run and won't.
 func (c Cause) NotRun() bool {
-	return c != TimedOut && c != BackendFailed
+	return c != TimedOut && c != BackendFailed && c != KeyTaken
 }
 
 // Refusal is a final answer of the router's own.
@@ -35,6 +42,8 @@
 	Cause Cause
 	// RetryAfter is when another try makes sense; zero: it doesn't say.
 	RetryAfter time.Duration
+	// Detail tells a person more; it may be empty.
+	Detail string
 }
 
 // Times after which another try makes sense.
@@ -45,7 +54,9 @@
 	retryLater = 800 * time.Millisecond
 )
 
-func refusal(c Cause) Refusal {
+// RefusalOf is the refusal for a cause, with the time after which another try makes
+// sense.
+func RefusalOf(c Cause) Refusal {
 	switch c {
 	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer:
 		return Refusal{Cause: c, RetryAfter: retryLater}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -54,6 +54,7 @@
 	lastEvent int64
 	hasEvent  bool
 	events    int
+	output    int // tokens of a whole answer, as its server told
 }
 
 func newTask(f *Forwarder, p *policy.Policy, r *request.Request, caller Caller) *task {
@@ -74,9 +75,9 @@
 	if !t.mayHaveRun {
 		return 0
 	}
-	out := 0
+	out := t.output
 	if s := t.policy.Services[t.r.Service]; s != nil {
-		out = t.events * s.TokensPerEvent
+		out += t.events * s.TokensPerEvent
 	}
 	return int64(t.r.PromptTokens) + int64(min(out, t.r.OutputTokens))
 }
@@ -279,6 +280,9 @@
 	}
 	server.Worked()
 	t.firstAt = time.Now()
+	if reply.Status == http.StatusOK {
+		t.countOutput(reply.Output)
+	}
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
 		return callerGone
 	}
@@ -286,9 +290,19 @@
 	return finished
 }
 
+// countOutput notes the output of a whole answer. What the server doesn't tell counts
+// as all that was asked for: less could spend what nobody paid.
+func (t *task) countOutput(output int) {
+	t.output = output
+	if output == upstream.OutputUnknown {
+		t.output = t.r.OutputTokens
+	}
+}
+
 // relayLong passes on an answer that is too long to be held.
 func (t *task) relayLong(server *fleet.Server, reply *upstream.Reply, head []byte) outcome {
 	t.begun, t.firstAt = true, time.Now()
+	t.countOutput(reply.Output)
 	t.caller.Begin(reply.Status, reply.Header, reply.Length)
 	part := head
 	buf := make([]byte, 16<<10)
@@ -320,7 +334,7 @@
 // giveUp gives the caller its final answer; it returns true, for step.
 func (t *task) giveUp(cause Cause) bool {
 	if !t.begun {
-		t.f.refuse(t.r, t.caller, refusal(cause), t.policy, t)
+		t.f.refuse(t.r, t.caller, RefusalOf(cause), t.policy, t)
 		return true
 	}
 	t.caller.Abort()
--- /dev/null
+++ b/internal/idempotency/guard_test.go
@@ -0,0 +1,160 @@
+package idempotency
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+// outcomes of a run, as the router behind the guard plays them.
+type play func(caller forward.Caller)
+
+func answerWith(body string) play {
+	return func(caller forward.Caller) { _ = caller.Answer(http.StatusOK, http.Header{}, []byte(body)) }
+}
+
+func breakOff(caller forward.Caller) {
+	caller.Begin(http.StatusOK, http.Header{}, -1)
+	_ = caller.Write([]byte("half"))
+	caller.Abort()
+}
+
+func refuseWith(cause forward.Cause) play {
+	return func(caller forward.Caller) { caller.Refuse(forward.Refusal{Cause: cause}) }
+}
+
+// bench is two routers' guards before one store, and how often requests ran.
+type bench struct {
+	*qt.C
+	store  *memstore.Store
+	guards [2]*Guard
+	runs   int
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{C: qt.New(t), store: memstore.New(nil)}
+	for i := range b.guards {
+		b.guards[i] = &Guard{Store: b.store, Prefix: "claim/", Log: event.Discard()}
+	}
+	return b
+}
+
+// got is what a caller saw.
+type got struct {
+	body    string
+	cause   forward.Cause
+	aborted bool
+}
+
+func (g *got) Refuse(r forward.Refusal)                       { g.cause = r.Cause }
+func (g *got) Answer(_ int, _ http.Header, body []byte) error { g.body = string(body); return nil }
+func (g *got) Begin(int, http.Header, int64)                  {}
+func (g *got) Write(part []byte) error                        { g.body += string(part); return nil }
+func (g *got) Abort()                                         { g.aborted = true }
+
+// send brings a request with the key "k" to one of the routers.
+func (b *bench) send(router int, id string, kind policy.Kind, does play) *got {
+	r := &request.Request{ID: id, Arrived: time.Now(), Once: &request.Once{Key: "k", Hash: "h"},
+		Account: &policy.Account{Name: "boatyard"}, Route: &policy.Route{Kind: kind}}
+	caller := &got{}
+	serve := func(_ context.Context, _ *request.Request, caller forward.Caller) {
+		b.runs++
+		does(caller)
+	}
+	b.guards[router].Wrap(serve)(context.Background(), r, caller)
+	return caller
+}
+
+// A repeat arrives at another router while the first request runs, and again after it.
+// It is told to come back, and then gets the first one's answer.
+func TestRepeatWaitsForTheFirst(t *testing.T) {
+	b := newBench(t)
+	first := b.send(0, "r1", policy.NonIdempotent, func(caller forward.Caller) {
+		during := b.send(1, "r2", policy.NonIdempotent, answerWith("wrong"))
+		b.Assert(during.cause, qt.Equals, forward.KeyTaken)
+		answerWith("right")(caller)
+	})
+	b.Assert(first.body, qt.Equals, "right")
+	b.Assert(b.send(1, "r3", policy.NonIdempotent, answerWith("wrong")).body, qt.Equals, "right")
+	b.Assert(b.runs, qt.Equals, 1)
+}
+
+// The claim is written and the store's answer lost. The second try tells that the claim
+// is this request's own: it runs, once.
+func TestLostAnswerOfTheClaim(t *testing.T) {
+	b := newBench(t)
+	lost := 0
+	b.store.SetFate(func(store.Txn) memstore.Fate {
+		lost++
+		if lost == 1 {
+			return memstore.Lost
+		}
+		return memstore.Answered
+	})
+	b.Assert(b.send(0, "r1", policy.NonIdempotent, answerWith("right")).body, qt.Equals, "right")
+	b.Assert(b.send(1, "r2", policy.NonIdempotent, answerWith("wrong")).body, qt.Equals, "right")
+	b.Assert(b.runs, qt.Equals, 1)
+}
+
+// The store doesn't answer at all. Nothing runs, and the caller is told so.
+func TestUnclaimedKeyRunsNothing(t *testing.T) {
+	b := newBench(t)
+	b.store.SetDown(true)
+	refused := b.send(0, "r1", policy.NonIdempotent, answerWith("wrong"))
+	b.Assert(refused.cause, qt.Equals, forward.KeyUnclaimed)
+	b.Assert(refused.cause.NotRun(), qt.IsTrue)
+	b.Assert(b.runs, qt.Equals, 0)
+}
+
+// The first request surely did not run: a repeat does.
+func TestKeyIsFreeAfterARefusal(t *testing.T) {
+	b := newBench(t)
+	b.Assert(b.send(0, "r1", policy.NonIdempotent, refuseWith(forward.NoServer)).cause, qt.Equals, forward.NoServer)
+	b.Assert(b.send(1, "r2", policy.NonIdempotent, answerWith("right")).body, qt.Equals, "right")
+}
+
+// The first request broke off after it was sent. A repeat of one that must not run twice
+// is refused, as unknown; one that may is run again.
+func TestBrokenRunIsRepeatedOnlyWhereItMay(t *testing.T) {
+	b := newBench(t)
+	b.send(0, "r1", policy.NonIdempotent, refuseWith(forward.BackendFailed))
+	refused := b.send(1, "r2", policy.NonIdempotent, answerWith("wrong"))
+	b.Assert(refused.cause, qt.Equals, forward.KeyTaken)
+	b.Assert(refused.cause.NotRun(), qt.IsFalse)
+
+	b = newBench(t)
+	b.Assert(b.send(0, "r1", policy.Idempotent, breakOff).aborted, qt.IsTrue)
+	b.Assert(b.send(1, "r2", policy.Idempotent, answerWith("right")).body, qt.Equals, "right")
+}
+
+// The end of the first request can't be written, as the store went away meanwhile. Its
+// repeats are refused rather than run.
+func TestOpenClaimKeepsRepeatsFromRunning(t *testing.T) {
+	b := newBench(t)
+	b.send(0, "r1", policy.NonIdempotent, func(caller forward.Caller) {
+		b.store.SetDown(true)
+		answerWith("right")(caller)
+	})
+	b.store.SetDown(false)
+	b.Assert(b.send(1, "r2", policy.NonIdempotent, answerWith("wrong")).cause, qt.Equals, forward.KeyTaken)
+	b.Assert(b.runs, qt.Equals, 1)
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add(record{State: answered, Request: "r", Status: 200, Body: []byte("x")}.encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := decodeRecord(data); err == nil && r.Request == "" {
+			t.Fatalf("%q", data)
+		}
+	})
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,114 +1,85 @@
-// Package limit holds the rate and concurrency limits of client accounts at one
-// router. The limits of a contract are for the whole fleet; each router enforces a
-// share that follows where the account's requests arrive, learned from what
-// routers tell each other with their heartbeats and never asked for by a request.
-// It is pure: time is passed in. docs/design/04-limits.md gives the reasons.
+// Package limit holds client accounts to the request rate and the concurrency of
+// their contracts. Each router enforces its share by itself: limits are approximate
+// over the fleet, and exact while one router serves an account.
 package limit
 
 import (
-	"math"
+	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
-
-	"chicorytiller.example/chicorytiller/internal/contract"
-	"chicorytiller.example/chicorytiller/internal/id"
 )
 
-// Verdict says why a request may not run now.
-type Verdict int
+// Limits of one account over the whole fleet.
+type Limits struct {
+	PerSecond float64
+	Burst     int // requests that may come at once beyond the rate
+	AtOnce    int // requests in flight
+}
 
-// Verdicts.
-const (
-	Allowed Verdict = iota
-	OverRate
-	OverConcurrency
-)
+// headroom is how many times its equal share a router admits: callers stay with few
+// routers, so that equal shares would refuse accounts far below their limits.
+const headroom = 2
 
-// Limits enforces this router's share of the limits of all client accounts.
-type Limits struct {
-	accounts map[id.ClientAccount]*account
-	peers    map[id.VM]*peer
-	round    Round
-	roundAt  time.Time
+// Limiter admits requests at one router. It is safe for concurrent use.
+type Limiter struct {
+	routers func() int
+	now     func() time.Time
+
+	mu       sync.Mutex
+	accounts map[string]*account
 }
 
-// account is what is known of one client account here.
+// account is the use of one account at this router.
 type account struct {
-	demand
-	limiter *rate.Limiter
+	tokens  float64 // requests that may begin at once
+	at      time.Time
 	running int
-	plan    plan
 }
 
-// New makes Limits with nothing running.
-func New() *Limits {
-	return &Limits{accounts: make(map[id.ClientAccount]*account), peers: make(map[id.VM]*peer), round: 1}
+// New makes a limiter. routers tells how many routers share the limits; a nil now
+// means time.Now.
+func New(routers func() int, now func() time.Time) *Limiter {
+	if now == nil {
+		now = time.Now
+	}
+	return &Limiter{routers: routers, now: now, accounts: make(map[string]*account)}
 }
 
-// Enter counts a request in, or says why not and when to come back. Equal is the
-// part of each router if all had the same, in (0, 1].
-func (l *Limits) Enter(now time.Time, c *contract.Contract, equal float64) (Verdict, time.Duration) {
-	a := l.account(c.Account)
-	a.offer(now, c)
-	if a.plan.round != l.round || a.plan.equal != equal {
-		a.plan = l.planFor(a, c, equal)
-	}
-	a.adjust(now, c)
-	if c.Concurrency > 0 && a.running >= a.plan.concurrency {
-		return OverConcurrency, concurrencyRetry
-	}
-	reservation := a.limiter.ReserveN(now, 1)
-	if !reservation.OK() {
-		return OverRate, time.Second
+// Admit takes one request of an account, or says after which time another try makes
+// sense. done must be called when an admitted request has ended.
+func (l *Limiter) Admit(name string, limits Limits) (done func(), wait time.Duration, ok bool) {
+	share := min(1, headroom/float64(max(1, l.routers())))
+	rate := limits.PerSecond * share
+	burst := max(1, float64(limits.Burst)*share)
+	atOnce := max(1, int(float64(limits.AtOnce)*share))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(name, rate, burst)
+	if a.running >= atOnce {
+		return nil, time.Second, false
 	}
-	if wait := reservation.DelayFrom(now); wait > 0 {
-		reservation.CancelAt(now)
-		return OverRate, wait
+	if a.tokens < 1 {
+		return nil, time.Duration((1 - a.tokens) / rate * float64(time.Second)), false
 	}
+	a.tokens--
 	a.running++
-	return Allowed, 0
+	return func() { l.done(a) }, 0, true
 }
 
-// concurrencyRetry is when to ask again after a refusal for concurrency: nobody
-// knows when a running request ends.
-const concurrencyRetry = 500 * time.Millisecond
-
-// Leave counts a request out.
-func (l *Limits) Leave(c id.ClientAccount) {
-	a := l.account(c)
-	a.running = max(0, a.running-1)
-}
-
-func (l *Limits) account(name id.ClientAccount) *account {
-	a, found := l.accounts[name]
-	if !found {
-		a = &account{demand: demand{hash: hashAccount(name)}}
+// account brings an account's tokens up to now.
+func (l *Limiter) account(name string, rate, burst float64) *account {
+	now := l.now()
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{tokens: burst, at: now}
 		l.accounts[name] = a
 	}
+	a.tokens = min(burst, a.tokens+rate*now.Sub(a.at).Seconds())
+	a.at = now
 	return a
 }
 
-// adjust brings the token bucket to the contract in force and the share.
-func (a *account) adjust(now time.Time, c *contract.Contract) {
-	perSecond := rate.Limit(c.RequestsPerSecond * a.plan.share)
-	burst := shareOf(max(c.Burst, 1), a.plan.share)
-	if c.RequestsPerSecond <= 0 {
-		perSecond = rate.Inf
-	}
-	if a.limiter == nil {
-		a.limiter = rate.NewLimiter(perSecond, burst)
-		return
-	}
-	if a.limiter.Limit() != perSecond {
-		a.limiter.SetLimitAt(now, perSecond)
-	}
-	if a.limiter.Burst() != burst {
-		a.limiter.SetBurstAt(now, burst)
-	}
-}
-
-// shareOf is at least one: a share that rounds to nothing would shut an account out.
-func shareOf(limit int, share float64) int {
-	return max(1, int(math.Ceil(float64(limit)*share)))
+func (l *Limiter) done(a *account) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.running--
 }
--- a/internal/load/evidence.go
+++ b/internal/load/evidence.go
@@ -2,29 +2,25 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 )
 
 // Sources names where the evidence of a run is read. Empty parts aren't read.
 type Sources struct {
-	Engines            []string // "IP:port" of each engine stand-in
-	Services           []string // "IP:port" of each service stand-in
-	OperatorURLs       []string // "http://IP:port" of routers' operators' listeners
-	OperatorCredential string
-	Since              time.Time // the run's start
+	Engines  []string                 // "IP:port" of each engine stand-in
+	Services []string                 // "IP:port" of each service stand-in
+	Budgets  func() ([]Budget, error) // reads the store; nil: not asked
 	// EarlierRuns are the engine runs of before the run; they are left out.
 	EarlierRuns map[string]int
 }
 
 // Empty tells that there is nothing to read.
 func (s Sources) Empty() bool {
-	return len(s.Engines) == 0 && len(s.Services) == 0 && len(s.OperatorURLs) == 0
+	return len(s.Engines) == 0 && len(s.Services) == 0 && s.Budgets == nil
 }
 
-// Gather reads the evidence from its sources. Bills and budgets are those that
-// the operators' API knows at this moment: routers report them with a lag.
+// Gather reads the evidence from its sources.
 func (c *Client) Gather(sources Sources) (Evidence, error) {
 	var evidence Evidence
 	var err error
@@ -37,13 +33,10 @@
 	if evidence.ServiceRuns, err = c.gatherServiceRuns(sources.Services); err != nil {
 		return Evidence{}, err
 	}
-	if len(sources.OperatorURLs) == 0 {
+	if sources.Budgets == nil {
 		return evidence, nil
 	}
-	if evidence.Bills, err = c.gatherBills(sources); err != nil {
-		return Evidence{}, err
-	}
-	evidence.Budgets, err = c.gatherBudgets(sources)
+	evidence.Budgets, err = sources.Budgets()
 	return evidence, err
 }
 
--- a/internal/load/reconcile.go
+++ b/internal/load/reconcile.go
@@ -9,24 +9,14 @@
 type Evidence struct {
 	EngineRuns  map[string]int // request id -> runs begun at engines
 	ServiceRuns map[string]int // id in the confirm body, which is the key -> runs
-	Bills       []Bill
 	Budgets     []Budget
 }
 
-// Bill is one bill as the operators' API lists it.
-type Bill struct {
-	Request string
-	Account string
-	Budget  string
-	Tokens  int64
-}
-
-// Budget is one budget as the operators' API lists it, in tokens.
+// Budget is what the store says of one account's tokens.
 type Budget struct {
-	ID      string
 	Account string
-	TopUps  int64
-	Spent   int64
+	Prepaid int64
+	Granted int64 // bounds what was spent
 }
 
 // Reconciliation counts contradictions between the answers and the evidence.
@@ -36,12 +26,9 @@
 	UnexplainedRuns int      `json:"unexplained_runs"`  // runs beyond all tries that may have run
 	DuplicateRuns   int      `json:"duplicate_runs"`    // non-idempotent runs past the first
 	ConfirmedNotRun int      `json:"confirmed_not_run"` // a service answer without a run
-	BillsMissing    int      `json:"bills_missing"`
-	BillsDouble     int      `json:"bills_double"`
-	BillsDiffering  int      `json:"bills_differing"`
-	BillsOfNotRun   int      `json:"bills_of_not_run"`
-	Overspend       int64    `json:"overspend"`      // tokens
-	FalseRefusals   int      `json:"false_refusals"` // for lack of budget, with enough left at the end
+	Ungranted       int64    `json:"ungranted"`         // tokens answered beyond all that was granted
+	Overspend       int64    `json:"overspend"`         // tokens
+	FalseRefusals   int      `json:"false_refusals"`    // for lack of budget, with enough left at the end
 	Examples        []string `json:"examples"`
 }
 
@@ -50,8 +37,8 @@
 
 // broken counts what must be zero. False refusals are measured, not promised away.
 func (r *Reconciliation) broken() int {
-	return r.UntrueRefusals + r.UnexplainedRuns + r.DuplicateRuns + r.ConfirmedNotRun + r.BillsMissing +
-		r.BillsDouble + r.BillsDiffering + r.BillsOfNotRun + int(r.Overspend)
+	return r.UntrueRefusals + r.UnexplainedRuns + r.DuplicateRuns + r.ConfirmedNotRun +
+		int(r.Ungranted+r.Overspend)
 }
 
 func (r *Reconciliation) example(format string, args ...any) {
@@ -73,13 +60,9 @@
 		r.checked(len(evidence.ServiceRuns), "services")
 		r.checkServiceRuns(outcomes, evidence.ServiceRuns)
 	}
-	if evidence.Bills != nil {
-		r.checked(len(evidence.Bills), "bills")
-		r.checkBills(outcomes, evidence.Bills)
-	}
 	if evidence.Budgets != nil {
 		r.checked(len(evidence.Budgets), "budgets")
-		r.checkBudgets(outcomes, evidence.Budgets, evidence.Bills)
+		r.checkBudgets(outcomes, evidence.Budgets)
 	}
 	return r
 }
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -72,10 +72,7 @@
 	fmt.Fprintf(w, "runs that no try explains\t%d\n", r.UnexplainedRuns)
 	fmt.Fprintf(w, "duplicate runs of non-idempotent calls\t%d\n", r.DuplicateRuns)
 	fmt.Fprintf(w, "confirmed calls that never ran\t%d\n", r.ConfirmedNotRun)
-	fmt.Fprintf(w, "bills missing\t%d\n", r.BillsMissing)
-	fmt.Fprintf(w, "bills double\t%d\n", r.BillsDouble)
-	fmt.Fprintf(w, "bills differing\t%d\n", r.BillsDiffering)
-	fmt.Fprintf(w, "bills of requests not run\t%d\n", r.BillsOfNotRun)
+	fmt.Fprintf(w, "tokens answered and not granted\t%d\n", r.Ungranted)
 	fmt.Fprintf(w, "overspend, tokens\t%d\n", r.Overspend)
 	fmt.Fprintf(w, "false refusals for lack of budget\t%d\n\n", r.FalseRefusals)
 	for _, example := range r.Examples {
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -1,6 +1,6 @@
 // Package load is the load client of the fleet: it calls the routers as a real
 // caller does, checks each answer byte for byte, measures latencies, and holds
-// bills and runs against the answers that it got.
+// budgets and runs against the answers that it got.
 package load
 
 import (
--- /dev/null
+++ b/internal/native/dialect.go
@@ -0,0 +1,26 @@
+package native
+
+import (
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/node"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// Dialect is what a router with the own interface speaks.
+func Dialect(s store.Store, clock func() escrow.Stamp, log *event.Log) node.Dialect {
+	return node.Dialect{
+		Store:         s,
+		Clock:         clock,
+		ConfigPrefix:  ConfigPrefix,
+		IsConfig:      IsConfig,
+		DecodeConfig:  DecodeConfig,
+		ServersPrefix: BackendsPrefix,
+		DecodeServer:  fleet.DecodeEntry(DecodeBackend),
+		Codec:         Codec,
+		Front:         Front(s, log),
+		Directory:     Directory,
+		Ready:         Ready,
+	}
+}
--- a/internal/gateway/parse.go
+++ b/internal/native/parse.go
@@ -1,15 +1,16 @@
-package gateway
+package native
 
 import (
+	"fmt"
 	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 
-	"chicorytiller.example/chicorytiller/internal/core"
+	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/id"
 )
 
-// chatRequest is what the gateway needs to know of a chat-completions body.
+// chatRequest is what the router needs to know of a chat-completions body.
 type chatRequest struct {
 	Model        id.Model
 	Stream       bool
@@ -23,7 +24,7 @@
 	maxOutputAsked int64
 }
 
-// Fields of the body that the gateway reads itself.
+// Fields of the body that the router reads itself.
 const (
 	fieldModel               = "model"
 	fieldMessages            = "messages"
@@ -58,25 +59,25 @@
 
 var chatParsers fastjson.ParserPool
 
-// parseChat checks a chat-completions body. Errors are refusals to the caller.
+// parseChat checks a chat-completions body. Its errors are of type *parseError.
 func parseChat(body []byte, limits parseLimits) (chatRequest, error) {
 	if !utf8.Valid(body) {
-		return chatRequest{}, refuse(core.CauseBadRequest, "", "the body is not valid UTF-8")
+		return chatRequest{}, refuse(forward.Malformed, "the body is not valid UTF-8")
 	}
 	// The parser alone is lenient: it takes some texts that an engine reads
 	// in another way or not at all.
 	if err := fastjson.ValidateBytes(body); err != nil {
-		return chatRequest{}, refuse(core.CauseBadRequest, "", "the body is not valid JSON")
+		return chatRequest{}, refuse(forward.Malformed, "the body is not valid JSON")
 	}
 	parser := chatParsers.Get()
 	defer chatParsers.Put(parser)
 	root, err := parser.ParseBytes(body)
 	if err != nil {
-		return chatRequest{}, refuse(core.CauseBadRequest, "", "the body is not valid JSON")
+		return chatRequest{}, refuse(forward.Malformed, "the body is not valid JSON")
 	}
 	object, err := root.Object()
 	if err != nil {
-		return chatRequest{}, refuse(core.CauseBadRequest, "", "the body must be a JSON object")
+		return chatRequest{}, refuse(forward.Malformed, "the body must be a JSON object")
 	}
 	return readChat(object, limits)
 }
@@ -90,17 +91,17 @@
 		return chatRequest{}, err
 	}
 	if parsed.Model == "" {
-		return chatRequest{}, refuse(core.CauseBadRequest, fieldModel, "a model must be named")
+		return chatRequest{}, refuse(forward.Malformed, "a model must be named")
 	}
 	if object.Get(fieldMessages) == nil {
-		return chatRequest{}, refuse(core.CauseBadRequest, fieldMessages, "messages must not be empty")
+		return chatRequest{}, refuse(forward.Malformed, "messages must not be empty")
 	}
 	return parsed, nil
 }
 
 // eachField visits the fields of an object and refuses one that stands twice.
 //
-// Of two fields with one name the gateway and an engine might read different
+// Of two fields with one name the router and an engine might read different
 // ones: a request could then reserve for a short prompt and run a long one.
 func eachField(object *fastjson.Object, path string, visit func(name string, value *fastjson.Value) error) error {
 	seen := make(map[string]bool, object.Len())
@@ -111,7 +112,7 @@
 		}
 		name := string(key)
 		if seen[name] {
-			failed = refuse(core.CauseBadRequest, path+name, "the field %q stands twice", name)
+			failed = refuse(forward.Malformed, "the field %q stands twice", name)
 			return
 		}
 		seen[name] = true
@@ -134,7 +135,7 @@
 		return r.readMaxTokens(name, value, limits.maxOutputAsked)
 	}
 	if !passedFields[name] {
-		return refuse(core.CauseBadRequest, name, "the field %q is not supported", name)
+		return refuse(forward.Malformed, "the field %q is not supported", name)
 	}
 	return nil
 }
@@ -142,7 +143,7 @@
 func (r *chatRequest) readModel(value *fastjson.Value) error {
 	name, err := value.StringBytes()
 	if err != nil || len(name) == 0 {
-		return refuse(core.CauseBadRequest, fieldModel, "model must be a string that is not empty")
+		return refuse(forward.Malformed, "model must be a string that is not empty")
 	}
 	r.Model = id.Model(name)
 	return nil
@@ -154,7 +155,7 @@
 	}
 	stream, err := value.Bool()
 	if err != nil {
-		return refuse(core.CauseBadRequest, fieldStream, "stream must be true or false")
+		return refuse(forward.Malformed, "stream must be true or false")
 	}
 	r.Stream = stream
 	return nil
@@ -167,7 +168,7 @@
 	}
 	n, err := value.Int64()
 	if err != nil || n != 1 {
-		return refuse(core.CauseBadRequest, fieldN, "n must be 1")
+		return refuse(forward.Malformed, "n must be 1")
 	}
 	return nil
 }
@@ -179,7 +180,7 @@
 	}
 	asked, err := value.Int64()
 	if err != nil || asked < 1 || asked > most {
-		return refuse(core.CauseBadRequest, name, "%s must be a whole number from 1 to %d", name, most)
+		return refuse(forward.Malformed, "%s must be a whole number from 1 to %d", name, most)
 	}
 	if r.MaxTokens == 0 || asked < r.MaxTokens {
 		r.MaxTokens = asked
@@ -190,10 +191,10 @@
 func (r *chatRequest) readMessages(value *fastjson.Value, most int) error {
 	messages, err := value.Array()
 	if err != nil || len(messages) == 0 {
-		return refuse(core.CauseBadRequest, fieldMessages, "messages must be an array that is not empty")
+		return refuse(forward.Malformed, "messages must be an array that is not empty")
 	}
 	if len(messages) > most {
-		return refuse(core.CauseTooLarge, fieldMessages, "at most %d messages are accepted", most)
+		return refuse(forward.TooLarge, "at most %d messages are accepted", most)
 	}
 	for _, message := range messages {
 		bytes, err := messageBytes(message)
@@ -209,7 +210,7 @@
 func messageBytes(message *fastjson.Value) (int64, error) {
 	object, err := message.Object()
 	if err != nil {
-		return 0, refuse(core.CauseBadRequest, fieldMessages, "each message must be an object")
+		return 0, refuse(forward.Malformed, "each message must be an object")
 	}
 	var total int64
 	err = eachField(object, "messages.", func(name string, value *fastjson.Value) error {
@@ -221,7 +222,7 @@
 		return 0, err
 	}
 	if object.Get("role") == nil || object.Get("content") == nil {
-		return 0, refuse(core.CauseBadRequest, fieldMessages, "each message must have a role and a content")
+		return 0, refuse(forward.Malformed, "each message must have a role and a content")
 	}
 	return total, nil
 }
@@ -231,19 +232,19 @@
 	case "role":
 		role, err := value.StringBytes()
 		if err != nil || !roles[string(role)] {
-			return 0, refuse(core.CauseBadRequest, "messages.role", "role must be system, developer, user or assistant")
+			return 0, refuse(forward.Malformed, "role must be system, developer, user or assistant")
 		}
 		return 0, nil
 	case "name":
 		text, err := value.StringBytes()
 		if err != nil {
-			return 0, refuse(core.CauseBadRequest, "messages.name", "name must be a string")
+			return 0, refuse(forward.Malformed, "name must be a string")
 		}
 		return int64(len(text)), nil
 	case "content":
 		return contentBytes(value)
 	}
-	return 0, refuse(core.CauseBadRequest, "messages."+name, "the message field %q is not supported", name)
+	return 0, refuse(forward.Malformed, "the message field %q is not supported", name)
 }
 
 // contentBytes counts a content, which is a text or an array of text parts.
@@ -253,7 +254,7 @@
 	}
 	parts, err := value.Array()
 	if err != nil {
-		return 0, refuse(core.CauseBadRequest, "messages.content", "content must be a string or an array of text parts")
+		return 0, refuse(forward.Malformed, "content must be a string or an array of text parts")
 	}
 	var total int64
 	for _, part := range parts {
@@ -269,7 +270,7 @@
 func partBytes(part *fastjson.Value) (int64, error) {
 	object, err := part.Object()
 	if err != nil {
-		return 0, refuse(core.CauseBadRequest, "messages.content", "each part of a content must be an object")
+		return 0, refuse(forward.Malformed, "each part of a content must be an object")
 	}
 	var total int64
 	err = eachField(object, "messages.content.", func(name string, value *fastjson.Value) error {
@@ -281,7 +282,21 @@
 			total += int64(len(text))
 			return nil
 		}
-		return refuse(core.CauseBadRequest, "messages.content", "only text parts are supported")
+		return refuse(forward.Malformed, "only text parts are supported")
 	})
 	return total, err
 }
+
+// parseError is why a body isn't accepted.
+type parseError struct {
+	cause  forward.Cause
+	detail string
+}
+
+func (e *parseError) Error() string {
+	return "native: " + e.detail
+}
+
+func refuse(cause forward.Cause, format string, args ...any) error {
+	return &parseError{cause: cause, detail: fmt.Sprintf(format, args...)}
+}
--- a/internal/gateway/parse_test.go
+++ b/internal/native/parse_test.go
@@ -1,4 +1,4 @@
-package gateway
+package native
 
 import (
 	"encoding/json"
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -63,11 +63,11 @@
 		n.log.Emit(event.LeaseLost, slog.Any(event.KeyCause, err))
 		return 0
 	}
-	value, err := json.Marshal(memberRecord{Address: n.settings.Callers, Peer: n.settings.Peers, Zone: n.settings.FailureDomain})
+	value, err := json.Marshal(MemberRecord{Address: n.settings.Callers, Peer: n.settings.Peers, Zone: n.settings.FailureDomain})
 	if err != nil {
 		panic(err) // two strings always encode
 	}
-	put := store.Put{Key: memberPrefix + n.settings.VM, Value: value, Lease: lease}
+	put := store.Put{Key: MemberPrefix + n.settings.VM, Value: value, Lease: lease}
 	if _, err := n.dialect.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}}); err != nil {
 		n.log.Emit(event.LeaseLost, slog.Any(event.KeyCause, err))
 		return 0
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -114,20 +114,20 @@
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
 }
 
-// memberRecord is the stored form of this router's entry.
-type memberRecord struct {
+// MemberRecord is the stored form of a router's entry.
+type MemberRecord struct {
 	Address string `json:"address"`
 	Peer    string `json:"peer"`
 	Zone    string `json:"failure_domain"`
 }
 
 func decodeMember(item store.Item) (fleet.Member, error) {
-	record := memberRecord{}
+	record := MemberRecord{}
 	if err := json.Unmarshal(item.Value, &record); err != nil {
 		return fleet.Member{}, errors.Wrap(err, "router's entry")
 	}
 	if record.Address == "" {
 		return fleet.Member{}, errors.New("router's entry has no address")
 	}
-	return fleet.Member{Name: item.Key[len(memberPrefix):], Address: record.Address, Peer: record.Peer, Zone: record.Zone}, nil
+	return fleet.Member{Name: item.Key[len(MemberPrefix):], Address: record.Address, Peer: record.Peer, Zone: record.Zone}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,11 +16,13 @@
 	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/entry"
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/limit"
 	"chicorytiller.example/chicorytiller/internal/peers"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
@@ -31,10 +33,12 @@
 
 // Keys of the fleet's own records.
 const (
-	memberPrefix = "chicory/router/"
+	// MemberPrefix holds the routers' own entries, each under its VM's name.
+	MemberPrefix = "chicory/router/"
 	brokenPrefix = "chicory/broken/"
 	fleetPrefix  = "chicory/" // of both
-	budgetPrefix = "chicory-budget/"
+	// BudgetPrefix holds what package escrow keeps.
+	BudgetPrefix = "chicory-budget/"
 )
 
 // Pace of the followers. Each call to the store is paid for.
@@ -68,7 +72,7 @@
 	DecodeServer  fleet.DecodeEntry
 	Codec         upstream.Codec
 	// Front, Directory and Ready make the handlers of the three listeners.
-	Front     func(serve forward.ServeFunc, bodyLimit func() int64, closing func() bool) http.Handler
+	Front     func(callers.Router) http.Handler
 	Directory func(resolve func(zone string) []string, ttl time.Duration) http.Handler
 	Ready     func(ready func() bool) http.Handler
 }
@@ -114,9 +118,9 @@
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.held = retry.NewQuarantine(nil)
 	n.client = upstream.NewClient(d.Codec, n.metrics.Dials)
-	n.peers = peers.NewClient(incarnation, n.peerAddresses)
+	n.peers = peers.NewClient(incarnation, n.peerAddresses, log)
 	n.keeper = escrow.New(escrow.Options{
-		Store: d.Store, Prefix: budgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
+		Store: d.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
 		Budgets: n.budgets, Home: n.homeOf, Log: log, Peers: n.peers,
 	})
 	n.forward = &forward.Forwarder{
@@ -128,6 +132,7 @@
 		Report:     n.report,
 		Chooser:    balance.NewChooser(s.FailureDomain, nil),
 		Backend:    n.client,
+		Limits:     limit.New(n.routers, nil),
 		Log:        log,
 		Metrics:    n.metrics,
 	}
@@ -152,7 +157,7 @@
 // it. Before that each router takes itself for the home of all accounts, and all of
 // them together would draw the whole of each budget.
 func (n *Node) knowsFleet() bool {
-	return time.Since(n.born) > strangerFor || n.members.Has(memberPrefix+n.settings.VM)
+	return time.Since(n.born) > strangerFor || n.members.Has(MemberPrefix+n.settings.VM)
 }
 
 // budgets lists the metered accounts and what they paid for.
@@ -187,8 +192,8 @@
 	return n.policy.Load() != nil && n.registry.View().Total > 0
 }
 
-// ready says whether callers should come.
-func (n *Node) ready() bool {
+// Ready says whether callers should come.
+func (n *Node) Ready() bool {
 	return n.informed() && n.knowsFleet() && !n.stopping.Load()
 }
 
@@ -219,7 +224,7 @@
 			others = append(others, m)
 		}
 	}
-	if n.ready() && (len(others) == 0 || !n.keeper.Stranded()) {
+	if n.Ready() && (len(others) == 0 || !n.keeper.Stranded()) {
 		others = append(others, n.self())
 	}
 	return entry.Choose(others, zone)
@@ -233,13 +238,23 @@
 func (n *Node) serve(ctx context.Context, r *request.Request, caller forward.Caller) {
 	n.inHand.Add(1)
 	defer n.inHand.Add(-1)
+	defer n.tellPanic(caller)
 	if n.stopping.Load() && !n.endsInTime(r) {
-		n.forward.Refuse(r, caller, forward.Stopping)
+		n.forward.Refuse(r, caller, forward.RefusalOf(forward.Stopping))
 		return
 	}
 	n.forward.Serve(ctx, r, caller)
 }
 
+// tellPanic ends an answer after a fault of the program. The HTTP library would recover
+// it in silence: nobody would learn of it.
+func (n *Node) tellPanic(caller forward.Caller) {
+	if cause := recover(); cause != nil {
+		n.log.EmitPanic("the serving of a request", cause)
+		caller.Abort()
+	}
+}
+
 // endsInTime says whether a stopping router may still take a request.
 func (n *Node) endsInTime(r *request.Request) bool {
 	since := time.Since(time.UnixMilli(n.stoppedAt.Load()))
@@ -262,6 +277,13 @@
 	return 0
 }
 
+func (n *Node) forCallers() callers.Router {
+	return callers.Router{
+		Serve: n.serve, Refuse: n.forward.Refuse, BodyLimit: n.bodyLimit, Closing: n.stopping.Load, Policy: n.policy.Load,
+		Resolve: n.resolve, EntryTTL: n.settings.EntryTTL,
+	}
+}
+
 // Listen opens the listeners. Addresses with port 0 get a free one; Settings tells
 // which afterwards.
 func (n *Node) Listen() error {
@@ -269,8 +291,8 @@
 		address *string
 		handler http.Handler
 	}{
-		{&n.settings.Callers, n.dialect.Front(n.serve, n.bodyLimit, n.stopping.Load)},
-		{&n.settings.Ready, n.dialect.Ready(n.ready)},
+		{&n.settings.Callers, n.dialect.Front(n.forCallers())},
+		{&n.settings.Ready, n.dialect.Ready(n.Ready)},
 		{&n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
 		{&n.settings.Metrics, n.metrics.Handler()},
 	}
@@ -348,7 +370,7 @@
 )
 
 func (n *Node) servePeers() {
-	if err := peers.Serve(n.peerListener, n.keeper, n.known); !errors.Is(err, net.ErrClosed) {
+	if err := peers.Serve(n.peerListener, n.keeper, n.known, n.log); !errors.Is(err, net.ErrClosed) {
 		n.log.Emit(event.ListenerFailed, slog.String("address", n.settings.Peers), slog.Any(event.KeyCause, err))
 	}
 }
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -34,6 +34,7 @@
 	// addresses lists the other routers' addresses.
 	addresses   func() []string
 	incarnation string
+	clock       Clock
 	serial      atomic.Uint64
 
 	mu        sync.Mutex
@@ -53,8 +54,8 @@
 
 // NewClient makes a client for a process; addresses lists the other routers as
 // known now.
-func NewClient(incarnation string, addresses func() []string) *Client {
-	return &Client{incarnation: incarnation, addresses: addresses, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
+func NewClient(incarnation string, addresses func() []string, clock Clock) *Client {
+	return &Client{incarnation: incarnation, addresses: addresses, clock: clock, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
 }
 
 // Borrow asks peers in random order until it has the tokens or ctx ends. It
@@ -94,10 +95,11 @@
 
 // lend asks for a loan. One whose answer is lost is not used, and voided later.
 func (c *Client) lend(ctx context.Context, address, account string, tokens int64) (Loan, error) {
-	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens}
+	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens, Clock: c.clock.Tick()}
 	loan := Loan{}
 	err := c.call(ctx, address, "Lend", request, &loan)
 	if err == nil {
+		c.clock.Observe(loan.Clock)
 		return loan, nil
 	}
 	if !errors.Is(err, ErrNotSent) {
@@ -166,7 +168,7 @@
 	if c.avoiding(address) {
 		return false
 	}
-	gift := Gift{ID: c.nextID(), Tokens: tokens}
+	gift := Gift{ID: c.nextID(), Tokens: tokens, Clock: c.clock.Tick()}
 	err := c.call(ctx, address, "HandOver", gift, &struct{}{})
 	if errors.Is(err, ErrNotSent) {
 		return false
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -18,11 +18,20 @@
 	Serial      uint64
 }
 
+// Clock is the Lamport clock of this process's log. Messages carry it, so that the
+// logs of several routers can be merged in causal order however wrong their VMs' times
+// of day are.
+type Clock interface {
+	Tick() uint64
+	Observe(remote uint64)
+}
+
 // LoanRequest asks for tokens of an account's budget.
 type LoanRequest struct {
 	ID      TransferID
 	Account string
 	Tokens  int64
+	Clock   uint64
 }
 
 // Loan is what the peer gives; it has counted that as used by itself.
@@ -31,13 +40,15 @@
 	// Used is the tokens that the peer has spent or reserved, without the loan.
 	Used int64
 	// Away: the peer is out of contact with the store, and could not draw.
-	Away bool
+	Away  bool
+	Clock uint64
 }
 
 // Gift is tokens by account that a router has no use for.
 type Gift struct {
 	ID     TransferID
 	Tokens map[string]int64
+	Clock  uint64
 }
 
 // KnownRequest asks for what the peer knows.
@@ -65,11 +76,14 @@
 type Service struct {
 	lender    Lender
 	known     func() Known
+	clock     Clock
 	transfers *transfers
 }
 
 // Lend gives a loan.
 func (s *Service) Lend(request LoanRequest, loan *Loan) error {
+	s.clock.Observe(request.Clock)
+	defer func() { loan.Clock = s.clock.Tick() }()
 	if s.transfers.voided(request.ID) {
 		return nil // its borrower gave up on it
 	}
@@ -91,6 +105,7 @@
 
 // HandOver takes tokens that the peer has no use for. It is idempotent.
 func (s *Service) HandOver(gift Gift, _ *struct{}) error {
+	s.clock.Observe(gift.Clock)
 	if s.transfers.first(gift.ID) {
 		s.lender.Accept(gift.Tokens)
 	}
@@ -104,9 +119,9 @@
 }
 
 // Serve answers peers until the listener is closed.
-func Serve(l net.Listener, lender Lender, known func() Known) error {
+func Serve(l net.Listener, lender Lender, known func() Known, clock Clock) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{lender: lender, known: known, transfers: newTransfers()}); err != nil {
+	if err := server.RegisterName(serviceName, &Service{lender: lender, known: known, clock: clock, transfers: newTransfers()}); err != nil {
 		return err
 	}
 	for {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -7,6 +7,9 @@
 	"sort"
 	"strings"
 	"time"
+
+	"chicorytiller.example/chicorytiller/internal/contract"
+	"chicorytiller.example/chicorytiller/internal/id"
 )
 
 // Kind says how often a request may run.
@@ -87,6 +90,14 @@
 	Prepaid int64
 	// Metered is set if the account has a prepaid budget at all.
 	Metered bool
+	// Contract is set where the account has one; it limits what the account may do.
+	Contract *contract.Contract
+}
+
+// Catalogue lists models and plain services by name.
+type Catalogue struct {
+	Models   map[id.Model]contract.Model
+	Services map[id.Service]contract.Service
 }
 
 // Limits bound what a caller may send.
@@ -100,6 +111,8 @@
 	Limits   Limits
 	Accounts map[string]*Account
 	Services map[string]*Service
+	// Catalogue is what callers of the product's own interface may ask for.
+	Catalogue Catalogue
 
 	byKey  map[string]*Account
 	byHost map[string][]*Route // longest prefix first
@@ -113,13 +126,18 @@
 	Accounts []Account
 	Keys     map[string]string // API key to account name
 	Limits   Limits
+
+	Catalogue Catalogue
 }
 
 // New builds the indexes of a policy.
 func New(d Definition) *Policy {
 	p := &Policy{
-		Version:  d.Version,
-		Limits:   d.Limits,
+		Version: d.Version,
+		Limits:  d.Limits,
+
+		Catalogue: d.Catalogue,
+
 		Accounts: make(map[string]*Account, len(d.Accounts)),
 		Services: make(map[string]*Service, len(d.Services)),
 		byKey:    make(map[string]*Account, len(d.Keys)),
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -47,12 +47,22 @@
 	ResumeAfter int64
 	HasResume   bool
 
+	// Once is set if the caller wants one run and one answer for all its requests that
+	// carry the same key.
+	Once *Once
+
 	// Account and Route are found by the router.
 	Account *policy.Account
 	Route   *policy.Route
 	Service string
 }
 
+// Once is what a caller sent for its repeats to be told from new requests.
+type Once struct {
+	Key  string
+	Hash string // of what was asked: a key belongs to one request
+}
+
 // Cost is the most tokens that the request can consume.
 func (r *Request) Cost() int64 {
 	return int64(r.PromptTokens) + int64(r.OutputTokens)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,10 +32,16 @@
 	NotExecuted bool
 	Load        fleet.Load
 	HasLoad     bool
+	// Output is the output tokens of an answer that isn't a stream; OutputUnknown if
+	// the server should have told and didn't.
+	Output int
 	// KeepAlive is how long the server keeps the connection idle; 0 if unsaid.
 	KeepAlive time.Duration
 }
 
+// OutputUnknown stands for as many output tokens as were asked for.
+const OutputUnknown = -1
+
 // Codec writes the head of a request and reads the head of an answer in the
 // backend servers' dialect.
 type Codec interface {
--- /dev/null
+++ b/internal/upstream/headers.go
@@ -0,0 +1,137 @@
+package upstream
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+// HeaderNames are the header fields of one dialect of backend servers.
+type HeaderNames struct {
+	RequestID   string // both ways: which request a message belongs to
+	Server      string // the server that the request is meant for; another one rejects it
+	TimeLeft    string // how long the answer is waited for, in ms
+	LastEvent   string // the last event of the stream that the caller has
+	Account     string // who pays
+	Urgency     string // 0 to 9, 0 is first
+	NotExecuted string // of an answer: the server did not run the request
+	Load        string // of an answer: running, waiting and most running requests
+	Output      string // of a whole answer: its output tokens; empty: never told
+}
+
+// HeaderCodec is a Codec for dialects that differ in their header names only.
+type HeaderCodec struct {
+	Names HeaderNames
+}
+
+var _ Codec = HeaderCodec{}
+
+// mostUrgent and leastUrgent bound what servers take as a rank.
+const (
+	mostUrgent  = 0
+	leastUrgent = 9
+)
+
+// AppendHead implements Codec.
+func (c HeaderCodec) AppendHead(buf []byte, a *Attempt) []byte {
+	r := a.Request
+	buf = append(buf, r.Method...)
+	buf = append(buf, ' ')
+	buf = append(buf, r.Target...)
+	buf = append(buf, " HTTP/1.1\r\n"...)
+	buf = appendField(buf, "Host", r.Host)
+	for _, f := range r.Headers {
+		buf = appendField(buf, f.Name, f.Value)
+	}
+	buf = appendField(buf, c.Names.RequestID, r.ID)
+	buf = appendField(buf, c.Names.Server, a.Server.ID)
+	if a.Left > 0 {
+		buf = appendField(buf, c.Names.TimeLeft, strconv.FormatInt(max(1, a.Left.Milliseconds()), 10))
+	}
+	if a.Resume {
+		buf = appendField(buf, c.Names.LastEvent, strconv.FormatInt(a.ResumeAfter, 10))
+	}
+	if r.Account != nil {
+		buf = appendField(buf, c.Names.Account, r.Account.Name)
+	}
+	if r.HasUsage {
+		buf = appendField(buf, c.Names.Urgency, strconv.Itoa(min(max(r.Urgency(), mostUrgent), leastUrgent)))
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		buf = appendField(buf, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	return append(buf, "\r\n"...)
+}
+
+func appendField(buf []byte, name, value string) []byte {
+	buf = append(buf, name...)
+	buf = append(buf, ": "...)
+	buf = append(buf, value...)
+	return append(buf, "\r\n"...)
+}
+
+// Meta implements Codec.
+func (c HeaderCodec) Meta(_ int, header http.Header) Meta {
+	meta := Meta{
+		RequestID:   header.Get(c.Names.RequestID),
+		NotExecuted: header.Get(c.Names.NotExecuted) != "",
+		KeepAlive:   keepAlive(header.Get("Keep-Alive")),
+	}
+	meta.Load, meta.HasLoad = parseLoad(header.Get(c.Names.Load))
+	if c.Names.Output != "" {
+		meta.Output = outputOf(header.Get(c.Names.Output))
+	}
+	return meta
+}
+
+// outputOf reads the output tokens of a whole answer.
+func outputOf(value string) int {
+	numbers, ok := ParseNumbers(value, 1)
+	if !ok {
+		return OutputUnknown
+	}
+	return numbers[0]
+}
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(value string) (fleet.Load, bool) {
+	numbers, ok := ParseNumbers(value, 3)
+	if !ok {
+		return fleet.Load{}, false
+	}
+	return fleet.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
+
+// ParseNumbers reads exactly n comma-separated numbers that are not negative.
+func ParseNumbers(value string, n int) ([]int, bool) {
+	fields := strings.Split(value, ",")
+	if len(fields) != n {
+		return nil, false
+	}
+	numbers := make([]int, n)
+	for i, field := range fields {
+		number, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || number < 0 {
+			return nil, false
+		}
+		numbers[i] = number
+	}
+	return numbers, true
+}
+
+// keepAlive reads the timeout of a Keep-Alive header; 0 if it has none.
+func keepAlive(value string) time.Duration {
+	for _, parameter := range strings.Split(value, ",") {
+		name, seconds, found := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil && n >= 0 {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
