--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -454,3 +454,34 @@
 	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] >= 0, qt.IsTrue)
 	c.Assert(b.record(c).Figure("vm", "p1").Granted >= 0, qt.IsTrue)
 }
+
+// deputyPeers can't reach the home; the deputy gives all.
+type deputyPeers struct {
+	noPeers
+	asked []string
+}
+
+func (p *deputyPeers) BorrowFrom(_ context.Context, address, _ string, tokens int64, _ string) (int64, bool) {
+	p.asked = append(p.asked, address)
+	if address == "deputy" {
+		return tokens, true
+	}
+	return 0, false
+}
+
+// An account's home has died, and its entry has not lapsed yet. A request gets its tokens
+// from the next router in rank; none is drawn here, where it would be one small part of
+// the budget among many.
+func TestDeputyGivesWhileTheHomeIsOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "home"
+	peers := &deputyPeers{}
+	k := b.keeper("p1", peers)
+	k.o.Deputy = func(string) string { return "deputy" }
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "deputy"})
+	c.Assert(k.purse("boatyard").granted, qt.Equals, int64(0))
+}
