Play random faults on the real programs

chicory-soak starts the store's stand-in, three engines, a service and three routers as separate processes, and harms them by a schedule drawn from a seed: routers killed, stopped, paused, told to reload, all killed; engines paused, reset, delayed, cut one way or silenced by a loopback proxy; the same for each router's way to the store; the store down, losing answers, dropping its history. Faults overlap. It checks from outside: answers byte by byte, runs against refusals and keys, no more granted than paid at any time, all served again after the last fault, planned stops that end by themselves, books that cover what was answered, no invariant broken in a log.

Not harmed: clocks (a process can't be given a wrong one without a preloaded library), connections between routers and from callers to routers (they end with their processes).

--- a/cmd/chicory-platform/main.go
+++ b/cmd/chicory-platform/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/store/memstore"
 	"chicorytiller.example/chicorytiller/internal/version"
 	"chicorytiller.example/chicorytiller/platform"
@@ -31,18 +33,39 @@
 	}
 }
 
+// lostShare is the part of the writes whose answers are lost on demand.
+const lostShare = 0.4
+
+// someLost loses the answers of some writes: a third of these are done, a third are
+// done later, a third never.
+func someLost(store.Txn) memstore.Fate {
+	if rand.Float64() >= lostShare {
+		return memstore.Answered
+	}
+	return []memstore.Fate{memstore.Lost, memstore.Late, memstore.Dropped}[rand.IntN(3)]
+}
+
+func allAnswered(store.Txn) memstore.Fate {
+	return memstore.Answered
+}
+
 func run(listen string) error {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
 	fmt.Println(listener.Addr())
-	store := memstore.New(nil)
+	kept := memstore.New(nil)
 	mux := http.NewServeMux()
-	mux.Handle("/", platform.StoreHandler(store))
-	mux.HandleFunc("POST /stand-in/down", func(http.ResponseWriter, *http.Request) { store.SetDown(true) })
-	mux.HandleFunc("POST /stand-in/up", func(http.ResponseWriter, *http.Request) { store.SetDown(false) })
-	mux.HandleFunc("POST /stand-in/compact", func(http.ResponseWriter, *http.Request) { store.Compact() })
+	mux.Handle("/", platform.StoreHandler(kept))
+	mux.HandleFunc("POST /stand-in/down", func(http.ResponseWriter, *http.Request) { kept.SetDown(true) })
+	mux.HandleFunc("POST /stand-in/up", func(http.ResponseWriter, *http.Request) { kept.SetDown(false) })
+	mux.HandleFunc("POST /stand-in/compact", func(http.ResponseWriter, *http.Request) { kept.Compact() })
+	mux.HandleFunc("POST /stand-in/lose", func(http.ResponseWriter, *http.Request) { kept.SetFate(someLost) })
+	mux.HandleFunc("POST /stand-in/answer", func(http.ResponseWriter, *http.Request) {
+		kept.SetFate(allAnswered)
+		kept.Settle()
+	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return server.Serve(listener)
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -102,7 +102,9 @@
 	request.SetTimeout(timeout)
 	request.Header.SetContentType("application/json")
 	request.Header.Set("Authorization", "Bearer "+c.keys[req.Account])
-	request.Header.Set("Idempotency-Key", req.Key)
+	if !req.Unkeyed {
+		request.Header.Set("Idempotency-Key", req.Key)
+	}
 	request.SetBodyRaw(req.Body)
 
 	if err := c.http.Do(request, response); err != nil {
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -39,6 +39,9 @@
 	Stream       bool
 	Service      string
 	ServiceShare float64 // 0..1, the part of requests that are confirm calls
+	// UnkeyedShare is the part of the completions that are sent without an idempotency
+	// key, 0..1: each try of those is a request of its own.
+	UnkeyedShare float64
 	Answer       AnswerFunc
 }
 
@@ -48,6 +51,7 @@
 	Kind    Kind
 	Account int // index of the caller's key
 	Key     string
+	Unkeyed bool // the key is not sent
 	Path    string
 	Body    []byte
 	Want    Expected
@@ -95,6 +99,7 @@
 		w.fillConfirm(&req)
 		return req
 	}
+	req.Unkeyed = random.Float64() < w.cfg.UnkeyedShare
 	w.fillCompletion(&req, random)
 	return req
 }
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault is one thing that goes wrong, and is well again when do returns.
+type fault struct {
+	at   time.Duration
+	name string
+	do   func(ctx context.Context)
+}
+
+// Shape of a schedule.
+const (
+	// faultEvery is the mean time between two faults: several overlap.
+	faultEvery = 600 * time.Millisecond
+	// shortest and longest bound how long a fault lasts. The longest is beyond the
+	// leases of routers' entries and the opening of grants.
+	shortest, longest = 100 * time.Millisecond, 4 * time.Second
+	// hangups is how many SIGHUPs come in a series.
+	hangups = 3
+)
+
+// plan draws the faults of a seed. The same seed gives the same faults at the same
+// times; what else happens meanwhile is the machine's.
+func plan(f *fleet, seed uint64, duration time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var faults []fault
+	for range int(duration / faultEvery) {
+		at := time.Duration(random.Int64N(int64(duration)))
+		lasts := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+		faults = append(faults, f.draw(random, at, lasts))
+	}
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
+	return faults
+}
+
+// draw makes one fault.
+func (f *fleet) draw(random *rand.Rand, at, lasts time.Duration) fault {
+	r := f.routers[random.IntN(len(f.routers))]
+	engine := random.IntN(len(f.engines))
+	harm := []mode{delayed, mute, deaf, silent}[random.IntN(4)]
+	kinds := []fault{
+		{name: r.name + " killed", do: func(ctx context.Context) { r.down(ctx, lasts, syscall.SIGKILL) }},
+		{name: r.name + " stopped as planned", do: func(ctx context.Context) { r.down(ctx, lasts, syscall.SIGTERM) }},
+		{name: r.name + " paused", do: func(ctx context.Context) { r.paused(ctx, lasts) }},
+		{name: r.name + " told to reload", do: func(ctx context.Context) { r.reload() }},
+		{name: "all routers killed", do: func(ctx context.Context) { f.allDown(ctx, lasts) }},
+		{name: f.engines[engine].name + " paused", do: func(ctx context.Context) { pauseFor(ctx, f.engines[engine], lasts) }},
+		{name: f.engines[engine].name + " reset", do: func(context.Context) { f.proxies[engine].reset() }},
+		{name: fmt.Sprintf("%s harmed (%d)", f.engines[engine].name, harm), do: func(ctx context.Context) { harmed(ctx, f.proxies[engine], harm, lasts) }},
+		{name: fmt.Sprintf("store harmed for %s (%d)", r.name, harm), do: func(ctx context.Context) { harmed(ctx, r.store, harm, lasts) }},
+		{name: "store down", do: func(ctx context.Context) { f.storeWrong(ctx, "down", "up", lasts) }},
+		{name: "store loses answers", do: func(ctx context.Context) { f.storeWrong(ctx, "lose", "answer", lasts) }},
+		{name: "store drops its history", do: func(context.Context) { _ = f.storeOrder("compact") }}, // shows in the store's end
+	}
+	chosen := kinds[random.IntN(len(kinds))]
+	chosen.at = at
+	return chosen
+}
+
+// inject carries the schedule out and returns when all is well again. told hears of each
+// fault as it begins.
+func inject(ctx context.Context, faults []fault, told func(fault)) {
+	start := time.Now()
+	var running sync.WaitGroup
+	for _, one := range faults {
+		if !sleep(ctx, time.Until(start.Add(one.at))) {
+			break
+		}
+		told(one)
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			one.do(ctx)
+		}()
+	}
+	running.Wait()
+}
+
+// sleep waits; false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// down ends the router by a signal and starts it again some time later. A router that is
+// down already gets the signal all the same: series of signals overlap.
+func (r *router) down(ctx context.Context, lasts time.Duration, s syscall.Signal) {
+	r.signal(s, true)
+	if !r.claim() {
+		return // another fault starts it again
+	}
+	defer r.release()
+	r.wait()
+	sleep(ctx, lasts/4) // routers are back soon, as a rule
+	if _, err := r.start(false); err != nil {
+		r.fail(err)
+	}
+}
+
+// claim makes the caller the one who starts the router again.
+func (r *router) claim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	free := !r.restarting
+	r.restarting = true
+	return free
+}
+
+func (r *router) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restarting = false
+}
+
+func (r *router) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, err.Error())
+}
+
+func (r *router) paused(ctx context.Context, lasts time.Duration) {
+	pauseFor(ctx, r.process, lasts)
+}
+
+// pauseFor stops a process and lets it go on.
+func pauseFor(ctx context.Context, p *process, lasts time.Duration) {
+	p.signal(syscall.SIGSTOP, false)
+	sleep(ctx, lasts)
+	p.signal(syscall.SIGCONT, false)
+}
+
+func (r *router) reload() {
+	for range hangups {
+		r.signal(syscall.SIGHUP, false)
+	}
+}
+
+func (f *fleet) allDown(ctx context.Context, lasts time.Duration) {
+	var all sync.WaitGroup
+	for _, r := range f.routers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r.down(ctx, lasts, syscall.SIGKILL)
+		}()
+	}
+	all.Wait()
+}
+
+// harmed puts a proxy into a mode for a time. Two faults on one proxy end with the first.
+func harmed(ctx context.Context, p *proxy, m mode, lasts time.Duration) {
+	p.set(m)
+	sleep(ctx, lasts)
+	p.set(pass)
+	if m == silent {
+		p.reset() // what was open is of no use any more
+	}
+}
+
+// storeWrong gives the store's stand-in one order and takes it back later.
+func (f *fleet) storeWrong(ctx context.Context, wrong, right string, lasts time.Duration) {
+	_ = f.storeOrder(wrong) // a stand-in that is gone shows in its end
+	sleep(ctx, lasts)
+	_ = f.storeOrder(right) // as above
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/platform"
+)
+
+// testSeeds are played by each run of the tests. A seed that ever broke a promise is
+// added, with a line on the cause.
+var testSeeds = []uint64{1}
+
+// The real programs, some seconds of faults, and every promise held against what callers,
+// engines, service and store saw.
+func TestShortSoak(t *testing.T) {
+	c := qt.New(t)
+	programs := t.TempDir()
+	for _, program := range []string{"chicory-platform", "chicory-engine", "chicory-router"} {
+		build := exec.Command("go", "build", "-race", "-o", programs, "../../cmd/"+program)
+		out, err := build.CombinedOutput()
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	}
+	for _, seed := range testSeeds {
+		var out bytes.Buffer
+		broken, err := Run(context.Background(), Options{
+			Programs: programs, Dir: t.TempDir(), Seed: seed, Duration: 6 * time.Second, Rate: 30, Out: &out,
+			Open: func(address string) store.Store { return platform.NewStore(address) },
+		})
+		c.Assert(err, qt.IsNil)
+		c.Check(broken, qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed, out.String()))
+	}
+}
+
+// The same seed gives the same faults; another gives others.
+func TestScheduleFollowsTheSeed(t *testing.T) {
+	names := func(seed uint64) []string {
+		f := &fleet{engines: []*process{{name: "e1"}, {name: "e2"}}, proxies: []*proxy{{}, {}}}
+		for _, name := range []string{"r1", "r2", "r3"} {
+			f.routers = append(f.routers, &router{process: &process{name: name}})
+		}
+		var list []string
+		for _, one := range plan(f, seed, 20*time.Second) {
+			list = append(list, one.at.String()+" "+one.name)
+		}
+		return list
+	}
+	qt.Assert(t, names(7), qt.DeepEquals, names(7))
+	qt.Assert(t, names(7), qt.Not(qt.DeepEquals), names(8))
+	qt.Assert(t, names(7), qt.HasLen, 33)
+}
