--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -127,6 +127,17 @@
 	return host
 }
 
+// Ready answers the question whether callers should come, at one path.
+func Ready(path string, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
 // BearerKey returns the API key of an Authorization header, empty if it has none.
 func BearerKey(value string) string {
 	scheme, key, found := strings.Cut(value, " ")
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -35,6 +35,14 @@
 	})
 }
 
+// startedBench is a bench whose keeper holds the account's first grant.
+func startedBench() (*bench, *Keeper, *purse) {
+	b := newBench(1_000_000)
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	return b, k, k.purse("boatyard")
+}
+
 func (b *bench) record(c *qt.C) Record {
 	snapshot, err := b.store.Read(context.Background(), "budget/account/boatyard")
 	c.Assert(err, qt.IsNil)
@@ -207,10 +215,7 @@
 // neither the tokens nor a pace above the lower one that it stated.
 func TestUnansweredWriteBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(1_000_000)
-	k := b.keeper("p1", noPeers{})
-	k.round(context.Background(), true)
-	p := k.purse("boatyard")
+	b, k, p := startedBench()
 	pace, ceiling := p.pace, p.ceiling
 	c.Assert(p.granted > ceiling, qt.IsTrue)
 
@@ -342,10 +347,7 @@
 // too, so that a death then loses little: what it was in the busy time would be lost.
 func TestCeilingFollowsTheUseDown(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(1_000_000)
-	k := b.keeper("p1", noPeers{})
-	k.round(context.Background(), true)
-	p := k.purse("boatyard")
+	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady // a busy time
 	k.round(context.Background(), true)
 	busy := ledgerOf(c, b).Ceilings["boatyard"]
@@ -361,10 +363,7 @@
 // holds itself to the lower one from its sending on, also after it read the old one.
 func TestLowerCeilingBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(1_000_000)
-	k := b.keeper("p1", noPeers{})
-	k.round(context.Background(), true)
-	p := k.purse("boatyard")
+	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
 	k.round(context.Background(), true)
 	p.rate = 1_000
@@ -378,10 +377,7 @@
 // spent out of contact must not fall with it, or it never recovers.
 func TestOutageLowersNeitherPaceNorCeiling(t *testing.T) {
 	c := qt.New(t)
-	b := newBench(1_000_000)
-	k := b.keeper("p1", noPeers{})
-	k.round(context.Background(), true)
-	p := k.purse("boatyard")
+	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 50_000, 1, b.steady
 	k.round(context.Background(), true)
 	pace, ceiling := p.pace, p.ceiling
--- a/internal/native/front.go
+++ b/internal/native/front.go
@@ -75,13 +75,7 @@
 
 // Ready answers whether callers should come.
 func Ready(ready func() bool) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathReady, func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
+	return callers.Ready(pathReady, ready)
 }
 
 // decode makes a request of what a caller sent.
