--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -131,6 +131,21 @@
 	body, err := b.ask(c, "r2")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, body, qt.Equals, "ok")
+	qt.Assert(t, b.connections, qt.HasLen, 2)
+}
+
+// An answer is given up before its end. What is still due of it would be taken for the
+// next answer, so the connection is closed.
+func TestConnectionOfAnUnreadAnswerIsNotUsedAgain(t *testing.T) {
+	b := startBackend(t, answer("r1", "ok"), answer("r2", "ok"))
+	c := newClient()
+	r := &request.Request{ID: "r1", Method: http.MethodGet, Host: "h", Target: "/x"}
+	reply, err := c.Do(context.Background(), &Attempt{Request: r, Server: b.server})
+	qt.Assert(t, err, qt.IsNil)
+	reply.Close()
+	_, err = b.ask(c, "r2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.connections, qt.HasLen, 2)
 }
 
 // What comes first is another request's answer. It is skipped, and the connection given up
