--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,7 +15,7 @@
 
 // Weights of the estimate, in milliseconds unless said otherwise.
 const (
-	// tokensPerMs is how fast an engine reads a prompt. Engines don't tell; 40 is
+	// tokensPerMs is how fast a server reads a prompt. Servers don't tell; 40 is
 	// the measured order of the present ones. Only its ratio to the other
 	// weights matters.
 	tokensPerMs = 40
@@ -24,9 +24,9 @@
 	// smallest had the fewest shared parts read again (by 14% and 31%), at the same
 	// delays to the first event.
 	runningMs = 2
-	// zoneMs is what crossing into another failure domain costs: the round trip,
+	// domainMs is what crossing into another failure domain costs: the round trip,
 	// and bytes that are paid for.
-	zoneMs = 3
+	domainMs = 3
 	// serviceMs is one request's stay at a plain service's server.
 	serviceMs = 20
 )
@@ -36,8 +36,8 @@
 
 // Chooser chooses servers. It is safe for concurrent use.
 type Chooser struct {
-	zone string // own failure domain
-	now  func() time.Time
+	domain string // own failure domain
+	now    func() time.Time
 
 	mu   sync.Mutex
 	read map[cached]time.Time // parts that this router had servers read
@@ -49,11 +49,11 @@
 
 // NewChooser makes a chooser for a router in the given failure domain. A nil now
 // means time.Now.
-func NewChooser(zone string, now func() time.Time) *Chooser {
+func NewChooser(domain string, now func() time.Time) *Chooser {
 	if now == nil {
 		now = time.Now
 	}
-	return &Chooser{zone: zone, now: now, read: make(map[cached]time.Time)}
+	return &Chooser{domain: domain, now: now, read: make(map[cached]time.Time)}
 }
 
 // Choice is the chosen server and why.
@@ -90,8 +90,8 @@
 
 func (c *Chooser) rate(s *fleet.Server, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
 	score := 0.0
-	if s.Zone != c.zone {
-		score += zoneMs
+	if s.Domain != c.domain {
+		score += domainMs
 	}
 	if !r.HasUsage {
 		return Choice{Server: s, Score: score + serviceMs*float64(status.Running)}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -14,7 +14,7 @@
 func servers(n int) []*fleet.Server {
 	list := make([]*fleet.Server, n)
 	for i := range list {
-		list[i] = fleet.NewServer(fleet.Entry{ID: fmt.Sprintf("s%d", i), Zone: "zone-1"})
+		list[i] = fleet.NewServer(fleet.Entry{ID: fmt.Sprintf("s%d", i), Domain: "zone-1"})
 	}
 	return list
 }
@@ -74,8 +74,8 @@
 // A plain service's server in another failure domain is taken only when the near one
 // has more in hand.
 func TestNearServerIsPreferred(t *testing.T) {
-	near := fleet.NewServer(fleet.Entry{ID: "near", Zone: "zone-1"})
-	far := fleet.NewServer(fleet.Entry{ID: "far", Zone: "zone-2"})
+	near := fleet.NewServer(fleet.Entry{ID: "near", Domain: "zone-1"})
+	far := fleet.NewServer(fleet.Entry{ID: "far", Domain: "zone-2"})
 	c := NewChooser("zone-1", nil)
 	list := []*fleet.Server{far, near}
 	qt.Assert(t, c.Choose(list, &request.Request{}, none).Server, qt.Equals, near)
--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -28,7 +28,7 @@
 	Policy  func() *policy.Policy // nil until one is known
 	// Resolve names the routers for a caller in a failure domain; caller tells callers
 	// apart.
-	Resolve func(zone, caller string) []string
+	Resolve func(domain, caller string) []string
 	// EntryTTL is how long callers may keep what Resolve said.
 	EntryTTL time.Duration
 }
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -249,7 +249,7 @@
 	}
 	t := table{{"CALLERS", "PEERS", "FAILURE DOMAIN"}}
 	for _, r := range routers {
-		t = append(t, []string{r.Address, r.Peer, r.Zone})
+		t = append(t, []string{r.Address, r.Peer, r.Domain})
 	}
 	return a.print(routers, t)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,10 +23,10 @@
 // Choose returns addresses for a caller in a failure domain. Near routers are preferred
 // since bytes between failure domains are paid for. The same caller is told the same
 // routers as long as they live, since it leaves the connections to others.
-func Choose(members []fleet.Member, zone, caller string) []string {
+func Choose(members []fleet.Member, domain, caller string) []string {
 	var near, far []fleet.Member
 	for _, m := range members {
-		if m.Zone == zone {
+		if m.Domain == domain {
 			near = append(near, m)
 			continue
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,7 +12,7 @@
 // A caller is told the routers of its own failure domain; with only one of them, the
 // others too, so that its death leaves the caller somewhere to go.
 func TestNearRoutersFirst(t *testing.T) {
-	a, b, c := fleet.Member{Address: "a", Zone: "1"}, fleet.Member{Address: "b", Zone: "1"}, fleet.Member{Address: "c", Zone: "2"}
+	a, b, c := fleet.Member{Address: "a", Domain: "1"}, fleet.Member{Address: "b", Domain: "1"}, fleet.Member{Address: "c", Domain: "2"}
 	qt.Assert(t, Choose([]fleet.Member{a, b, c}, "1", "caller"), qt.DeepEquals, []string{"a", "b"})
 	qt.Assert(t, Choose([]fleet.Member{c, a}, "1", "caller"), qt.DeepEquals, []string{"a", "c"})
 	qt.Assert(t, Choose([]fleet.Member{a, b}, "9", "caller"), qt.DeepEquals, []string{"a", "b"})
@@ -28,7 +28,7 @@
 		if i < 2 {
 			capacity = 0.8
 		}
-		members = append(members, fleet.Member{Name: fmt.Sprint("vm-", i), Address: fmt.Sprint(i), Zone: "1", Capacity: capacity})
+		members = append(members, fleet.Member{Name: fmt.Sprint("vm-", i), Address: fmt.Sprint(i), Domain: "1", Capacity: capacity})
 	}
 	toLarge, callers := 0, 500
 	for i := range callers {
@@ -49,11 +49,11 @@
 // Two routers of a failure domain can carry most of its traffic; the others have a
 // twentieth of their link. Callers are sent to these only when the large ones are gone.
 func TestSmallRoutersAreAReserve(t *testing.T) {
-	large := []fleet.Member{{Name: "l1", Address: "l1", Zone: "1", Capacity: 0.8}, {Name: "l2", Address: "l2", Zone: "1", Capacity: 0.8}}
+	large := []fleet.Member{{Name: "l1", Address: "l1", Domain: "1", Capacity: 0.8}, {Name: "l2", Address: "l2", Domain: "1", Capacity: 0.8}}
 	var small []fleet.Member
 	for i := range 6 {
 		name := fmt.Sprint("s", i)
-		small = append(small, fleet.Member{Name: name, Address: name, Zone: "1", Capacity: 0.04})
+		small = append(small, fleet.Member{Name: name, Address: name, Domain: "1", Capacity: 0.04})
 	}
 	qt.Assert(t, Choose(append(large, small...), "1", "caller"), qt.ContentEquals, []string{"l1", "l2"})
 	qt.Assert(t, Choose(append(large[:1:1], small...), "1", "caller"), qt.HasLen, told)
@@ -61,7 +61,7 @@
 	many := large
 	for i := range 60 {
 		name := fmt.Sprint("m", i)
-		many = append(many, fleet.Member{Name: name, Address: name, Zone: "1", Capacity: 0.04})
+		many = append(many, fleet.Member{Name: name, Address: name, Domain: "1", Capacity: 0.04})
 	}
 	qt.Assert(t, Choose(many, "1", "caller"), qt.HasLen, told, qt.Commentf("the large ones are not most of it"))
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -18,7 +18,7 @@
 	Name    string // VM
 	Address string // IP:port for callers
 	Peer    string // IP:port for other routers
-	Zone    string // failure domain
+	Domain  string // failure domain
 	// Capacity is what the VM can carry beside others', in cores of work.
 	Capacity float64
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -13,7 +13,7 @@
 	ID      string // one start of the server
 	Service string
 	Address string // IP:port
-	Zone    string // failure domain
+	Domain  string // failure domain
 	// Draining servers take nothing new.
 	Draining bool
 }
--- a/internal/native/backends.go
+++ b/internal/native/backends.go
@@ -95,5 +95,5 @@
 	if err != nil {
 		return fleet.Entry{}, err
 	}
-	return fleet.Entry{ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.FailureDomain, Draining: e.Leaving}, nil
+	return fleet.Entry{ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.FailureDomain, Draining: e.Leaving}, nil
 }
--- a/internal/native/front.go
+++ b/internal/native/front.go
@@ -59,7 +59,7 @@
 }
 
 // Directory tells callers which routers to use and how long they may keep that.
-func Directory(resolve func(zone, caller string) []string, ttl time.Duration) http.Handler {
+func Directory(resolve func(domain, caller string) []string, ttl time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
 		addresses := resolve(hr.URL.Query().Get("failure_domain"), callers.HostOf(hr))
 		if len(addresses) == 0 {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -118,7 +118,7 @@
 type MemberRecord struct {
 	Address string `json:"address"`
 	Peer    string `json:"peer"`
-	Zone    string `json:"failure_domain"`
+	Domain  string `json:"failure_domain"`
 	// Capacity is in cores of work; 0: not stated.
 	Capacity float64 `json:"capacity"`
 }
@@ -131,6 +131,6 @@
 	if record.Address == "" {
 		return fleet.Member{}, errors.New("router's entry has no address")
 	}
-	return fleet.Member{Name: item.Key[len(MemberPrefix):], Address: record.Address, Peer: record.Peer, Zone: record.Zone,
+	return fleet.Member{Name: item.Key[len(MemberPrefix):], Address: record.Address, Peer: record.Peer, Domain: record.Domain,
 		Capacity: record.Capacity}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	Codec         upstream.Codec
 	// Front, Directory and Ready make the handlers of the three listeners.
 	Front     func(callers.Router) http.Handler
-	Directory func(resolve func(zone, caller string) []string, ttl time.Duration) http.Handler
+	Directory func(resolve func(domain, caller string) []string, ttl time.Duration) http.Handler
 	Ready     func(ready func() bool) http.Handler
 }
 
@@ -200,7 +200,7 @@
 }
 
 func (n *Node) self() fleet.Member {
-	return fleet.Member{Name: n.settings.VM, Address: n.settings.Callers, Peer: n.settings.Peers, Zone: n.settings.FailureDomain,
+	return fleet.Member{Name: n.settings.VM, Address: n.settings.Callers, Peer: n.settings.Peers, Domain: n.settings.FailureDomain,
 		Capacity: n.settings.Capacity}
 }
 
@@ -219,7 +219,7 @@
 // resolve names the routers for a caller. This router counts itself in as long as
 // it is ready, also when its own entry has lapsed with the store; but not while it
 // is stranded and knows others.
-func (n *Node) resolve(zone, caller string) []string {
+func (n *Node) resolve(domain, caller string) []string {
 	members := n.members.List()
 	others := members[:0]
 	for _, m := range members {
@@ -230,7 +230,7 @@
 	if n.Ready() && (len(others) == 0 || !n.keeper.Stranded()) {
 		others = append(others, n.self())
 	}
-	return entry.Choose(others, zone, caller)
+	return entry.Choose(others, domain, caller)
 }
 
 // stopTakes is how long a stopping router still takes requests of any length:
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -14,7 +14,7 @@
 	Value string
 }
 
-// Part is one part of a prompt. Requests share parts; engines keep what they have
+// Part is one part of a prompt. Requests share parts; backend servers keep what they have
 // read of them.
 type Part struct {
 	ID     string
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,7 +21,7 @@
 	// lost opening packet is sent again after a second only, so that another
 	// server is the better try.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout ends a connection whose peer acknowledges nothing: a machine
+	// unackedTimeout ends a connection whose peer acknowledges nothing: a VM
 	// without power or behind a cut sends no reset. Three retransmissions fit.
 	unackedTimeout = 1200 * time.Millisecond
 	// probeIdle and probeEvery find the same on a connection that only waits.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -222,7 +222,7 @@
 }
 
 // Silent says whether an error means that the peer gave no sign of life, as a
-// machine without power or behind a cut does.
+// VM without power or behind a cut does.
 func Silent(err error) bool {
 	var failure net.Error
 	return errors.As(err, &failure) && failure.Timeout()
