Follow the store's round trip with ceilings and waits

Cause: in a store that takes 0.2 to 0.6 s to answer, ceilings that reach 1.2 s of use were used up between two writes, and a reservation waited 60 ms for a write that takes half a second: refused as held elsewhere, while nothing was held elsewhere.

Change: the slowest write of late, falling slowly, twice on top of a ceiling's reach and as the patience with a draw.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sort"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -63,7 +64,7 @@
 		} else {
 			granted = p.granted
 		}
-		ceiling, short := p.raised(granted, budgets[account], home)
+		ceiling, short := p.raised(granted, budgets[account], home, k.roundTrip)
 		pace := p.newPace(budgets[account])
 		if k.away {
 			// What waits or is refused in an outage lowers the rate, and with it what
@@ -148,10 +149,12 @@
 func (k *Keeper) commit(ctx context.Context, d draw) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := k.o.Clock().Steady
 	result, err := k.o.Store.Commit(ctx, d.txn)
 	k.contact(err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.noteRoundTrip(k.o.Clock().Steady - sent)
 	switch {
 	case err == nil:
 		k.landed(d, result)
@@ -176,6 +179,13 @@
 	return err == nil
 }
 
+// noteRoundTrip follows how long a write takes. A store may be slow for seconds: ceilings
+// are then higher by what is used during a write, and reservations wait for it.
+func (k *Keeper) noteRoundTrip(took time.Duration) {
+	const fall = 0.8 // a write's part in what is remembered after it
+	k.roundTrip = max(took, time.Duration(fall*float64(k.roundTrip)))
+}
+
 func (k *Keeper) landed(d draw, result store.Result) {
 	k.ledgerRevision = int64(result.Revision)
 	k.contactPut = k.contactPut || d.contact
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -83,6 +83,9 @@
 	away    bool // the last call to the store failed
 	stopped bool
 	tickets int64 // given so far
+	// roundTrip is what a write takes, by the slowest of late: it rises at once and
+	// falls slowly.
+	roundTrip time.Duration
 	// stranded counts reservations in a row that found nobody to give tokens.
 	stranded int
 
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -481,3 +481,23 @@
 	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "deputy"})
 	c.Assert(k.purse("boatyard").granted, qt.Equals, int64(0))
 }
+
+// The store answers, but takes half a second. Ceilings reach as much further as is used
+// meanwhile, and reservations wait for the write that covers them; both come down again
+// once the store is well.
+func TestSlowStoreIsAllowedFor(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
+	k.noteRoundTrip(500 * time.Millisecond)
+	k.round(context.Background(), true)
+	c.Assert(ledgerOf(c, b).Ceilings["boatyard"], qt.Equals, int64(100_000*(aheadOf.Seconds()+1)))
+	c.Assert(k.patience() > 500*time.Millisecond, qt.IsTrue)
+	for range 30 {
+		k.noteRoundTrip(5 * time.Millisecond)
+	}
+	p.rate, p.rateAt = 100_000, b.steady
+	k.round(context.Background(), true)
+	c.Assert(k.patience(), qt.Equals, drawPatience)
+	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] < int64(100_000*(aheadOf.Seconds()+0.1)), qt.IsTrue)
+}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -15,6 +15,9 @@
 	// is some two hundredths of a day's. A budget that is short by three hundredths
 	// refuses all that still comes although it was paid for.
 	aheadOf = 1200 * time.Millisecond
+	// slowWrites is how many writes a ceiling reaches further: one that is under way and
+	// the one that follows it.
+	slowWrites = 2
 	// refillBelow is the part of what is wanted below which a write of its own is due.
 	refillBelow = 0.5
 	// topUpBelow is that part where a write is sent in any case.
@@ -154,8 +157,9 @@
 
 // raised returns the ceiling to ask for next, for the given grant, and whether
 // what is left below the present one is short.
-func (p *purse) raised(granted, prepaid int64, home bool) (ceiling int64, short bool) {
-	ahead := max(p.ahead(aheadOf, firstCeiling, prepaid, home), p.waiting)
+// roundTrip is what a write takes: the next ceiling counts only after it.
+func (p *purse) raised(granted, prepaid int64, home bool, roundTrip time.Duration) (ceiling int64, short bool) {
+	ahead := max(p.ahead(aheadOf+slowWrites*roundTrip, firstCeiling, prepaid, home), p.waiting)
 	left := min(p.granted, p.ceiling) - p.used()
 	ceiling = max(0, min(granted, p.used()+ahead))
 	short = ceiling > p.ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -137,7 +137,7 @@
 	}
 	h := &hold{keeper: k, purse: k.purse(account), tokens: tokens, missing: tokens, lined: lined, ticket: ticket}
 	h.fill()
-	if _, short := h.purse.raised(h.purse.granted, k.o.Budgets()[account], k.o.Home(account) == ""); short {
+	if _, short := h.purse.raised(h.purse.granted, k.o.Budgets()[account], k.o.Home(account) == "", k.roundTrip); short {
 		k.nudge()
 	}
 	return h
@@ -186,14 +186,22 @@
 	return &Reservation{keeper: h.keeper, purse: h.purse, tokens: h.tokens}
 }
 
-// drawPatience is how long a reservation waits for a draw before it asks other
-// routers: some times what a store in good health takes. That the store is away
-// shows only after callTimeout.
+// drawPatience is how long a reservation waits for a draw at least before it asks other
+// routers: some times what a store in good health takes. That the store is away shows
+// only after callTimeout.
 const drawPatience = 60 * time.Millisecond
 
+// patience is how long a reservation waits for a draw: for one that is under way and the
+// one that follows it.
+func (k *Keeper) patience() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(drawPatience, slowWrites*k.roundTrip)
+}
+
 // draw waits until the hold is filled by a draw, or says why it can't be.
 func (k *Keeper) draw(ctx context.Context, h *hold) error {
-	patience := time.NewTimer(drawPatience)
+	patience := time.NewTimer(k.patience())
 	defer patience.Stop()
 	for round := 0; ; round++ {
 		changed, err := k.await(h, round > 0)
