Ask a store that refuses less and less often

Change: 150, 300, then 600 ms between failed calls. The return of the store is still noticed within the two seconds in which living servers' entries are back.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -40,18 +40,39 @@
 	lastOK  time.Time
 	reached bool
 	started bool
+	// failures is how many calls failed in a row.
+	failures int
 }
 
-// retryPause is the wait after a failed call: short beside the second within
-// which a change must be known, long beside a call's few milliseconds.
-const retryPause = 150 * time.Millisecond
+// Waits after failed calls. A store that refuses a router for seconds is asked less and
+// less often, since refused calls are paid for too.
+const (
+	// retryFirst is short beside the second within which a change must be known, long
+	// beside a call's few milliseconds.
+	retryFirst = 150 * time.Millisecond
+	// retryMost keeps the return of the store from being noticed late: living servers'
+	// entries are back within two seconds of it.
+	retryMost = 600 * time.Millisecond
+)
+
+// retryAfter is the wait after a number of failed calls in a row.
+func retryAfter(failures int) time.Duration {
+	wait := retryFirst
+	for i := 1; i < failures && wait < retryMost; i++ {
+		wait *= 2
+	}
+	return min(wait, retryMost)
+}
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := f.Pause
 		if err := f.step(ctx); err != nil {
-			pause = retryPause
+			f.failures++
+			pause = retryAfter(f.failures)
+		} else {
+			f.failures = 0
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -47,6 +47,30 @@
 	return store.Changes{}, store.ErrOutcomeUnknown
 }
 
+// refusingStore refuses all reads and notes when they came.
+type refusingStore struct {
+	*memstore.Store
+	reads chan struct{}
+}
+
+func (s *refusingStore) Read(context.Context, string) (store.Snapshot, error) {
+	s.reads <- struct{}{}
+	return store.Snapshot{}, store.ErrUnavailable
+}
+
+// The store refuses a router again and again, and is paid for each call. It is asked less
+// and less often, and never less than it takes to notice its return in time.
+func TestRefusingStoreIsAskedLessOften(t *testing.T) {
+	s := &refusingStore{Store: memstore.New(nil), reads: make(chan struct{}, 64)}
+	began := time.Now()
+	follow(t, s)
+	const calls = 4 // 0, 150, 450 and 1,050 ms after the start at the earliest
+	for range calls {
+		<-s.reads
+	}
+	qt.Assert(t, time.Since(began) >= 1050*time.Millisecond, qt.IsTrue)
+}
+
 // follow runs a follower until the test ends.
 func follow(t *testing.T, s store.Store) *sink {
 	known := &sink{known: make(chan string, 8)}
