Split the own interface and the node by their jobs, and bound bodies by default

A document without body_bytes let bodies of any size be held whole: 4 MB now. No other behaviour changes.

--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -18,16 +18,7 @@
 func (k *Keeper) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
 	home := k.o.Home(account)
 	h := k.begin(account, tokens, home == "", "")
-	drew := false
-	if h.missing > 0 && home != "" {
-		var got int64
-		got, drew = k.o.Peers.BorrowFrom(ctx, home, account, h.missing, h.ticket)
-		h.got(got)
-		if deputy := k.o.Deputy(account); h.missing > 0 && !drew && deputy != "" && !k.isAway() {
-			got, drew = k.o.Peers.BorrowFrom(ctx, deputy, account, h.missing, h.ticket)
-			h.got(got)
-		}
-	}
+	drew := home != "" && k.borrowFromHome(ctx, h, home)
 	if h.missing == 0 {
 		k.noteStranded(false)
 		return h.reservation(), nil
@@ -50,6 +41,21 @@
 	return h.reservation(), nil
 }
 
+// borrowFromHome gets what is missing from the account's home, or from its deputy if the
+// home can't be reached. It says whether one of them could have drawn more if there were
+// more.
+func (k *Keeper) borrowFromHome(ctx context.Context, h *hold, home string) (drew bool) {
+	for _, address := range []string{home, k.o.Deputy(h.purse.account)} {
+		if h.missing == 0 || drew || address == "" || address != home && k.isAway() {
+			break
+		}
+		var got int64
+		got, drew = k.o.Peers.BorrowFrom(ctx, address, h.purse.account, h.missing, h.ticket)
+		h.got(got)
+	}
+	return drew
+}
+
 // openPoll is how often a reservation that waits for the opening tries again, and
 // opensWithin the time after which waiting is left to the caller.
 const (
--- a/internal/native/document.go
+++ b/internal/native/document.go
@@ -32,8 +32,8 @@
 
 // Document is all that operators configure. A change replaces it whole.
 type Document struct {
-	Version   int64               `json:"version"` // grows with each change
-	BodyBytes int64               `json:"body_bytes"`
+	Version   int64               `json:"version"`    // grows with each change
+	BodyBytes int64               `json:"body_bytes"` // most of one request; 0: bodyBytesDefault
 	Models    []contract.Model    `json:"models"`
 	Services  []contract.Service  `json:"services"`
 	Contracts []contract.Contract `json:"contracts"`
@@ -126,11 +126,14 @@
 	definition := policy.Definition{
 		Version: d.Version,
 		Keys:    map[string]string{},
-		Limits:  policy.Limits{BodyBytes: d.BodyBytes},
+		Limits:  policy.Limits{BodyBytes: bodyBytesDefault},
 		Catalogue: policy.Catalogue{
 			Models: map[id.Model]contract.Model{}, Services: map[id.Service]contract.Service{},
 		},
 	}
+	if d.BodyBytes > 0 {
+		definition.Limits.BodyBytes = d.BodyBytes
+	}
 	for _, m := range d.Models {
 		definition.Catalogue.Models[m.Name] = m
 		definition.Routes = append(definition.Routes, modelRoutes(m)...)
@@ -154,6 +157,10 @@
 	return definition
 }
 
+// bodyBytesDefault bounds bodies where the document doesn't: a context of 100,000 tokens
+// is some 0.5 MB, and each body is held whole.
+const bodyBytesDefault = 4 << 20
+
 // host stands in the place of a host name: the own interface is one host.
 const host = "chicorytiller"
 
--- a/internal/native/parse_test.go
+++ b/internal/native/parse_test.go
@@ -8,6 +8,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/contract"
 	"chicorytiller.example/chicorytiller/internal/id"
+	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 var testLimits = parseLimits{messages: 4, maxOutputAsked: 1000}
@@ -74,3 +75,18 @@
 		}
 	})
 }
+
+// FuzzDocument feeds what operators and backend servers write.
+func FuzzDocument(f *testing.F) {
+	f.Add([]byte(`{"models":[{"name":"m","bytes_per_token":4,"context_tokens":9,"tokens_per_event":1,"attempts":1}],"contracts":[]}`))
+	f.Add([]byte(`{"id":"e","service":"model/m","address":"127.0.0.1:1","failure_domain":"d"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		item := store.Item{Key: ConfigKey, Value: data}
+		if p, err := DecodeConfig(item); err == nil && p.Limits.BodyBytes <= 0 {
+			t.Fatalf("%q: bodies of any size", data)
+		}
+		if entry, err := DecodeBackend(item); err == nil && entry.Address == "" {
+			t.Fatalf("%q: no address", data)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/callers"
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// listener is one HTTP listener.
+type listener struct {
+	net    net.Listener
+	server *http.Server
+	log    *event.Log
+}
+
+// Limits of callers' connections. The configured idle time is shorter; a router
+// that closes later than callers expect loses nothing.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	headerBytes   = 64 << 10
+)
+
+func (n *Node) forCallers() callers.Router {
+	return callers.Router{
+		Serve: n.serve, Refuse: n.forward.Refuse, BodyLimit: n.bodyLimit, Closing: n.stopping.Load, Policy: n.policy.Load,
+		Resolve: n.resolve, EntryTTL: n.settings.EntryTTL,
+	}
+}
+
+// Listen opens the listeners. Addresses with port 0 get a free one; Settings tells
+// which afterwards.
+func (n *Node) Listen() error {
+	handlers := []struct {
+		address *string
+		handler http.Handler
+	}{
+		{&n.settings.Callers, n.dialect.Front(n.forCallers())},
+		{&n.settings.Ready, n.dialect.Ready(n.Ready)},
+		{&n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
+		{&n.settings.Metrics, n.metrics.Handler()},
+	}
+	for _, h := range handlers {
+		l, err := listenOn(h.address)
+		if err != nil {
+			n.closeListeners()
+			return err
+		}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+		n.listeners = append(n.listeners, &listener{net: l, server: server, log: n.log})
+	}
+	var err error
+	if n.peerListener, err = listenOn(&n.settings.Peers); err != nil {
+		n.closeListeners()
+	}
+	return err
+}
+
+// listenOn opens a listener and notes the address that it got.
+func listenOn(address *string) (net.Listener, error) {
+	l, err := net.Listen("tcp", *address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	*address = l.Addr().String()
+	return l, nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range n.listeners {
+		l.close()
+	}
+	if n.peerListener != nil {
+		_ = n.peerListener.Close() // the process ends
+	}
+}
+
+func (l *listener) serve() {
+	if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+		l.log.Emit(event.ListenerFailed, slog.String("address", l.net.Addr().String()), slog.Any(event.KeyCause, err))
+	}
+}
+
+func (l *listener) close() {
+	_ = l.server.Close() // the process ends
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -280,61 +279,6 @@
 	return 0
 }
 
-func (n *Node) forCallers() callers.Router {
-	return callers.Router{
-		Serve: n.serve, Refuse: n.forward.Refuse, BodyLimit: n.bodyLimit, Closing: n.stopping.Load, Policy: n.policy.Load,
-		Resolve: n.resolve, EntryTTL: n.settings.EntryTTL,
-	}
-}
-
-// Listen opens the listeners. Addresses with port 0 get a free one; Settings tells
-// which afterwards.
-func (n *Node) Listen() error {
-	handlers := []struct {
-		address *string
-		handler http.Handler
-	}{
-		{&n.settings.Callers, n.dialect.Front(n.forCallers())},
-		{&n.settings.Ready, n.dialect.Ready(n.Ready)},
-		{&n.settings.Directory, n.dialect.Directory(n.resolve, n.settings.EntryTTL)},
-		{&n.settings.Metrics, n.metrics.Handler()},
-	}
-	for _, h := range handlers {
-		l, err := listenOn(h.address)
-		if err != nil {
-			n.closeListeners()
-			return err
-		}
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
-		n.listeners = append(n.listeners, &listener{net: l, server: server, log: n.log})
-	}
-	var err error
-	if n.peerListener, err = listenOn(&n.settings.Peers); err != nil {
-		n.closeListeners()
-	}
-	return err
-}
-
-// listenOn opens a listener and notes the address that it got.
-func listenOn(address *string) (net.Listener, error) {
-	l, err := net.Listen("tcp", *address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	*address = l.Addr().String()
-	return l, nil
-}
-
-func (n *Node) closeListeners() {
-	for _, l := range n.listeners {
-		l.close()
-	}
-	if n.peerListener != nil {
-		_ = n.peerListener.Close() // the process ends
-	}
-}
-
 // Settings are the settings in force.
 func (n *Node) Settings() Settings {
 	return *n.settings
@@ -357,65 +301,12 @@
 	tasks.Wait()
 }
 
-// listener is one HTTP listener.
-type listener struct {
-	net    net.Listener
-	server *http.Server
-	log    *event.Log
-}
-
-// Limits of callers' connections. The configured idle time is shorter; a router
-// that closes later than callers expect loses nothing.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
-	headerBytes   = 64 << 10
-)
-
 func (n *Node) servePeers() {
 	if err := peers.Serve(n.peerListener, n.keeper, n.known, n.log); !errors.Is(err, net.ErrClosed) {
 		n.log.Emit(event.ListenerFailed, slog.String("address", n.settings.Peers), slog.Any(event.KeyCause, err))
 	}
 }
 
-// homeOf is the address of the router that holds an account's grant; empty if it
-// is this one. Rendezvous hashing moves few accounts when a router comes or goes. A
-// router that stops is home of nothing: it hands its grants on while it still serves.
-func (n *Node) homeOf(account string) string {
-	home, _ := n.homesOf(account)
-	return home
-}
-
-// deputyOf is the address of the router that draws for all while the home can't be
-// reached; empty if it is this one. Without it each router draws for itself: their
-// writes of one record race, and the budget is left in small parts.
-func (n *Node) deputyOf(account string) string {
-	_, deputy := n.homesOf(account)
-	return deputy
-}
-
-// homesOf ranks the routers for an account and returns the first two.
-func (n *Node) homesOf(account string) (home, deputy string) {
-	first, second := math.Inf(1), math.Inf(1)
-	take := func(m fleet.Member, address string) {
-		switch rank := m.Rank(account); {
-		case rank < first:
-			first, second, home, deputy = rank, first, address, home
-		case rank < second:
-			second, deputy = rank, address
-		}
-	}
-	if !n.stopping.Load() {
-		take(n.self(), "")
-	}
-	for _, m := range n.members.List() {
-		if m.Name != n.settings.VM && m.Peer != "" {
-			take(m, m.Peer)
-		}
-	}
-	return home, deputy
-}
-
 // known is what another router that starts while the store is away needs.
 func (n *Node) known() peers.Known {
 	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items()}
@@ -424,13 +315,3 @@
 	}
 	return known
 }
-
-func (l *listener) serve() {
-	if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
-		l.log.Emit(event.ListenerFailed, slog.String("address", l.net.Addr().String()), slog.Any(event.KeyCause, err))
-	}
-}
-
-func (l *listener) close() {
-	_ = l.server.Close() // the process ends
-}
