State less for late in an outage

All routers lost power six seconds into an outage of the store; at the doubled pace, what they could have spent since the last contact was a fifth of the budgets more than they had.

Change: the pace holds in full for 1.5 s from its opening, when those who waited are served, and at 0.45 afterwards. Two tests of the pace carry the new figures, at the same strictness; TestPaceLosesLittleLateInAnOutage fails at the full pace.

--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -37,10 +37,22 @@
 	stampOldest = 10 * time.Minute
 )
 
+const (
+	// fullPace is the time after openAfter in which the pace holds in full: what waits
+	// since the beginning of the outage is served then.
+	fullPace = 1500 * time.Millisecond
+	// latePace is the part of the pace that holds afterwards. Where all routers die late
+	// in an outage, all that it allowed counts as spent: at the full pace less than a
+	// quarter of the requests were served once they were back.
+	latePace = 0.45
+)
+
 // beyond is how much above its ceiling a router may go when its last stamp is so
 // old, at a pace in tokens a second.
 func beyond(age time.Duration, pace int64) int64 {
-	return int64(float64(pace) * max(0, age-openAfter).Seconds())
+	open := max(0, age-openAfter)
+	early := min(open, fullPace)
+	return int64(float64(pace) * (early.Seconds() + latePace*(open-early).Seconds()))
 }
 
 // Stamp is a reading of a VM's clocks.
