Take SIGHUP from the first moment on

The handler came after flags, settings and clocks.

Change: it is installed first of all. What is left is the time from exec to main, in which any program dies of the signal; the soak leaves a start 300 ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,9 @@
 
 // Main runs the program with the command line's arguments and ends the process.
 func (p Program) Main() {
+	// First of all: a SIGHUP that comes before its handler is there ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	app := kingpin.New(p.Name, p.Help)
 	app.Version(version.Version)
 	app.HelpFlag.Short('h')
@@ -67,13 +70,13 @@
 		fmt.Println("settings are right")
 		return
 	}
-	if err := p.run(settings, *file); err != nil {
+	if err := p.run(settings, *file, hangups); err != nil {
 		slog.Error(p.Name+" stops", "error", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func (p Program) run(settings *node.Settings, file string) error {
+func (p Program) run(settings *node.Settings, file string, hangups <-chan os.Signal) error {
 	runtime.GOMAXPROCS(1) // an entry VM has a part of one core: more threads only switch
 	debug.SetGCPercent(heapGrowth)
 	if settings.MemoryMB > 0 {
@@ -96,7 +99,7 @@
 		return err
 	}
 	n := node.New(settings, p.Dialect(settings, clock, log), log, incarnation)
-	tasks.Go(func() { watchSettings(logging, file, n, log) })
+	tasks.Go(func() { watchSettings(logging, file, hangups, n, log) })
 	if err := n.Listen(); err != nil {
 		return err
 	}
@@ -106,10 +109,7 @@
 }
 
 // watchSettings puts changed settings in force, on SIGHUP or when the file changes.
-func watchSettings(ctx context.Context, file string, n *node.Node, log *event.Log) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, file string, hangups <-chan os.Signal, n *node.Node, log *event.Log) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	seen := modified(file)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,7 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{} // closed when cmd has ended
+	began time.Time
 	// asked: its end was asked for by a signal.
 	asked bool
 	// faults are ends that nobody asked for, and planned ends that failed.
@@ -49,7 +51,7 @@
 		return "", errors.Wrap(err, p.name)
 	}
 	p.mu.Lock()
-	p.cmd, p.ended, p.asked = cmd, make(chan struct{}), false
+	p.cmd, p.ended, p.began, p.asked = cmd, make(chan struct{}), time.Now(), false
 	ended := p.ended
 	p.mu.Unlock()
 	line := ""
@@ -94,6 +96,12 @@
 	_ = p.cmd.Process.Signal(s) // it may have ended: noteEnd tells why
 }
 
+func (p *process) startedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.began
+}
+
 // wait returns when the process has ended.
 func (p *process) wait() {
 	p.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -142,7 +142,14 @@
 	p.signal(syscall.SIGCONT, false)
 }
 
+// handlerTime is how long a program may take from its start until it has its signal
+// handlers; before, SIGHUP ends any program.
+const handlerTime = 300 * time.Millisecond
+
 func (r *router) reload() {
+	if time.Since(r.startedAt()) < handlerTime {
+		return
+	}
 	for range hangups {
 		r.signal(syscall.SIGHUP, false)
 	}
