Take nothing while grants are returned at a stop, and lower the pace again

Now such a request is refused as not run, what came before is waited for, and answers that are being written end.

--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -31,8 +31,8 @@
 	// clumps of some three times its mean: at half of this pace a fifth of the requests
 	// of a cut of eight seconds were refused. What is stated is lost only by a router
 	// that dies out of contact or stays down for longer than openAfter.
-	paceAbove = 3
-	paceLeast = 0.012
+	paceAbove = 2.2
+	paceLeast = 0.008
 	// endShare bounds what a home holds to a part of what is left, so that another
 	// router can draw when the home is lost.
 	endShare = 0.8
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -88,6 +89,13 @@
 	}
 }
 
+// closeTime lets answers that are being written end.
+const closeTime = 100 * time.Millisecond
+
 func (l *listener) close() {
-	_ = l.server.Close() // the process ends
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if l.server.Shutdown(ctx) != nil {
+		_ = l.server.Close() // the process ends
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	born       time.Time
 	stopNotice chan struct{} // closed when the stop begins
 	stopping   atomic.Bool
+	leaving    atomic.Bool  // takes no request at all any more
 	stoppedAt  atomic.Int64 // monotonic-free wall time of the stop, Unix ms
 	inHand     atomic.Int64
 }
@@ -241,7 +242,7 @@
 	n.inHand.Add(1)
 	defer n.inHand.Add(-1)
 	defer n.tellPanic(caller)
-	if n.stopping.Load() && !n.endsInTime(r) {
+	if n.leaving.Load() || n.stopping.Load() && !n.endsInTime(r) {
 		n.forward.Refuse(r, caller, forward.RefusalOf(forward.Stopping))
 		return
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -32,6 +32,12 @@
 		}
 		time.Sleep(stopPoll)
 	}
+	// A request that comes while the grants are returned would be cut off in its run. It
+	// is refused instead, and one that came just before is waited for.
+	n.leaving.Store(true)
+	for time.Now().Before(end) && n.inHand.Load() > 0 {
+		time.Sleep(stopPoll)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), returnTime/2)
 	defer cancel()
 	if err := n.keeper.Return(ctx); err != nil {
