--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -28,7 +28,7 @@
 	firstCeiling = 0.01
 	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large. Use comes in
-	// clumps of some three times its mean: at half of this pace a fifth of the requests
+	// clumps of some three times its mean: at 1.5 times it a fifth of the requests
 	// of a cut of eight seconds were refused. What is stated is lost only by a router
 	// that dies out of contact or stays down for longer than openAfter.
 	paceAbove = 2.2
