Judge lapsed entries of routers and servers in one place

Cause: the list of routers and the registry of servers each had their own handling of reads, changes, outages and the grace after them, line for line.

Change: lapses.go has it once; what a sink does with an entry stays with it. No behaviour changes.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -44,13 +46,12 @@
 	log    *event.Log
 	now    func() time.Time
 
-	mu         sync.Mutex
-	present    map[string]Member
-	items      map[string]store.Item // of those present, as stored
-	lapsed     map[string]time.Time  // missing since an outage, kept until then
-	graceUntil time.Time
-	reached    bool
-	seeded     bool // known from another router only
+	mu      sync.Mutex
+	present map[string]Member
+	items   map[string]store.Item // of those present, as stored
+	lapsed  map[string]time.Time  // missing since an outage, kept until then
+	lapses  lapses
+	reached bool
 }
 
 // NewMembers makes an empty list. A nil now means time.Now.
@@ -58,7 +59,8 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), items: make(map[string]store.Item), lapsed: make(map[string]time.Time)}
+	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), items: make(map[string]store.Item),
+		lapsed: make(map[string]time.Time), lapses: lapses{now: now, quiet: memberWait}}
 }
 
 // Contact implements store.Sink. Lapsed entries get their time to come back anew
@@ -78,40 +80,16 @@
 func (m *Members) Reset(items []store.Item, gap time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteGap(gap)
-	seen := make(map[string]bool, len(items))
-	for _, item := range items {
-		seen[item.Key] = true
-		m.put(item)
-	}
-	for key := range m.present {
-		if !seen[key] {
-			m.missing(key)
-		}
-	}
+	m.lapses.noteGap(gap)
+	reset(m, items)
 }
 
 // Apply implements store.Sink.
 func (m *Members) Apply(events []store.Event, gap time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteGap(gap)
-	for _, e := range events {
-		if e.Deleted {
-			m.missing(e.Key)
-			continue
-		}
-		m.put(e.Item)
-	}
-}
-
-// noteGap keeps routers in the list whose leases ran out while the store was
-// away: without it the first reader after an outage sends all callers to itself.
-func (m *Members) noteGap(gap time.Duration) {
-	if gap > lapseGap+memberWait || m.seeded {
-		m.seeded = false
-		m.graceUntil = m.now().Add(lapseGrace)
-	}
+	m.lapses.noteGap(gap)
+	apply(m, events)
 }
 
 // memberWait is the longest quiet time between two answers of the members' watch.
@@ -130,13 +108,17 @@
 	delete(m.lapsed, item.Key)
 }
 
+func (m *Members) keys() []string {
+	return slices.Collect(maps.Keys(m.present))
+}
+
 func (m *Members) missing(key string) {
 	member, known := m.present[key]
 	if !known {
 		return
 	}
-	if m.now().Before(m.graceUntil) {
-		m.lapsed[key] = m.graceUntil
+	if until, lenient := m.lapses.grace(); lenient {
+		m.lapsed[key] = until
 		return
 	}
 	m.log.Emit(event.PeerLeft, slog.String(event.KeyRouter, member.Name))
@@ -152,7 +134,7 @@
 	for _, item := range items {
 		m.put(item)
 	}
-	m.seeded = true
+	m.lapses.seeded = true
 }
 
 // Items returns the entries as they were stored, for another router.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -11,16 +13,6 @@
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
-// lapseGap is the silence of the store after which missing entries may have
-// lapsed with it rather than left. It is far above the pause between two reads, so
-// that a usual pause is never taken for an outage, and below the three heartbeats
-// that an entry survives.
-const lapseGap = 3 * time.Second
-
-// lapseGrace is how long entries that lapsed during an outage stay in use after
-// the store's return: living servers are back within two seconds (users' letter).
-const lapseGrace = 2 * time.Second
-
 // DecodeEntry makes an Entry from an item of the registry.
 type DecodeEntry func(store.Item) (Entry, error)
 
@@ -33,12 +25,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*tracked
-	// seeded: what is known came from another router while the store was away.
-	seeded bool
-	// graceUntil ends the time after an outage in which a missing entry is
-	// still taken for a lapsed one.
-	graceUntil time.Time
-	view       atomic.Pointer[View]
+	lapses  lapses
+	view    atomic.Pointer[View]
 }
 
 // tracked is a server with what the registry's last word on it was.
@@ -61,7 +49,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked)}
+	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked), lapses: lapses{now: now}}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
 }
@@ -88,17 +76,8 @@
 func (r *Registry) Reset(items []store.Item, gap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.noteGap(gap)
-	present := make(map[string]bool, len(items))
-	for _, item := range items {
-		present[item.Key] = true
-		r.put(item)
-	}
-	for key := range r.servers {
-		if !present[key] {
-			r.missing(key)
-		}
-	}
+	r.lapses.noteGap(gap)
+	reset(r, items)
 	r.publish()
 }
 
@@ -106,14 +85,8 @@
 func (r *Registry) Apply(events []store.Event, gap time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.noteGap(gap)
-	for _, e := range events {
-		if e.Deleted {
-			r.missing(e.Key)
-			continue
-		}
-		r.put(e.Item)
-	}
+	r.lapses.noteGap(gap)
+	apply(r, events)
 	r.publish()
 }
 
@@ -124,7 +97,7 @@
 	for _, item := range items {
 		r.put(item)
 	}
-	r.seeded = true
+	r.lapses.seeded = true
 	r.publish()
 }
 
@@ -139,13 +112,6 @@
 	return items
 }
 
-func (r *Registry) noteGap(gap time.Duration) {
-	if gap > lapseGap || r.seeded {
-		r.seeded = false
-		r.graceUntil = r.now().Add(lapseGrace)
-	}
-}
-
 func (r *Registry) put(item store.Item) {
 	known := r.servers[item.Key]
 	if known != nil && item.Revision <= known.revision {
@@ -169,17 +135,18 @@
 	}
 }
 
-// missing handles an entry that is gone. During an outage of the store entries
-// lapse although their servers live; dropping those at once would empty the
-// services at the moment the store returns.
+func (r *Registry) keys() []string {
+	return slices.Collect(maps.Keys(r.servers))
+}
+
 func (r *Registry) missing(key string) {
 	known := r.servers[key]
 	if known == nil {
 		return
 	}
-	if r.now().Before(r.graceUntil) {
+	if until, lenient := r.lapses.grace(); lenient {
 		if known.lapsedUntil.IsZero() {
-			known.lapsedUntil = r.graceUntil
+			known.lapsedUntil = until
 		}
 		return
 	}
