Hold the mends of the last findings by tests that fail without them

Cause: of the mends of LOST (a request cut off at the end of a stop) and of SIGHUP right after a start only a part had a test: the wait for the last request, the answer that is being written, and the handler itself had none, since the soak leaves a start 300 ms.

Change: refuseAll and the closing of listeners are tested by themselves; SIGHUP is taken before main, where a test can send it; the bound is 0.10 of a budget instead of 0.15.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,16 @@
 // at any price: beyond the limit the process is killed.
 const heapShare = 0.7
 
+// hangups gets each SIGHUP from before main on. One that comes before its handler is
+// there ends the process, and an operator may send it right after a start.
+var hangups = takeHangups()
+
+func takeHangups() <-chan os.Signal {
+	taken := make(chan os.Signal, 1)
+	signal.Notify(taken, syscall.SIGHUP)
+	return taken
+}
+
 // Program is one router program.
 type Program struct {
 	Name, Help string
@@ -51,9 +61,6 @@
 
 // Main runs the program with the command line's arguments and ends the process.
 func (p Program) Main() {
-	// First of all: a SIGHUP that comes before its handler is there ends the process.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	app := kingpin.New(p.Name, p.Help)
 	app.Version(version.Version)
 	app.HelpFlag.Short('h')
@@ -70,13 +77,13 @@
 		fmt.Println("settings are right")
 		return
 	}
-	if err := p.run(settings, *file, hangups); err != nil {
+	if err := p.run(settings, *file); err != nil {
 		slog.Error(p.Name+" stops", "error", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func (p Program) run(settings *node.Settings, file string, hangups <-chan os.Signal) error {
+func (p Program) run(settings *node.Settings, file string) error {
 	runtime.GOMAXPROCS(1) // an entry VM has a part of one core: more threads only switch
 	debug.SetGCPercent(heapGrowth)
 	if settings.MemoryMB > 0 {
@@ -99,7 +106,7 @@
 		return err
 	}
 	n := node.New(settings, p.Dialect(settings, clock, log), log, incarnation)
-	tasks.Go(func() { watchSettings(logging, file, hangups, n, log) })
+	tasks.Go(func() { watchSettings(logging, file, n, log) })
 	if err := n.Listen(); err != nil {
 		return err
 	}
@@ -109,7 +116,7 @@
 }
 
 // watchSettings puts changed settings in force, on SIGHUP or when the file changes.
-func watchSettings(ctx context.Context, file string, hangups <-chan os.Signal, n *node.Node, log *event.Log) {
+func watchSettings(ctx context.Context, file string, n *node.Node, log *event.Log) {
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	seen := modified(file)
--- /dev/null
+++ b/internal/escrow/ceiling_test.go
@@ -0,0 +1,151 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+// What a router writes while it holds the store for away may land before it learns
+// that. It spends beyond its ceilings until then, so the write must not look like
+// one of a router in contact.
+func TestLedgerOfAnOutageCarriesTheLastContact(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	k := b.keeper("p1", noPeers{})
+	b.steady = time.Second
+	k.round(context.Background(), true)
+	k.away = true
+	b.steady = 9 * time.Second
+	d, due := k.plan(true)
+	c.Assert(due, qt.IsTrue)
+	c.Assert(d.ledger.Stamp.Steady, qt.Equals, time.Second)
+	c.Assert(k.age(), qt.Equals, 8*time.Second)
+}
+
+// A ledger write is answered by nothing and done seconds later. It must not put an
+// older ledger in the place of a newer one.
+func TestLateLedgerDoesNotReplaceANewerOne(t *testing.T) {
+	c := qt.New(t)
+	b, k, _ := startedBench()
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Late })
+	b.steady += time.Second
+	k.round(context.Background(), true)
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Answered })
+	b.steady += 2 * time.Second // the contact lease that the late write is bound to still runs
+	k.round(context.Background(), true)
+	newest := ledgerOf(c, b)
+	b.store.Settle()
+	c.Assert(ledgerOf(c, b), qt.DeepEquals, newest)
+}
+
+// A router that is home no more gives back what lies above its ceiling. The write
+// is not answered and may land at any time, so from its sending on the router uses
+// neither the tokens nor a pace above the lower one that it stated.
+func TestUnansweredWriteBindsFromItsSending(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	pace, ceiling := p.pace, p.ceiling
+	c.Assert(p.granted > ceiling, qt.IsTrue)
+
+	b.home, b.paid["boatyard"] = "elsewhere", 500_000
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Late })
+	b.steady += time.Second
+	k.round(context.Background(), true)
+	c.Assert(p.granted, qt.Equals, ceiling)
+	c.Assert(p.pendingAt, qt.Equals, p.revision)
+	c.Assert(p.pace < pace, qt.IsTrue)
+}
+
+func ledgerOf(c *qt.C, b *bench) Ledger {
+	snapshot, err := b.store.Read(context.Background(), "budget/router/vm")
+	c.Assert(err, qt.IsNil)
+	ledger, err := DecodeLedger(snapshot.Items[0].Value)
+	c.Assert(err, qt.IsNil)
+	return ledger
+}
+
+// An account's use falls after a busy time. With the next stamp its ceiling comes down
+// too, so that a death then loses little: what it was in the busy time would be lost.
+func TestCeilingFollowsTheUseDown(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady // a busy time
+	k.round(context.Background(), true)
+	busy := ledgerOf(c, b).Ceilings["boatyard"]
+	c.Assert(busy, qt.Equals, int64(100_000*aheadOf.Seconds()))
+	p.rate = 1_000
+	k.round(context.Background(), true)
+	calm := ledgerOf(c, b).Ceilings["boatyard"]
+	c.Assert(calm, qt.Equals, int64(firstCeiling*1_000_000))
+	c.Assert(p.ceiling, qt.Equals, calm)
+}
+
+// A write that lowers a ceiling is not answered. It may land at any time, so the router
+// holds itself to the lower one from its sending on, also after it read the old one.
+func TestLowerCeilingBindsFromItsSending(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
+	k.round(context.Background(), true)
+	p.rate = 1_000
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Late })
+	k.round(context.Background(), true)
+	c.Assert(k.read(context.Background()), qt.IsTrue)
+	c.Assert(p.ceiling, qt.Equals, int64(firstCeiling*1_000_000))
+}
+
+// In an outage requests wait or are refused, so the use that is seen falls. What may be
+// spent out of contact must not fall with it, or it never recovers.
+func TestOutageLowersNeitherPaceNorCeiling(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 50_000, 1, b.steady
+	k.round(context.Background(), true)
+	pace, ceiling := p.pace, p.ceiling
+	b.store.SetDown(true)
+	k.round(context.Background(), true)
+	p.rate = 0
+	k.round(context.Background(), true)
+	c.Assert(p.pace, qt.Equals, pace)
+	c.Assert(p.ceiling, qt.Equals, ceiling)
+}
+
+// A router that is no longer the account's home holds idle tokens that it borrowed, so
+// that by its own grant it has used less than nothing. What it gives back must not make
+// its grant negative: nobody could read the record any more.
+func TestBorrowedTokensMakeNoNegativeGrant(t *testing.T) {
+	c := qt.New(t)
+	b, k, _ := startedBench()
+	b.home = "elsewhere"
+	k.purse("boatyard").borrowed = 5_000
+	k.round(context.Background(), true)
+	k.round(context.Background(), true)
+	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] >= 0, qt.IsTrue)
+	c.Assert(b.record(c).Figure("vm", "p1").Granted >= 0, qt.IsTrue)
+}
+
+// The store answers, but takes half a second. Ceilings reach as much further as is used
+// meanwhile, and reservations wait for the write that covers them; both come down again
+// once the store is well.
+func TestSlowStoreIsAllowedFor(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
+	k.noteRoundTrip(500 * time.Millisecond)
+	k.round(context.Background(), true)
+	c.Assert(ledgerOf(c, b).Ceilings["boatyard"], qt.Equals, int64(100_000*(aheadOf.Seconds()+1)))
+	c.Assert(k.patience() > 500*time.Millisecond, qt.IsTrue)
+	for range 30 {
+		k.noteRoundTrip(5 * time.Millisecond)
+	}
+	p.rate, p.rateAt = 100_000, b.steady
+	k.round(context.Background(), true)
+	c.Assert(k.patience(), qt.Equals, drawPatience)
+	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] < int64(100_000*(aheadOf.Seconds()+0.1)), qt.IsTrue)
+}
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -83,7 +83,7 @@
 	allowed := beyond(outage, p.newPace(prepaid))
 	used := int64(rate * (outage - openAfter).Seconds())
 	qt.Assert(t, allowed > used, qt.IsTrue, qt.Commentf("%d allowed, %d used", allowed, used))
-	qt.Assert(t, float64(allowed-used) < 0.15*prepaid, qt.IsTrue, qt.Commentf("%d of %d lost", allowed-used, prepaid))
+	qt.Assert(t, float64(allowed-used) < 0.1*prepaid, qt.IsTrue, qt.Commentf("%d of %d lost", allowed-used, prepaid))
 }
 
 // A router gives tokens back; the write is not answered. It may still land, so the
--- /dev/null
+++ b/internal/escrow/outage_test.go
@@ -0,0 +1,194 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A router that holds nothing finds the store away when it needs a draw. It must find
+// out by itself that the store is back, or it refuses for ever after.
+func TestReturnOfTheStoreIsNoticedWithoutAnyGrant(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "elsewhere"
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	k.purse("boatyard").waiting = 10
+	b.store.SetDown(true)
+	k.round(context.Background(), false)
+	c.Assert(k.isAway(), qt.IsTrue)
+	k.purse("boatyard").waiting = 0
+	b.store.SetDown(false)
+	k.round(context.Background(), k.isAway())
+	c.Assert(k.isAway(), qt.IsFalse)
+}
+
+// fewPeers lend what they have and tell what they used.
+type fewPeers struct {
+	noPeers
+	left, used int64
+}
+
+func (p fewPeers) Borrow(_ context.Context, _ string, tokens int64) (int64, int64) {
+	return min(tokens, p.left), p.used
+}
+
+// The store is away and this router has nothing left: others lend. Without them the
+// caller is told to come back, not that its budget is exhausted.
+func TestOutageIsRiddenOutOnLoans(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.store.SetDown(true)
+	k := b.keeper("p1", fewPeers{left: 10_000})
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.IsNil)
+
+	b.steady += time.Minute // nothing opens soon: no use in waiting
+	k = b.keeper("p2", noPeers{})
+	k.round(context.Background(), true)
+	_, err = k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Equals, ErrUnreachable)
+}
+
+// The store goes away while a ceiling is nearly used up. A caller that comes then is
+// served once the grant opens, instead of being sent away from a router that holds
+// enough for it.
+func TestReservationWaitsForTheOpening(t *testing.T) {
+	c := qt.New(t)
+	b, k, _ := startedBench()
+	k.away = true
+	served := make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b.steady = openAfter
+	k.purse("boatyard").spent = k.purse("boatyard").ceiling
+	b.steady += 1200 * time.Millisecond
+	go func() {
+		_, err := k.Reserve(ctx, "boatyard", k.purse("boatyard").pace)
+		served <- err
+	}()
+	c.Assert(<-served, qt.IsNil)
+}
+
+// A router is cut off from the store and from all others. After some callers that it
+// could not serve it counts as stranded, so that it names others to those who ask
+// where to go; the first it can serve again ends that.
+func TestRouterThatFindsNobodyIsStranded(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "elsewhere"
+	b.store.SetDown(true)
+	b.steady = time.Minute
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	for i := 0; i < strandedMost; i++ {
+		c.Assert(k.Stranded(), qt.IsFalse)
+		_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+		c.Assert(err, qt.Equals, ErrUnreachable)
+	}
+	c.Assert(k.Stranded(), qt.IsTrue)
+	k.Accept(map[string]int64{"boatyard": 8_000})
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(k.Stranded(), qt.IsFalse)
+}
+
+// A caller is told that its budget is exhausted only where that is sure: the sum of
+// what routers say they used leaves too little. Tokens that a lost router holds
+// are no proof.
+func TestExhaustedIsSaidOnlyWhenSure(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(100_000)
+	lost := newRecord().With("lost-vm", "gone", Figure{Seq: 1, Granted: 100_000}, nil)
+	b.store.Put("budget/account/boatyard", lost.Encode())
+
+	k := b.keeper("p1", fewPeers{used: 0})
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Not(qt.Equals), ErrExhausted)
+	c.Assert(err, qt.IsNotNil)
+
+	k = b.keeper("p2", fewPeers{used: 95_000})
+	k.round(context.Background(), true)
+	_, err = k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.Equals, ErrExhausted)
+}
+
+// The store is away, and two routers ask a home that may spend little. It serves the one
+// that came first, whole, once it can; the other neither takes a part of that nor
+// overtakes. A loan without a ticket gets nothing that they wait for.
+func TestLoansOfAnOutageAreServedInTurn(t *testing.T) {
+	c := qt.New(t)
+	b, k, _ := startedBench()
+	b.store.SetDown(true)
+	k.round(context.Background(), true)
+	p := k.purse("boatyard")
+	p.ceiling, p.pace, p.granted = 0, 10_000, 100_000
+	lend := func(tokens int64, ticket string) int64 {
+		given, _, _ := k.Lend("boatyard", tokens, ticket)
+		return given
+	}
+	b.steady = openAfter + 200*time.Millisecond // 2,000 tokens are open
+	c.Assert(lend(3_000, "first"), qt.Equals, int64(0))
+	c.Assert(lend(1_500, "second"), qt.Equals, int64(0))
+	c.Assert(lend(100, ""), qt.Equals, int64(0))
+	b.steady += 150 * time.Millisecond // 3,500
+	c.Assert(lend(1_500, "second"), qt.Equals, int64(0))
+	c.Assert(lend(3_000, "first"), qt.Equals, int64(3_000))
+	b.steady += 100 * time.Millisecond // 1,500 are left
+	c.Assert(lend(1_500, "second"), qt.Equals, int64(1_500))
+}
+
+// Most of the budget may have been spent by routers that died, and nobody knows. A
+// request that doesn't fit into the rest is refused as in doubt, not as exhausted, and
+// not as if the rest were at another router.
+func TestInDoubtIsToldFromExhausted(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000)
+	record := newRecord()
+	record.Closed = 900
+	b.store.Put("budget/account/boatyard", record.Encode())
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	h := k.begin("boatyard", 500, true, "")
+	c.Assert(k.borrow(context.Background(), h, ErrContended), qt.ErrorIs, ErrInDoubt)
+	record.ClosedSpent = 900
+	b.store.Put("budget/account/boatyard", record.Encode())
+	c.Assert(k.read(context.Background()), qt.IsTrue)
+	c.Assert(k.borrow(context.Background(), h, ErrContended), qt.ErrorIs, ErrExhausted)
+}
+
+// deputyPeers can't reach the home; the deputy gives all.
+type deputyPeers struct {
+	noPeers
+	asked []string
+}
+
+func (p *deputyPeers) BorrowFrom(_ context.Context, address, _ string, tokens int64, _ string) (int64, bool) {
+	p.asked = append(p.asked, address)
+	if address == "deputy" {
+		return tokens, true
+	}
+	return 0, false
+}
+
+// An account's home has died, and its entry has not lapsed yet. A request gets its tokens
+// from the next router in rank; none is drawn here, where it would be one small part of
+// the budget among many.
+func TestDeputyGivesWhileTheHomeIsOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "home"
+	peers := &deputyPeers{}
+	k := b.keeper("p1", peers)
+	k.o.Deputy = func(string) string { return "deputy" }
+	k.round(context.Background(), true)
+	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "deputy"})
+	c.Assert(k.purse("boatyard").granted, qt.Equals, int64(0))
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -75,8 +75,10 @@
 }
 
 func (n *Node) closeListeners() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
 	for _, l := range n.listeners {
-		l.close()
+		l.close(ctx)
 	}
 	if n.peerListener != nil {
 		_ = n.peerListener.Close() // the process ends
@@ -89,12 +91,11 @@
 	}
 }
 
-// closeTime lets answers that are being written end.
+// closeTime lets answers that are being written end, on all listeners together.
 const closeTime = 100 * time.Millisecond
 
-func (l *listener) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-	defer cancel()
+// close lets what is being written end until ctx does, and then cuts it off.
+func (l *listener) close(ctx context.Context) {
 	if l.server.Shutdown(ctx) != nil {
 		_ = l.server.Close() // the process ends
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -32,12 +32,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	// A request that comes while the grants are returned would be cut off in its run. It
-	// is refused instead, and one that came just before is waited for.
-	n.leaving.Store(true)
-	for time.Now().Before(end) && n.inHand.Load() > 0 {
-		time.Sleep(stopPoll)
-	}
+	n.refuseAll(end)
 	ctx, cancel := context.WithTimeout(context.Background(), returnTime/2)
 	defer cancel()
 	if err := n.keeper.Return(ctx); err != nil {
@@ -47,6 +42,16 @@
 	n.log.Emit(event.DrainFinished, slog.Int64("in_hand", n.inHand.Load()), slog.Int64("ms", time.Since(began).Milliseconds()))
 }
 
+// refuseAll takes no request any more, and waits for those that came just before, until
+// end at the latest. Without it a request that comes while the grants are returned is cut
+// off in its run.
+func (n *Node) refuseAll(end time.Time) {
+	n.leaving.Store(true)
+	for time.Now().Before(end) && n.inHand.Load() > 0 {
+		time.Sleep(stopPoll)
+	}
+}
+
 // handOver gives what can't be returned to another router.
 func (n *Node) handOver() {
 	others := n.peerAddresses()
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,3 +39,60 @@
 	n.serve(context.Background(), &request.Request{ID: "r1"}, caller)
 	qt.Assert(t, caller.cause, qt.Equals, forward.Stopping)
 }
+
+// A request came right before the router took no more. The grants are returned only once
+// it has ended.
+func TestLastRequestIsWaitedFor(t *testing.T) {
+	n := New(&Settings{VM: "vm-0"}, Dialect{Clock: func() escrow.Stamp { return escrow.Stamp{} }}, event.Discard(), "p1")
+	n.inHand.Store(1)
+	var ended atomic.Bool
+	waited := make(chan bool)
+	go func() {
+		n.refuseAll(time.Now().Add(time.Hour))
+		waited <- ended.Load()
+	}()
+	for !n.leaving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	ended.Store(true)
+	n.inHand.Store(0)
+	qt.Assert(t, <-waited, qt.IsTrue)
+}
+
+// The router ends while an answer is being written. The caller gets all of it.
+func TestAnswerIsWrittenToItsEnd(t *testing.T) {
+	address := "127.0.0.1:0"
+	open, err := listenOn(&address)
+	qt.Assert(t, err, qt.IsNil)
+	begun, closing := make(chan struct{}), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first half, ") // the caller reads all or the test fails
+		close(begun)
+		<-closing
+		_, _ = io.WriteString(w, "second half") // as above
+	})}
+	server.RegisterOnShutdown(func() { close(closing) })
+	l := &listener{net: open, server: server, log: event.Discard()}
+	go l.serve()
+	answered := make(chan string)
+	go func() {
+		response, err := http.Get("http://" + address)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer func() { _ = response.Body.Close() }() // read to its end
+		body, err := io.ReadAll(response.Body)
+		answered <- string(body) + errorText(err)
+	}()
+	<-begun
+	l.close(context.Background())
+	qt.Assert(t, <-answered, qt.Equals, "first half, second half")
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
