Give back what was granted beyond a budget that was lowered

Change: a router whose record gives out more than was paid gives back what it holds beyond, and holds itself to that from the sending on, as with any smaller grant.

Ruled out: the stop and the listeners, which changed shortly before; the goroutines show callers being answered.

TestLoweredBudgetIsNotSpent fails without the change.

--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -162,3 +162,18 @@
 		}
 	})
 }
+
+// An operator lowers a budget of which most is granted to its home. The home gives back what
+// lies beyond it: callers are refused though the grant would have served them.
+func TestLoweredBudgetIsNotSpent(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	first, err := k.Reserve(context.Background(), "boatyard", 5_000)
+	c.Assert(err, qt.IsNil)
+	first.Settle(5_000)
+	b.paid["boatyard"] = 6_000
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady // a busy account: its ceiling is high
+	k.round(context.Background(), true)
+	c.Assert(b.record(c).Given() <= 6_000, qt.IsTrue, qt.Commentf("%d granted", b.record(c).Given()))
+	c.Assert(p.available(0) <= 1_000, qt.IsTrue, qt.Commentf("%d available", p.available(0)))
+}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -151,6 +151,11 @@
 	case !home && p.waiting == 0 && left > 0 && p.ceiling < p.granted:
 		// A former home's rest. What is below the ceiling goes to the new home.
 		return max(p.used(), min(p.granted, p.ceiling)), true
+	case p.record.Given() > prepaid && left > 0:
+		// A budget that was lowered: what was granted beyond it is given back, or this
+		// router would go on to spend it.
+		excess := p.record.Given() - prepaid
+		return max(p.used(), p.granted-excess), true
 	}
 	return p.granted, false
 }
