Take a server that starts again under its id for another one

Cause: an engine may restart under its id, and an entry may come from another writer. Beliefs (load, failures, prompts read, idle connections, tried servers) were kept by id, so those of the earlier start were taken for the new one's, a drained id never came back, and an entry that could not be read left the earlier one in use.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -44,7 +44,7 @@
 }
 
 type cached struct {
-	server, part string
+	start, part string // of the server; of the prompt
 }
 
 // NewChooser makes a chooser for a router in the given failure domain. A nil now
@@ -112,7 +112,7 @@
 	defer c.mu.Unlock()
 	sum := 0
 	for i := 0; i < len(r.Parts)-1; i++ {
-		at, found := c.read[cached{s.ID, r.Parts[i].ID}]
+		at, found := c.read[cached{s.Start, r.Parts[i].ID}]
 		if !found || now.Sub(at) > cacheKept {
 			break
 		}
@@ -127,7 +127,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := 0; i < len(r.Parts)-1; i++ {
-		c.read[cached{s.ID, r.Parts[i].ID}] = now
+		c.read[cached{s.Start, r.Parts[i].ID}] = now
 	}
 	c.forget(now)
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -57,6 +57,16 @@
 	qt.Assert(t, c.Choose(list, r, none).Unread, qt.Equals, 2700.0)
 }
 
+// A server that read a prompt starts again under its id. It has read nothing.
+func TestRestartedServerHasReadNothing(t *testing.T) {
+	before := fleet.NewServer(fleet.Entry{ID: "s", Domain: "zone-1", Born: 1})
+	after := fleet.NewServer(fleet.Entry{ID: "s", Domain: "zone-1", Born: 2})
+	c, r := NewChooser("zone-1", nil), prompt("subject")
+	c.Sent(before, r)
+	qt.Assert(t, c.kept(before, r, false, time.Now()), qt.Equals, r.SharedTokens())
+	qt.Assert(t, c.kept(after, r, false, time.Now()), qt.Equals, 0)
+}
+
 // A leaving, an excluded and a failed server are passed over, the failed one only
 // while there is another.
 func TestUnfitServersArePassedOver(t *testing.T) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -124,6 +124,65 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
 }
 
+// reborn is an entry of a server that started at a moment.
+func reborn(id string, revision store.Revision, born int64, draining bool) store.Item {
+	value, err := json.Marshal(Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Born: born, Draining: draining})
+	if err != nil {
+		panic(err)
+	}
+	return store.Item{Key: "servers/" + id, Value: value, Revision: revision}
+}
+
+// A server crashes and starts again under its id, while its entry still stands. What the
+// router believed of it is of the earlier start: requests would go by a load, failures and
+// prompts that are no more.
+func TestRestartedServerIsAnotherServer(t *testing.T) {
+	r, c := newRegistry()
+	r.Reset([]store.Item{reborn("a", 1, 100, false)}, 0)
+	before := r.View().ByService["engines"][0]
+	before.Begin(5000)
+	before.Report(Load{Running: 9}, c.now())
+	before.Failed(c.now())
+
+	r.Apply([]store.Event{put(reborn("a", 2, 200, false))}, usual)
+	after := r.View().ByService["engines"][0]
+	qt.Assert(t, after.Status(c.now()), qt.Equals, Status{})
+	qt.Assert(t, after.Start, qt.Not(qt.Equals), before.Start)
+	qt.Assert(t, before.Leaving(), qt.IsTrue, qt.Commentf("for requests that chose it already"))
+	before.End()
+	qt.Assert(t, after.Status(c.now()).Outstanding, qt.Equals, 0)
+
+	r.Apply([]store.Event{put(reborn("a", 3, 200, false))}, usual)
+	qt.Assert(t, r.View().ByService["engines"][0], qt.Equals, after, qt.Commentf("a heartbeat changes nothing"))
+}
+
+// A server drains, starts again and serves; then drains again, and a late word of its
+// first start says that it is ready. It must not come back.
+func TestDrainingEndsWithTheStart(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]store.Item{reborn("a", 1, 100, true)}, 0)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{})
+	r.Apply([]store.Event{put(reborn("a", 2, 200, false))}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
+	r.Apply([]store.Event{put(reborn("a", 3, 200, true)), put(reborn("a", 4, 100, false))}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{})
+}
+
+// Another writer spoils a server's entry, again and again. The server is not used by it,
+// the others are, and it is back with the next entry that can be read, but not if it was
+// leaving.
+func TestSpoiledEntryNamesNobody(t *testing.T) {
+	r, _ := newRegistry()
+	spoiled := func(id string, revision store.Revision) store.Event {
+		return put(store.Item{Key: "servers/" + id, Value: []byte("{"), Revision: revision})
+	}
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false), entryItem("c", 3, true)}, 0)
+	r.Apply([]store.Event{spoiled("a", 4), spoiled("a", 5), spoiled("c", 6), spoiled("x", 7)}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+	r.Apply([]store.Event{put(entryItem("a", 8, false)), put(entryItem("c", 9, false))}, usual)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
+}
+
 // A server that failed is avoided for a while that grows with each failure, and
 // free again at the first whole answer.
 func TestFailedServerIsAvoidedForAWhile(t *testing.T) {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -25,8 +25,11 @@
 
 	mu      sync.Mutex
 	servers map[string]*tracked
-	lapses  lapses
-	view    atomic.Pointer[View]
+	// rejected holds why the present entry of a key names no server, so that a writer
+	// that repeats itself costs one log line.
+	rejected map[string]string
+	lapses   lapses
+	view     atomic.Pointer[View]
 }
 
 // tracked is a server with what the registry's last word on it was.
@@ -36,6 +39,9 @@
 	item     store.Item // as it was stored last
 	// lapsedUntil is set while the entry is missing and the server still used.
 	lapsedUntil time.Time
+	// unreadable: the present entry names no server to use. What is known is kept, since
+	// the server may write a good one again, and must not come back if it was leaving.
+	unreadable bool
 }
 
 // View is the servers by service, in the order of their ids. It never changes.
@@ -49,7 +55,8 @@
 	if now == nil {
 		now = time.Now
 	}
-	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked), lapses: lapses{now: now}}
+	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked),
+		rejected: make(map[string]string), lapses: lapses{now: now}}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
 }
@@ -119,27 +126,58 @@
 	}
 	entry, err := r.decode(item)
 	if err != nil {
-		r.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Any(event.KeyCause, err))
+		r.reject(item, known, err)
 		return
 	}
+	delete(r.rejected, item.Key)
 	if known == nil {
-		r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision, item: item}
-		r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
-			slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining))
+		r.found(item, entry)
 		return
 	}
-	known.revision, known.item = item.Revision, item
+	if known.server.Restarted(entry) && !known.outdates(entry) {
+		r.leave(known, "restarted")
+		r.found(item, entry)
+		return
+	}
+	known.revision, known.item, known.unreadable = item.Revision, item, false
 	known.lapsedUntil = time.Time{}
 	if entry.Draining {
 		r.leave(known, "draining")
 	}
 }
 
+// outdates says whether an entry is a late word of a start before the known one, which
+// must not bring back what is leaving.
+func (t *tracked) outdates(e Entry) bool {
+	return t.server.Leaving() && e.Born < t.server.Born
+}
+
+// found takes a server, or a new start of one: nothing of an earlier start is kept.
+func (r *Registry) found(item store.Item, entry Entry) {
+	r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision, item: item}
+	r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
+		slog.Int64("born", entry.Born), slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining))
+}
+
+// reject takes an entry that names no server: another writer's, or one that was spoiled.
+// The server that the key named before is not used until its entry can be read again.
+func (r *Registry) reject(item store.Item, known *tracked, cause error) {
+	if known != nil {
+		known.revision, known.item, known.unreadable = item.Revision, item, true
+	}
+	if r.rejected[item.Key] == cause.Error() {
+		return
+	}
+	r.rejected[item.Key] = cause.Error()
+	r.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, cause))
+}
+
 func (r *Registry) keys() []string {
 	return slices.Collect(maps.Keys(r.servers))
 }
 
 func (r *Registry) missing(key string) {
+	delete(r.rejected, key)
 	known := r.servers[key]
 	if known == nil {
 		return
@@ -175,7 +213,7 @@
 			r.drop(key, known)
 			continue
 		}
-		if known.server.Leaving() {
+		if known.server.Leaving() || known.unreadable {
 			continue
 		}
 		service := known.server.Service
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +11,11 @@
 
 // Entry is what a backend server says of itself in the registry.
 type Entry struct {
-	ID      string // one start of the server
+	ID string
+	// Born is when the server's process started, in Unix milliseconds; 0: it doesn't
+	// tell. A server may start again under its id: another Born is another server,
+	// which knows nothing of what the earlier one held or was sent.
+	Born    int64
 	Service string
 	Address string // IP:port
 	Domain  string // failure domain
@@ -29,6 +34,10 @@
 // the rest is shared by all requests.
 type Server struct {
 	Entry
+	// Start names this one start of the server among all starts of all servers. What is
+	// believed of a server is kept by it, not by the id: load, parts read and idle
+	// connections of an earlier start must not be taken for this one's.
+	Start string
 
 	leaving atomic.Bool
 
@@ -44,11 +53,17 @@
 
 // NewServer makes a server from its entry.
 func NewServer(e Entry) *Server {
-	s := &Server{Entry: e}
+	s := &Server{Entry: e, Start: e.ID + "@" + e.Address + "@" + strconv.FormatInt(e.Born, 10)}
 	s.leaving.Store(e.Draining)
 	return s
 }
 
+// Restarted says whether an entry of the same id tells of another start, or of another
+// server that took the id over.
+func (s *Server) Restarted(e Entry) bool {
+	return e.Born != s.Born || e.Address != s.Address || e.Service != s.Service
+}
+
 // Leaving says whether the server is draining or gone: it gets nothing new.
 func (s *Server) Leaving() bool {
 	return s.leaving.Load()
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -43,7 +43,7 @@
 	// due is when the caller or the route stops waiting; zero: never.
 	due time.Time
 
-	tried       map[string]bool // servers not to be asked again
+	tried       map[string]bool // starts of servers not to be asked again
 	sends       int             // attempts that reached a server
 	dials       int             // servers that were unreachable
 	mayHaveRun  bool
@@ -140,7 +140,7 @@
 }
 
 func (t *task) excluded(s *fleet.Server) bool {
-	return t.tried[s.ID]
+	return t.tried[s.Start]
 }
 
 // mayRepeat says whether the request may be sent once more, and counts it.
@@ -173,7 +173,7 @@
 // attempt sends the request to one server and passes its answer on.
 func (t *task) attempt(parent context.Context, choice balance.Choice) outcome {
 	server := choice.Server
-	t.tried[server.ID] = true
+	t.tried[server.Start] = true
 	a := &upstream.Attempt{Request: t.r, Server: server, ResumeAfter: t.lastEvent, Resume: t.hasEvent}
 	if !t.due.IsZero() {
 		a.Left = time.Until(t.due)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -106,7 +106,7 @@
 // Do sends an attempt and waits for the answer's head. When ctx ends, the
 // connection is closed, which makes servers drop the request.
 func (c *Client) Do(ctx context.Context, a *Attempt) (*Reply, error) {
-	connection, err := c.connect(ctx, a.Server.ID, a.Server.Address)
+	connection, err := c.connect(ctx, a.Server.Start, a.Server.Address)
 	if err != nil {
 		return nil, &Error{Meaning: ErrNotSent, Cause: err}
 	}
@@ -136,7 +136,7 @@
 			written <- err
 		}()
 	}
-	reply := &Reply{client: c, server: a.Server.ID, conn: connection, written: written}
+	reply := &Reply{client: c, server: a.Server.Start, conn: connection, written: written}
 	if err := reply.readHead(a); err != nil {
 		return nil, err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,7 +69,7 @@
 	dials prometheus.Counter
 
 	mu    sync.Mutex
-	pools map[string]*pool // by id of the server
+	pools map[string]*pool // by start of the server
 }
 
 // NewClient makes a client. Each dial counts in dials.
