--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -94,6 +94,20 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
 }
 
+// A router returns from a cut, and reads the store, which no longer has a server's entry.
+// The server is not back within its two seconds, and no answer of the store comes right
+// then: it is out all the same, and not only with the next answer.
+func TestLapsedEntryIsOutWithoutAnAnswer(t *testing.T) {
+	r, c := newRegistry()
+	r.Contact(true, nil)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	c.pass(10 * time.Second)
+	r.Reset([]store.Item{entryItem("b", 2, false)}, 10*time.Second)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
+	c.pass(lapseGrace)
+	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
+}
+
 // The store returns for a moment and is away again before the two seconds are over.
 // The time to come back begins anew with its next return.
 func TestSecondOutageDoesNotUseUpTheGrace(t *testing.T) {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -28,8 +28,13 @@
 	// rejected holds why the present entry of a key names no server, so that a writer
 	// that repeats itself costs one log line.
 	rejected map[string]string
-	lapses   lapses
-	view     atomic.Pointer[View]
+	// reached: the store answers. While it doesn't, no missing entry can come back.
+	reached bool
+	lapses  lapses
+	view    atomic.Pointer[View]
+	// lapseDue is when the first of the missing entries is to be taken as gone, in Unix
+	// nanoseconds; 0: none is missing.
+	lapseDue atomic.Int64
 }
 
 // tracked is a server with what the registry's last word on it was.
@@ -56,13 +61,20 @@
 		now = time.Now
 	}
 	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked),
-		rejected: make(map[string]string), lapses: lapses{now: now}}
+		rejected: make(map[string]string), reached: true, lapses: lapses{now: now}}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
 }
 
-// View returns the servers known now.
+// View returns the servers known now. A missing entry whose time to come back is over is
+// left out from then on: an answer of the store, which may be seconds away, would come too
+// late for it, and requests would reach a server long after it left.
 func (r *Registry) View() *View {
+	if due := r.lapseDue.Load(); due != 0 && r.now().UnixNano() >= due {
+		r.mu.Lock()
+		r.publish()
+		r.mu.Unlock()
+	}
 	return r.view.Load()
 }
 
@@ -76,6 +88,8 @@
 			known.lapsedUntil = r.now().Add(lapseGrace)
 		}
 	}
+	r.reached = reached
+	r.publish()
 	LogContact(r.log, "backend servers", reached, cause)
 }
 
@@ -108,6 +122,17 @@
 	r.publish()
 }
 
+// Same says whether two entries of one key name the same server in the same state:
+// heartbeats change all entries all the time.
+func (r *Registry) Same(before, after store.Item) bool {
+	one, err := r.decode(before)
+	if err != nil {
+		return false
+	}
+	other, err := r.decode(after)
+	return err == nil && one == other
+}
+
 // Items returns the entries as they were stored last, for another router.
 func (r *Registry) Items() []store.Item {
 	r.mu.Lock()
@@ -208,10 +233,16 @@
 func (r *Registry) publish() {
 	now := r.now()
 	view := &View{ByService: make(map[string][]*Server)}
+	due := int64(0)
 	for key, known := range r.servers {
-		if !known.lapsedUntil.IsZero() && !now.Before(known.lapsedUntil) {
-			r.drop(key, known)
-			continue
+		if !known.lapsedUntil.IsZero() && r.reached {
+			if !now.Before(known.lapsedUntil) {
+				r.drop(key, known)
+				continue
+			}
+			if at := known.lapsedUntil.UnixNano(); due == 0 || at < due {
+				due = at
+			}
 		}
 		if known.server.Leaving() || known.unreadable {
 			continue
@@ -224,6 +255,7 @@
 		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	}
 	r.view.Store(view)
+	r.lapseDue.Store(due)
 }
 
 // LogContact writes that a dependency was lost or regained.
