Feed on what was heard from other routers too

Cause: a router that learned from others for a while and then followed the store itself lacked those changes in its feed, but moved the feed's revision past them; its readers never heard of them. Change: Feed.hear.

--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -53,25 +53,43 @@
 	return f.Now()
 }
 
-// learn takes what the store answered; gap is the time without an answer before it, and
-// freshFor how long the answer may be served.
+// learn takes what the store answered: a read or changes. gap is the time without an answer
+// before it, and freshFor how long the answer may be served.
 func (f *Feed) learn(s *Snapshot, c *Changes, gap, freshFor time.Duration) {
+	if f == nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.at
-	if s != nil {
-		f.reset(*s)
-	} else {
-		f.apply(c.Events)
-		f.at = max(f.at, c.At)
-	}
 	if gap > freshFor {
-		f.silence, f.silentAt = gap, before
+		f.silence, f.silentAt = gap, f.at
 	}
+	f.know(s, c)
 	f.freshUntil = f.now().Add(freshFor)
 	f.notify()
 }
 
+// hear takes what another router told, which is not served. Without it this feed would
+// lack those changes once this router follows the store itself again, and its readers
+// would never hear of them.
+func (f *Feed) hear(s *Snapshot, c *Changes) {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.know(s, c)
+}
+
+func (f *Feed) know(s *Snapshot, c *Changes) {
+	if s != nil {
+		f.reset(*s)
+		return
+	}
+	f.apply(c.Events)
+	f.at = max(f.at, c.At)
+}
+
 // stop says that this router doesn't follow the store itself any more.
 func (f *Feed) stop() {
 	if f == nil {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -152,6 +152,7 @@
 		if err != nil {
 			return err
 		}
+		f.Feed.hear(&snapshot, nil)
 		f.Sink.Reset(snapshot.Items, f.answered())
 		f.at, f.synced = max(f.at, snapshot.At), true
 		return nil
@@ -164,6 +165,7 @@
 	if err != nil {
 		return err
 	}
+	f.Feed.hear(nil, &changes)
 	f.Sink.Apply(changes.Events, max(f.answered(), changes.Silence))
 	f.at = max(f.at, changes.At)
 	return nil
@@ -179,9 +181,7 @@
 
 // feed passes on what the store answered, with the time without an answer before it.
 func (f *Follower) feed(s *Snapshot, c *Changes, gap time.Duration) {
-	if f.Feed != nil {
-		f.Feed.learn(s, c, gap, f.Wait+f.Patience+f.Pause)
-	}
+	f.Feed.learn(s, c, gap, f.Wait+f.Patience+f.Pause)
 }
 
 func (f *Follower) read(ctx context.Context) error {
--- /dev/null
+++ b/internal/store/relay_test.go
@@ -0,0 +1,72 @@
+package store
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// answers is a store and a relay that give the prepared answers, each once.
+type answers struct {
+	Store    // the calls that are not made
+	snapshot Snapshot
+	changes  []Changes
+	relayed  bool
+}
+
+func (a *answers) next() (Changes, error) {
+	if len(a.changes) == 0 {
+		return Changes{}, ErrUnavailable
+	}
+	c := a.changes[0]
+	a.changes = a.changes[1:]
+	return c, nil
+}
+
+func (a *answers) Read(context.Context, string) (Snapshot, error) { return a.snapshot, nil }
+
+func (a *answers) Watch(context.Context, string, Revision, time.Duration) (Changes, error) {
+	return a.next()
+}
+
+// others is the same as what other routers tell.
+type others struct{ *answers }
+
+func (o others) Used() bool { return o.relayed }
+
+func (o others) Read(context.Context, string, Revision) (Snapshot, error) { return o.snapshot, nil }
+
+func (o others) Watch(context.Context, string, Revision) (Changes, error) { return o.next() }
+
+// quiet is a sink that nobody asks.
+type quiet struct{}
+
+func (quiet) Reset([]Item, time.Duration)  {}
+func (quiet) Apply([]Event, time.Duration) {}
+func (quiet) Contact(bool, error)          {}
+
+// A router follows others for a while, hears of a change there, and then follows the store
+// itself and serves others. Those who read here know the store from before that change: they
+// must hear of it, or they never will.
+func TestFeedTellsWhatWasHeardFromOthers(t *testing.T) {
+	c := qt.New(t)
+	source := &answers{snapshot: Snapshot{Items: []Item{item("a", 2)}, At: 5}}
+	f := &Follower{Store: source, Relay: others{source}, Feed: &Feed{}, Sink: quiet{}, Wait: time.Hour, Patience: time.Hour}
+	step := func(relayed bool, changes Changes) {
+		source.relayed, source.changes = relayed, []Changes{changes}
+		was, err := f.step(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(was, qt.Equals, relayed)
+	}
+	step(false, Changes{}) // reads all
+	step(true, Changes{At: 8, Events: []Event{{Item: item("b", 7)}}})
+	_, err := f.Feed.Read(0)
+	c.Assert(err, qt.ErrorIs, ErrNoFeed, qt.Commentf("it has nothing of the store itself to tell"))
+	step(false, Changes{At: 10, Events: []Event{{Item: item("c", 9)}}})
+
+	changes, err := f.Feed.Watch(context.Background(), 5, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Events, qt.HasLen, 2)
+}
