Allow more of a fresh budget, and less of one that ends

What a death loses matters only near a budget's end. Change: ceilings reach 7 in 100 of what is left ahead, between 0.8 and 2.5 s of use (1.2 s before); up to half of what is left may be used at the full pace in an outage, before the low late pace counts. A ledger states an Allowance for each account.

--- a/internal/escrow/ceiling_test.go
+++ b/internal/escrow/ceiling_test.go
@@ -50,7 +50,7 @@
 func TestUnansweredWriteBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
-	pace, ceiling := p.pace, p.ceiling
+	pace, ceiling := p.allowed.Pace, p.allowed.Ceiling
 	c.Assert(p.granted > ceiling, qt.IsTrue)
 
 	b.home, b.paid["boatyard"] = "elsewhere", 500_000
@@ -59,7 +59,7 @@
 	k.round(context.Background(), true)
 	c.Assert(p.granted, qt.Equals, ceiling)
 	c.Assert(p.pendingAt, qt.Equals, p.revision)
-	c.Assert(p.pace < pace, qt.IsTrue)
+	c.Assert(p.allowed.Pace < pace, qt.IsTrue)
 }
 
 func ledgerOf(c *qt.C, b *bench) Ledger {
@@ -77,13 +77,13 @@
 	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady // a busy time
 	k.round(context.Background(), true)
-	busy := ledgerOf(c, b).Ceilings["boatyard"]
-	c.Assert(busy, qt.Equals, int64(100_000*aheadOf.Seconds()))
+	busy := ledgerOf(c, b).Allowances["boatyard"].Ceiling
+	c.Assert(busy, qt.Equals, int64(100_000*aheadLeast.Seconds()))
 	p.rate = 1_000
 	k.round(context.Background(), true)
-	calm := ledgerOf(c, b).Ceilings["boatyard"]
+	calm := ledgerOf(c, b).Allowances["boatyard"].Ceiling
 	c.Assert(calm, qt.Equals, int64(firstCeiling*1_000_000))
-	c.Assert(p.ceiling, qt.Equals, calm)
+	c.Assert(p.allowed.Ceiling, qt.Equals, calm)
 }
 
 // A write that lowers a ceiling is not answered. It may land at any time, so the router
@@ -97,7 +97,7 @@
 	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Late })
 	k.round(context.Background(), true)
 	c.Assert(k.read(context.Background()), qt.IsTrue)
-	c.Assert(p.ceiling, qt.Equals, int64(firstCeiling*1_000_000))
+	c.Assert(p.allowed.Ceiling, qt.Equals, int64(firstCeiling*1_000_000))
 }
 
 // In an outage requests wait or are refused, so the use that is seen falls. What may be
@@ -107,13 +107,13 @@
 	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 50_000, 1, b.steady
 	k.round(context.Background(), true)
-	pace, ceiling := p.pace, p.ceiling
+	pace, ceiling := p.allowed.Pace, p.allowed.Ceiling
 	b.store.SetDown(true)
 	k.round(context.Background(), true)
 	p.rate = 0
 	k.round(context.Background(), true)
-	c.Assert(p.pace, qt.Equals, pace)
-	c.Assert(p.ceiling, qt.Equals, ceiling)
+	c.Assert(p.allowed.Pace, qt.Equals, pace)
+	c.Assert(p.allowed.Ceiling, qt.Equals, ceiling)
 }
 
 // A router that is no longer the account's home holds idle tokens that it borrowed, so
@@ -126,7 +126,7 @@
 	k.purse("boatyard").borrowed = 5_000
 	k.round(context.Background(), true)
 	k.round(context.Background(), true)
-	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] >= 0, qt.IsTrue)
+	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling >= 0, qt.IsTrue)
 	c.Assert(b.record(c).Figure("vm", "p1").Granted >= 0, qt.IsTrue)
 }
 
@@ -139,7 +139,7 @@
 	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
 	k.noteRoundTrip(500 * time.Millisecond)
 	k.round(context.Background(), true)
-	c.Assert(ledgerOf(c, b).Ceilings["boatyard"], qt.Equals, int64(100_000*(aheadOf.Seconds()+1)))
+	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling, qt.Equals, int64(100_000*(aheadLeast.Seconds()+1)))
 	c.Assert(k.patience() > 500*time.Millisecond, qt.IsTrue)
 	for range 30 {
 		k.noteRoundTrip(5 * time.Millisecond)
@@ -147,5 +147,5 @@
 	p.rate, p.rateAt = 100_000, b.steady
 	k.round(context.Background(), true)
 	c.Assert(k.patience(), qt.Equals, drawPatience)
-	c.Assert(ledgerOf(c, b).Ceilings["boatyard"] < int64(100_000*(aheadOf.Seconds()+0.1)), qt.IsTrue)
+	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling < int64(100_000*(aheadLeast.Seconds()+0.1)), qt.IsTrue)
 }
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -42,8 +42,8 @@
 	if !k.away {
 		stamped = now
 	}
-	d := draw{ledger: Ledger{Format: recordFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: stamped,
-		Ceilings: make(map[string]int64, len(accounts)), Paces: make(map[string]int64, len(accounts))}}
+	d := draw{ledger: Ledger{Format: ledgerFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: stamped,
+		Allowances: make(map[string]Allowance, len(accounts))}}
 	due := stamp && (k.away || k.holds())
 	topUp := refillBelow
 	if stamp {
@@ -65,15 +65,16 @@
 			granted = p.granted
 		}
 		ceiling, short := p.raised(granted, budgets[account], home, k.roundTrip)
-		pace := p.newPace(budgets[account])
+		next := Allowance{Ceiling: ceiling, Pace: p.newPace(budgets[account])}
+		if home {
+			next.Reserve = int64(reserveShare * float64(p.left(budgets[account])))
+		}
 		if k.away {
 			// What waits or is refused in an outage lowers the rate, and with it what
 			// may be spent; nothing is gained by stating less.
-			ceiling, pace = max(ceiling, p.ceiling), max(pace, p.pace)
+			next = Allowance{max(next.Ceiling, p.allowed.Ceiling), max(next.Pace, p.allowed.Pace), p.allowed.Reserve}
 		}
-		d.ledger.Ceilings[account] = ceiling
-		d.ledger.Paces[account] = pace
-		p.pace = min(p.pace, pace)
+		d.ledger.Allowances[account] = next
 		due = due || short
 	}
 	if !due {
@@ -92,13 +93,13 @@
 	return d, true
 }
 
-// lower holds this router to the ceilings of a ledger that is about to be written, where
+// lower holds this router to the allowances of a ledger that is about to be written, where
 // they are lower than the present ones. The ledger may land whatever becomes of its
-// answer; higher ceilings count only once they are stored.
+// answer; higher allowances count only once they are stored.
 func (k *Keeper) lower(ledger Ledger) {
-	for account, ceiling := range ledger.Ceilings {
+	for account, next := range ledger.Allowances {
 		p := k.purse(account)
-		p.ceiling = min(p.ceiling, ceiling)
+		p.allowed = p.allowed.least(next)
 	}
 }
 
@@ -189,9 +190,8 @@
 func (k *Keeper) landed(d draw, result store.Result) {
 	k.ledgerRevision = int64(result.Revision)
 	k.contactPut = k.contactPut || d.contact
-	for account, ceiling := range d.ledger.Ceilings {
-		k.purse(account).ceiling = ceiling
-		k.purse(account).pace = d.ledger.Paces[account]
+	for account, allowed := range d.ledger.Allowances {
+		k.purse(account).allowed = allowed
 	}
 	for i, p := range d.purses {
 		p.learned(d.records[i], int64(result.Revision), d.figures[i])
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -41,20 +41,41 @@
 	// fullPace is the time after openAfter in which the pace holds in full: what waits
 	// since the beginning of the outage is served then.
 	fullPace = 1500 * time.Millisecond
-	// latePace is the part of the pace that holds afterwards. Where all routers die late
-	// in an outage, all that it allowed counts as spent: at the full pace less than a
-	// quarter of the requests were served once they were back.
+	// latePace is the part of the pace that holds afterwards, once the allowance's reserve
+	// is used up. Where all routers die late in an outage, all that it allowed counts as
+	// spent: at the full pace less than a quarter of the requests were served once they
+	// were back.
 	latePace = 0.45
 )
 
-// beyond is how much above its ceiling a router may go when its last stamp is so
-// old, at a pace in tokens a second.
-func beyond(age time.Duration, pace int64) int64 {
+// Allowance is how much of its grant on one account a router may use.
+type Allowance struct {
+	// Ceiling is the most used at the stamp and until openAfter later.
+	Ceiling int64 `json:"ceiling"`
+	// Pace is how many tokens a second may be used beyond that, out of contact.
+	Pace int64 `json:"pace"`
+	// Reserve is how much may be used beyond the ceiling at the full pace.
+	Reserve int64 `json:"reserve"`
+}
+
+// at is the most that may be used when the last stamp is so old.
+func (a Allowance) at(age time.Duration) int64 {
 	open := max(0, age-openAfter)
 	early := min(open, fullPace)
-	return int64(float64(pace) * (early.Seconds() + latePace*(open-early).Seconds()))
+	full := int64(float64(a.Pace) * open.Seconds())
+	late := int64(float64(a.Pace) * (early.Seconds() + latePace*(open-early).Seconds()))
+	return a.Ceiling + max(late, min(full, a.Reserve))
 }
 
+// least is the lower of each of two allowances: what holds while either may be stored.
+func (a Allowance) least(b Allowance) Allowance {
+	return Allowance{min(a.Ceiling, b.Ceiling), min(a.Pace, b.Pace), min(a.Reserve, b.Reserve)}
+}
+
+// ledgerFormat is the version of the stored form. A ledger of another version says
+// nothing, so that all of its grant counts as spent.
+const ledgerFormat = 2
+
 // Stamp is a reading of a VM's clocks.
 type Stamp struct {
 	Boot   string        `json:"boot"`   // differs after a restart of the VM
@@ -87,10 +108,8 @@
 	// Stamp is a moment of contact: before this write was sent, or, if the store was
 	// away then, before the last write that was sent while it was not.
 	Stamp Stamp `json:"stamp"`
-	// Ceilings is the most used of each grant at the stamp and openAfter later.
-	Ceilings map[string]int64 `json:"ceilings"`
-	// Paces is how many tokens a second may be used beyond that, out of contact.
-	Paces map[string]int64 `json:"paces"`
+	// Allowances is by account.
+	Allowances map[string]Allowance `json:"allowances"`
 }
 
 // DecodeLedger reads a stored ledger.
@@ -99,7 +118,7 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return Ledger{}, errors.Wrap(ErrRecord, err.Error())
 	}
-	if l.Format != recordFormat {
+	if l.Format != ledgerFormat {
 		return Ledger{}, errors.Wrapf(ErrRecord, "format %d", l.Format)
 	}
 	return l, nil
@@ -125,5 +144,5 @@
 	if !ok {
 		return granted
 	}
-	return min(granted, l.Ceilings[account]+beyond(age, l.Paces[account]))
+	return min(granted, l.Allowances[account].at(age))
 }
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -48,7 +48,7 @@
 // leaves doubt counts the whole grant.
 func TestMostSpent(t *testing.T) {
 	ledger := Ledger{Incarnation: "old", Address: "vm", Stamp: stampAt("boot", 0, 0),
-		Ceilings: map[string]int64{"boatyard": 300}, Paces: map[string]int64{"boatyard": 100}}
+		Allowances: map[string]Allowance{"boatyard": {Ceiling: 300, Pace: 100}}}
 	at := func(age time.Duration) Stamp { return stampAt("boot", age, age) }
 	for _, test := range []struct {
 		name                 string
@@ -80,12 +80,69 @@
 	p := newPurse("boatyard")
 	p.rate = rate
 	outage := 6 * time.Second
-	allowed := beyond(outage, p.newPace(prepaid))
+	allowed := Allowance{Pace: p.newPace(prepaid)}.at(outage)
 	used := int64(rate * (outage - openAfter).Seconds())
 	qt.Assert(t, allowed > used, qt.IsTrue, qt.Commentf("%d allowed, %d used", allowed, used))
 	qt.Assert(t, float64(allowed-used) < 0.1*prepaid, qt.IsTrue, qt.Commentf("%d of %d lost", allowed-used, prepaid))
 }
 
+// granted is an account of which this router was granted some tokens, and no other any.
+func granted(tokens int64) *purse {
+	p := newPurse("boatyard")
+	mine := Figure{Seq: 1, Granted: tokens}
+	p.learned(newRecord().With("vm", "p1", mine, nil), 1, mine)
+	return p
+}
+
+// Routers are cut off from the store for eight seconds in the first third of a day, while
+// an account's use is steady, and none of them dies. All of that use is allowed, from the
+// third second on: what nobody lost must not be refused for fear that all may die.
+func TestCutEarlyInABudgetIsBridged(t *testing.T) {
+	const prepaid, rate = 3_500_000, 100_000
+	p := granted(2_000_000)
+	p.rate, p.weight, p.spent = rate, 1, 500_000
+	ceiling, _ := p.raised(p.granted, prepaid, true, 0)
+	allowed := Allowance{Ceiling: ceiling, Pace: p.newPace(prepaid), Reserve: int64(reserveShare * float64(p.left(prepaid)))}
+	for age := openAfter + 500*time.Millisecond; age <= 8*time.Second; age += 100 * time.Millisecond {
+		used := p.spent + int64(rate*age.Seconds())
+		qt.Assert(t, allowed.at(age) >= used, qt.IsTrue, qt.Commentf("after %v: %d allowed, %d used", age, allowed.at(age), used))
+	}
+	qt.Assert(t, allowed.at(openAfter) >= p.spent+int64(rate*aheadLeast.Seconds()), qt.IsTrue)
+}
+
+// All routers die eight seconds into an outage, whenever in the day that is. What their
+// allowances let them use counts as spent; half of what was left must still be there for
+// those who come back, or more than in an outage with no reserve.
+func TestReserveLosesHalfOfWhatIsLeftAtMost(t *testing.T) {
+	const prepaid, rate = 3_500_000, 100_000
+	for spent := int64(0); spent < prepaid; spent += 100_000 {
+		p := granted(prepaid)
+		p.rate, p.spent = rate, spent
+		left := p.left(prepaid)
+		ceiling, _ := p.raised(p.granted, prepaid, true, 0)
+		pace := p.newPace(prepaid)
+		lost := Allowance{ceiling, pace, int64(reserveShare * float64(left))}.at(8*time.Second) - ceiling
+		without := Allowance{ceiling, pace, 0}.at(8*time.Second) - ceiling
+		qt.Assert(t, lost <= max(without, left/2), qt.IsTrue, qt.Commentf("%d of %d", lost, left))
+	}
+}
+
+// A ceiling is far above the use of a fresh budget, so that the first seconds of an outage
+// are bridged, and close to it near the budget's end, where a death would lose what all
+// who still come need.
+func TestCeilingComesCloserAsTheBudgetEnds(t *testing.T) {
+	const prepaid, rate = 3_500_000, 100_000
+	p := granted(prepaid)
+	p.rate = rate
+	qt.Assert(t, p.aheadTime(prepaid) > 2400*time.Millisecond, qt.IsTrue)
+	p.spent = 2_000_000
+	qt.Assert(t, p.aheadTime(prepaid), qt.Equals, 1050*time.Millisecond)
+	p.spent = 3_400_000
+	qt.Assert(t, p.aheadTime(prepaid), qt.Equals, aheadLeast)
+	p.rate = 0
+	qt.Assert(t, p.aheadTime(prepaid), qt.Equals, aheadMost)
+}
+
 // A router gives tokens back; the write is not answered. It may still land, so the
 // router must not use them, whatever the record says; only a record of a higher
 // revision proves that it can't land any more.
@@ -106,7 +163,7 @@
 // higher one counts only when it is known to be stored.
 func TestPaceRisesOnlyWhenStored(t *testing.T) {
 	p := newPurse("boatyard")
-	p.granted, p.ceiling, p.pace = 10_000, 100, 50
+	p.granted, p.allowed = 10_000, Allowance{Ceiling: 100, Pace: 50}
 	age := openAfter + time.Second
 	qt.Assert(t, p.available(0), qt.Equals, int64(100))
 	qt.Assert(t, p.available(age), qt.Equals, int64(150))
--- a/internal/escrow/outage_test.go
+++ b/internal/escrow/outage_test.go
@@ -65,10 +65,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b.steady = openAfter
-	k.purse("boatyard").spent = k.purse("boatyard").ceiling
+	k.purse("boatyard").spent = k.purse("boatyard").allowed.Ceiling
 	b.steady += 1200 * time.Millisecond
 	go func() {
-		_, err := k.Reserve(ctx, "boatyard", k.purse("boatyard").pace)
+		_, err := k.Reserve(ctx, "boatyard", k.purse("boatyard").allowed.Pace)
 		served <- err
 	}()
 	c.Assert(<-served, qt.IsNil)
@@ -127,7 +127,7 @@
 	b.store.SetDown(true)
 	k.round(context.Background(), true)
 	p := k.purse("boatyard")
-	p.ceiling, p.pace, p.granted = 0, 10_000, 100_000
+	p.allowed, p.granted = Allowance{Pace: 10_000}, 100_000
 	lend := func(tokens int64, ticket string) int64 {
 		given, _, _ := k.Lend("boatyard", tokens, ticket)
 		return given
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -10,11 +10,19 @@
 	// Horizon is how much of a router's own use a grant covers: longer than the
 	// store's usual outages of some eight seconds.
 	Horizon = 20 * time.Second
-	// aheadOf is how much of its use a router's ceiling is above what it has used.
-	// What lies between is lost to the budget when the router dies: a second of use
-	// is some two hundredths of a day's. A budget that is short by three hundredths
-	// refuses all that still comes although it was paid for.
-	aheadOf = 1200 * time.Millisecond
+	// aheadLeast and aheadMost bound how much of its use a router's ceiling is above what
+	// it has used. What lies between is lost to the budget when the router dies; what is
+	// missing makes requests wait through the first seconds of an outage.
+	aheadLeast = 800 * time.Millisecond
+	aheadMost  = 2500 * time.Millisecond
+	// aheadShare is the part of what is left of the budget within these bounds: a fresh
+	// budget bears a loss, and one that is nearly used up refuses all that still comes for
+	// the lack of a few hundredths.
+	aheadShare = 0.07
+	// reserveShare is the part of what is left of the budget that may be used at the full
+	// pace in one outage. Where all routers die in it that much is lost at most, so that
+	// the other half serves who comes afterwards.
+	reserveShare = 0.5
 	// slowWrites is how many writes a ceiling reaches further: one that is under way and
 	// the one that follows it.
 	slowWrites = 2
@@ -44,10 +52,10 @@
 
 // purse is one router's grant on one account. All fields are guarded by the Keeper.
 type purse struct {
-	account  string
-	granted  int64 // lower bound of what the record gives this incarnation
-	ceiling  int64 // of the stored ledger
-	pace     int64 // lowest of the ledgers that may be stored
+	account string
+	granted int64 // lower bound of what the record gives this incarnation
+	// allowed is the lowest of the ledgers that may be stored.
+	allowed  Allowance
 	spent    int64
 	reserved int64
 	lent     int64 // given to other routers
@@ -99,7 +107,7 @@
 
 // available is what may be reserved at an age of the last stamp; zero in contact.
 func (p *purse) available(age time.Duration) int64 {
-	return min(p.granted, p.ceiling+beyond(age, p.pace)) - p.used()
+	return min(p.granted, p.allowed.at(age)) - p.used()
 }
 
 // newPace is the pace to state: above the usual use, for its ups and downs.
@@ -107,6 +115,11 @@
 	return int64(paceAbove*p.rate + paceLeast*float64(prepaid))
 }
 
+// left is what of the budget this router has or may yet draw.
+func (p *purse) left(prepaid int64) int64 {
+	return p.free(prepaid) + max(0, p.granted-p.used())
+}
+
 // settle books what a reservation really used.
 func (p *purse) settle(reserved, used int64) {
 	p.reserved -= reserved
@@ -148,9 +161,9 @@
 	case free > 0 && (left < p.waiting || float64(left) < topUp*float64(ahead)):
 		more := min(ahead-left, free)
 		return p.granted + max(0, more), more > 0
-	case !home && p.waiting == 0 && left > 0 && p.ceiling < p.granted:
+	case !home && p.waiting == 0 && left > 0 && p.allowed.Ceiling < p.granted:
 		// A former home's rest. What is below the ceiling goes to the new home.
-		return max(p.used(), min(p.granted, p.ceiling)), true
+		return max(p.used(), min(p.granted, p.allowed.Ceiling)), true
 	case p.record.Given() > prepaid && left > 0:
 		// A budget that was lowered: what was granted beyond it is given back, or this
 		// router would go on to spend it.
@@ -164,13 +177,22 @@
 // what is left below the present one is short.
 // roundTrip is what a write takes: the next ceiling counts only after it.
 func (p *purse) raised(granted, prepaid int64, home bool, roundTrip time.Duration) (ceiling int64, short bool) {
-	ahead := max(p.ahead(aheadOf+slowWrites*roundTrip, firstCeiling, prepaid, home), p.waiting)
-	left := min(p.granted, p.ceiling) - p.used()
+	ahead := max(p.ahead(p.aheadTime(prepaid)+slowWrites*roundTrip, firstCeiling, prepaid, home), p.waiting)
+	left := min(p.granted, p.allowed.Ceiling) - p.used()
 	ceiling = max(0, min(granted, p.used()+ahead))
-	short = ceiling > p.ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
+	short = ceiling > p.allowed.Ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
 	return ceiling, short
 }
 
+// aheadTime is how much of its use a ceiling should be above what is used.
+func (p *purse) aheadTime(prepaid int64) time.Duration {
+	if p.rate <= 0 {
+		return aheadMost
+	}
+	share := aheadShare * float64(p.left(prepaid)) / p.rate // in seconds
+	return min(max(aheadLeast, time.Duration(min(share, aheadMost.Seconds())*float64(time.Second))), aheadMost)
+}
+
 // ahead is what should be left for a time of use. At first, before use is seen, a
 // home holds a part of the budget.
 func (p *purse) ahead(time time.Duration, share float64, prepaid int64, home bool) int64 {
