--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -43,6 +43,7 @@
 
 func (t *task) passEvent(reply *upstream.Reply, e eventstream.Event) error {
 	t.beginEvents(reply)
+	t.notePause(time.Now())
 	if e.HasID {
 		t.lastEvent, t.hasEvent = e.ID, true
 	}
@@ -53,6 +54,14 @@
 	return t.caller.Write(e.Raw)
 }
 
+// notePause keeps the longest time between two events.
+func (t *task) notePause(now time.Time) {
+	if !t.eventAt.IsZero() {
+		t.pause = max(t.pause, now.Sub(t.eventAt))
+	}
+	t.eventAt = now
+}
+
 func (t *task) beginEvents(reply *upstream.Reply) {
 	if t.begun {
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,12 +89,14 @@
 	}
 	defer done()
 	f.Retries.Request(r.Service)
+	asked := time.Now()
 	reservation, cause := f.reserve(ctx, r)
 	if cause != "" {
 		f.refuse(r, caller, RefusalOf(cause), p, nil)
 		return
 	}
 	t := newTask(f, p, r, caller)
+	t.reserved = time.Since(asked)
 	t.run(ctx)
 	reservation.Settle(t.used())
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -49,6 +49,13 @@
 	mayHaveRun  bool
 	lastFailure string
 
+	// What the request waited for, for the log.
+	reserved time.Duration // for its tokens
+	sentAt   time.Time     // the last time
+	unread   float64       // prompt tokens that its server was expected to read
+	eventAt  time.Time     // of the last event passed on
+	pause    time.Duration // the longest between two events
+
 	begun     bool // the head was passed on
 	firstAt   time.Time
 	lastEvent int64
@@ -178,6 +185,7 @@
 	if !t.due.IsZero() {
 		a.Left = time.Until(t.due)
 	}
+	t.sentAt, t.unread = time.Now(), choice.Unread
 	server.Begin(choice.Unread)
 	defer server.End()
 	watch := t.watch(parent)
@@ -356,7 +364,9 @@
 	first := t.firstAt.Sub(t.r.Arrived)
 	t.f.Metrics.Served(first, whole)
 	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", status),
-		slog.Int64("first_ms", first.Milliseconds()), slog.Int("events", t.events))...)
+		slog.Int64("first_ms", first.Milliseconds()), slog.Int64("reserved_ms", t.reserved.Milliseconds()),
+		slog.Int64("server_ms", t.firstAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.pause.Milliseconds()),
+		slog.Int64("unread", int64(t.unread)), slog.Int("events", t.events))...)
 }
 
 func (t *task) attrs() []slog.Attr {
