--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -18,7 +18,7 @@
 	}.Main()
 }
 
-func dialect(settings *node.Settings, clock func() escrow.Stamp, _ *event.Log) node.Dialect {
+func dialect(settings *node.Settings, clock func() escrow.ClockReading, _ *event.Log) node.Dialect {
 	return node.Dialect{
 		Store:         platform.NewStore(settings.Store),
 		Clock:         clock,
--- a/cmd/chicory-router/main.go
+++ b/cmd/chicory-router/main.go
@@ -15,7 +15,7 @@
 	daemon.Program{
 		Name: "chicory-router",
 		Help: "Router between callers and backend servers, on prepaid token budgets.",
-		Dialect: func(settings *node.Settings, clock func() escrow.Stamp, log *event.Log) node.Dialect {
+		Dialect: func(settings *node.Settings, clock func() escrow.ClockReading, log *event.Log) node.Dialect {
 			return native.Dialect(platform.NewStore(settings.Store), clock, log)
 		},
 	}.Main()
--- a/internal/escrow/ceiling_test.go
+++ b/internal/escrow/ceiling_test.go
@@ -24,7 +24,7 @@
 	b.steady = 9 * time.Second
 	d, due := k.plan(true)
 	c.Assert(due, qt.IsTrue)
-	c.Assert(d.ledger.Stamp.Steady, qt.Equals, time.Second)
+	c.Assert(d.ledger.Contact.Steady, qt.Equals, time.Second)
 	c.Assert(k.age(), qt.Equals, 8*time.Second)
 }
 
@@ -46,11 +46,11 @@
 
 // A router that is home no more gives back what lies above its ceiling. The write
 // is not answered and may land at any time, so from its sending on the router uses
-// neither the tokens nor a pace above the lower one that it stated.
+// neither the tokens nor an outage rate above the lower one that it stated.
 func TestUnansweredWriteBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
-	pace, ceiling := p.allowed.Pace, p.allowed.Ceiling
+	rate, ceiling := p.allowed.OutageRate, p.allowed.Ceiling
 	c.Assert(p.granted > ceiling, qt.IsTrue)
 
 	b.home, b.paid["boatyard"] = "elsewhere", 500_000
@@ -59,7 +59,7 @@
 	k.round(context.Background(), true)
 	c.Assert(p.granted, qt.Equals, ceiling)
 	c.Assert(p.pendingAt, qt.Equals, p.revision)
-	c.Assert(p.allowed.Pace < pace, qt.IsTrue)
+	c.Assert(p.allowed.OutageRate < rate, qt.IsTrue)
 }
 
 func ledgerOf(c *qt.C, b *bench) Ledger {
@@ -70,7 +70,7 @@
 	return ledger
 }
 
-// An account's use falls after a busy time. With the next stamp its ceiling comes down
+// An account's use falls after a busy time. With the next ledger its ceiling comes down
 // too, so that a death then loses little: what it was in the busy time would be lost.
 func TestCeilingFollowsTheUseDown(t *testing.T) {
 	c := qt.New(t)
@@ -107,12 +107,12 @@
 	b, k, p := startedBench()
 	p.rate, p.weight, p.rateAt = 50_000, 1, b.steady
 	k.round(context.Background(), true)
-	pace, ceiling := p.allowed.Pace, p.allowed.Ceiling
+	rate, ceiling := p.allowed.OutageRate, p.allowed.Ceiling
 	b.store.SetDown(true)
 	k.round(context.Background(), true)
 	p.rate = 0
 	k.round(context.Background(), true)
-	c.Assert(p.allowed.Pace, qt.Equals, pace)
+	c.Assert(p.allowed.OutageRate, qt.Equals, rate)
 	c.Assert(p.allowed.Ceiling, qt.Equals, ceiling)
 }
 
@@ -123,7 +123,7 @@
 	c := qt.New(t)
 	b, k, _ := startedBench()
 	b.home = "elsewhere"
-	k.purse("boatyard").borrowed = 5_000
+	k.grant("boatyard").borrowed = 5_000
 	k.round(context.Background(), true)
 	k.round(context.Background(), true)
 	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling >= 0, qt.IsTrue)
--- a/internal/escrow/clock.go
+++ b/internal/escrow/clock.go
@@ -10,17 +10,17 @@
 )
 
 // SystemClock returns a reader of this VM's clocks.
-func SystemClock() (func() Stamp, error) {
+func SystemClock() (func() ClockReading, error) {
 	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
 	if err != nil {
 		return nil, errors.Wrap(err, "boot id")
 	}
 	boot := strings.TrimSpace(string(id))
-	return func() Stamp {
+	return func() ClockReading {
 		steady := unix.Timespec{}
 		if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
 			panic(err) // the steady clock exists on every Linux
 		}
-		return Stamp{Boot: boot, Steady: time.Duration(steady.Nano()), Wall: time.Now()}
+		return ClockReading{Boot: boot, Steady: time.Duration(steady.Nano()), Wall: time.Now()}
 	}, nil
 }
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -14,10 +14,10 @@
 
 // draw is one transaction: new figures of some accounts, and the ledger.
 type draw struct {
-	purses  []*purse
+	grants  []*grant
 	figures []Figure
 	records []Record
-	// pendingAt is what each purse had before this transaction.
+	// pendingAt is what each grant had before this transaction.
 	pendingAt []int64
 	ledger    Ledger
 	contact   bool // the contact key is written
@@ -25,7 +25,7 @@
 }
 
 // plan works out the write that is due now, if any.
-func (k *Keeper) plan(stamp bool) (draw, bool) {
+func (k *Keeper) plan(refresh bool) (draw, bool) {
 	budgets := k.o.Budgets()
 	now := k.o.Clock()
 	k.mu.Lock()
@@ -38,21 +38,21 @@
 		accounts = append(accounts, account)
 	}
 	sort.Strings(accounts)
-	stamped := k.stamped
+	lastContact := k.lastContact
 	if !k.away {
-		stamped = now
+		lastContact = now
 	}
-	d := draw{ledger: Ledger{Format: ledgerFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Stamp: stamped,
+	d := draw{ledger: Ledger{Format: ledgerFormat, Incarnation: k.o.Incarnation, Address: k.o.Address, Contact: lastContact,
 		Allowances: make(map[string]Allowance, len(accounts))}}
 	holds := k.holds(budgets)
 	k.idle = !holds
-	due := stamp && (k.away || holds)
+	due := refresh && (k.away || holds)
 	topUp := refillBelow
-	if stamp {
+	if refresh {
 		topUp = topUpBelow
 	}
 	for _, account := range accounts {
-		p := k.purse(account)
+		p := k.grant(account)
 		p.updateRate(now.Steady)
 		home := k.o.Home(account) == ""
 		granted, wanted := p.plan(budgets[account], home, topUp)
@@ -60,21 +60,21 @@
 		// moves the revision, after which the first one can't land any more.
 		// What a predecessor on this VM left is freed at once, whoever is home now.
 		wanted = wanted || p.record.Left(k.o.VM, k.o.Incarnation)
-		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.purses) < txnAccounts {
+		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.grants) < txnAccounts {
 			k.add(&d, p, granted)
 			due = true
 		} else {
 			granted = p.granted
 		}
 		ceiling, short := p.raised(granted, budgets[account], home, k.roundTrip)
-		next := Allowance{Ceiling: ceiling, Pace: p.newPace(budgets[account])}
+		next := Allowance{Ceiling: ceiling, OutageRate: p.newOutageRate(budgets[account])}
 		if home {
 			next.Reserve = int64(reserveShare * float64(p.left(budgets[account])))
 		}
 		if k.away {
 			// What waits or is refused in an outage lowers the rate, and with it what
 			// may be spent; nothing is gained by stating less.
-			next = Allowance{max(next.Ceiling, p.allowed.Ceiling), max(next.Pace, p.allowed.Pace), p.allowed.Reserve}
+			next = Allowance{max(next.Ceiling, p.allowed.Ceiling), max(next.OutageRate, p.allowed.OutageRate), p.allowed.Reserve}
 		}
 		d.ledger.Allowances[account] = next
 		due = due || short
@@ -82,7 +82,7 @@
 	if !due {
 		return draw{}, false
 	}
-	k.stamped = stamped
+	k.lastContact = lastContact
 	k.lower(d.ledger)
 	key := k.o.Prefix + ledgerKeys + k.o.VM
 	d.txn.Expect = append(d.txn.Expect, store.Expect{Key: key, Revision: store.Revision(k.ledgerRevision)})
@@ -100,21 +100,21 @@
 // answer; higher allowances count only once they are stored.
 func (k *Keeper) lower(ledger Ledger) {
 	for account, next := range ledger.Allowances {
-		p := k.purse(account)
+		p := k.grant(account)
 		p.allowed = p.allowed.least(next)
 	}
 }
 
 // worthFreeing is the part of a budget that a successor should be able to free. A router
 // that is no home holds less than that for the moment between the end of a request and the
-// next sweep, on and on; a stamp for it every time would cost more calls than all homes'.
+// next sweep, on and on; a write for it every time would cost more calls than all homes'.
 const worthFreeing = 0.005
 
 // holds says whether this router was granted anything that it has not used, or holds for
 // others. One that only borrows, or has used up what it once drew, needs no ledger: its
 // successor has nothing to free.
 func (k *Keeper) holds(budgets map[string]int64) bool {
-	for account, p := range k.purses {
+	for account, p := range k.grants {
 		unused := float64(p.granted - p.used())
 		if k.o.Home(account) == "" || p.pendingAt != noWrite || p.granted > 0 && unused > worthFreeing*float64(budgets[account]) {
 			return true
@@ -125,14 +125,14 @@
 
 // add puts one account's new figure into a transaction. A smaller grant counts
 // from now on, before it is stored; a larger one only once it is stored.
-func (k *Keeper) add(d *draw, p *purse, granted int64) {
+func (k *Keeper) add(d *draw, p *grant, granted int64) {
 	p.seq++
 	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
 	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(p.account))
 	p.granted = min(p.granted, granted)
 	d.pendingAt = append(d.pendingAt, p.pendingAt)
 	p.pendingAt = p.revision
-	d.purses = append(d.purses, p)
+	d.grants = append(d.grants, p)
 	d.figures = append(d.figures, figure)
 	d.put(k.accountKey(p), p.revision, next)
 }
@@ -144,14 +144,14 @@
 	d.txn.Puts = append(d.txn.Puts, store.Put{Key: key, Value: next.Encode()})
 }
 
-func (k *Keeper) accountKey(p *purse) string {
+func (k *Keeper) accountKey(p *grant) string {
 	return k.o.Prefix + AccountKeys + p.account
 }
 
 // mostSpent judges this VM's dead incarnations by the ledger that the last left.
 func (k *Keeper) mostSpent(account string) MostSpent {
 	return func(incarnation string, granted int64) int64 {
-		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.vouched == incarnation)
+		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.leaseAlive == incarnation)
 	}
 }
 
@@ -175,16 +175,16 @@
 		if errors.Is(err, store.ErrLeaseGone) {
 			k.contactLease, k.contactPut = 0, false
 		}
-		for i, p := range d.purses {
+		for i, p := range d.grants {
 			p.pendingAt = d.pendingAt[i]
 			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
 		}
 	default:
 		k.ledgerKnown = false
-		for _, p := range d.purses {
+		for _, p := range d.grants {
 			p.decided = false
 		}
-		k.o.Log.Emit(event.DrawUnknown, slog.Int("accounts", len(d.purses)), slog.Any(event.KeyCause, err))
+		k.o.Log.Emit(event.DrawUnknown, slog.Int("accounts", len(d.grants)), slog.Any(event.KeyCause, err))
 	}
 	return err == nil
 }
@@ -200,9 +200,9 @@
 	k.ledgerRevision = int64(result.Revision)
 	k.contactPut = k.contactPut || d.contact
 	for account, allowed := range d.ledger.Allowances {
-		k.purse(account).allowed = allowed
+		k.grant(account).allowed = allowed
 	}
-	for i, p := range d.purses {
+	for i, p := range d.grants {
 		p.learned(d.records[i], int64(result.Revision), d.figures[i])
 		k.o.Log.Emit(event.DrawLanded, slog.String(event.KeyBudget, p.account), slog.Int64("granted", p.granted),
 			slog.Int64("spent", p.spent), slog.Int64("reserved", p.reserved), slog.Int64("revision", p.revision))
@@ -218,7 +218,7 @@
 	if item, found := current[k.o.Prefix+ledgerKeys+k.o.VM]; found {
 		k.learnLedger(item)
 	}
-	for i, p := range d.purses {
+	for i, p := range d.grants {
 		p.pendingAt = d.pendingAt[i] // this transaction is answered: it never lands
 		item, found := current[k.accountKey(p)]
 		switch {
@@ -230,7 +230,7 @@
 			p.decided = false
 		}
 	}
-	k.nudge()
+	k.wakeUp()
 }
 
 // contact notes whether the store answered.
--- a/internal/escrow/purse.go
+++ b/internal/escrow/grant.go
@@ -20,7 +20,7 @@
 	// the lack of a few hundredths.
 	aheadShare = 0.07
 	// reserveShare is the part of what is left of the budget that may be used at the full
-	// pace in one outage. Where all routers die in it that much is lost at most, so that
+	// outage rate in one outage. Where all routers die in it that much is lost at most, so that
 	// the other half serves who comes afterwards.
 	reserveShare = 0.5
 	// slowWrites is how many writes a ceiling reaches further: one that is under way and
@@ -34,13 +34,13 @@
 	firstShare = 0.6
 	// firstCeiling is the part of it that the ceiling lets it use.
 	firstCeiling = 0.01
-	// paceAbove is the pace out of contact, in usual rates; paceLeast is a part of the
+	// outageRateAbove is the rate of use out of contact, in usual rates; outageRateLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large. Use comes in
 	// clumps of some three times its mean: at 1.5 times it a fifth of the requests
 	// of a cut of eight seconds were refused. What is stated is lost only by a router
 	// that dies out of contact or stays down for longer than openAfter.
-	paceAbove = 2.2
-	paceLeast = 0.008
+	outageRateAbove = 2.2
+	outageRateLeast = 0.008
 	// endShare bounds what a home holds to a part of what is left, so that another
 	// router can draw when the home is lost.
 	endShare = 0.8
@@ -50,8 +50,8 @@
 	rateInterval = 250 * time.Millisecond
 )
 
-// purse is one router's grant on one account. All fields are guarded by the Keeper.
-type purse struct {
+// grant is one router's grant on one account. All fields are guarded by the Keeper.
+type grant struct {
 	account string
 	granted int64 // lower bound of what the record gives this incarnation
 	// allowed is the lowest of the ledgers that may be stored.
@@ -61,7 +61,7 @@
 	lent     int64 // given to other routers
 	borrowed int64 // got from other routers
 	waiting  int64 // asked for by reservations that wait for a draw
-	line     line  // those that wait while the store is away
+	queue    queue // those that wait while the store is away
 
 	rate   float64 // tokens a second, averaged since the first use
 	weight float64 // of what rate averages: near 0 at first, 1 in the long run
@@ -82,14 +82,14 @@
 // noWrite says that no write of a record is unanswered.
 const noWrite = -1
 
-func newPurse(account string) *purse {
-	return &purse{account: account, pendingAt: noWrite, record: newRecord()}
+func newGrant(account string) *grant {
+	return &grant{account: account, pendingAt: noWrite, record: newRecord()}
 }
 
 // learned takes the record as the store has it. Once its revision has passed what
 // the unanswered writes expect, none of them can land any more, and this
 // incarnation's figure in it is the truth.
-func (p *purse) learned(record Record, revision int64, mine Figure) {
+func (p *grant) learned(record Record, revision int64, mine Figure) {
 	p.record, p.revision, p.decided = record, revision, true
 	if revision > p.pendingAt {
 		p.pendingAt = noWrite
@@ -101,27 +101,27 @@
 
 // used is what of the grant is no longer to be had. Tokens borrowed from others
 // come on top of the grant.
-func (p *purse) used() int64 {
+func (p *grant) used() int64 {
 	return p.spent + p.reserved + p.lent - p.borrowed
 }
 
-// available is what may be reserved at an age of the last stamp; zero in contact.
-func (p *purse) available(age time.Duration) int64 {
+// available is what may be reserved at an age of the last contact; zero in contact.
+func (p *grant) available(age time.Duration) int64 {
 	return min(p.granted, p.allowed.at(age)) - p.used()
 }
 
-// newPace is the pace to state: above the usual use, for its ups and downs.
-func (p *purse) newPace(prepaid int64) int64 {
-	return int64(paceAbove*p.rate + paceLeast*float64(prepaid))
+// newOutageRate is the outage rate to state: above the usual use, for its ups and downs.
+func (p *grant) newOutageRate(prepaid int64) int64 {
+	return int64(outageRateAbove*p.rate + outageRateLeast*float64(prepaid))
 }
 
 // left is what of the budget this router has or may yet draw.
-func (p *purse) left(prepaid int64) int64 {
+func (p *grant) left(prepaid int64) int64 {
 	return p.free(prepaid) + max(0, p.granted-p.used())
 }
 
 // settle books what a reservation really used.
-func (p *purse) settle(reserved, used int64) {
+func (p *grant) settle(reserved, used int64) {
 	p.reserved -= reserved
 	p.spent += used
 	p.use += used
@@ -129,7 +129,7 @@
 
 // updateRate averages the use over rateMemory, or since the first use if that is
 // shorter: without that the first outage finds too small a grant.
-func (p *purse) updateRate(now time.Duration) {
+func (p *grant) updateRate(now time.Duration) {
 	passed := now - p.rateAt
 	if passed < rateInterval || p.weight == 0 && p.use == 0 {
 		return
@@ -141,7 +141,7 @@
 }
 
 // free is what the record leaves to grant.
-func (p *purse) free(prepaid int64) int64 {
+func (p *grant) free(prepaid int64) int64 {
 	return max(0, prepaid-p.record.Given())
 }
 
@@ -151,7 +151,7 @@
 //
 // topUp is the part of what is wanted below which a draw is due: where a write is
 // sent anyway it costs nothing to draw early.
-func (p *purse) plan(prepaid int64, home bool, topUp float64) (granted int64, due bool) {
+func (p *grant) plan(prepaid int64, home bool, topUp float64) (granted int64, due bool) {
 	free := p.free(prepaid)
 	left := p.granted - p.used()
 	ahead := p.ahead(Horizon, firstShare, prepaid, home)
@@ -176,7 +176,7 @@
 // raised returns the ceiling to ask for next, for the given grant, and whether
 // what is left below the present one is short.
 // roundTrip is what a write takes: the next ceiling counts only after it.
-func (p *purse) raised(granted, prepaid int64, home bool, roundTrip time.Duration) (ceiling int64, short bool) {
+func (p *grant) raised(granted, prepaid int64, home bool, roundTrip time.Duration) (ceiling int64, short bool) {
 	ahead := max(p.ahead(p.aheadTime(prepaid)+slowWrites*roundTrip, firstCeiling, prepaid, home), p.waiting)
 	left := min(p.granted, p.allowed.Ceiling) - p.used()
 	ceiling = max(0, min(granted, p.used()+ahead))
@@ -185,7 +185,7 @@
 }
 
 // aheadTime is how much of its use a ceiling should be above what is used.
-func (p *purse) aheadTime(prepaid int64) time.Duration {
+func (p *grant) aheadTime(prepaid int64) time.Duration {
 	if p.rate <= 0 {
 		return aheadMost
 	}
@@ -195,7 +195,7 @@
 
 // ahead is what should be left for a time of use. At first, before use is seen, a
 // home holds a part of the budget.
-func (p *purse) ahead(time time.Duration, share float64, prepaid int64, home bool) int64 {
+func (p *grant) ahead(time time.Duration, share float64, prepaid int64, home bool) int64 {
 	if !home {
 		return 0
 	}
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -39,23 +39,23 @@
 	Incarnation string // of this process; no other process ever has it
 	Budgets     Budgets
 	Log         *event.Log
-	Clock       func() Stamp
+	Clock       func() ClockReading
 	// Home is the address of the router that holds an account's grant for all, by
 	// this router's view; empty if it is this one. Views may differ for a while:
 	// that costs some draws more, nothing else.
 	Home func(account string) string
-	// Deputy is the address of the router that draws for all while the home can't be
+	// Standby is the address of the router that draws for all while the home can't be
 	// reached; empty if it is this one.
-	Deputy func(account string) string
-	Peers  Peers
+	Standby func(account string) string
+	Peers   Peers
 }
 
 // Peers are the other routers.
 type Peers interface {
-	// BorrowFrom asks one router for tokens. The ticket names the request in the line
+	// BorrowFrom asks one router for tokens. waiterID names the request in the queue
 	// that may form there. It returns how many it gave, and whether it could have drawn
 	// more if there were more.
-	BorrowFrom(ctx context.Context, address, account string, tokens int64, ticket string) (got int64, drew bool)
+	BorrowFrom(ctx context.Context, address, account string, tokens int64, waiterID string) (got int64, drew bool)
 	// Borrow asks one after the other. It returns how many tokens it got, and how
 	// many those that answered have used.
 	Borrow(ctx context.Context, account string, tokens int64) (got, used int64)
@@ -77,56 +77,56 @@
 	o Options
 
 	mu      sync.Mutex
-	purses  map[string]*purse
+	grants  map[string]*grant
 	changed chan struct{} // closed and replaced after each round with the store
 	wake    chan struct{}
 	away    bool  // the last call to the store failed
-	idle    bool  // nothing is held: the ledger needs no stamps
+	idle    bool  // nothing is held: the ledger needs no writes
 	tries   int   // rounds since the store was lost
 	leaving bool  // a planned stop began
 	stopped bool  // the grants are being returned
-	tickets int64 // given so far
+	waiters int64 // names given so far
 	// roundTrip is what a write takes, by the slowest of late: it rises at once and
 	// falls slowly.
 	roundTrip time.Duration
-	// stranded counts reservations in a row that found nobody to give tokens.
-	stranded int
+	// isolated counts reservations in a row that found nobody to give tokens.
+	isolated int
 
 	// predecessor is the ledger that an earlier process on this VM left, and born a
 	// moment at which that process was surely dead.
 	predecessor Ledger
-	born        Stamp
-	// vouched is the incarnation whose contact lease had not run out at the first
+	born        ClockReading
+	// leaseAlive is the incarnation whose contact lease had not run out at the first
 	// read.
-	vouched        string
+	leaseAlive     string
 	contactLease   store.LeaseID // 0: none yet
 	contactPut     bool          // the contact key is bound to it
 	ledgerRevision int64
 	ledgerKnown    bool
 	readAt         time.Duration // of the last read of all records
-	// stamped is when the last write was sent that was sent in contact; it may have
+	// lastContact is when the last write was sent that was sent in contact; it may have
 	// landed whatever became of its answer. Out of contact all spending beyond the
 	// ceilings is counted from there, and so are all ledgers written meanwhile.
-	stamped Stamp
+	lastContact ClockReading
 }
 
 // New makes a keeper without grants. Run fetches the first ones.
 func New(o Options) *Keeper {
-	return &Keeper{o: o, purses: make(map[string]*purse), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
+	return &Keeper{o: o, grants: make(map[string]*grant), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
 }
 
-// age is how old the last stamp is; zero in contact, where the ceilings hold.
+// age is how old the last contact is; zero in contact, where the ceilings hold.
 func (k *Keeper) age() time.Duration {
 	if !k.away {
 		return 0
 	}
-	return k.o.Clock().Steady - k.stamped.Steady
+	return k.o.Clock().Steady - k.lastContact.Steady
 }
 
 // Reservation sets tokens aside for one request.
 type Reservation struct {
 	keeper *Keeper
-	purse  *purse
+	grant  *grant
 	tokens int64
 	once   sync.Once
 }
@@ -141,31 +141,31 @@
 		defer r.keeper.mu.Unlock()
 		// What was delivered beyond the reservation can't be unspent; it is booked
 		// whole, and the available rest goes below zero until the next draw.
-		r.purse.settle(r.tokens, used)
+		r.grant.settle(r.tokens, used)
 	})
 }
 
-func (k *Keeper) purse(account string) *purse {
-	p := k.purses[account]
+func (k *Keeper) grant(account string) *grant {
+	p := k.grants[account]
 	if p == nil {
-		p = newPurse(account)
-		k.purses[account] = p
+		p = newGrant(account)
+		k.grants[account] = p
 	}
 	return p
 }
 
-func (k *Keeper) nudge() {
+func (k *Keeper) wakeUp() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Pace of the talks with the store.
+// OutageRate of the talks with the store.
 const (
-	// stampEvery bounds the age of the stamp: what a router's successor can't free
+	// ledgerEvery bounds the age of the last contact: what a router's successor can't free
 	// grows with it.
-	stampEvery = 700 * time.Millisecond
+	ledgerEvery = 700 * time.Millisecond
 	// readEvery bounds the reads of the records while a budget is short.
 	readEvery = 1500 * time.Millisecond
 	// roundPause keeps a router with many small draws from calling without pause.
@@ -187,7 +187,7 @@
 
 // Run talks with the store until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(stampEvery)
+	ticker := time.NewTicker(ledgerEvery)
 	defer ticker.Stop()
 	sweeps := time.NewTicker(sweepEvery)
 	defer sweeps.Stop()
@@ -226,7 +226,7 @@
 		k.tries = 0
 		return roundPause
 	}
-	k.nudge()
+	k.wakeUp()
 	k.tries++
 	if k.idle && k.tries > 1 {
 		return idlePause
@@ -234,14 +234,14 @@
 	return min(awayPause<<min(k.tries-1, 4), awayMost)
 }
 
-// round brings records, grants and reservations in line once. stamp says that the
+// round brings records, grants and reservations in line once. refresh says that the
 // ledger is to be written in any case.
-func (k *Keeper) round(ctx context.Context, stamp bool) {
+func (k *Keeper) round(ctx context.Context, refresh bool) {
 	defer k.broadcast()
 	if (k.mustRead() || k.scarce()) && !k.read(ctx) {
 		return
 	}
-	if d, due := k.plan(stamp); due && k.commit(ctx, d) {
+	if d, due := k.plan(refresh); due && k.commit(ctx, d) {
 		k.keepContact(ctx)
 	}
 }
@@ -282,7 +282,7 @@
 		return true
 	}
 	for account := range budgets {
-		if !k.purse(account).decided {
+		if !k.grant(account).decided {
 			return true
 		}
 	}
@@ -301,7 +301,7 @@
 		return false
 	}
 	for account, prepaid := range budgets {
-		p := k.purse(account)
+		p := k.grant(account)
 		left := p.granted - p.used()
 		wanted := max(p.waiting, int64(refillBelow*float64(p.ahead(Horizon, firstShare, prepaid, k.o.Home(account) == ""))))
 		if left < wanted && p.free(prepaid) < wanted-left {
@@ -329,17 +329,17 @@
 		key := strings.TrimPrefix(item.Key, k.o.Prefix)
 		if account, isRecord := strings.CutPrefix(key, AccountKeys); isRecord {
 			found[account] = true
-			k.learn(k.purse(account), item)
+			k.learn(k.grant(account), item)
 		}
 		if key == ledgerKeys+k.o.VM {
 			k.learnLedger(item)
 		}
 		if key == contactKeys+k.o.VM {
-			k.vouched = string(item.Value)
+			k.leaseAlive = string(item.Value)
 		}
 	}
 	for account := range budgets {
-		if p := k.purse(account); !found[account] && !p.decided {
+		if p := k.grant(account); !found[account] && !p.decided {
 			p.learned(newRecord(), 0, Figure{})
 		}
 	}
@@ -347,7 +347,7 @@
 }
 
 // learn takes a record as the store has it.
-func (k *Keeper) learn(p *purse, item store.Item) {
+func (k *Keeper) learn(p *grant, item store.Item) {
 	if int64(item.Revision) < p.revision {
 		return
 	}
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -29,17 +29,17 @@
 	return New(Options{
 		Store: b.store, Prefix: "budget/", VM: "vm", Address: "vm", Incarnation: incarnation,
 		Budgets: func() map[string]int64 { return b.paid }, Log: event.Discard(),
-		Clock: func() Stamp { return Stamp{Boot: "boot", Steady: b.steady, Wall: noon.Add(b.steady)} },
-		Home:  func(string) string { return b.home }, Deputy: func(string) string { return "" }, Peers: peers,
+		Clock: func() ClockReading { return ClockReading{Boot: "boot", Steady: b.steady, Wall: noon.Add(b.steady)} },
+		Home:  func(string) string { return b.home }, Standby: func(string) string { return "" }, Peers: peers,
 	})
 }
 
 // startedBench is a bench whose keeper holds the account's first grant.
-func startedBench() (*bench, *Keeper, *purse) {
+func startedBench() (*bench, *Keeper, *grant) {
 	b := newBench(1_000_000)
 	k := b.keeper("p1", noPeers{})
 	k.round(context.Background(), true)
-	return b, k, k.purse("boatyard")
+	return b, k, k.grant("boatyard")
 }
 
 func (b *bench) record(c *qt.C) Record {
@@ -60,7 +60,7 @@
 	c.Assert(err, qt.IsNil)
 	reservation.Settle(5_000)
 	reservation.Settle(9_000)
-	c.Assert(k.purse("boatyard").spent, qt.Equals, int64(5_000), qt.Commentf("only the first settlement counts"))
+	c.Assert(k.grant("boatyard").spent, qt.Equals, int64(5_000), qt.Commentf("only the first settlement counts"))
 }
 
 // A process dies while it is in contact with the store; its successor on the VM has
@@ -104,7 +104,7 @@
 
 // The store is back, and the first thing that a router writes tells of the outage.
 // The process dies before it could write another. What it held counts as spent only
-// as far as its pace allowed since the last contact, not whole.
+// as far as its outage rate allowed since the last contact, not whole.
 func TestDeathRightAfterAnOutageDoesNotLoseTheWholeGrant(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -131,12 +131,12 @@
 	k := b.keeper("p1", noPeers{})
 	b.steady = time.Hour
 	k.round(context.Background(), true)
-	c.Assert(k.purse("boatyard").granted, qt.Equals, int64(0))
+	c.Assert(k.grant("boatyard").granted, qt.Equals, int64(0))
 
 	b.store.Put("budget/account/boatyard", newRecord().Encode())
 	b.steady += readEvery
 	k.round(context.Background(), true)
-	c.Assert(k.purse("boatyard").granted > 0, qt.IsTrue)
+	c.Assert(k.grant("boatyard").granted > 0, qt.IsTrue)
 }
 
 // A planned stop returns all that was not spent.
@@ -158,7 +158,7 @@
 			_ = record.With("vm", "new", Figure{}, func(_ string, granted int64) int64 { return granted }).Encode()
 		}
 		if ledger, err := DecodeLedger(data); err == nil {
-			_ = ledger.MostSpent("a", "p", "vm", 10, Stamp{}, true)
+			_ = ledger.MostSpent("a", "p", "vm", 10, ClockReading{}, true)
 		}
 	})
 }
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -9,34 +9,34 @@
 
 var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
 
-func stampAt(boot string, steady time.Duration, wall time.Duration) Stamp {
-	return Stamp{Boot: boot, Steady: steady, Wall: noon.Add(wall)}
+func readingAt(boot string, steady time.Duration, wall time.Duration) ClockReading {
+	return ClockReading{Boot: boot, Steady: steady, Wall: noon.Add(wall)}
 }
 
 // A successor may free only what its predecessor can't have reached. The age of
-// the last stamp decides: by the steady clock after a kill, by the time of day
+// the last reading decides: by the steady clock after a kill, by the time of day
 // after a loss of power.
 func TestAgeOfAStamp(t *testing.T) {
-	last := stampAt("boot-1", time.Hour, 0)
+	last := readingAt("boot-1", time.Hour, 0)
 	for _, test := range []struct {
-		name    string
-		now     Stamp
-		vouched bool
-		age     time.Duration
-		unknown bool
+		name       string
+		now        ClockReading
+		leaseAlive bool
+		age        time.Duration
+		unknown    bool
 	}{
-		{name: "same boot", now: stampAt("boot-1", time.Hour+2*time.Second, -time.Hour), age: 2 * time.Second},
-		{name: "another boot with a plausible steady clock", now: stampAt("boot-2", time.Hour+time.Second, 9*time.Second), age: 9*time.Second + clockMargin},
-		{name: "steady clock that ran back", now: stampAt("boot-1", time.Minute, 9*time.Second), age: 9*time.Second + clockMargin},
-		{name: "steady clock far ahead", now: stampAt("boot-1", 3*time.Hour, 9*time.Second), age: 9*time.Second + clockMargin},
-		{name: "vouched for by the store", now: stampAt("boot-2", 0, 2*time.Second), vouched: true, age: 2*time.Second + clockDrift},
-		{name: "vouched for through an outage and a restart", now: stampAt("boot-2", 0, 5400*time.Millisecond), vouched: true, age: 5400*time.Millisecond + clockDrift},
-		{name: "vouched for, but older than the lease", now: stampAt("boot-2", 0, 11*time.Second), vouched: true, age: 11*time.Second + clockMargin},
-		{name: "vouched for, but before the stamp", now: stampAt("boot-2", 0, -time.Second), vouched: true, age: clockMargin - time.Second},
-		{name: "time of day moved back too far", now: stampAt("boot-2", 0, -time.Minute), unknown: true},
+		{name: "same boot", now: readingAt("boot-1", time.Hour+2*time.Second, -time.Hour), age: 2 * time.Second},
+		{name: "another boot with a plausible steady clock", now: readingAt("boot-2", time.Hour+time.Second, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "steady clock that ran back", now: readingAt("boot-1", time.Minute, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "steady clock far ahead", now: readingAt("boot-1", 3*time.Hour, 9*time.Second), age: 9*time.Second + clockMargin},
+		{name: "its lease alive", now: readingAt("boot-2", 0, 2*time.Second), leaseAlive: true, age: 2*time.Second + clockDrift},
+		{name: "its lease still alive, through an outage and a restart", now: readingAt("boot-2", 0, 5400*time.Millisecond), leaseAlive: true, age: 5400*time.Millisecond + clockDrift},
+		{name: "its lease alive, but the contact older than it", now: readingAt("boot-2", 0, 11*time.Second), leaseAlive: true, age: 11*time.Second + clockMargin},
+		{name: "its lease alive, but now before the contact", now: readingAt("boot-2", 0, -time.Second), leaseAlive: true, age: clockMargin - time.Second},
+		{name: "time of day moved back too far", now: readingAt("boot-2", 0, -time.Minute), unknown: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			age, ok := last.ageAt(test.now, test.vouched)
+			age, ok := last.ageAt(test.now, test.leaseAlive)
 			qt.Assert(t, ok, qt.Equals, !test.unknown)
 			qt.Assert(t, age, qt.Equals, test.age)
 		})
@@ -44,26 +44,26 @@
 }
 
 // The predecessor held 1,000 tokens, of which 300 lay below its ceiling. What it
-// may have spent beyond follows from its pace and the time out of contact; whatever
+// may have spent beyond follows from its outage rate and the time out of contact; whatever
 // leaves doubt counts the whole grant.
 func TestMostSpent(t *testing.T) {
-	ledger := Ledger{Incarnation: "old", Address: "vm", Stamp: stampAt("boot", 0, 0),
-		Allowances: map[string]Allowance{"boatyard": {Ceiling: 300, Pace: 100}}}
-	at := func(age time.Duration) Stamp { return stampAt("boot", age, age) }
+	ledger := Ledger{Incarnation: "old", Address: "vm", Contact: readingAt("boot", 0, 0),
+		Allowances: map[string]Allowance{"boatyard": {Ceiling: 300, OutageRate: 100}}}
+	at := func(age time.Duration) ClockReading { return readingAt("boot", age, age) }
 	for _, test := range []struct {
 		name                 string
 		ledger               Ledger
 		incarnation, address string
-		now                  Stamp
+		now                  ClockReading
 		want                 int64
 	}{
 		{"in contact", ledger, "old", "vm", at(openAfter), 300},
 		{"a second out of contact", ledger, "old", "vm", at(openAfter + time.Second), 400},
-		{"seconds out of contact", ledger, "old", "vm", at(openAfter + fullPace + 2*time.Second), 300 + 150 + 90},
+		{"seconds out of contact", ledger, "old", "vm", at(openAfter + fullRateTime + 2*time.Second), 300 + 150 + 90},
 		{"long out of contact", ledger, "old", "vm", at(time.Minute), 1000},
 		{"another incarnation's ledger", ledger, "older", "vm", at(0), 1000},
 		{"another VM of the same name", ledger, "old", "vm-2", at(0), 1000},
-		{"no clock to go by", ledger, "old", "vm", stampAt("other", 0, -time.Hour), 1000},
+		{"no clock to go by", ledger, "old", "vm", readingAt("other", 0, -time.Hour), 1000},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			qt.Assert(t, test.ledger.MostSpent("boatyard", test.incarnation, test.address, 1000, test.now, false), qt.Equals, test.want)
@@ -77,18 +77,18 @@
 // not use, is lost: it must stay below what a day's remaining requests can bear.
 func TestPaceLosesLittleLateInAnOutage(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
-	p := newPurse("boatyard")
+	p := newGrant("boatyard")
 	p.rate = rate
 	outage := 6 * time.Second
-	allowed := Allowance{Pace: p.newPace(prepaid)}.at(outage)
+	allowed := Allowance{OutageRate: p.newOutageRate(prepaid)}.at(outage)
 	used := int64(rate * (outage - openAfter).Seconds())
 	qt.Assert(t, allowed > used, qt.IsTrue, qt.Commentf("%d allowed, %d used", allowed, used))
 	qt.Assert(t, float64(allowed-used) < 0.1*prepaid, qt.IsTrue, qt.Commentf("%d of %d lost", allowed-used, prepaid))
 }
 
 // granted is an account of which this router was granted some tokens, and no other any.
-func granted(tokens int64) *purse {
-	p := newPurse("boatyard")
+func granted(tokens int64) *grant {
+	p := newGrant("boatyard")
 	mine := Figure{Seq: 1, Granted: tokens}
 	p.learned(newRecord().With("vm", "p1", mine, nil), 1, mine)
 	return p
@@ -102,7 +102,7 @@
 	p := granted(2_000_000)
 	p.rate, p.weight, p.spent = rate, 1, 500_000
 	ceiling, _ := p.raised(p.granted, prepaid, true, 0)
-	allowed := Allowance{Ceiling: ceiling, Pace: p.newPace(prepaid), Reserve: int64(reserveShare * float64(p.left(prepaid)))}
+	allowed := Allowance{Ceiling: ceiling, OutageRate: p.newOutageRate(prepaid), Reserve: int64(reserveShare * float64(p.left(prepaid)))}
 	for age := openAfter + 500*time.Millisecond; age <= 8*time.Second; age += 100 * time.Millisecond {
 		used := p.spent + int64(rate*age.Seconds())
 		qt.Assert(t, allowed.at(age) >= used, qt.IsTrue, qt.Commentf("after %v: %d allowed, %d used", age, allowed.at(age), used))
@@ -120,9 +120,9 @@
 		p.rate, p.spent = rate, spent
 		left := p.left(prepaid)
 		ceiling, _ := p.raised(p.granted, prepaid, true, 0)
-		pace := p.newPace(prepaid)
-		lost := Allowance{ceiling, pace, int64(reserveShare * float64(left))}.at(8*time.Second) - ceiling
-		without := Allowance{ceiling, pace, 0}.at(8*time.Second) - ceiling
+		outageRate := p.newOutageRate(prepaid)
+		lost := Allowance{ceiling, outageRate, int64(reserveShare * float64(left))}.at(8*time.Second) - ceiling
+		without := Allowance{ceiling, outageRate, 0}.at(8*time.Second) - ceiling
 		qt.Assert(t, lost <= max(without, left/2), qt.IsTrue, qt.Commentf("%d of %d", lost, left))
 	}
 }
@@ -147,7 +147,7 @@
 // router must not use them, whatever the record says; only a record of a higher
 // revision proves that it can't land any more.
 func TestUnansweredReturnIsNotSpent(t *testing.T) {
-	p := newPurse("boatyard")
+	p := newGrant("boatyard")
 	p.learned(newRecord(), 5, Figure{Granted: 1000})
 	qt.Assert(t, p.granted, qt.Equals, int64(1000))
 	p.granted, p.pendingAt = 400, 5 // sent: granted 400, expected at revision 5
@@ -159,11 +159,11 @@
 	qt.Assert(t, p.granted, qt.Equals, int64(1000), qt.Commentf("another write came first"))
 }
 
-// The pace in force is the lowest that a successor may find: a write that states a
+// The outage rate in force is the lowest that a successor may find: a write that states a
 // higher one counts only when it is known to be stored.
 func TestPaceRisesOnlyWhenStored(t *testing.T) {
-	p := newPurse("boatyard")
-	p.granted, p.allowed = 10_000, Allowance{Ceiling: 100, Pace: 50}
+	p := newGrant("boatyard")
+	p.granted, p.allowed = 10_000, Allowance{Ceiling: 100, OutageRate: 50}
 	age := openAfter + time.Second
 	qt.Assert(t, p.available(0), qt.Equals, int64(100))
 	qt.Assert(t, p.available(age), qt.Equals, int64(150))
--- a/internal/escrow/outage_test.go
+++ b/internal/escrow/outage_test.go
@@ -16,11 +16,11 @@
 	b.home = "elsewhere"
 	k := b.keeper("p1", noPeers{})
 	k.round(context.Background(), true)
-	k.purse("boatyard").waiting = 10
+	k.grant("boatyard").waiting = 10
 	b.store.SetDown(true)
 	k.round(context.Background(), false)
 	c.Assert(k.isAway(), qt.IsTrue)
-	k.purse("boatyard").waiting = 0
+	k.grant("boatyard").waiting = 0
 	b.store.SetDown(false)
 	k.round(context.Background(), k.isAway())
 	c.Assert(k.isAway(), qt.IsFalse)
@@ -65,19 +65,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b.steady = openAfter
-	k.purse("boatyard").spent = k.purse("boatyard").allowed.Ceiling
+	k.grant("boatyard").spent = k.grant("boatyard").allowed.Ceiling
 	b.steady += 1200 * time.Millisecond
 	go func() {
-		_, err := k.Reserve(ctx, "boatyard", k.purse("boatyard").allowed.Pace)
+		_, err := k.Reserve(ctx, "boatyard", k.grant("boatyard").allowed.OutageRate)
 		served <- err
 	}()
 	c.Assert(<-served, qt.IsNil)
 }
 
 // A router is cut off from the store and from all others. After some callers that it
-// could not serve it counts as stranded, so that it names others to those who ask
+// could not serve it counts as isolated, so that it names others to those who ask
 // where to go; the first it can serve again ends that.
-func TestRouterThatFindsNobodyIsStranded(t *testing.T) {
+func TestRouterThatFindsNobodyIsIsolated(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
 	b.home = "elsewhere"
@@ -85,16 +85,16 @@
 	b.steady = time.Minute
 	k := b.keeper("p1", noPeers{})
 	k.round(context.Background(), true)
-	for i := 0; i < strandedMost; i++ {
-		c.Assert(k.Stranded(), qt.IsFalse)
+	for i := 0; i < isolatedMost; i++ {
+		c.Assert(k.Isolated(), qt.IsFalse)
 		_, err := k.Reserve(context.Background(), "boatyard", 8_000)
 		c.Assert(err, qt.Equals, ErrUnreachable)
 	}
-	c.Assert(k.Stranded(), qt.IsTrue)
+	c.Assert(k.Isolated(), qt.IsTrue)
 	k.Accept(map[string]int64{"boatyard": 8_000})
 	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
 	c.Assert(err, qt.IsNil)
-	c.Assert(k.Stranded(), qt.IsFalse)
+	c.Assert(k.Isolated(), qt.IsFalse)
 }
 
 // A caller is told that its budget is exhausted only where that is sure: the sum of
@@ -120,16 +120,16 @@
 
 // The store is away, and two routers ask a home that may spend little. It serves the one
 // that came first, whole, once it can; the other neither takes a part of that nor
-// overtakes. A loan without a ticket gets nothing that they wait for.
+// overtakes. A loan without a waiter gets nothing that they wait for.
 func TestLoansOfAnOutageAreServedInTurn(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
 	b.store.SetDown(true)
 	k.round(context.Background(), true)
-	p := k.purse("boatyard")
-	p.allowed, p.granted = Allowance{Pace: 10_000}, 100_000
-	lend := func(tokens int64, ticket string) int64 {
-		given, _, _ := k.Lend("boatyard", tokens, ticket)
+	p := k.grant("boatyard")
+	p.allowed, p.granted = Allowance{OutageRate: 10_000}, 100_000
+	lend := func(tokens int64, waiter string) int64 {
+		given, _, _ := k.Lend("boatyard", tokens, waiter)
 		return given
 	}
 	b.steady = openAfter + 200*time.Millisecond // 2,000 tokens are open
@@ -162,15 +162,15 @@
 	c.Assert(k.borrow(context.Background(), h, ErrContended), qt.ErrorIs, ErrExhausted)
 }
 
-// deputyPeers can't reach the home; the deputy gives all.
-type deputyPeers struct {
+// standbyPeers can't reach the home; the standby gives all.
+type standbyPeers struct {
 	noPeers
 	asked []string
 }
 
-func (p *deputyPeers) BorrowFrom(_ context.Context, address, _ string, tokens int64, _ string) (int64, bool) {
+func (p *standbyPeers) BorrowFrom(_ context.Context, address, _ string, tokens int64, _ string) (int64, bool) {
 	p.asked = append(p.asked, address)
-	if address == "deputy" {
+	if address == "standby" {
 		return tokens, true
 	}
 	return 0, false
@@ -183,12 +183,12 @@
 	c := qt.New(t)
 	b := newBench(1_000_000)
 	b.home = "home"
-	peers := &deputyPeers{}
+	peers := &standbyPeers{}
 	k := b.keeper("p1", peers)
-	k.o.Deputy = func(string) string { return "deputy" }
+	k.o.Standby = func(string) string { return "standby" }
 	k.round(context.Background(), true)
 	_, err := k.Reserve(context.Background(), "boatyard", 8_000)
 	c.Assert(err, qt.IsNil)
-	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "deputy"})
-	c.Assert(k.purse("boatyard").granted, qt.Equals, int64(0))
+	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "standby"})
+	c.Assert(k.grant("boatyard").granted, qt.Equals, int64(0))
 }
--- a/internal/escrow/line_test.go
+++ b/internal/escrow/queue_test.go
@@ -9,8 +9,8 @@
 
 // Three requests wait while tokens come in slowly. They are served whole, in the order in
 // which they came, though a later and smaller one would fit sooner.
-func TestLineServesWholeAndInOrder(t *testing.T) {
-	l := line{}
+func TestQueueServesWholeAndInOrder(t *testing.T) {
+	l := queue{}
 	now := time.Second
 	qt.Assert(t, l.admits("a", 50, 10, now), qt.IsFalse)
 	qt.Assert(t, l.admits("b", 5, 10, now), qt.IsFalse)
@@ -25,10 +25,10 @@
 	qt.Assert(t, l.wanted(now), qt.Equals, int64(0))
 }
 
-// The first in the line gives up without a word. The others don't wait for it.
-func TestLineForgetsWhoStoppedAsking(t *testing.T) {
-	l := line{}
+// The first in the queue gives up without a word. The others don't wait for it.
+func TestQueueForgetsWhoStoppedAsking(t *testing.T) {
+	l := queue{}
 	qt.Assert(t, l.admits("a", 50, 10, 0), qt.IsFalse)
 	qt.Assert(t, l.admits("b", 5, 10, 300*time.Millisecond), qt.IsFalse)
-	qt.Assert(t, l.admits("b", 5, 10, lineKept+1), qt.IsTrue)
+	qt.Assert(t, l.admits("b", 5, 10, queueKept+1), qt.IsTrue)
 }
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -20,7 +20,7 @@
 	h := k.begin(account, tokens, home == "", "")
 	drew := home != "" && k.borrowFromHome(ctx, h, home)
 	if h.missing == 0 {
-		k.noteStranded(false)
+		k.noteIsolated(false)
 		return h.reservation(), nil
 	}
 	err := ErrContended // where the home has tried to draw
@@ -33,7 +33,7 @@
 	for errors.Is(err, ErrUnreachable) && k.opensSoon() && pause(ctx, openPoll) {
 		err = k.again(ctx, h)
 	}
-	k.noteStranded(errors.Is(err, ErrUnreachable))
+	k.noteIsolated(errors.Is(err, ErrUnreachable))
 	if err != nil {
 		h.release()
 		return nil, err
@@ -41,16 +41,16 @@
 	return h.reservation(), nil
 }
 
-// borrowFromHome gets what is missing from the account's home, or from its deputy if the
+// borrowFromHome gets what is missing from the account's home, or from its standby if the
 // home can't be reached. It says whether one of them could have drawn more if there were
 // more.
 func (k *Keeper) borrowFromHome(ctx context.Context, h *hold, home string) (drew bool) {
-	for _, address := range []string{home, k.o.Deputy(h.purse.account)} {
+	for _, address := range []string{home, k.o.Standby(h.grant.account)} {
 		if h.missing == 0 || drew || address == "" || address != home && k.isAway() {
 			break
 		}
 		var got int64
-		got, drew = k.o.Peers.BorrowFrom(ctx, address, h.purse.account, h.missing, h.ticket)
+		got, drew = k.o.Peers.BorrowFrom(ctx, address, h.grant.account, h.missing, h.waiterID)
 		h.got(got)
 	}
 	return drew
@@ -88,8 +88,8 @@
 	k.mu.Lock()
 	h.fill()
 	k.mu.Unlock()
-	if home := k.o.Home(h.purse.account); h.missing > 0 && home != "" {
-		got, _ := k.o.Peers.BorrowFrom(ctx, home, h.purse.account, h.missing, h.ticket)
+	if home := k.o.Home(h.grant.account); h.missing > 0 && home != "" {
+		got, _ := k.o.Peers.BorrowFrom(ctx, home, h.grant.account, h.missing, h.waiterID)
 		h.got(got)
 	}
 	if h.missing > 0 {
@@ -98,76 +98,76 @@
 	return nil
 }
 
-// strandedMost is how many reservations in a row find neither the store nor tokens
-// at other routers before this router counts as stranded.
-const strandedMost = 3
+// isolatedMost is how many reservations in a row find neither the store nor tokens
+// at other routers before this router counts as isolated.
+const isolatedMost = 3
 
-// noteStranded counts reservations that found nobody.
-func (k *Keeper) noteStranded(stranded bool) {
+// noteIsolated counts reservations that found nobody.
+func (k *Keeper) noteIsolated(isolated bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !stranded {
-		k.stranded = 0
+	if !isolated {
+		k.isolated = 0
 		return
 	}
-	k.stranded++
+	k.isolated++
 }
 
-// Stranded says whether this router can't pay for requests while others may: it is
+// Isolated says whether this router can't pay for requests while others may: it is
 // cut off from the store and from them. Callers are better served elsewhere.
-func (k *Keeper) Stranded() bool {
+func (k *Keeper) Isolated() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.away && k.stranded >= strandedMost
+	return k.away && k.isolated >= isolatedMost
 }
 
 // hold is a reservation that is being put together. What it has is set aside at
 // once: else requests that come meanwhile take it, and all of them come up short.
 type hold struct {
 	keeper  *Keeper
-	purse   *purse
+	grant   *grant
 	tokens  int64
 	missing int64
-	// lined: while the store is away it is served whole and in its turn.
-	lined  bool
-	ticket string // its name in a line
+	// queued: while the store is away it is served whole and in its turn.
+	queued   bool
+	waiterID string // its name in a queue
 }
 
-// begin puts a hold together out of what is here. Without a ticket it gets one.
-func (k *Keeper) begin(account string, tokens int64, lined bool, ticket string) *hold {
+// begin puts a hold together out of what is here. Without a name it gets one.
+func (k *Keeper) begin(account string, tokens int64, queued bool, waiterID string) *hold {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if ticket == "" {
-		k.tickets++
-		ticket = k.o.Incarnation + "/" + strconv.FormatInt(k.tickets, 10)
+	if waiterID == "" {
+		k.waiters++
+		waiterID = k.o.Incarnation + "/" + strconv.FormatInt(k.waiters, 10)
 	}
-	h := &hold{keeper: k, purse: k.purse(account), tokens: tokens, missing: tokens, lined: lined, ticket: ticket}
+	h := &hold{keeper: k, grant: k.grant(account), tokens: tokens, missing: tokens, queued: queued, waiterID: waiterID}
 	h.fill()
-	if _, short := h.purse.raised(h.purse.granted, k.o.Budgets()[account], k.o.Home(account) == "", k.roundTrip); short {
-		k.nudge()
+	if _, short := h.grant.raised(h.grant.granted, k.o.Budgets()[account], k.o.Home(account) == "", k.roundTrip); short {
+		k.wakeUp()
 	}
 	return h
 }
 
-// fill takes from the purse what it can. The keeper is locked.
+// fill takes from the grant what it can. The keeper is locked.
 func (h *hold) fill() {
-	available := h.purse.available(h.keeper.age())
+	available := h.grant.available(h.keeper.age())
 	if h.keeper.away {
 		available = h.share(available)
 	}
 	here := max(0, min(h.missing, available))
-	h.purse.reserved += here
+	h.grant.reserved += here
 	h.missing -= here
 }
 
 // share is what the hold may take of what is available while the store is away: all it
-// needs once it is its turn, or, without a place in the line, what nobody waits for.
+// needs once it is its turn, or, without a place in the queue, what nobody waits for.
 func (h *hold) share(available int64) int64 {
 	now := h.keeper.o.Clock().Steady
-	if !h.lined {
-		return available - h.purse.line.wanted(now)
+	if !h.queued {
+		return available - h.grant.queue.wanted(now)
 	}
-	if h.missing == 0 || !h.purse.line.admits(h.ticket, h.missing, available, now) {
+	if h.missing == 0 || !h.grant.queue.admits(h.waiterID, h.missing, available, now) {
 		return 0
 	}
 	return h.missing
@@ -177,19 +177,19 @@
 func (h *hold) got(tokens int64) {
 	h.keeper.mu.Lock()
 	defer h.keeper.mu.Unlock()
-	h.purse.borrowed += tokens
-	h.purse.reserved += min(tokens, h.missing)
+	h.grant.borrowed += tokens
+	h.grant.reserved += min(tokens, h.missing)
 	h.missing -= min(tokens, h.missing)
 }
 
 func (h *hold) release() {
 	h.keeper.mu.Lock()
 	defer h.keeper.mu.Unlock()
-	h.purse.reserved -= h.tokens - h.missing
+	h.grant.reserved -= h.tokens - h.missing
 }
 
 func (h *hold) reservation() *Reservation {
-	return &Reservation{keeper: h.keeper, purse: h.purse, tokens: h.tokens}
+	return &Reservation{keeper: h.keeper, grant: h.grant, tokens: h.tokens}
 }
 
 // drawPatience is how long a reservation waits for a draw at least before it asks other
@@ -239,36 +239,36 @@
 		return nil, nil
 	case k.away:
 		return nil, ErrUnreachable
-	case waited && h.purse.decided && k.lacks(h):
+	case waited && h.grant.decided && k.lacks(h):
 		return nil, ErrContended
 	}
-	h.purse.waiting += h.missing
-	k.nudge()
+	h.grant.waiting += h.missing
+	k.wakeUp()
 	return k.changed, nil
 }
 
 // lacks says whether the record can't give what is missing.
 func (k *Keeper) lacks(h *hold) bool {
-	p := h.purse
+	p := h.grant
 	return p.free(k.o.Budgets()[p.account])+p.granted-p.used() < h.missing
 }
 
 func (k *Keeper) stopWaiting(h *hold) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	h.purse.waiting -= h.missing
+	h.grant.waiting -= h.missing
 }
 
 // borrow gets what is missing from any other routers.
 func (k *Keeper) borrow(ctx context.Context, h *hold, short error) error {
 	missing := h.missing
-	got, used := k.o.Peers.Borrow(ctx, h.purse.account, missing)
+	got, used := k.o.Peers.Borrow(ctx, h.grant.account, missing)
 	h.got(got)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	record := h.purse.record
-	prepaid := k.o.Budgets()[h.purse.account]
-	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, h.purse.account), slog.Int64("missing", missing),
+	record := h.grant.record
+	prepaid := k.o.Budgets()[h.grant.account]
+	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, h.grant.account), slog.Int64("missing", missing),
 		slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
 		slog.Int64("closed", record.Closed), slog.Int64("used", used), slog.Any(event.KeyCause, short))
 	if h.missing == 0 {
@@ -276,7 +276,7 @@
 	}
 	// All that is surely used, with reservations at their most. What nobody could
 	// tell of may still come back, so that is no reason to say exhausted.
-	used += h.purse.used() - (h.tokens - h.missing)
+	used += h.grant.used() - (h.tokens - h.missing)
 	switch {
 	case prepaid-used-record.ClosedSpent < h.tokens:
 		return ErrExhausted
@@ -291,10 +291,10 @@
 
 // Lend gives tokens to another router, as many as it can get hold of without asking
 // others, and tells how many are used here and whether the store is away. What it
-// gives counts as used from then on. A ticket keeps the borrower's place in the line
-// while the store is away; without one it gets what nobody waits for.
-func (k *Keeper) Lend(account string, tokens int64, ticket string) (given, used int64, away bool) {
-	h := k.begin(account, tokens, ticket != "", ticket)
+// gives counts as used from then on. The name keeps the borrower's place in the queue
+// while the store is away; without one, it gets what nobody waits for.
+func (k *Keeper) Lend(account string, tokens int64, waiterID string) (given, used int64, away bool) {
+	h := k.begin(account, tokens, waiterID != "", waiterID)
 	if h.missing > 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), lendPatience)
 		defer cancel()
@@ -305,10 +305,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	given = h.tokens - h.missing
-	h.purse.reserved -= given
-	used = h.purse.used()
-	h.purse.lent += given
-	h.purse.use += given
+	h.grant.reserved -= given
+	used = h.grant.used()
+	h.grant.lent += given
+	h.grant.use += given
 	return given, used, k.away
 }
 
@@ -316,7 +316,7 @@
 func (k *Keeper) TakeBack(account string, tokens int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	p := k.purse(account)
+	p := k.grant(account)
 	p.lent -= tokens
 	p.use -= tokens
 }
@@ -344,7 +344,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	byHome := make(map[string]map[string]int64)
-	for account, p := range k.purses {
+	for account, p := range k.grants {
 		home := k.o.Home(account)
 		tokens := p.available(k.age())
 		if home == "" || tokens <= 0 {
@@ -367,7 +367,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for account, n := range tokens {
-		k.purse(account).lent -= n
+		k.grant(account).lent -= n
 	}
 }
 
@@ -376,7 +376,7 @@
 func (k *Keeper) HandOver(ctx context.Context, address string) {
 	k.mu.Lock()
 	left := make(map[string]int64)
-	for account, p := range k.purses {
+	for account, p := range k.grants {
 		if tokens := p.available(k.age()); tokens > 0 {
 			left[account] = tokens
 			p.lent += tokens
@@ -404,7 +404,7 @@
 		return false
 	}
 	for account, n := range tokens {
-		p := k.purse(account)
+		p := k.grant(account)
 		p.borrowed += max(0, n)
 		p.use -= max(0, n)
 	}
--- a/internal/escrow/stop.go
+++ b/internal/escrow/stop.go
@@ -42,17 +42,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := draw{}
-	for _, p := range k.purses {
-		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.purses) == txnAccounts {
+	for _, p := range k.grants {
+		if !p.decided || p.record.Figure(k.o.VM, k.o.Incarnation).Seq == 0 || len(d.grants) == txnAccounts {
 			continue
 		}
 		used := max(0, min(p.granted, p.used()))
 		p.granted = min(p.granted, used)
 		d.pendingAt = append(d.pendingAt, p.pendingAt)
-		d.purses = append(d.purses, p)
+		d.grants = append(d.grants, p)
 		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(p.account)))
 	}
-	return d, len(d.purses) > 0
+	return d, len(d.grants) > 0
 }
 
 func (k *Keeper) close(ctx context.Context, d draw) error {
@@ -66,7 +66,7 @@
 		return err
 	}
 	if errors.Is(err, store.ErrUnavailable) {
-		for i, p := range d.purses { // nothing was done: the grants are still here
+		for i, p := range d.grants { // nothing was done: the grants are still here
 			p.pendingAt = d.pendingAt[i]
 			p.learned(p.record, p.revision, p.record.Figure(k.o.VM, k.o.Incarnation))
 		}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return errors.Wrap(err, "return of grants")
 	}
-	for i, p := range d.purses {
+	for i, p := range d.grants {
 		p.record, p.revision = d.records[i], int64(result.Revision)
 		k.o.Log.Emit(event.GrantsReturned, slog.String(event.KeyBudget, p.account), slog.Int64("spent", p.spent))
 	}
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -65,12 +65,12 @@
 		Store: w.store, Prefix: "budget/", VM: r.vm, Address: r.vm, Incarnation: fmt.Sprintf("p%d", w.born),
 		Budgets: func() map[string]int64 { return paid },
 		Log:     event.Discard(),
-		Clock: func() Stamp {
-			return Stamp{Boot: boot, Steady: w.steady + skew, Wall: w.wall.Add(w.steady)}
+		Clock: func() ClockReading {
+			return ClockReading{Boot: boot, Steady: w.steady + skew, Wall: w.wall.Add(w.steady)}
 		},
-		Home:   func(account string) string { return w.homeOf(r, account) },
-		Deputy: func(string) string { return "" },
-		Peers:  noPeers{},
+		Home:    func(account string) string { return w.homeOf(r, account) },
+		Standby: func(string) string { return "" },
+		Peers:   noPeers{},
 	})
 }
 
@@ -126,7 +126,7 @@
 	for i := rapid.IntRange(1, 12).Draw(w.t, "requests"); i > 0; i-- {
 		h := r.keeper.begin(account, rapid.Int64Range(1, 15_000).Draw(w.t, "tokens"), true, "")
 		if changed, _ := r.keeper.await(h, false); changed != nil {
-			r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "stamp"))
+			r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "refresh"))
 			r.keeper.stopWaiting(h)
 		}
 		if changed, _ := r.keeper.await(h, true); changed != nil {
@@ -153,13 +153,13 @@
 	reservation := r.open[last]
 	r.open = r.open[:last]
 	used := rapid.Int64Range(0, reservation.tokens).Draw(w.t, "used")
-	w.consumed[reservation.purse.account] += used
+	w.consumed[reservation.grant.account] += used
 	reservation.Settle(used)
 }
 
 func (w *world) round(*rapid.T) {
 	r := w.router("router")
-	r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "stamp"))
+	r.keeper.round(context.Background(), rapid.Bool().Draw(w.t, "refresh"))
 }
 
 // lend moves tokens between two routers; the answer may be lost and the loan
@@ -167,7 +167,7 @@
 func (w *world) lend(*rapid.T) {
 	from, to, account := w.router("from"), w.router("to"), w.account()
 	from.keeper.mu.Lock()
-	available := from.keeper.purse(account).available(from.keeper.age())
+	available := from.keeper.grant(account).available(from.keeper.age())
 	from.keeper.mu.Unlock()
 	if from == to || available <= 0 {
 		return
@@ -184,7 +184,7 @@
 // die ends a process; what it had reserved may have been delivered whole.
 func (w *world) die(r *router) {
 	for _, reservation := range r.open {
-		w.consumed[reservation.purse.account] += rapid.Int64Range(0, reservation.tokens).Draw(w.t, "delivered")
+		w.consumed[reservation.grant.account] += rapid.Int64Range(0, reservation.tokens).Draw(w.t, "delivered")
 	}
 }
 
@@ -210,7 +210,7 @@
 	for len(r.open) > 0 {
 		reservation := r.open[0]
 		r.open = r.open[1:]
-		w.consumed[reservation.purse.account] += reservation.tokens
+		w.consumed[reservation.grant.account] += reservation.tokens
 		reservation.Settle(reservation.tokens)
 	}
 	_ = r.keeper.Return(context.Background()) // an outage keeps it from returning
@@ -248,7 +248,7 @@
 	}
 	for _, r := range w.routers {
 		for _, reservation := range r.open {
-			most[reservation.purse.account] += reservation.tokens
+			most[reservation.grant.account] += reservation.tokens
 		}
 	}
 	for account, n := range most {
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -9,7 +9,7 @@
 )
 
 // Dialect is what a router with the own interface speaks.
-func Dialect(s store.Store, clock func() escrow.Stamp, log *event.Log) node.Dialect {
+func Dialect(s store.Store, clock func() escrow.ClockReading, log *event.Log) node.Dialect {
 	return node.Dialect{
 		Store:         s,
 		Clock:         clock,
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -26,11 +26,11 @@
 	}
 }
 
-// Homes and deputies of many accounts, as one router sees them. Both follow the
-// capacities, no router is its own deputy, and a lost home's accounts go to their deputies.
+// Homes and standbys of many accounts, as one router sees them. Both follow the
+// capacities, no router is its own standby, and a lost home's accounts go to their standbys.
 func TestHomesFollowTheCapacities(t *testing.T) {
 	c := qt.New(t)
-	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.04}, Dialect{Clock: func() escrow.Stamp { return escrow.Stamp{} }}, event.Discard(), "p1")
+	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.04}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	items := make([]store.Item, 0, 10)
 	for i := range 10 {
 		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":%v}`, i, i, map[bool]float64{true: 0.8, false: 0.04}[i == 5])
@@ -38,20 +38,20 @@
 	}
 	n.members.Reset(items, 0)
 	large := 0
-	deputies := map[string]string{}
+	standbys := map[string]string{}
 	for i := range 300 {
 		account := fmt.Sprint("account-", i)
-		home, deputy := n.homesOf(account)
-		c.Assert(home, qt.Not(qt.Equals), deputy)
+		home, standby := n.homesOf(account)
+		c.Assert(home, qt.Not(qt.Equals), standby)
 		if home == "peer-5" {
 			large++
-			deputies[account] = deputy
+			standbys[account] = standby
 		}
 	}
 	c.Assert(large > 180 && large < 230, qt.IsTrue, qt.Commentf("%d of 300 where 0.8 of 1.16 is", large))
 	n.members = fleet.NewMembers(decodeMember, event.Discard(), nil)
 	n.members.Reset(append(items[:5:5], items[6:]...), 0)
-	for account, deputy := range deputies {
-		c.Assert(n.homeOf(account), qt.Equals, deputy)
+	for account, standby := range standbys {
+		c.Assert(n.homeOf(account), qt.Equals, standby)
 	}
 }
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -14,23 +14,23 @@
 	return home
 }
 
-// deputyOf is the address of the router that draws for all while the home can't be
+// standbyOf is the address of the router that draws for all while the home can't be
 // reached; empty if it is this one. Without it each router draws for itself: their
 // writes of one record race, and the budget is left in small parts.
-func (n *Node) deputyOf(account string) string {
-	_, deputy := n.homesOf(account)
-	return deputy
+func (n *Node) standbyOf(account string) string {
+	_, standby := n.homesOf(account)
+	return standby
 }
 
 // homesOf ranks the routers for an account and returns the first two.
-func (n *Node) homesOf(account string) (home, deputy string) {
+func (n *Node) homesOf(account string) (home, standby string) {
 	first, second := math.Inf(1), math.Inf(1)
 	take := func(m fleet.Member, address string) {
 		switch rank := m.Rank(account); {
 		case rank < first:
-			first, second, home, deputy = rank, first, address, home
+			first, second, home, standby = rank, first, address, home
 		case rank < second:
-			second, deputy = rank, address
+			second, standby = rank, address
 		}
 	}
 	for _, m := range n.holders() {
@@ -40,13 +40,13 @@
 		}
 		take(m, address)
 	}
-	return home, deputy
+	return home, standby
 }
 
 // holders are the routers that may hold accounts for all: those that follow the store for
 // others, which have the capacity. Each router that holds something writes to the store
 // all the time; if all of a large fleet did, that would cost more calls than all else. With
-// fewer than two of them each router may: an account needs a home and a deputy.
+// fewer than two of them each router may: an account needs a home and a standby.
 func (n *Node) holders() []fleet.Member {
 	members := n.members.List()
 	others := members[:0:0]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 // Dialect is what the node needs to speak with its surroundings.
 type Dialect struct {
 	Store         store.Store
-	Clock         func() escrow.Stamp
+	Clock         func() escrow.ClockReading
 	ConfigPrefix  string
 	IsConfig      func(store.Item) bool
 	DecodeConfig  func(store.Item) (*policy.Policy, error)
@@ -136,7 +136,7 @@
 	n.peers = peers.NewClient(incarnation, n.peerAddresses, log)
 	n.keeper = escrow.New(escrow.Options{
 		Store: d.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
-		Budgets: n.budgets, Home: n.homeOf, Deputy: n.deputyOf, Log: log, Peers: n.peers,
+		Budgets: n.budgets, Home: n.homeOf, Standby: n.standbyOf, Log: log, Peers: n.peers,
 	})
 	n.forward = &forward.Forwarder{
 		Policy:     n.policy.Load,
@@ -231,7 +231,7 @@
 
 // resolve names the routers for a caller. This router counts itself in as long as
 // it is ready, also when its own entry has lapsed with the store; but not while it
-// is stranded and knows others.
+// is isolated and knows others.
 func (n *Node) resolve(domain, caller string) []string {
 	members := n.members.List()
 	others := members[:0]
@@ -240,7 +240,7 @@
 			others = append(others, m)
 		}
 	}
-	if n.Ready() && (len(others) == 0 || !n.keeper.Stranded()) {
+	if n.Ready() && (len(others) == 0 || !n.keeper.Isolated()) {
 		others = append(others, n.self())
 	}
 	return entry.Choose(others, domain, caller)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,7 +16,7 @@
 // and all of them together would draw whole budgets; so it has no budgets to draw.
 func TestNothingIsDrawnBeforeTheFleetIsKnown(t *testing.T) {
 	s := &Settings{VM: "vm-1", FailureDomain: "zone-1", Callers: "127.0.0.1:1", Peers: "127.0.0.1:2"}
-	n := New(s, Dialect{Clock: func() escrow.Stamp { return escrow.Stamp{} }}, event.Discard(), "p1")
+	n := New(s, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	n.policy.Store(policy.New(policy.Definition{Accounts: []policy.Account{{Name: "boatyard", Prepaid: 1000, Metered: true}}}))
 	qt.Assert(t, n.budgets(), qt.HasLen, 0)
 
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -83,7 +83,7 @@
 		vm := fmt.Sprintf("vm-%d", i)
 		s := &countedStore{Store: f.store}
 		settings := &Settings{VM: vm, FailureDomain: "zone-1", Peers: "127.0.0.1:0", Drain: 500 * time.Millisecond}
-		n := New(settings, Dialect{Store: s, Clock: func() escrow.Stamp { return escrow.Stamp{} },
+		n := New(settings, Dialect{Store: s, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
 			ConfigPrefix: "config/", IsConfig: func(store.Item) bool { return true }, DecodeConfig: testConfig,
 			ServersPrefix: "servers/", DecodeServer: func(store.Item) (fleet.Entry, error) { return fleet.Entry{}, nil },
 		}, event.Discard(), vm)
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -31,7 +31,7 @@
 // A caller with an old address comes while the router returns its grants, right before it
 // ends. It is refused at once, as not run: taken, it would be cut off in its run.
 func TestRouterThatLeavesTakesNothing(t *testing.T) {
-	n := New(&Settings{VM: "vm-0", Grace: 8 * time.Second}, Dialect{Clock: func() escrow.Stamp { return escrow.Stamp{} }}, event.Discard(), "p1")
+	n := New(&Settings{VM: "vm-0", Grace: 8 * time.Second}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	n.stopping.Store(true)
 	n.stoppedAt.Store(time.Now().UnixMilli()) // long requests are still taken
 	n.leaving.Store(true)
@@ -43,7 +43,7 @@
 // A request came right before the router took no more. The grants are returned only once
 // it has ended.
 func TestLastRequestIsWaitedFor(t *testing.T) {
-	n := New(&Settings{VM: "vm-0"}, Dialect{Clock: func() escrow.Stamp { return escrow.Stamp{} }}, event.Discard(), "p1")
+	n := New(&Settings{VM: "vm-0"}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	n.inHand.Store(1)
 	var ended atomic.Bool
 	waited := make(chan bool)
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		asked++
-		loan, err := c.lend(ctx, address, account, tokens-got, noTicket)
+		loan, err := c.lend(ctx, address, account, tokens-got, noWaiter)
 		if err != nil {
 			continue // the peer is avoided now; others are asked
 		}
@@ -83,22 +83,22 @@
 	return got, used
 }
 
-// BorrowFrom asks one peer for tokens; the ticket names the request in its line. It returns how many it gave, and whether
+// BorrowFrom asks one peer for tokens; the waiter names the request in its line. It returns how many it gave, and whether
 // it could have drawn more if there were more.
-func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64, ticket string) (got int64, drew bool) {
+func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64, waiter string) (got int64, drew bool) {
 	if c.avoiding(address) {
 		return 0, false
 	}
-	loan, err := c.lend(ctx, address, account, tokens, ticket)
+	loan, err := c.lend(ctx, address, account, tokens, waiter)
 	return loan.Tokens, err == nil && !loan.Away
 }
 
-// noTicket asks for what nobody waits for.
-const noTicket = ""
+// noWaiter asks for what nobody waits for.
+const noWaiter = ""
 
 // lend asks for a loan. One whose answer is lost is not used, and voided later.
-func (c *Client) lend(ctx context.Context, address, account string, tokens int64, ticket string) (Loan, error) {
-	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens, Ticket: ticket, Clock: c.clock.Tick()}
+func (c *Client) lend(ctx context.Context, address, account string, tokens int64, waiter string) (Loan, error) {
+	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens, Waiter: waiter, Clock: c.clock.Tick()}
 	loan := Loan{}
 	err := c.call(ctx, address, "Lend", request, &loan)
 	if err == nil {
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -31,9 +31,9 @@
 	ID      TransferID
 	Account string
 	Tokens  int64
-	// Ticket names the request in the line that forms while the store is away; empty:
+	// Waiter names the request in the line that forms while the store is away; empty:
 	// only what nobody waits for is asked for.
-	Ticket string
+	Waiter string
 	Clock  uint64
 }
 
@@ -74,7 +74,7 @@
 type Lender interface {
 	// Lend takes up to tokens out of what is available or can be drawn and returns
 	// how many, how many were used before, and whether the store is away.
-	Lend(account string, tokens int64, ticket string) (given, used int64, away bool)
+	Lend(account string, tokens int64, waiter string) (given, used int64, away bool)
 	// TakeBack undoes a loan that its borrower never got.
 	TakeBack(account string, tokens int64)
 	// Accept takes tokens that another router hands over; false: none of them.
@@ -104,7 +104,7 @@
 	if s.transfers.voided(request.ID) {
 		return nil // its borrower gave up on it
 	}
-	loan.Tokens, loan.Used, loan.Away = s.lender.Lend(request.Account, request.Tokens, request.Ticket)
+	loan.Tokens, loan.Used, loan.Away = s.lender.Lend(request.Account, request.Tokens, request.Waiter)
 	if !s.transfers.lent(request.ID, request.Account, loan.Tokens) {
 		s.lender.TakeBack(request.Account, loan.Tokens)
 		loan.Tokens = 0
