Share homes among accounts in large fleets only

Change: in a fleet above 32 routers accounts share eight homes, or one for 32 routers; below, each account has its own as before. Probes of an absent store come each 0.5 s at the latest, each second where nothing is held.

--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -173,10 +173,10 @@
 	// awayPause is the first pause while the store is away; it doubles up to awayMost, since
 	// a store that refuses is paid for each call, and a return is noticed soon enough.
 	awayPause = 250 * time.Millisecond
-	awayMost  = time.Second
+	awayMost  = 500 * time.Millisecond
 	// idlePause is the pause of a router that holds nothing: it lends nothing and needs the
 	// store for draws of its own only, which its accounts' homes make for it.
-	idlePause = 2 * time.Second
+	idlePause = time.Second
 	// callTimeout is far above the store's usual few milliseconds, and short
 	// beside the time a caller waits.
 	callTimeout = 600 * time.Millisecond
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -55,3 +55,32 @@
 		c.Assert(n.homeOf(account), qt.Equals, standby)
 	}
 }
+
+// A large fleet has a few homes, whatever the number of accounts, and the accounts of one
+// that is lost go to their standbys: else grants of them lie at two routers.
+func TestLargeFleetHasFewHomes(t *testing.T) {
+	c := qt.New(t)
+	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.4}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
+	var items []store.Item
+	for i := range 80 {
+		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":0.4}`, i, i)
+		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
+	}
+	n.members.Reset(items, 0)
+	standbys := map[string]string{} // by home
+	for i := range 300 {
+		home, standby := n.homesOf(fmt.Sprint("account-", i))
+		standbys[home] = standby
+	}
+	c.Assert(len(standbys) <= homesLeast, qt.IsTrue, qt.Commentf("%d homes", len(standbys)))
+	c.Assert(len(standbys) > homesLeast/2, qt.IsTrue, qt.Commentf("%d homes", len(standbys)))
+	lost := n.homeOf("account-1")
+	_, standby := n.homesOf("account-1")
+	n.members = fleet.NewMembers(decodeMember, event.Discard(), nil)
+	for i, item := range items {
+		if fmt.Sprint("peer-", i) != lost {
+			n.members.Apply([]store.Event{{Item: item}}, 0)
+		}
+	}
+	c.Assert(n.homeOf("account-1"), qt.Equals, standby)
+}
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
 )
@@ -25,42 +28,46 @@
 // homesOf ranks the routers for an account and returns the first two.
 func (n *Node) homesOf(account string) (home, standby string) {
 	first, second := math.Inf(1), math.Inf(1)
+	members := n.members.List()
+	key := homeKey(account, len(members))
 	take := func(m fleet.Member, address string) {
-		switch rank := m.Rank(account); {
+		switch rank := m.Rank(key); {
 		case rank < first:
 			first, second, home, standby = rank, first, address, home
 		case rank < second:
 			second, standby = rank, address
 		}
 	}
-	for _, m := range n.holders() {
-		address := m.Peer
-		if m.Name == n.settings.VM {
-			address = ""
-		}
-		take(m, address)
+	if !n.stopping.Load() {
+		take(n.self(), "")
 	}
-	return home, standby
-}
-
-// holders are the routers that may hold accounts for all: those that follow the store for
-// others, which have the capacity. Each router that holds something writes to the store
-// all the time; if all of a large fleet did, that would cost more calls than all else. With
-// fewer than two of them each router may: an account needs a home and a standby.
-func (n *Node) holders() []fleet.Member {
-	members := n.members.List()
-	others := members[:0:0]
 	for _, m := range members {
 		if m.Name != n.settings.VM && m.Peer != "" {
-			others = append(others, m)
+			take(m, m.Peer)
 		}
 	}
-	all := others
-	if !n.stopping.Load() {
-		all = append(all, n.self())
-	}
-	if chosen := allReaders(all); len(chosen) > 1 {
-		return chosen
+	return home, standby
+}
+
+// Homes of accounts in a large fleet.
+const (
+	// homesTogether is the fleet from which on accounts share homes. Each home writes its
+	// ledger all the time: with an own one for each account, and every router writing that
+	// had ever drawn, four in ten calls to the store of 83 routers were such writes. In a
+	// small fleet homes are few anyway, and one that dies holds up all its accounts.
+	homesTogether = 32
+	// homesLeast is how many homes there are then, and homesFor one more for so many
+	// routers: a home answers each request of its accounts, some hundred a second.
+	homesLeast = 8
+	homesFor   = 32
+)
+
+// homeKey is what the routers are ranked by for an account: its own name, or in a large
+// fleet that of its share of the accounts. Whoever is lost, the next in rank is the same.
+func homeKey(account string, routers int) string {
+	if routers <= homesTogether {
+		return account
 	}
-	return all
+	shares := uint64(max(homesLeast, routers/homesFor))
+	return "share " + strconv.FormatUint(xxhash.Sum64String(account)%shares, 10)
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -37,19 +37,6 @@
 	return near[:min(len(near), 1+len(near)/readersFor)]
 }
 
-// allReaders are the routers that follow the store, of all failure domains.
-func allReaders(members []fleet.Member) []fleet.Member {
-	domains := make(map[string]bool)
-	var all []fleet.Member
-	for _, m := range members {
-		if !domains[m.Domain] {
-			domains[m.Domain] = true
-			all = append(all, readers(members, m.Domain)...)
-		}
-	}
-	return all
-}
-
 // relay is where this router learns from; it implements store.Relay.
 type relay struct {
 	node *Node
