--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -29,7 +29,11 @@
 func (n *Node) homesOf(account string) (home, standby string) {
 	first, second := math.Inf(1), math.Inf(1)
 	members := n.members.List()
-	key := homeKey(account, len(members))
+	accounts := 0
+	if p := n.policy.Load(); p != nil {
+		accounts = len(p.Accounts)
+	}
+	key := homeKey(account, len(members), accounts)
 	take := func(m fleet.Member, address string) {
 		switch rank := m.Rank(key); {
 		case rank < first:
@@ -60,14 +64,17 @@
 	// routers: a home answers each request of its accounts, some hundred a second.
 	homesLeast = 8
 	homesFor   = 32
+	// accountsFor bounds the accounts of a home: its ledger has some 80 bytes of each, and
+	// a value of the store is 1 MB at most.
+	accountsFor = 4000
 )
 
 // homeKey is what the routers are ranked by for an account: its own name, or in a large
 // fleet that of its share of the accounts. Whoever is lost, the next in rank is the same.
-func homeKey(account string, routers int) string {
+func homeKey(account string, routers, accounts int) string {
 	if routers <= homesTogether {
 		return account
 	}
-	shares := uint64(max(homesLeast, routers/homesFor))
+	shares := uint64(max(homesLeast, routers/homesFor, accounts/accountsFor))
 	return "share " + strconv.FormatUint(xxhash.Sum64String(account)%shares, 10)
 }
