--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -151,7 +151,7 @@
 // mostSpent judges this VM's dead incarnations by the ledger that the last left.
 func (k *Keeper) mostSpent(account string) MostSpent {
 	return func(incarnation string, granted int64) int64 {
-		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.leaseAlive == incarnation)
+		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.leasedIncarnation == incarnation)
 	}
 }
 
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -96,14 +96,14 @@
 	// moment at which that process was surely dead.
 	predecessor Ledger
 	born        ClockReading
-	// leaseAlive is the incarnation whose contact lease had not run out at the first
+	// leasedIncarnation is the process whose contact lease had not run out at the first
 	// read.
-	leaseAlive     string
-	contactLease   store.LeaseID // 0: none yet
-	contactPut     bool          // the contact key is bound to it
-	ledgerRevision int64
-	ledgerKnown    bool
-	readAt         time.Duration // of the last read of all records
+	leasedIncarnation string
+	contactLease      store.LeaseID // 0: none yet
+	contactPut        bool          // the contact key is bound to it
+	ledgerRevision    int64
+	ledgerKnown       bool
+	readAt            time.Duration // of the last read of all records
 	// lastContact is when the last write was sent that was sent in contact; it may have
 	// landed whatever became of its answer. Out of contact all spending beyond the
 	// ceilings is counted from there, and so are all ledgers written meanwhile.
@@ -335,7 +335,7 @@
 			k.learnLedger(item)
 		}
 		if key == contactKeys+k.o.VM {
-			k.leaseAlive = string(item.Value)
+			k.leasedIncarnation = string(item.Value)
 		}
 	}
 	for account := range budgets {
