--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// OutageRate of the talks with the store.
+// Pauses between the talks with the store.
 const (
 	// ledgerEvery bounds the age of the last contact: what a router's successor can't free
 	// grows with it.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -45,7 +45,7 @@
 // sourceChanged logs where a follower learns from, at each change.
 func (n *Node) sourceChanged(prefix string) func(relayed bool) {
 	return func(relayed bool) {
-		n.sources.Store(prefix, relayed)
+		n.metrics.Source(prefix, relayed)
 		n.log.Emit(event.SourceChanged, slog.String("follows", prefix), slog.Bool("relayed", relayed))
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -25,6 +25,7 @@
 	repeated *prometheus.CounterVec
 	Dials    prometheus.Counter
 	calls    *prometheus.CounterVec
+	relayed  *prometheus.GaugeVec
 
 	mu     sync.Mutex
 	recent map[string]int // calls to the store since the last line of the log
@@ -43,8 +44,10 @@
 	}
 	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_store_calls_total",
 		Help: "Calls to the store, by kind, subject and outcome."}, []string{"kind", "subject", "outcome"})
+	m.relayed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "chicory_follows_router",
+		Help: "1: what lies under the prefix is learned from another router; 0: from the store."}, []string{"prefix"})
 	m.recent = make(map[string]int)
-	m.registry.MustRegister(m.first, m.whole, m.refused, m.repeated, m.Dials, m.calls)
+	m.registry.MustRegister(m.first, m.whole, m.refused, m.repeated, m.Dials, m.calls, m.relayed)
 	return m
 }
 
@@ -83,6 +86,15 @@
 	m.recent[key]++
 }
 
+// Source notes where this router learns what lies under a prefix.
+func (m *Metrics) Source(prefix string, relayed bool) {
+	value := 0.0
+	if relayed {
+		value = 1
+	}
+	m.relayed.WithLabelValues(prefix).Set(value)
+}
+
 // takeRecent returns the calls to the store since it was asked last.
 func (m *Metrics) takeRecent() map[string]int {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,6 @@
 	configItem atomic.Pointer[store.Item]
 	configMu   sync.Mutex             // orders changes of both
 	feeds      map[string]*store.Feed // by prefix
-	sources    sync.Map               // by prefix: whether the last answer came from another router
 	registry   *fleet.Registry
 	members    *fleet.Members
 	keeper     *escrow.Keeper
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -77,16 +77,6 @@
 	return addresses
 }
 
-// relaysAll says whether all that this router follows comes from other routers.
-func (n *Node) relaysAll() bool {
-	for prefix := range n.feeds {
-		if relayed, known := n.sources.Load(prefix); !known || relayed == false {
-			return false
-		}
-	}
-	return true
-}
-
 // Read implements store.Relay.
 func (r *relay) Read(ctx context.Context, prefix string, after store.Revision) (store.Snapshot, error) {
 	answer, err := r.ask(ctx, peers.FollowRequest{Prefix: prefix, All: true, After: after})
