--- a/internal/escrow/ceiling_test.go
+++ b/internal/escrow/ceiling_test.go
@@ -149,3 +149,42 @@
 	c.Assert(k.patience(), qt.Equals, drawPatience)
 	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling < int64(100_000*(aheadLeast.Seconds()+0.1)), qt.IsTrue)
 }
+
+// A router once drew for itself, since the account's home was out of reach, and has used
+// all of it. In a large fleet many have after each cut; if each wrote a ledger several times
+// a second from then on, that would cost more calls to the store than all else.
+func TestRouterThatUsedItsGrantWritesNoLedger(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.spent = p.allowed.Ceiling
+	b.home = "elsewhere"
+	k.round(context.Background(), true) // returns what is above the ceiling
+	c.Assert(p.granted, qt.Equals, p.spent)
+	_, due := k.plan(true)
+	c.Assert(due, qt.IsFalse)
+	c.Assert(k.idle, qt.IsTrue)
+	p.spent -= int64(worthFreeing * 1_000_000)
+	_, due = k.plan(true)
+	c.Assert(due, qt.IsFalse, qt.Commentf("so much comes and goes with each request"))
+	p.spent--
+	_, due = k.plan(true)
+	c.Assert(due, qt.IsTrue, qt.Commentf("a successor must be able to free it"))
+}
+
+// The store refuses a router for seconds, and is paid for each call. A router that holds
+// grants asks at the latest each half second, one that holds nothing each second.
+func TestAbsentStoreIsAskedLessAndLess(t *testing.T) {
+	c := qt.New(t)
+	_, k, _ := startedBench()
+	pauses := func(idle bool) []time.Duration {
+		k.away, k.idle = false, idle
+		list := []time.Duration{k.pause()}
+		k.away = true
+		for range 4 {
+			list = append(list, k.pause())
+		}
+		return list
+	}
+	c.Assert(pauses(false), qt.DeepEquals, []time.Duration{roundPause, awayPause, awayMost, awayMost, awayMost})
+	c.Assert(pauses(true), qt.DeepEquals, []time.Duration{roundPause, awayPause, idlePause, idlePause, idlePause})
+}
--- /dev/null
+++ b/internal/peers/follow_test.go
@@ -0,0 +1,43 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// feeds is a router that feeds one prefix.
+type feeds struct {
+	nothing
+	feed *store.Feed
+}
+
+func (f feeds) Feed(prefix string) *store.Feed {
+	if prefix != "a/" {
+		return nil
+	}
+	return f.feed
+}
+
+// A router asks one that follows nothing, or nothing under that prefix. It is told so at
+// once, and not taken for unreachable: other calls to that router go on.
+func TestRouterWithoutAFeedSaysSo(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })                                                         // the test is over
+	go func() { _ = Serve(listener, &lender{left: 5}, feeds{feed: &store.Feed{}}, event.Discard()) }() // ends with its listener
+	c := NewClient("p1", func() []string { return nil }, event.Discard())
+	address := listener.Addr().String()
+	for _, prefix := range []string{"a/", "b/"} {
+		_, err = c.Follow(context.Background(), address, FollowRequest{Prefix: prefix, Wait: time.Hour})
+		qt.Assert(t, err, qt.ErrorIs, store.ErrNoFeed)
+	}
+	got, _ := c.BorrowFrom(context.Background(), address, "a", 5, noWaiter)
+	qt.Assert(t, got, qt.Equals, int64(5))
+}
