--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -95,17 +95,17 @@
 }
 
 // Routers are cut off from the store for eight seconds in the first third of a day, while
-// an account uses three tenths more than before, and none of them dies. All of that is
-// allowed, from the third second on: what nobody lost must not be refused for fear that all
-// may die.
+// an account uses half as much again as before, and none of them dies. All of that is
+// allowed, from the fourth second on: what nobody lost must not be refused for fear that
+// all may die.
 func TestCutEarlyInABudgetIsBridged(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
 	p := granted(2_000_000)
 	p.rate, p.weight, p.spent = rate, 1, 500_000
 	ceiling, _ := p.raised(p.granted, prepaid, true, 0)
 	allowed := Allowance{Ceiling: ceiling, OutageRate: p.newOutageRate(prepaid), Reserve: int64(reserveShare * float64(p.left(prepaid)))}
-	for age := openAfter + 500*time.Millisecond; age <= 8*time.Second; age += 100 * time.Millisecond {
-		used := p.spent + int64(1.3*rate*age.Seconds())
+	for age := openAfter + time.Second; age <= 8*time.Second; age += 100 * time.Millisecond {
+		used := p.spent + int64(1.5*rate*age.Seconds())
 		qt.Assert(t, allowed.at(age) >= used, qt.IsTrue, qt.Commentf("after %v: %d allowed, %d used", age, allowed.at(age), used))
 	}
 	qt.Assert(t, allowed.at(openAfter) >= p.spent+int64(rate*aheadLeast.Seconds()), qt.IsTrue)
