Tell how old a router's word of a leaving server is, and keep logs longer

Cause: of the reported requests nothing could be told from the logs that were kept: two lines for each request refused for its budget had pushed out all but the last 13 to 20 seconds, and 702 did not say how late a router knew.

Change: 702 tells how a server left (also 'lapsed') and for how long nothing had been heard before; 717 tells of an entry that is missing after an outage and how long its server stays in use; 307 with no tokens is told once a second and budget, with the number of those that were not.

--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -77,6 +77,7 @@
 	// the record has a higher revision, so granted stays at the lower of what the
 	// record says with it and without it.
 	pendingAt int64
+	lackLog   sparseLog
 }
 
 // noWrite says that no write of a record is unanswered.
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -268,9 +268,12 @@
 	defer k.mu.Unlock()
 	record := h.grant.record
 	prepaid := k.o.Budgets()[h.grant.account]
-	k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, h.grant.account), slog.Int64("missing", missing),
-		slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
-		slog.Int64("closed", record.Closed), slog.Int64("used", used), slog.Any(event.KeyCause, short))
+	if got > 0 || h.grant.lackLog.due(k.o.Clock().Steady) {
+		k.o.Log.Emit(event.TokensBorrowed, slog.String(event.KeyBudget, h.grant.account), slog.Int64("missing", missing),
+			slog.Int64(event.KeyTokens, got), slog.Int64("prepaid", prepaid), slog.Int64("given", record.Given()),
+			slog.Int64("closed", record.Closed), slog.Int64("used", used), slog.Any(event.KeyCause, short),
+			slog.Int("unlogged", h.grant.lackLog.take()))
+	}
 	if h.missing == 0 {
 		return nil
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,6 +70,8 @@
 	Bootstrapped     Number = 714
 	SourceChanged    Number = 715
 	StoreCalls       Number = 716
+	// BackendMissing: an entry is missing after a silence of the store.
+	BackendMissing Number = 717
 )
 
 // InvariantBroken: a safeguard that must always hold was found broken.
@@ -114,6 +116,7 @@
 	{Bootstrapped, slog.LevelInfo, "started on another router's knowledge"},
 	{SourceChanged, slog.LevelInfo, "source of knowledge changed"},
 	{StoreCalls, slog.LevelInfo, "calls to the store"},
+	{BackendMissing, slog.LevelInfo, "entry of a backend server missing after an outage"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/lapses.go
+++ b/internal/fleet/lapses.go
@@ -27,6 +27,7 @@
 	// seeded: what is known came from another router while the store was away.
 	seeded     bool
 	graceUntil time.Time
+	silence    time.Duration // the one that the grace is for
 }
 
 // noteGap takes the time since the store answered before; after an outage the grace
@@ -35,6 +36,7 @@
 	if gap > lapseGap+l.quiet || l.seeded {
 		l.seeded = false
 		l.graceUntil = l.now().Add(lapseGrace)
+		l.silence = gap
 	}
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -31,7 +31,9 @@
 	// reached: the store answers. While it doesn't, no missing entry can come back.
 	reached bool
 	lapses  lapses
-	view    atomic.Pointer[View]
+	// heard is when the store, or who reads it for this router, last told something.
+	heard time.Time
+	view  atomic.Pointer[View]
 	// lapseDue is when the first of the missing entries is to be taken as gone, in Unix
 	// nanoseconds; 0: none is missing.
 	lapseDue atomic.Int64
@@ -99,6 +101,7 @@
 	defer r.mu.Unlock()
 	r.lapses.noteGap(gap)
 	reset(r, items)
+	r.heard = r.now()
 	r.publish()
 }
 
@@ -108,6 +111,7 @@
 	defer r.mu.Unlock()
 	r.lapses.noteGap(gap)
 	apply(r, events)
+	r.heard = r.now()
 	r.publish()
 }
 
@@ -210,14 +214,16 @@
 	if until, lenient := r.lapses.grace(); lenient {
 		if known.lapsedUntil.IsZero() {
 			known.lapsedUntil = until
+			r.log.Emit(event.BackendMissing, slog.String(event.KeyBackend, known.server.ID),
+				slog.Int64("silence_ms", r.lapses.silence.Milliseconds()), slog.Int64("kept_ms", until.Sub(r.now()).Milliseconds()))
 		}
 		return
 	}
-	r.drop(key, known)
+	r.drop(key, known, "gone")
 }
 
-func (r *Registry) drop(key string, known *tracked) {
-	r.leave(known, "gone")
+func (r *Registry) drop(key string, known *tracked, how string) {
+	r.leave(known, how)
 	delete(r.servers, key)
 }
 
@@ -227,7 +233,16 @@
 	}
 	known.server.Leave()
 	r.log.Emit(event.BackendLeaving, slog.String(event.KeyBackend, known.server.ID), slog.String("how", how),
-		slog.Int64("revision", int64(known.revision)))
+		slog.Int64("revision", int64(known.revision)), slog.Int64("unheard_ms", r.unheard().Milliseconds()))
+}
+
+// unheard is the time since something was heard before, by which this router may know of
+// a change too late at the most.
+func (r *Registry) unheard() time.Duration {
+	if r.heard.IsZero() {
+		return 0
+	}
+	return r.now().Sub(r.heard)
 }
 
 func (r *Registry) publish() {
@@ -237,7 +252,7 @@
 	for key, known := range r.servers {
 		if !known.lapsedUntil.IsZero() && r.reached {
 			if !now.Before(known.lapsedUntil) {
-				r.drop(key, known)
+				r.drop(key, known, "lapsed")
 				continue
 			}
 			if at := known.lapsedUntil.UnixNano(); due == 0 || at < due {
