Bring about requests to a server that left after a cut, by tests that fail

Cause, as the tests show it on the code as it is: 1. A router that is back from a cut gives entries that are missing two seconds from the moment at which it notices that the store answers, up to 1.1 s after the end of the cut (a call that hangs for 0.5 s, and 0.6 s before the next). A server whose entry is removed a second after the end of the cut is used for more than two seconds more. A router's calls follow each other, so that the age of what it knows is the sum of pauses and timeouts: of a router that follows another, 0.9 s, 0.75 s, 0.8 s and 0.15 s at the least where each call hangs.

The followers are built by a function of their own, so that the tests can give them other sources; no logic changed.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -28,6 +28,14 @@
 
 // followStore starts the followers of configuration, backend servers and routers.
 func (n *Node) followStore(ctx context.Context, tasks *conc.WaitGroup) {
+	for _, f := range n.followers(&relay{node: n, wait: relayWait}) {
+		tasks.Go(func() { f.Run(ctx) })
+	}
+}
+
+// followers are those of configuration, backend servers and routers, with what other
+// routers can tell.
+func (n *Node) followers(others store.Relay) []*store.Follower {
 	followers := []*store.Follower{
 		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Patience: configPatience, Pause: configPause, Sink: &configSink{node: n}},
 		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: n.serversPause(), Sink: n.registry},
@@ -36,10 +44,10 @@
 	gate := &store.Gate{}
 	for _, f := range followers {
 		f.Store, f.Gate, f.Feed = n.dialect.Store, gate, n.feeds[f.Prefix]
-		f.Relay = &relay{node: n, wait: relayWait}
+		f.Relay = others
 		f.SourceChanged = n.sourceChanged(f.Prefix)
-		tasks.Go(func() { f.Run(ctx) })
 	}
+	return followers
 }
 
 // sourceChanged logs where a follower learns from, at each change.
--- /dev/null
+++ b/internal/node/freshness_test.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+// These tests run on a clock that jumps from one timer to the next.
+
+// Bounds that the routers are held to, and the moments at which something is changed.
+const (
+	drain       = 2 * time.Second // a leaving server serves for so long
+	applied     = 2 * time.Second // a configuration must be in force after so long
+	roundTrip   = 5 * time.Millisecond
+	settled     = 3 * time.Second // a router that came back from a cut is held to the bounds from then on
+	phaseStep   = 100 * time.Millisecond
+	phases      = 24
+	beforeFault = 4 * time.Second
+)
+
+// linkedStore is the store behind one router's link, whose faults the test sets. A call
+// that gets no answer waits until its caller gives up.
+type linkedStore struct {
+	*memstore.Store
+	mu          sync.Mutex
+	cut         bool
+	deafWatches bool // watches are not answered: their connections fell silent
+}
+
+func (s *linkedStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// send waits for the round trip, or for ever if there is no path at its start.
+func (s *linkedStore) send(ctx context.Context, watch bool) error {
+	s.mu.Lock()
+	lost := s.cut || watch && s.deafWatches
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	select {
+	case <-ctx.Done():
+		return store.ErrOutcomeUnknown
+	case <-time.After(roundTrip):
+		return nil
+	}
+}
+
+func (s *linkedStore) Read(ctx context.Context, prefix string) (store.Snapshot, error) {
+	if err := s.send(ctx, false); err != nil {
+		return store.Snapshot{}, err
+	}
+	return s.Store.Read(ctx, prefix)
+}
+
+func (s *linkedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	if err := s.send(ctx, true); err != nil {
+		return store.Changes{}, err
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// noOthers is the relay of a router that follows the store itself.
+type noOthers struct{ store.Relay }
+
+func (noOthers) Used() bool { return false }
+
+// silentOthers is the relay of a router that is cut off from the one it follows.
+type silentOthers struct{}
+
+func (silentOthers) Used() bool { return true }
+
+func (silentOthers) Read(ctx context.Context, _ string, _ store.Revision) (store.Snapshot, error) {
+	return store.Snapshot{}, silence(ctx)
+}
+
+func (silentOthers) Watch(ctx context.Context, _ string, _ store.Revision) (store.Changes, error) {
+	return store.Changes{}, silence(ctx)
+}
+
+// silence is a call to another router that runs out of time.
+func silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(relayWait + 250*time.Millisecond):
+	}
+	return store.ErrNoFeed
+}
+
+// followedWorld is one router that follows a store with two servers and a configuration.
+type followedWorld struct {
+	*qt.C
+	store *linkedStore
+	node  *Node
+}
+
+// withFollower runs a test beside a router's followers.
+func withFollower(t *testing.T, others store.Relay, test func(w *followedWorld)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &followedWorld{C: qt.New(t), store: &linkedStore{Store: memstore.New(nil)}}
+		w.store.Put("config/x", []byte("1"))
+		w.putServer("a", false)
+		w.putServer("b", false)
+		w.node = New(&Settings{VM: "vm-1", FailureDomain: "zone-1", Drain: drain}, Dialect{
+			Store: w.store, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
+			ConfigPrefix: "config/", IsConfig: func(store.Item) bool { return true }, DecodeConfig: testConfig,
+			ServersPrefix: "servers/", DecodeServer: decodeTestServer,
+		}, event.Discard(), "p1")
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks conc.WaitGroup
+		for _, f := range w.node.followers(others) {
+			tasks.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(beforeFault)
+		test(w)
+		cancel()
+		tasks.Wait()
+	})
+}
+
+func decodeTestServer(item store.Item) (fleet.Entry, error) {
+	e := fleet.Entry{}
+	return e, json.Unmarshal(item.Value, &e)
+}
+
+func (w *followedWorld) putServer(id string, draining bool) {
+	value, err := json.Marshal(fleet.Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Draining: draining})
+	w.Assert(err, qt.IsNil)
+	w.store.Put("servers/"+id, value)
+}
+
+// used says whether a server may get requests.
+func (w *followedWorld) used(id string) bool {
+	for _, s := range w.node.registry.View().ByService["engines"] {
+		if s.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// forEachPhase plays a test with a moment that falls on each part of the followers' cycles.
+func forEachPhase(t *testing.T, test func(t *testing.T, phase time.Duration)) {
+	for i := range phases {
+		phase := time.Duration(i) * phaseStep
+		t.Run(fmt.Sprint(phase), func(t *testing.T) { test(t, phase) })
+	}
+}
+
+// Requests reached a server two seconds after it had left. They came from two routers that
+// were back from a cut of eight seconds from the store. The server's entry was removed a
+// second after their return. They kept it like one that lapsed in an outage, for two
+// seconds from the moment at which they noticed that the store answers; all other routers
+// dropped it at once. Their log shows it: 711 late, and 702 'lapsed' two seconds after it.
+func TestServerThatLeavesAfterACutIsOutInTime(t *testing.T) {
+	const leavesAfter = 900 * time.Millisecond
+	forEachPhase(t, func(t *testing.T, phase time.Duration) {
+		withFollower(t, noOthers{}, func(w *followedWorld) {
+			w.store.set(func() { w.store.cut = true })
+			time.Sleep(8*time.Second + phase)
+			w.store.set(func() { w.store.cut = false })
+			time.Sleep(leavesAfter)
+			w.store.Remove("servers/a")
+			time.Sleep(max(drain, settled-leavesAfter))
+			w.Assert(w.used("a"), qt.IsFalse)
+			w.Assert(w.used("b"), qt.IsTrue)
+		})
+	})
+}
+
+// A router follows another one, from which it is cut off, and its connections to the store
+// fell silent too. Each call takes its whole time for nothing, one after the other. The
+// store itself answers new calls within milliseconds all the time, so a server that leaves
+// must be out, and a version in force, in time.
+func TestChangesAreKnownInTimeWhateverOtherCallsTake(t *testing.T) {
+	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
+		t.Run(name, func(t *testing.T) {
+			forEachPhase(t, func(t *testing.T, phase time.Duration) {
+				withFollower(t, others, func(w *followedWorld) {
+					w.store.set(func() { w.store.deafWatches = true })
+					time.Sleep(phase)
+					w.putServer("a", true)
+					w.store.Put("config/x", []byte("2"))
+					time.Sleep(min(drain, applied) - roundTrip)
+					w.Assert(w.used("a"), qt.IsFalse)
+					w.Assert(w.node.policy.Load().Version, qt.Equals, int64(2))
+				})
+			})
+		})
+	}
+}
