--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -7,6 +7,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/node"
+	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/platform"
 )
 
@@ -22,6 +23,7 @@
 	return node.Dialect{
 		Store:         platform.NewStore(settings.Store),
 		Clock:         clock,
+		Now:           store.BootNow,
 		ConfigPrefix:  platform.ConfigPrefix,
 		IsConfig:      platform.IsConfig,
 		DecodeConfig:  platform.DecodeConfig,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -72,6 +72,8 @@
 	StoreCalls       Number = 716
 	// BackendMissing: an entry is missing after a silence of the store.
 	BackendMissing Number = 717
+	// KnowledgeOld: the call that should have confirmed what is known is overdue.
+	KnowledgeOld Number = 718
 )
 
 // InvariantBroken: a safeguard that must always hold was found broken.
@@ -117,6 +119,7 @@
 	{SourceChanged, slog.LevelInfo, "source of knowledge changed"},
 	{StoreCalls, slog.LevelInfo, "calls to the store"},
 	{BackendMissing, slog.LevelInfo, "entry of a backend server missing after an outage"},
+	{KnowledgeOld, slog.LevelInfo, "knowledge is old, the store is asked beside the call under way"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -52,13 +52,19 @@
 	return list
 }
 
-const usual = time.Second // between two answers of the store
+// usual is the time between two answers of the store in health.
+var usual = store.Silence{Length: time.Second, Ago: time.Millisecond}
+
+// outage is a silence in which calls failed, up to a moment before the answer.
+func outage(length time.Duration) store.Silence {
+	return store.Silence{Length: length, Broken: true, Ago: 10 * time.Millisecond}
+}
 
 // A server says that it drains, and an older entry of it arrives afterwards. It must
 // get nothing new: requests sent to it would be cut when it exits.
 func TestDrainingIsNeverTakenBack(t *testing.T) {
 	r, _ := newRegistry()
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
 	server := r.View().ByService["engines"][0]
 
@@ -74,8 +80,8 @@
 // at once. The usual pause between two reads is no outage.
 func TestRemovedEntryIsOutAtOnce(t *testing.T) {
 	r, _ := newRegistry()
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
-	r.Apply([]store.Event{gone("a", 3)}, 1600*time.Millisecond)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
+	r.Apply([]store.Event{gone("a", 3)}, outage(1600*time.Millisecond))
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
@@ -83,9 +89,9 @@
 // back within two seconds of its return; one that isn't is gone.
 func TestLapsedEntriesGetTwoSecondsToComeBack(t *testing.T) {
 	r, c := newRegistry()
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
 	c.pass(10 * time.Second)
-	r.Apply([]store.Event{gone("a", 3), gone("b", 4)}, 10*time.Second)
+	r.Apply([]store.Event{gone("a", 3), gone("b", 4)}, outage(10*time.Second))
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
 	c.pass(time.Second)
 	r.Apply([]store.Event{put(entryItem("a", 5, false))}, usual)
@@ -100,9 +106,9 @@
 func TestLapsedEntryIsOutWithoutAnAnswer(t *testing.T) {
 	r, c := newRegistry()
 	r.Contact(true, nil)
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
 	c.pass(10 * time.Second)
-	r.Reset([]store.Item{entryItem("b", 2, false)}, 10*time.Second)
+	r.Reset([]store.Item{entryItem("b", 2, false)}, outage(10*time.Second))
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
 	c.pass(lapseGrace)
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
@@ -113,20 +119,20 @@
 func TestSecondOutageDoesNotUseUpTheGrace(t *testing.T) {
 	r, c := newRegistry()
 	r.Contact(true, nil)
-	r.Reset([]store.Item{entryItem("a", 1, false)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false)}, store.Silence{})
 	c.pass(10 * time.Second)
-	r.Apply([]store.Event{gone("a", 3)}, 10*time.Second)
+	r.Apply([]store.Event{gone("a", 3)}, outage(10*time.Second))
 	r.Contact(false, store.ErrUnavailable)
 	c.pass(5 * time.Second)
 	r.Contact(true, nil)
-	r.Apply(nil, 5*time.Second)
+	r.Apply(nil, outage(5*time.Second))
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
 }
 
 // A read after a lost history replaces all that was known.
 func TestResetDropsWhatIsMissing(t *testing.T) {
 	r, _ := newRegistry()
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
 	r.Reset([]store.Item{entryItem("b", 2, false)}, usual)
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
@@ -134,7 +140,7 @@
 // An entry that can't be read changes nothing, and takes nobody along.
 func TestMalformedEntryIsLeftOut(t *testing.T) {
 	r, _ := newRegistry()
-	r.Reset([]store.Item{entryItem("a", 1, false), {Key: "servers/x", Value: []byte("{"), Revision: 2}}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), {Key: "servers/x", Value: []byte("{"), Revision: 2}}, store.Silence{})
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
 }
 
@@ -152,7 +158,7 @@
 // prompts that are no more.
 func TestRestartedServerIsAnotherServer(t *testing.T) {
 	r, c := newRegistry()
-	r.Reset([]store.Item{reborn("a", 1, 100, false)}, 0)
+	r.Reset([]store.Item{reborn("a", 1, 100, false)}, store.Silence{})
 	before := r.View().ByService["engines"][0]
 	before.Begin(5000)
 	before.Report(Load{Running: 9}, c.now())
@@ -174,7 +180,7 @@
 // first start says that it is ready. It must not come back.
 func TestDrainingEndsWithTheStart(t *testing.T) {
 	r, _ := newRegistry()
-	r.Reset([]store.Item{reborn("a", 1, 100, true)}, 0)
+	r.Reset([]store.Item{reborn("a", 1, 100, true)}, store.Silence{})
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{})
 	r.Apply([]store.Event{put(reborn("a", 2, 200, false))}, usual)
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
@@ -190,7 +196,7 @@
 	spoiled := func(id string, revision store.Revision) store.Event {
 		return put(store.Item{Key: "servers/" + id, Value: []byte("{"), Revision: revision})
 	}
-	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false), entryItem("c", 3, true)}, 0)
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false), entryItem("c", 3, true)}, store.Silence{})
 	r.Apply([]store.Event{spoiled("a", 4), spoiled("a", 5), spoiled("c", 6), spoiled("x", 7)}, usual)
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 	r.Apply([]store.Event{put(entryItem("a", 8, false)), put(entryItem("c", 9, false))}, usual)
@@ -246,13 +252,16 @@
 func TestRoutersAreNotForgottenBetweenTwoOutages(t *testing.T) {
 	m, c := newMembers()
 	m.Contact(true, nil)
-	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, 0)
+	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, store.Silence{})
 	c.pass(9 * time.Second)
-	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}, {Item: memberItem("b"), Deleted: true}}, 9*time.Second)
+	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}, {Item: memberItem("b"), Deleted: true}}, outage(9*time.Second))
 	m.Contact(false, store.ErrUnavailable)
 	c.pass(3 * time.Second)
 	qt.Assert(t, m.List(), qt.HasLen, 2)
 	m.Contact(true, nil)
+	qt.Assert(t, m.List(), qt.HasLen, 2, qt.Commentf("before the answer is taken"))
+	m.Apply(nil, outage(3*time.Second))
+	qt.Assert(t, m.List(), qt.HasLen, 2)
 	c.pass(lapseGrace)
 	qt.Assert(t, m.List(), qt.HasLen, 0, qt.Commentf("who is still missing then is gone"))
 }
@@ -261,7 +270,7 @@
 func TestDeadRouterLeavesTheList(t *testing.T) {
 	m, _ := newMembers()
 	m.Contact(true, nil)
-	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, 0)
+	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, store.Silence{})
 	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}}, usual)
 	qt.Assert(t, m.List(), qt.DeepEquals, []Member{{Name: "b"}})
 }
--- a/internal/fleet/lapses.go
+++ b/internal/fleet/lapses.go
@@ -16,6 +16,18 @@
 // the store's return: living servers are back within two seconds (users' letter).
 const lapseGrace = 2 * time.Second
 
+// lapseLatest bounds the same from the moment at which the store may have returned. An
+// entry that was removed after that is taken for a lapsed one too, and its server is used
+// although it left. Three seconds after the return a router is held to the two seconds of
+// a leaving server, which may have left one second after the return; the rest is for the
+// requests on their way. Counted from the moment at which a router noticed the return,
+// which may be a second later, requests reached servers that had left 2.1 s before.
+const lapseLatest = 2800 * time.Millisecond
+
+// lapseAgain is the silence within the grace after which it begins anew: living servers
+// had no time to come back before it. A call that failed by itself is over in less.
+const lapseAgain = time.Second
+
 // lapses judges entries that are missing. During an outage of the store entries lapse
 // although their owners live; dropping those at once would empty the services, or send
 // all callers to the first router that reads, at the moment the store returns.
@@ -25,24 +37,31 @@
 	// lapseGap counts.
 	quiet time.Duration
 	// seeded: what is known came from another router while the store was away.
-	seeded     bool
-	graceUntil time.Time
-	silence    time.Duration // the one that the grace is for
+	seeded bool
+	// until is when missing entries are taken as gone, if the store answers then.
+	until   time.Time
+	silence time.Duration // the one that the grace is for
 }
 
-// noteGap takes the time since the store answered before; after an outage the grace
+// noteSilence takes the time without an answer before one; after an outage the grace
 // begins.
-func (l *lapses) noteGap(gap time.Duration) {
-	if gap > lapseGap+l.quiet || l.seeded {
-		l.seeded = false
-		l.graceUntil = l.now().Add(lapseGrace)
-		l.silence = gap
+func (l *lapses) noteSilence(s store.Silence) {
+	if !l.seeded && s.Length <= lapseGap+l.quiet && !l.again(s) {
+		return
 	}
+	l.seeded = false
+	l.until = l.now().Add(min(lapseGrace, lapseLatest-s.Ago))
+	l.silence = s.Length
+}
+
+// again says whether an outage began in the grace of the one before.
+func (l *lapses) again(s store.Silence) bool {
+	return s.Broken && s.Length >= lapseAgain && l.now().Add(-s.Length).Before(l.until)
 }
 
-// grace says whether a missing entry is taken for a lapsed one, and until when.
-func (l *lapses) grace() (until time.Time, lenient bool) {
-	return l.graceUntil, l.now().Before(l.graceUntil)
+// lenient says whether a missing entry is taken for a lapsed one.
+func (l *lapses) lenient() bool {
+	return l.now().Before(l.until)
 }
 
 // entries is what a sink of leased entries does with each of them. Its lock is held.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -49,7 +49,7 @@
 	mu      sync.Mutex
 	present map[string]Member
 	items   map[string]store.Item // of those present, as stored
-	lapsed  map[string]time.Time  // missing since an outage, kept until then
+	lapsed  map[string]bool       // missing since an outage, and still kept
 	lapses  lapses
 	reached bool
 }
@@ -60,36 +60,37 @@
 		now = time.Now
 	}
 	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), items: make(map[string]store.Item),
-		lapsed: make(map[string]time.Time), lapses: lapses{now: now, quiet: memberWait}}
+		lapsed: make(map[string]bool), lapses: lapses{now: now, quiet: memberWait}}
 }
 
-// Contact implements store.Sink. Lapsed entries get their time to come back anew
-// with each return of the store, and none of it while the store is away: else a
-// second outage right after the first empties the list.
+// Contact implements store.Sink. While the store is away nothing that is missing can come
+// back: else a second outage right after the first empties the list. That it answers again
+// is taken from the answer itself.
 func (m *Members) Contact(reached bool, cause error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reached = reached
-	for key := range m.lapsed {
-		m.lapsed[key] = m.now().Add(lapseGrace)
+	if !reached {
+		m.reached = false
 	}
 	LogContact(m.log, "routers", reached, cause)
 }
 
 // Reset implements store.Sink.
-func (m *Members) Reset(items []store.Item, gap time.Duration) {
+func (m *Members) Reset(items []store.Item, silence store.Silence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lapses.noteGap(gap)
+	m.lapses.noteSilence(silence)
 	reset(m, items)
+	m.reached = true
 }
 
 // Apply implements store.Sink.
-func (m *Members) Apply(events []store.Event, gap time.Duration) {
+func (m *Members) Apply(events []store.Event, silence store.Silence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lapses.noteGap(gap)
+	m.lapses.noteSilence(silence)
 	apply(m, events)
+	m.reached = true
 }
 
 // memberWait is the longest quiet time between two answers of the members' watch.
@@ -117,8 +118,8 @@
 	if !known {
 		return
 	}
-	if until, lenient := m.lapses.grace(); lenient {
-		m.lapsed[key] = until
+	if m.lapses.lenient() {
+		m.lapsed[key] = true
 		return
 	}
 	m.log.Emit(event.PeerLeft, slog.String(event.KeyRouter, member.Name))
@@ -160,9 +161,8 @@
 func (m *Members) List() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
-	for key, until := range m.lapsed {
-		if m.reached && !now.Before(until) {
+	if m.reached && !m.lapses.lenient() {
+		for key := range m.lapsed {
 			m.missing(key)
 		}
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -44,8 +44,8 @@
 	server   *Server
 	revision store.Revision
 	item     store.Item // as it was stored last
-	// lapsedUntil is set while the entry is missing and the server still used.
-	lapsedUntil time.Time
+	// lapsed: the entry is missing after an outage, and the server still used.
+	lapsed bool
 	// unreadable: the present entry names no server to use. What is known is kept, since
 	// the server may write a good one again, and must not come back if it was leaving.
 	unreadable bool
@@ -80,38 +80,39 @@
 	return r.view.Load()
 }
 
-// Contact implements store.Sink. Lapsed entries get their time to come back anew
-// with each return of the store.
+// Contact implements store.Sink. That the store answers again is taken from the answer
+// itself, or entries would be judged before what it tells of them.
 func (r *Registry) Contact(reached bool, cause error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, known := range r.servers {
-		if !known.lapsedUntil.IsZero() {
-			known.lapsedUntil = r.now().Add(lapseGrace)
-		}
+	if !reached {
+		r.reached = false
+		r.publish()
 	}
-	r.reached = reached
-	r.publish()
 	LogContact(r.log, "backend servers", reached, cause)
 }
 
 // Reset implements store.Sink.
-func (r *Registry) Reset(items []store.Item, gap time.Duration) {
+func (r *Registry) Reset(items []store.Item, silence store.Silence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lapses.noteGap(gap)
+	r.lapses.noteSilence(silence)
 	reset(r, items)
-	r.heard = r.now()
-	r.publish()
+	r.answered()
 }
 
 // Apply implements store.Sink.
-func (r *Registry) Apply(events []store.Event, gap time.Duration) {
+func (r *Registry) Apply(events []store.Event, silence store.Silence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lapses.noteGap(gap)
+	r.lapses.noteSilence(silence)
 	apply(r, events)
-	r.heard = r.now()
+	r.answered()
+}
+
+// answered ends what an answer told.
+func (r *Registry) answered() {
+	r.heard, r.reached = r.now(), true
 	r.publish()
 }
 
@@ -169,7 +170,7 @@
 		return
 	}
 	known.revision, known.item, known.unreadable = item.Revision, item, false
-	known.lapsedUntil = time.Time{}
+	known.lapsed = false
 	if entry.Draining {
 		r.leave(known, "draining")
 	}
@@ -211,15 +212,16 @@
 	if known == nil {
 		return
 	}
-	if until, lenient := r.lapses.grace(); lenient {
-		if known.lapsedUntil.IsZero() {
-			known.lapsedUntil = until
-			r.log.Emit(event.BackendMissing, slog.String(event.KeyBackend, known.server.ID),
-				slog.Int64("silence_ms", r.lapses.silence.Milliseconds()), slog.Int64("kept_ms", until.Sub(r.now()).Milliseconds()))
-		}
+	if !r.lapses.lenient() {
+		r.drop(key, known, "gone")
 		return
 	}
-	r.drop(key, known, "gone")
+	if known.lapsed {
+		return
+	}
+	known.lapsed = true
+	r.log.Emit(event.BackendMissing, slog.String(event.KeyBackend, known.server.ID),
+		slog.Int64("silence_ms", r.lapses.silence.Milliseconds()), slog.Int64("kept_ms", r.lapses.until.Sub(r.now()).Milliseconds()))
 }
 
 func (r *Registry) drop(key string, known *tracked, how string) {
@@ -246,18 +248,15 @@
 }
 
 func (r *Registry) publish() {
-	now := r.now()
 	view := &View{ByService: make(map[string][]*Server)}
 	due := int64(0)
 	for key, known := range r.servers {
-		if !known.lapsedUntil.IsZero() && r.reached {
-			if !now.Before(known.lapsedUntil) {
+		if known.lapsed && r.reached {
+			if !r.lapses.lenient() {
 				r.drop(key, known, "lapsed")
 				continue
 			}
-			if at := known.lapsedUntil.UnixNano(); due == 0 || at < due {
-				due = at
-			}
+			due = r.lapses.until.UnixNano()
 		}
 		if known.server.Leaving() || known.unreadable {
 			continue
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -13,6 +13,7 @@
 	return node.Dialect{
 		Store:         s,
 		Clock:         clock,
+		Now:           store.BootNow,
 		ConfigPrefix:  ConfigPrefix,
 		IsConfig:      IsConfig,
 		DecodeConfig:  DecodeConfig,
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 // Pace of a start while the store is away.
@@ -44,7 +45,7 @@
 	if err != nil || len(known.Config) == 0 || len(known.Servers) == 0 {
 		return false // the next seed, or the next round
 	}
-	(&configSink{node: n}).Reset(known.Config, 0)
+	(&configSink{node: n}).Reset(known.Config, store.Silence{})
 	n.registry.Seed(known.Servers)
 	n.members.Seed(known.Members)
 	n.log.Emit(event.Bootstrapped, slog.String("from", address), slog.Int("servers", len(known.Servers)), slog.Int("routers", len(known.Members)))
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -36,7 +36,7 @@
 		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":%v}`, i, i, map[bool]float64{true: 0.8, false: 0.04}[i == 5])
 		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
 	}
-	n.members.Reset(items, 0)
+	n.members.Reset(items, store.Silence{})
 	large := 0
 	standbys := map[string]string{}
 	for i := range 300 {
@@ -50,7 +50,7 @@
 	}
 	c.Assert(large > 180 && large < 230, qt.IsTrue, qt.Commentf("%d of 300 where 0.8 of 1.16 is", large))
 	n.members = fleet.NewMembers(decodeMember, event.Discard(), nil)
-	n.members.Reset(append(items[:5:5], items[6:]...), 0)
+	n.members.Reset(append(items[:5:5], items[6:]...), store.Silence{})
 	for account, standby := range standbys {
 		c.Assert(n.homeOf(account), qt.Equals, standby)
 	}
@@ -66,7 +66,7 @@
 		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":0.4}`, i, i)
 		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
 	}
-	n.members.Reset(items, 0)
+	n.members.Reset(items, store.Silence{})
 	standbys := map[string]string{} // by home
 	for i := range 300 {
 		home, standby := n.homesOf(fmt.Sprint("account-", i))
@@ -79,7 +79,7 @@
 	n.members = fleet.NewMembers(decodeMember, event.Discard(), nil)
 	for i, item := range items {
 		if fmt.Sprint("peer-", i) != lost {
-			n.members.Apply([]store.Event{{Item: item}}, 0)
+			n.members.Apply([]store.Event{{Item: item}}, store.Silence{})
 		}
 	}
 	c.Assert(n.homeOf("account-1"), qt.Equals, standby)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -36,20 +36,34 @@
 // followers are those of configuration, backend servers and routers, with what other
 // routers can tell.
 func (n *Node) followers(others store.Relay) []*store.Follower {
-	followers := []*store.Follower{
-		{Prefix: n.dialect.ConfigPrefix, Wait: configWait, Patience: configPatience, Pause: configPause, Sink: &configSink{node: n}},
-		{Prefix: n.dialect.ServersPrefix, Wait: serversWait, Patience: serversPatience, Pause: n.serversPause(), Sink: n.registry},
-		{Prefix: fleetPrefix, Wait: fleetWait, Patience: patience, Pause: fleetPause, Sink: &fleetSink{node: n}},
-	}
+	followers := []*store.Follower{n.configFollower(), n.serversFollower(), n.fleetFollower()}
 	gate := &store.Gate{}
 	for _, f := range followers {
-		f.Store, f.Gate, f.Feed = n.dialect.Store, gate, n.feeds[f.Prefix]
+		f.Store, f.Gate, f.Feed, f.Now = n.dialect.Store, gate, n.feeds[f.Prefix], n.dialect.Now
 		f.Relay = others
 		f.SourceChanged = n.sourceChanged(f.Prefix)
+		f.Checked = n.checked(f.Prefix)
 	}
 	return followers
 }
 
+func (n *Node) configFollower() *store.Follower {
+	return &store.Follower{Prefix: n.dialect.ConfigPrefix, Sink: &configSink{node: n},
+		Wait: configWait, Pause: configPause, CheckAfter: configCheck, Patience: configPatience}
+}
+
+func (n *Node) serversFollower() *store.Follower {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(n.settings.Drain)) }
+	return &store.Follower{Prefix: n.dialect.ServersPrefix, Sink: n.registry,
+		Wait: part(serversWaitPart), Pause: part(serversPausePart), CheckAfter: part(serversCheckPart),
+		Patience: serversPatience, Burst: serversBurst}
+}
+
+func (n *Node) fleetFollower() *store.Follower {
+	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n},
+		Wait: fleetWait, Pause: fleetPause, CheckAfter: fleetCheck, Patience: patience}
+}
+
 // sourceChanged logs where a follower learns from, at each change.
 func (n *Node) sourceChanged(prefix string) func(relayed bool) {
 	return func(relayed bool) {
@@ -58,10 +72,13 @@
 	}
 }
 
-// serversPause gathers the servers' heartbeats, which change all entries all the
-// time, into few calls.
-func (n *Node) serversPause() time.Duration {
-	return max(serversMargin, n.settings.Drain/2-serversMargin)
+// checked logs that what is known got old, and is asked for beside the call under way.
+func (n *Node) checked(prefix string) func(age time.Duration, relayed, failing bool) {
+	return func(age time.Duration, relayed, failing bool) {
+		n.metrics.Checked(prefix)
+		n.log.Emit(event.KnowledgeOld, slog.String("follows", prefix), slog.Int64("age_ms", age.Milliseconds()),
+			slog.Bool("relayed", relayed), slog.Bool("store_failing", failing))
+	}
 }
 
 // configSink takes the operator's configuration.
@@ -73,13 +90,13 @@
 	fleet.LogContact(s.node.log, "configuration", reached, cause)
 }
 
-func (s *configSink) Reset(items []store.Item, _ time.Duration) {
+func (s *configSink) Reset(items []store.Item, _ store.Silence) {
 	for _, item := range items {
 		s.take(item)
 	}
 }
 
-func (s *configSink) Apply(events []store.Event, _ time.Duration) {
+func (s *configSink) Apply(events []store.Event, _ store.Silence) {
 	for _, e := range events {
 		if !e.Deleted {
 			s.take(e.Item)
@@ -117,25 +134,25 @@
 	s.node.members.Contact(reached, cause)
 }
 
-func (s *fleetSink) Reset(items []store.Item, gap time.Duration) {
+func (s *fleetSink) Reset(items []store.Item, silence store.Silence) {
 	var members []store.Item
 	for _, item := range items {
 		if !s.node.holdBroken(item.Key) {
 			members = append(members, item)
 		}
 	}
-	s.node.members.Reset(members, gap)
+	s.node.members.Reset(members, silence)
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
 }
 
-func (s *fleetSink) Apply(events []store.Event, gap time.Duration) {
+func (s *fleetSink) Apply(events []store.Event, silence store.Silence) {
 	var members []store.Event
 	for _, e := range events {
 		if e.Deleted || !s.node.holdBroken(e.Key) {
 			members = append(members, e)
 		}
 	}
-	s.node.members.Apply(members, gap)
+	s.node.members.Apply(members, silence)
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
 }
 
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -39,6 +39,7 @@
 	mu          sync.Mutex
 	cut         bool
 	deafWatches bool // watches are not answered: their connections fell silent
+	asked       int
 }
 
 func (s *linkedStore) set(change func()) {
@@ -50,6 +51,7 @@
 // send waits for the round trip, or for ever if there is no path at its start.
 func (s *linkedStore) send(ctx context.Context, watch bool) error {
 	s.mu.Lock()
+	s.asked++
 	lost := s.cut || watch && s.deafWatches
 	s.mu.Unlock()
 	if lost {
@@ -71,6 +73,10 @@
 	return s.Store.Read(ctx, prefix)
 }
 
+func (s *linkedStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	return s.Read(ctx, prefix)
+}
+
 func (s *linkedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
 	if err := s.send(ctx, true); err != nil {
 		return store.Changes{}, err
@@ -207,3 +213,50 @@
 		})
 	}
 }
+
+// calls is how many reads and watches the router has made.
+func (s *linkedStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// While nothing changes, what is known is confirmed each 1.2 s (configuration, servers) and
+// 3.3 s (routers) at the store; nothing gets old, and no call is made beside those.
+func TestFollowingCostsLittleInHealth(t *testing.T) {
+	withFollower(t, noOthers{}, func(w *followedWorld) {
+		before := w.store.calls()
+		time.Sleep(60 * time.Second)
+		calls := w.store.calls() - before
+		const most = 2*(60*10/12+1) + 60*10/33 + 2
+		w.Assert(calls <= most, qt.IsTrue, qt.Commentf("%d calls", calls))
+	})
+}
+
+// The store refuses a router for a minute, which is paid for by the call. It is asked for
+// one thing at a time, not for all three, each 0.6 s.
+func TestFollowingCostsLittleInAnOutage(t *testing.T) {
+	withFollower(t, noOthers{}, func(w *followedWorld) {
+		w.store.SetDown(true)
+		before := w.store.calls()
+		time.Sleep(60 * time.Second)
+		calls := w.store.calls() - before
+		const most = 60*10/6 + 10
+		w.Assert(calls <= most, qt.IsTrue, qt.Commentf("%d calls", calls))
+	})
+}
+
+// Entries change all the time. They are read at the pace of a quiet time, after the first few.
+func TestEntriesThatChangeAllTheTimeCostLittle(t *testing.T) {
+	withFollower(t, noOthers{}, func(w *followedWorld) {
+		before := w.store.calls()
+		for i := range 600 {
+			w.putServer(fmt.Sprint("c", i), false)
+			time.Sleep(100 * time.Millisecond)
+		}
+		calls := w.store.calls() - before
+		const most = 2*(60*10/12+1) + 60*10/33 + 2 + 2*serversBurst
+		w.Assert(calls <= most, qt.IsTrue, qt.Commentf("%d calls", calls))
+		w.Assert(w.used("c590"), qt.IsTrue)
+	})
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -26,6 +26,7 @@
 	Dials    prometheus.Counter
 	calls    *prometheus.CounterVec
 	relayed  *prometheus.GaugeVec
+	checked  *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // calls to the store since the last line of the log
@@ -46,8 +47,10 @@
 		Help: "Calls to the store, by kind, subject and outcome."}, []string{"kind", "subject", "outcome"})
 	m.relayed = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "chicory_follows_router",
 		Help: "1: what lies under the prefix is learned from another router; 0: from the store."}, []string{"prefix"})
+	m.checked = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_knowledge_old_total",
+		Help: "Times that what lies under the prefix was not confirmed in time."}, []string{"prefix"})
 	m.recent = make(map[string]int)
-	m.registry.MustRegister(m.first, m.whole, m.refused, m.repeated, m.Dials, m.calls, m.relayed)
+	m.registry.MustRegister(m.first, m.whole, m.refused, m.repeated, m.Dials, m.calls, m.relayed, m.checked)
 	return m
 }
 
@@ -95,6 +98,11 @@
 	m.relayed.WithLabelValues(prefix).Set(value)
 }
 
+// Checked notes that what lies under a prefix was not confirmed in time.
+func (m *Metrics) Checked(prefix string) {
+	m.checked.WithLabelValues(prefix).Inc()
+}
+
 // takeRecent returns the calls to the store since it was asked last.
 func (m *Metrics) takeRecent() map[string]int {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,38 +40,51 @@
 	BudgetPrefix = "chicory-budget/"
 )
 
-// Pace of the followers. Each call to the store is paid for.
+// Pace of the followers. Each call to the store is paid for: while nothing changes there
+// is one each wait and pause. The bounds on the age of what is known are the checks': see
+// store.Follower.
 const (
-	// configWait and configPatience bound the age of the configuration on a connection
-	// that went silent, and on a store that has dropped its history: a watch from before
-	// that may wait its whole time before it is told so. A change made in such a second is
-	// in force two seconds later, before the store counts as stable again (three or four).
-	configWait     = 1200 * time.Millisecond
+	// configWait and configPause confirm the configuration each 1.2 s. configPause keeps a
+	// storm of versions from becoming a storm of calls.
+	configWait  = 1150 * time.Millisecond
+	configPause = 50 * time.Millisecond
+	// configCheck leaves 0.4 s of the two seconds within which a version must be in force
+	// for a router that follows another, its second check and slow links.
+	configCheck = 1400 * time.Millisecond
+	// configPatience is far above the few milliseconds of an answer that a slow store or
+	// link makes longer. Calls that hang longer put nothing off.
 	configPatience = 600 * time.Millisecond
-	// serversWait and serversPatience, together with the pause between two calls,
-	// let one call fail within the time that a draining server still serves.
-	serversWait     = 300 * time.Millisecond
-	serversPatience = 500 * time.Millisecond
-	// serversMargin is kept free in half of that time.
-	serversMargin = 100 * time.Millisecond
+
+	// Of the time that a leaving server still serves, the entries of the servers are
+	// confirmed each half (watch) and tenth (pause), and checked after seven tenths.
+	serversWaitPart  = 0.5
+	serversPausePart = 0.1
+	serversCheckPart = 0.7
+	serversPatience  = 500 * time.Millisecond
+	// serversBurst lets a few servers that leave one after the other be known at once.
+	// Where entries change all the time, it is a call each wait and pause.
+	serversBurst = 4
+
 	// fleetWait suits changes that are rare, fleetPause the times when they are not: after
 	// an outage each router enters itself again, and a call for each would be paid for.
 	fleetWait  = 3000 * time.Millisecond
 	fleetPause = 300 * time.Millisecond
+	// fleetCheck: callers leave a router that doesn't answer by themselves.
+	fleetCheck = 4200 * time.Millisecond
 	// patience is the time an answer may take beyond its wait, also of a store
 	// that is slow.
 	patience = 800 * time.Millisecond
 	// relayWait is how long a router that follows the store for others holds an answer
-	// back while nothing changes; see relay.wait.
+	// back while it hears nothing; see relay.wait.
 	relayWait = 500 * time.Millisecond
-	// configPause keeps a storm of versions from becoming a storm of calls.
-	configPause = 50 * time.Millisecond
 )
 
 // Dialect is what the node needs to speak with its surroundings.
 type Dialect struct {
-	Store         store.Store
-	Clock         func() escrow.ClockReading
+	Store store.Store
+	Clock func() escrow.ClockReading
+	// Now is a clock that goes on while the VM is suspended; nil means time.Now.
+	Now           func() time.Time
 	ConfigPrefix  string
 	IsConfig      func(store.Item) bool
 	DecodeConfig  func(store.Item) (*policy.Policy, error)
@@ -127,7 +140,7 @@
 	n.registry = fleet.NewRegistry(d.DecodeServer, log, nil)
 	n.members = fleet.NewMembers(decodeMember, log, nil)
 	n.feeds = map[string]*store.Feed{
-		d.ConfigPrefix: {}, fleetPrefix: {}, d.ServersPrefix: {Same: n.registry.Same},
+		d.ConfigPrefix: {Now: d.Now}, fleetPrefix: {Now: d.Now}, d.ServersPrefix: {Now: d.Now, Same: n.registry.Same},
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.held = retry.NewQuarantine(nil)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,6 @@
 	qt.Assert(t, n.budgets(), qt.HasLen, 0)
 
 	entry := store.Item{Key: MemberPrefix + "vm-1", Value: []byte(`{"address":"127.0.0.1:1","peer":"127.0.0.1:2"}`), Revision: 1}
-	n.members.Reset([]store.Item{entry}, 0)
+	n.members.Reset([]store.Item{entry}, store.Silence{})
 	qt.Assert(t, n.budgets(), qt.DeepEquals, map[string]int64{"boatyard": 1000})
 }
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -53,6 +53,10 @@
 	return s.Store.Read(ctx, prefix)
 }
 
+func (s *countedStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	return s.Read(ctx, prefix)
+}
+
 func (s *countedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
 	if s.note() {
 		return store.Changes{}, store.ErrUnavailable
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -34,6 +34,7 @@
 	Items   []store.Item
 	Changes store.Changes
 	At      store.Revision // of Items
+	Lag     time.Duration  // of Items
 }
 
 // Follow answers a peer that follows the store through this router.
@@ -47,7 +48,7 @@
 	if request.All {
 		var snapshot store.Snapshot
 		snapshot, err = feed.Read(request.After)
-		answer.Items, answer.At = snapshot.Items, snapshot.At
+		answer.Items, answer.At, answer.Lag = snapshot.Items, snapshot.At, snapshot.Lag
 	} else {
 		answer.Changes, err = feed.Watch(context.Background(), request.After, min(request.Wait, followMost))
 	}
--- a/internal/store/counted.go
+++ b/internal/store/counted.go
@@ -30,6 +30,13 @@
 	return snapshot, err
 }
 
+// ReadAnew implements Store.
+func (c Counted) ReadAnew(ctx context.Context, prefix string) (Snapshot, error) {
+	snapshot, err := c.Store.ReadAnew(ctx, prefix)
+	c.Count("check", subject(prefix), err)
+	return snapshot, err
+}
+
 // Watch implements Store.
 func (c Counted) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
 	changes, err := c.Store.Watch(ctx, prefix, after, wait)
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -25,21 +25,32 @@
 	// Same says whether a new item tells its readers nothing that the one before did
 	// not, as a heartbeat does. Nil: each item tells something new.
 	Same func(before, after Item) bool
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means time.Now. It must go on while the VM is suspended.
 	Now func() time.Time
 
 	mu     sync.Mutex
 	items  map[string]Item
-	events []Event  // after floor, in the order of their revisions
-	floor  Revision // a reader that knows less must read everything
+	events []feedEvent // after floor, in the order of what they were told at
+	floor  Revision    // a reader that knows less must read everything
 	at     Revision
+	// asOf: what is known is the store's state of this moment or a later one.
+	asOf time.Time
 	// freshUntil is when what is known gets too old to be served.
 	freshUntil time.Time
-	// silence is how long the store had not answered before it answered again, the last
-	// time that this was remarkable; silentAt is the revision known until then.
-	silence  time.Duration
-	silentAt Revision
-	changed  chan struct{} // closed and replaced with each change
+	// silence is the last time without an answer that was remarkable, silentAt the
+	// revision known until then, and silenceTold when it was told of.
+	silence     Silence
+	silentAt    Revision
+	silenceTold time.Time
+	heard       chan struct{} // closed and replaced with each answer
+}
+
+// feedEvent is a change with the store's revision at which this feed learned it. A watch
+// may pass over a change, so that only a later read shows it, with a revision below what
+// the feed's readers know by then: they would never be told of it by its own revision.
+type feedEvent struct {
+	Event
+	told Revision
 }
 
 // eventsMost bounds the changes that are kept: what a configuration storm and the
@@ -53,19 +64,23 @@
 	return f.Now()
 }
 
-// learn takes what the store answered: a read or changes. gap is the time without an answer
-// before it, and freshFor how long the answer may be served.
-func (f *Feed) learn(s *Snapshot, c *Changes, gap, freshFor time.Duration) {
+// learn takes what the store answered: a read or changes. silence is the time without an
+// answer before it, asOf the moment whose state it tells at least, and freshFor how long
+// from then on it may be served.
+func (f *Feed) learn(s *Snapshot, c *Changes, silence Silence, asOf time.Time, freshFor time.Duration) {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if gap > freshFor {
-		f.silence, f.silentAt = gap, f.at
+	if silence.Length > freshFor {
+		f.silence, f.silentAt, f.silenceTold = silence, f.at, f.now()
 	}
 	f.know(s, c)
-	f.freshUntil = f.now().Add(freshFor)
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
+	f.freshUntil = f.asOf.Add(freshFor)
 	f.notify()
 }
 
@@ -82,11 +97,14 @@
 }
 
 func (f *Feed) know(s *Snapshot, c *Changes) {
+	defer f.forget()
 	if s != nil {
 		f.reset(*s)
 		return
 	}
-	f.apply(c.Events)
+	for _, e := range c.Events {
+		f.apply(e, e.Revision)
+	}
 	f.at = max(f.at, c.At)
 }
 
@@ -105,53 +123,62 @@
 }
 
 func (f *Feed) notify() {
-	if f.changed != nil {
-		close(f.changed)
+	if f.heard != nil {
+		close(f.heard)
 	}
-	f.changed = make(chan struct{})
+	f.heard = make(chan struct{})
 }
 
 // reset turns a read into the changes since the last one, so that readers need not read
 // everything each time that a watch of this router's failed.
 func (f *Feed) reset(s Snapshot) {
 	if f.items == nil {
-		f.items = make(map[string]Item, len(s.Items))
-		f.floor = s.At
+		f.start(s)
+		return
 	}
 	present := make(map[string]bool, len(s.Items))
-	var events []Event
 	for _, item := range s.Items {
 		present[item.Key] = true
 		if item.Revision > f.items[item.Key].Revision {
-			events = append(events, Event{Item: item})
+			f.apply(Event{Item: item}, s.At)
 		}
 	}
 	for key := range f.items {
 		if !present[key] {
-			events = append(events, Event{Item: Item{Key: key, Revision: s.At}, Deleted: true})
+			f.apply(Event{Item: Item{Key: key, Revision: s.At}, Deleted: true}, s.At)
 		}
 	}
-	f.apply(events)
 	f.at = max(f.at, s.At)
 }
 
-func (f *Feed) apply(events []Event) {
-	for _, e := range events {
-		before, known := f.items[e.Key]
-		switch {
-		case e.Deleted:
-			delete(f.items, e.Key)
-		case known && f.Same != nil && f.Same(before, e.Item):
-			f.items[e.Key] = e.Item
-			continue
-		default:
-			f.items[e.Key] = e.Item
+// start takes the first read: who knows less must read everything too.
+func (f *Feed) start(s Snapshot) {
+	f.items = make(map[string]Item, len(s.Items))
+	for _, item := range s.Items {
+		f.items[item.Key] = item
+	}
+	f.floor, f.at = s.At, s.At
+}
+
+// apply takes one change, which readers are told of whose knowledge ends before told.
+func (f *Feed) apply(e Event, told Revision) {
+	before, known := f.items[e.Key]
+	if e.Deleted {
+		delete(f.items, e.Key)
+	} else {
+		f.items[e.Key] = e.Item
+		if known && f.Same != nil && f.Same(before, e.Item) {
+			return
 		}
-		f.events = append(f.events, e)
 	}
+	f.events = append(f.events, feedEvent{Event: e, told: told})
+}
+
+// forget drops the changes beyond those that are kept.
+func (f *Feed) forget() {
 	if extra := len(f.events) - eventsMost; extra > 0 {
-		f.floor = max(f.floor, f.events[extra-1].Revision)
-		f.events = append([]Event(nil), f.events[extra:]...)
+		f.floor = max(f.floor, f.events[extra-1].told)
+		f.events = append([]feedEvent(nil), f.events[extra:]...)
 	}
 }
 
@@ -165,52 +192,54 @@
 	if f.at < after {
 		return Snapshot{}, ErrBehind
 	}
-	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items))}
+	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items)), Lag: f.now().Sub(f.asOf)}
 	for _, item := range f.items {
 		s.Items = append(s.Items, item)
 	}
 	return s, nil
 }
 
-// Watch returns the changes after a revision, as soon as there is one and at the latest
-// after wait, or when ctx ends.
+// Watch returns the changes after a revision: at once if there are some, else as soon as
+// the store has answered this router again, at the latest after wait, or when ctx ends. A
+// reader so hears from each answer of the store that nothing has changed until then.
 func (f *Feed) Watch(ctx context.Context, after Revision, wait time.Duration) (Changes, error) {
+	began := f.now()
+	changes, heard, err := f.since(after, began)
+	if err != nil || len(changes.Events) > 0 {
+		return changes, err
+	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
-	for {
-		changes, changed, err := f.since(after)
-		if err != nil || len(changes.Events) > 0 {
-			return changes, err
-		}
-		select {
-		case <-changed:
-			continue
-		case <-deadline.C:
-		case <-ctx.Done():
-		}
-		changes, _, err = f.since(after)
-		return changes, err
+	select {
+	case <-heard:
+	case <-deadline.C:
+	case <-ctx.Done():
 	}
+	changes, _, err = f.since(after, began)
+	return changes, err
 }
 
-// since returns what is known after a revision, and the channel that tells of more.
-func (f *Feed) since(after Revision) (Changes, <-chan struct{}, error) {
+// since returns what is known after a revision to a call that came in at began, and the
+// channel that tells of the next answer.
+func (f *Feed) since(after Revision, began time.Time) (Changes, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.now().Before(f.freshUntil) {
+	now := f.now()
+	if !now.Before(f.freshUntil) {
 		return Changes{}, nil, ErrNoFeed
 	}
 	if after < f.floor {
 		return Changes{}, nil, ErrCompacted
 	}
-	changes := Changes{At: f.at}
+	changes := Changes{At: f.at, Lag: began.Sub(f.asOf)}
 	for _, e := range f.events {
-		if e.Revision > after {
-			changes.Events = append(changes.Events, e)
+		if e.told > after {
+			changes.Events = append(changes.Events, e.Event)
 		}
 	}
-	if f.silence > 0 && after <= f.silentAt {
+	if f.silence.Length > 0 && after <= f.silentAt {
 		changes.Silence = f.silence
+		changes.Silence.Ago += now.Sub(f.silenceTold)
 	}
-	return changes, f.changed, nil
+	return changes, f.heard, nil
 }
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -29,11 +29,11 @@
 }
 
 func (w *feedWorld) read(at Revision, items ...Item) {
-	w.feed.learn(&Snapshot{Items: items, At: at}, nil, 0, freshFor)
+	w.feed.learn(&Snapshot{Items: items, At: at}, nil, Silence{}, w.now, freshFor)
 }
 
 func (w *feedWorld) watched(gap time.Duration, at Revision, events ...Event) {
-	w.feed.learn(nil, &Changes{Events: events, At: at}, gap, freshFor)
+	w.feed.learn(nil, &Changes{Events: events, At: at}, Silence{Length: gap}, w.now, freshFor)
 }
 
 // since is what a reader is told that knows the store up to a revision; it doesn't wait.
@@ -127,10 +127,15 @@
 	w.watched(8*time.Second, 9, Event{Item: item("a", 9), Deleted: true})
 	changes, err := w.feed.Watch(context.Background(), 5, 0)
 	w.Assert(err, qt.IsNil)
-	w.Assert(changes.Silence, qt.Equals, 8*time.Second)
+	w.Assert(changes.Silence, qt.Equals, Silence{Length: 8 * time.Second})
+	w.now = w.now.Add(time.Second)
+	changes, err = w.feed.Watch(context.Background(), 5, 0)
+	w.Assert(err, qt.IsNil)
+	w.Assert(changes.Silence, qt.Equals, Silence{Length: 8 * time.Second, Ago: time.Second},
+		qt.Commentf("who hears of it later gives less time"))
 	changes, err = w.feed.Watch(context.Background(), 9, 0)
 	w.Assert(err, qt.IsNil)
-	w.Assert(changes.Silence, qt.Equals, time.Duration(0))
+	w.Assert(changes.Silence, qt.Equals, Silence{})
 }
 
 // A reader waits. It hears of a change at once, and of the end of the feed too.
@@ -150,17 +155,86 @@
 	w.Assert(<-told, qt.ErrorIs, ErrNoFeed)
 }
 
-// The store doesn't answer. A router that others usually tell asks it less and less often,
-// whatever it asks for, and at once again after an answer.
+// A router asks one that reads for it, and must know how old the answer may be: by how much
+// the state that is told is older than the call, however long that was held back.
+func TestFeedTellsHowOldItsKnowledgeIs(t *testing.T) {
+	w := newFeed(t)
+	w.read(5, item("a", 2))
+	w.now = w.now.Add(700 * time.Millisecond)
+	snapshot, err := w.feed.Read(5)
+	w.Assert(err, qt.IsNil)
+	w.Assert(snapshot.Lag, qt.Equals, 700*time.Millisecond)
+	changes, err := w.feed.Watch(context.Background(), 5, 0)
+	w.Assert(err, qt.IsNil)
+	w.Assert(changes.Lag, qt.Equals, 700*time.Millisecond)
+
+	w.feed.learn(nil, &Changes{At: 6}, Silence{}, w.now.Add(-200*time.Millisecond), freshFor)
+	changes, err = w.feed.Watch(context.Background(), 5, 0)
+	w.Assert(err, qt.IsNil)
+	w.Assert(changes.Lag, qt.Equals, 200*time.Millisecond)
+	w.now = w.now.Add(freshFor - 200*time.Millisecond)
+	_, err = w.feed.Watch(context.Background(), 5, 0)
+	w.Assert(err, qt.ErrorIs, ErrNoFeed, qt.Commentf("it counts from the state, not from the answer"))
+}
+
+// The store passes over a change in a watch that waits, and its history is dropped; a read
+// then shows the change, at a revision that the feed's readers have passed. They hear of it
+// all the same, or they would never know a server that leaves.
+func TestFeedTellsWhatAWatchPassedOver(t *testing.T) {
+	w := newFeed(t)
+	w.read(5, item("a", 2), item("b", 3))
+	w.watched(0, 20)
+	w.Assert(w.since(20), qt.IsNil)
+	w.read(21, item("a", 12), item("b", 3))
+	w.Assert(w.since(20), qt.DeepEquals, []string{"a"})
+}
+
+// Readers wait for news. Each answer of the store tells them that there were none until
+// then, or they would take what they know for older than it is and ask the store too.
+func TestFeedTellsOfEachAnswer(t *testing.T) {
+	w := newFeed(t)
+	w.read(5, item("a", 2))
+	told := make(chan Changes)
+	go func() {
+		changes, err := w.feed.Watch(context.Background(), 5, time.Hour)
+		w.Check(err, qt.IsNil)
+		told <- changes
+	}()
+	for {
+		w.watched(0, 6)
+		select {
+		case changes := <-told:
+			w.Assert(changes.Events, qt.HasLen, 0)
+			w.Assert(changes.At, qt.Equals, Revision(6))
+			return
+		case <-time.After(time.Millisecond): // the reader may not have begun to wait
+		}
+	}
+}
+
+// The store doesn't answer. It is asked less and less often, whatever is asked for, by the
+// starts of the calls, and at once again after an answer.
 func TestGateSpacesCalls(t *testing.T) {
-	g, now := &Gate{}, time.Unix(1000, 0)
-	qt.Assert(t, g.Open(now), qt.IsTrue)
-	for _, wait := range []time.Duration{gateFirst, 2 * gateFirst, gateMost, gateMost} {
-		g.Note(ErrUnavailable, now)
-		qt.Assert(t, g.Open(now.Add(wait-1)), qt.IsFalse)
-		now = now.Add(wait)
-		qt.Assert(t, g.Open(now), qt.IsTrue)
+	for _, most := range []time.Duration{gateMost, gateMostRelayed} {
+		g, now := &Gate{}, time.Unix(1000, 0)
+		qt.Assert(t, g.Take(now, most), qt.IsTrue)
+		for _, wait := range []time.Duration{gateFirst, 2 * gateFirst, 4 * gateFirst, most, most} {
+			g.Failed(now)
+			qt.Assert(t, g.Take(now.Add(wait-1), most), qt.IsFalse)
+			now = now.Add(wait)
+			qt.Assert(t, g.Take(now, most), qt.IsTrue)
+		}
+		qt.Assert(t, g.Tried(now), qt.Equals, now.Add(-most), qt.Commentf("before the call that is answered"))
+		g.Answered(now)
+		qt.Assert(t, g.Take(now, most), qt.IsTrue)
 	}
-	g.Note(nil, now)
-	qt.Assert(t, g.Open(now), qt.IsTrue)
+}
+
+// A call that nobody asked the gate for is refused. The next one waits too.
+func TestGateTakesAFirstFailure(t *testing.T) {
+	g, now := &Gate{}, time.Unix(1000, 0)
+	g.Failed(now)
+	qt.Assert(t, g.Take(now.Add(gateFirst-1), gateMost), qt.IsFalse)
+	qt.Assert(t, g.Tried(now.Add(1)), qt.Equals, now)
+	qt.Assert(t, g.Take(now.Add(gateFirst), gateMost), qt.IsTrue)
 }
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -4,17 +4,18 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Sink takes what a Follower learns. Calls come from one goroutine, in order.
 type Sink interface {
-	// Reset replaces all that is known under the prefix. gap is the time since
-	// the store last answered; zero at the first read.
-	Reset(items []Item, gap time.Duration)
+	// Reset replaces all that is known under the prefix. silence is the time without
+	// an answer of the store before it; none at the first read.
+	Reset(items []Item, silence Silence)
 	// Apply takes changes, in the order of their revisions.
-	Apply(events []Event, gap time.Duration)
-	// Contact tells whether the last call was answered. It is called at each change.
+	Apply(events []Event, silence Silence)
+	// Contact tells whether the last call was answered. It is called at each change,
+	// and after what an answer told.
 	Contact(reached bool, cause error)
 }
 
@@ -32,216 +33,334 @@
 // Follower keeps a Sink up to date with all keys under a prefix: one read, then
 // watches from there; another read whenever the history was lost or a watch failed.
 // It asks other routers if there are some to ask, and the store where they can't tell.
+//
+// It notes with each answer which moment's state of the store that told at least. When
+// that moment is CheckAfter ago, it reads from the store beside whatever call is under
+// way, and again a little later as long as no answer came. So while the store answers new
+// calls, the age of what is known is bounded by CheckAfter, the spacing of the Gate and a
+// round trip, whatever other calls, pauses and timeouts take: their sum was over the
+// bound that leaving servers set with the second call that failed.
 type Follower struct {
 	Store  Store
 	Prefix string
 	// Relay reads from other routers; nil: all comes from the store.
 	Relay Relay
-	// Gate spaces the calls to the store that follow a failed one while other routers
-	// are the usual source.
+	// Gate spaces the calls that follow a failed one, over all followers of a router;
+	// nil: over this one.
 	Gate *Gate
-	// SourceChanged is told where answers come from, at the first one and each change;
-	// nil: nobody is told.
-	SourceChanged func(relayed bool)
 	// Feed gets what came from the store, for other routers; nil: nobody.
 	Feed *Feed
-	// Wait is how long one watch may wait at the store. A watch that is silent
-	// for longer than Wait and Patience is given up and opened anew, since an
-	// open connection can go silent without a reset; so Wait + Patience bounds
-	// the age of what is known.
+	Sink Sink
+
+	// Wait is how long one watch may wait at the store at the most.
 	Wait time.Duration
-	// Patience is the time an answer may need beyond Wait.
+	// Patience is the time an answer may need beyond its wait. A call that is silent for
+	// longer is given up, since an open connection can go silent without a reset.
 	Patience time.Duration
-	// Pause is the least time between two calls. It bounds the calls on a prefix
-	// that changes all the time: changes of one pause come in one answer.
+	// Pause is the least time between two calls: changes of one pause come in one answer.
 	Pause time.Duration
-	Sink  Sink
+	// Burst is how many watches may follow each other by Pause alone, before there is
+	// one each Wait + Pause only. It bounds the calls on a prefix that changes all the
+	// time, at no cost to the age of what is known. Zero: any number.
+	Burst int
+	// CheckAfter is the age of what is known at which the store is asked beside the call
+	// under way; zero: never.
+	CheckAfter time.Duration
+
+	// SourceChanged is told where answers come from, at the first one and each change;
+	// nil: nobody is told.
+	SourceChanged func(relayed bool)
+	// Checked is told when what is known got old: how old, whether others were asked,
+	// and whether calls to the store failed before. Nil: nobody is told.
+	Checked func(age time.Duration, relayed, failing bool)
+	// Now is a clock that goes on while the VM is suspended; nil means time.Now.
+	Now func() time.Time
 
-	at      Revision
-	synced  bool
-	lastOK  time.Time
-	reached bool
-	started bool
-	// failures is how many calls failed in a row.
-	failures int
-	sourced  bool // an answer came
-	relayed  bool // the last one came from another router
+	answers chan answer
+
+	at     Revision
+	synced bool
+	asOf   time.Time // what is known is the store's state of this moment or a later one
+	lastOK time.Time // of the last answer, from wherever
+	// reached is whether the last call to the store was answered, as the sink was told.
+	reached, started bool
+	// failing: the last call to the store got no answer.
+	failing bool
+	sourced bool // an answer came
+	relayed bool // the last usual one came from another router
+
+	usual  usualCall
+	checks checks
+}
+
+// usualCall is the one call that is always under way or due: a watch, or a read.
+type usualCall struct {
+	next   time.Time // its earliest start
+	busy   bool
+	serial int // of the call under way
+	stop   context.CancelFunc
+	// toStore: other routers could not tell, so the store is asked once.
+	toStore bool
+	credit  float64 // watches that may follow by Pause alone
+	started time.Time
 }
 
-// Waits after failed calls. A store that refuses a router for seconds is asked less and
-// less often, since refused calls are paid for too.
+// checks are the reads beside the usual call.
+type checks struct {
+	next   time.Time
+	serial int                  // of those that count
+	stops  []context.CancelFunc // of those that may be under way, oldest first
+	told   bool                 // Checked was told of this time
+}
+
+// Constants of the checks.
 const (
-	// retryFirst is short beside the second within which a change must be known, long
-	// beside a call's few milliseconds.
-	retryFirst = 150 * time.Millisecond
-	// retryMost keeps the return of the store from being noticed late: living servers'
-	// entries are back within two seconds of it.
-	retryMost = 600 * time.Millisecond
+	// checkPatience lets also a store that takes a second answer a check.
+	checkPatience = 1200 * time.Millisecond
+	// checksMost bounds the checks under way: as many as start within checkPatience at
+	// the spacing of a Gate. The oldest is given up for a new one.
+	checksMost = 4
+	// checkLead is how much later than the router that reads for it a router checks: that
+	// one's own check gets there first, and one call serves all.
+	checkLead = 150 * time.Millisecond
+	// gatePoll is how often a follower looks whether the gate was opened by another one.
+	gatePoll = 50 * time.Millisecond
 )
 
-// retryAfter is the wait after a number of failed calls in a row.
-func retryAfter(failures int) time.Duration {
-	wait := retryFirst
-	for i := 1; i < failures && wait < retryMost; i++ {
-		wait *= 2
-	}
-	return min(wait, retryMost)
+// Pauses between two calls to other routers.
+const (
+	// relayPause is short: these calls cost nothing but their processor time, and what
+	// changes nothing is left out of their answers.
+	relayPause = 30 * time.Millisecond
+	// relayRetry spaces the calls to routers that have nothing to tell while the store
+	// doesn't answer this one either.
+	relayRetry = 500 * time.Millisecond
+)
+
+// watchLeast is the shortest wait that is asked for.
+const watchLeast = 20 * time.Millisecond
+
+// callKind says whom a call asks.
+type callKind int
+
+const (
+	askOthers  callKind = iota
+	askStore            // the usual call to the store
+	checkStore          // a read beside the usual call
+)
+
+// answer is how a call ended: with a snapshot, changes or an error.
+type answer struct {
+	kind     callKind
+	serial   int
+	started  time.Time
+	snapshot *Snapshot
+	changes  *Changes
+	err      error
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		relayed, err := f.step(ctx)
-		pause := f.Pause
-		if relayed {
-			pause = relayPause
-		}
-		if err == nil {
-			f.note(relayed)
-		}
-		if err != nil {
-			f.failures++
-			pause = retryAfter(f.failures)
-		} else {
-			f.failures = 0
-		}
+	ctx, cancel := context.WithCancel(ctx)
+	var calls conc.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	f.begin()
+	for {
+		f.startDue(ctx, &calls)
+		timer := time.NewTimer(f.untilDue())
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+			timer.Stop()
+			return
+		case a := <-f.answers:
+			f.take(a)
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
 }
 
-// note tells of the source of an answer if it is another one than before.
-func (f *Follower) note(relayed bool) {
-	if f.SourceChanged != nil && (!f.sourced || f.relayed != relayed) {
-		f.SourceChanged(relayed)
+// begin counts the start as knowledge of nothing, so that the first call has its time.
+func (f *Follower) begin() {
+	if f.Gate == nil {
+		f.Gate = &Gate{}
 	}
-	f.sourced, f.relayed = true, relayed
+	f.answers = make(chan answer)
+	f.asOf = f.now()
+	f.usual.credit = float64(f.Burst)
 }
 
-// relayPause is the least time between two calls to another router: they cost nothing but
-// their processor time, and what changes nothing is left out of their answers.
-const relayPause = 30 * time.Millisecond
+func (f *Follower) now() time.Time {
+	if f.Now == nil {
+		return time.Now()
+	}
+	return f.Now()
+}
 
-// ErrGated: the store did not answer lately, and is not asked again yet.
-var ErrGated = errors.New("store: not asked again yet")
+// relaying says whether this router follows others.
+func (f *Follower) relaying() bool {
+	return f.Relay != nil && f.Relay.Used()
+}
 
-// step asks once and says whether another router answered.
-func (f *Follower) step(ctx context.Context) (relayed bool, err error) {
-	if f.Relay != nil && f.Relay.Used() {
-		f.Feed.stop()
-		if f.relay(ctx) == nil {
-			return true, nil
-		}
-		if !f.Gate.Open(time.Now()) {
-			f.failed(ErrGated)
-			return false, ErrGated
-		}
-		err = f.direct(ctx)
-		f.Gate.Note(err, time.Now())
-		return false, err
+// gateMost is the longest time between two calls to a store that doesn't answer.
+func (f *Follower) gateMost() time.Duration {
+	if f.relaying() {
+		return gateMostRelayed
+	}
+	return gateMost
+}
+
+// lateAt is when what is known gets old.
+func (f *Follower) lateAt() time.Time {
+	if f.relaying() {
+		return f.asOf.Add(f.CheckAfter + checkLead)
 	}
-	return false, f.direct(ctx)
+	return f.asOf.Add(f.CheckAfter)
 }
 
-// relay learns from another router.
-func (f *Follower) relay(ctx context.Context) error {
-	if !f.synced {
-		snapshot, err := f.Relay.Read(ctx, f.Prefix, f.at)
-		if err != nil {
-			return err
+func (f *Follower) late(now time.Time) bool {
+	return f.CheckAfter > 0 && !now.Before(f.lateAt())
+}
+
+// untilDue is how long nothing is to be started.
+func (f *Follower) untilDue() time.Duration {
+	now := f.now()
+	due := now.Add(time.Hour)
+	earlier := func(t time.Time) {
+		if t.Before(due) {
+			due = t
 		}
-		f.Feed.hear(&snapshot, nil)
-		f.Sink.Reset(snapshot.Items, f.answered())
-		f.at, f.synced = max(f.at, snapshot.At), true
-		return nil
 	}
-	changes, err := f.Relay.Watch(ctx, f.Prefix, f.at)
-	if errors.Is(err, ErrCompacted) {
-		f.synced = false
-		return f.relay(ctx)
+	if !f.usual.busy && (f.usualKind() == askOthers || !f.late(now)) {
+		earlier(f.usual.next)
 	}
-	if err != nil {
-		return err
+	if f.CheckAfter > 0 {
+		at := f.lateAt()
+		if at.Before(f.checks.next) {
+			at = f.checks.next
+		}
+		earlier(at)
 	}
-	f.Feed.hear(nil, &changes)
-	f.Sink.Apply(changes.Events, max(f.answered(), changes.Silence))
-	f.at = max(f.at, changes.At)
-	return nil
+	return max(0, due.Sub(now))
 }
 
-// direct learns from the store.
-func (f *Follower) direct(ctx context.Context) error {
-	if !f.synced {
-		return f.read(ctx)
+// usualKind is whom the next usual call asks.
+func (f *Follower) usualKind() callKind {
+	if f.relaying() && !f.usual.toStore {
+		return askOthers
 	}
-	return f.watch(ctx)
+	return askStore
 }
 
-// feed passes on what the store answered, with the time without an answer before it.
-func (f *Follower) feed(s *Snapshot, c *Changes, gap time.Duration) {
-	f.Feed.learn(s, c, gap, f.Wait+f.Patience+f.Pause)
+// startDue starts the calls whose time has come.
+func (f *Follower) startDue(ctx context.Context, calls *conc.WaitGroup) {
+	now := f.now()
+	f.startUsual(ctx, calls, now)
+	f.startCheck(ctx, calls, now)
 }
 
-func (f *Follower) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Patience)
-	defer cancel()
-	snapshot, err := f.Store.Read(ctx, f.Prefix)
-	if err != nil {
-		f.failed(err)
-		return err
+func (f *Follower) startUsual(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
+	if f.usual.busy || now.Before(f.usual.next) {
+		return
 	}
-	gap := f.answered()
-	f.feed(&snapshot, nil, gap)
-	f.Sink.Reset(snapshot.Items, gap)
-	f.at, f.synced = snapshot.At, true
-	return nil
+	kind := f.usualKind()
+	if kind == askOthers {
+		f.Feed.stop()
+	} else if f.late(now) {
+		return // the checks ask
+	} else if f.failing && !f.Gate.Take(now, f.gateMost()) {
+		f.usual.next = now.Add(gatePoll)
+		return
+	}
+	f.usual.busy, f.usual.started = true, now
+	f.usual.serial++
+	f.usual.stop = f.call(ctx, calls, answer{kind: kind, serial: f.usual.serial, started: now}, f.usualAsk(kind, now))
 }
 
-func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Patience)
-	defer cancel()
-	changes, err := f.Store.Watch(ctx, f.Prefix, f.at, f.Wait)
-	if err != nil {
-		// A store that drops its history may leave watches silent for a while, also new
-		// ones, although there were changes: a router then serves by an old
-		// configuration for seconds. A read sees what is there at once.
-		f.synced = false
+func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
+	if !f.late(now) || now.Before(f.checks.next) {
+		return
 	}
-	if errors.Is(err, ErrCompacted) {
-		return err
+	if !f.checks.told && f.Checked != nil {
+		f.Checked(now.Sub(f.asOf), f.relaying(), f.failing)
 	}
-	if err != nil {
-		f.failed(err)
-		return err
+	f.checks.told = true
+	if !f.Gate.Take(now, f.gateMost()) {
+		f.checks.next = now.Add(gatePoll)
+		return
 	}
-	gap := f.answered()
-	f.feed(nil, &changes, gap)
-	f.Sink.Apply(changes.Events, gap)
-	// A watch never moves back: an answer from behind would replay old events.
-	f.at = max(f.at, changes.At)
-	return nil
+	f.checks.next = now.Add(gateFirst)
+	if len(f.checks.stops) == checksMost {
+		f.checks.stops[0]()
+		f.checks.stops = f.checks.stops[1:]
+	}
+	stop := f.call(ctx, calls, answer{kind: checkStore, serial: f.checks.serial, started: now}, func(ctx context.Context) (*Snapshot, *Changes, error) {
+		ctx, cancel := context.WithTimeout(ctx, checkPatience)
+		defer cancel()
+		snapshot, err := f.Store.ReadAnew(ctx, f.Prefix)
+		return &snapshot, nil, err
+	})
+	f.checks.stops = append(f.checks.stops, stop)
 }
 
-// answered notes an answer and returns how long there was none before it.
-func (f *Follower) answered() time.Duration {
-	now := time.Now()
-	gap := time.Duration(0)
-	if !f.lastOK.IsZero() {
-		gap = now.Sub(f.lastOK)
-	}
-	f.lastOK = now
-	if !f.reached {
-		f.reached, f.started = true, true
-		f.Sink.Contact(true, nil)
+// ask makes one call.
+type ask func(ctx context.Context) (*Snapshot, *Changes, error)
+
+// call makes a call in a goroutine of its own, whose answer comes to Run.
+func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask) context.CancelFunc {
+	callCtx, stop := context.WithCancel(ctx)
+	calls.Go(func() {
+		defer stop()
+		a.snapshot, a.changes, a.err = ask(callCtx)
+		select {
+		case f.answers <- a:
+		case <-ctx.Done():
+		}
+	})
+	return stop
+}
+
+// usualAsk is the next usual call: of all, if nothing is known for sure, or of changes.
+func (f *Follower) usualAsk(kind callKind, now time.Time) ask {
+	after := f.at
+	switch {
+	case kind == askOthers && !f.synced:
+		return func(ctx context.Context) (*Snapshot, *Changes, error) {
+			snapshot, err := f.Relay.Read(ctx, f.Prefix, after)
+			return &snapshot, nil, err
+		}
+	case kind == askOthers:
+		return func(ctx context.Context) (*Snapshot, *Changes, error) {
+			changes, err := f.Relay.Watch(ctx, f.Prefix, after)
+			return nil, &changes, err
+		}
+	case !f.synced:
+		return func(ctx context.Context) (*Snapshot, *Changes, error) {
+			ctx, cancel := context.WithTimeout(ctx, f.Patience)
+			defer cancel()
+			snapshot, err := f.Store.Read(ctx, f.Prefix)
+			return &snapshot, nil, err
+		}
 	}
-	return gap
+	wait := f.watchWait(now)
+	return func(ctx context.Context) (*Snapshot, *Changes, error) { return f.watch(ctx, after, wait) }
 }
 
-func (f *Follower) failed(err error) {
-	if f.reached || !f.started {
-		f.reached, f.started = false, true
-		f.Sink.Contact(false, err)
+// watchWait lets a watch come back when what is known is Wait + Pause old: an answer with
+// changes may have been sent as early as its call, so the one after it waits less.
+func (f *Follower) watchWait(now time.Time) time.Duration {
+	return min(f.Wait, max(watchLeast, f.asOf.Add(f.Wait+f.Pause).Sub(now)))
+}
+
+// watch asks the store for changes. An answer without any is of the end of the wait.
+func (f *Follower) watch(ctx context.Context, after Revision, wait time.Duration) (*Snapshot, *Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Patience)
+	defer cancel()
+	began := f.now()
+	changes, err := f.Store.Watch(ctx, f.Prefix, after, wait)
+	if len(changes.Events) == 0 {
+		changes.Lag = -min(wait, f.now().Sub(began))
 	}
+	return nil, &changes, err
 }
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -16,13 +16,13 @@
 	known chan string // values, in the order in which they became known
 }
 
-func (s *sink) Reset(items []store.Item, _ time.Duration) {
+func (s *sink) Reset(items []store.Item, _ store.Silence) {
 	for _, item := range items {
 		s.known <- string(item.Value)
 	}
 }
 
-func (s *sink) Apply(events []store.Event, _ time.Duration) {
+func (s *sink) Apply(events []store.Event, _ store.Silence) {
 	for _, e := range events {
 		s.known <- string(e.Value)
 	}
@@ -58,6 +58,10 @@
 	return store.Snapshot{}, store.ErrUnavailable
 }
 
+func (s *refusingStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	return s.Read(ctx, prefix)
+}
+
 // The store refuses a router again and again, and is paid for each call. It is asked less
 // and less often, and never less than it takes to notice its return in time.
 func TestRefusingStoreIsAskedLessOften(t *testing.T) {
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -155,6 +155,11 @@
 	return snapshot, nil
 }
 
+// ReadAnew implements store.Store.
+func (s *Store) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	return s.Read(ctx, prefix)
+}
+
 // Watch implements store.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
 	timer := time.NewTimer(wait)
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 )
 
 // answers is a store and a relay that give the prepared answers, each once.
@@ -43,9 +44,9 @@
 // quiet is a sink that nobody asks.
 type quiet struct{}
 
-func (quiet) Reset([]Item, time.Duration)  {}
-func (quiet) Apply([]Event, time.Duration) {}
-func (quiet) Contact(bool, error)          {}
+func (quiet) Reset([]Item, Silence)  {}
+func (quiet) Apply([]Event, Silence) {}
+func (quiet) Contact(bool, error)    {}
 
 // A router follows others for a while, hears of a change there, and then follows the store
 // itself and serves others. Those who read here know the store from before that change: they
@@ -54,11 +55,17 @@
 	c := qt.New(t)
 	source := &answers{snapshot: Snapshot{Items: []Item{item("a", 2)}, At: 5}}
 	f := &Follower{Store: source, Relay: others{source}, Feed: &Feed{}, Sink: quiet{}, Wait: time.Hour, Patience: time.Hour}
+	f.begin()
 	step := func(relayed bool, changes Changes) {
 		source.relayed, source.changes = relayed, []Changes{changes}
-		was, err := f.step(context.Background())
-		c.Assert(err, qt.IsNil)
-		c.Assert(was, qt.Equals, relayed)
+		c.Assert(f.usualKind() == askOthers, qt.Equals, relayed)
+		var calls conc.WaitGroup
+		defer calls.Wait()
+		f.usual.next = time.Time{}
+		f.startDue(context.Background(), &calls)
+		a := <-f.answers
+		c.Assert(a.err, qt.IsNil)
+		f.take(a)
 	}
 	step(false, Changes{}) // reads all
 	step(true, Changes{At: 8, Events: []Event{{Item: item("b", 7)}}})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,15 +51,31 @@
 type Snapshot struct {
 	Items []Item
 	At    Revision
+	// Lag is set by a Feed: see Changes.
+	Lag time.Duration
 }
 
 // Changes is what a watch returned. Events is empty when the wait ran out.
 type Changes struct {
 	Events []Event
 	At     Revision
-	// Silence is set by a Feed whose store was silent between what the reader knew and
-	// these changes: for how long. Entries that went meanwhile may have lapsed.
-	Silence time.Duration
+	// Lag is set by a Feed: how old the store's state that it tells was at most when the
+	// call for it came in. It is below zero if the feed heard of the store while it held
+	// the call back.
+	Lag time.Duration
+	// Silence is set by a Feed whose store was silent between what its reader knew and
+	// these changes. Entries that went meanwhile may have lapsed.
+	Silence Silence
+}
+
+// Silence is the time before an answer of the store in which there was none.
+type Silence struct {
+	Length time.Duration
+	// Broken: a call failed in it. Else nobody asked.
+	Broken bool
+	// Ago is how long before now the store may have answered again already: the time
+	// since the last call that failed, or since the call that was answered.
+	Ago time.Duration
 }
 
 // Expect is a condition: the key's last change is at Revision (zero: no such key).
@@ -93,6 +109,9 @@
 type Store interface {
 	// Read returns all items under the prefix, at the store's present state.
 	Read(ctx context.Context, prefix string) (Snapshot, error)
+	// ReadAnew is Read over a connection that carried nothing before, or has just carried
+	// an answer: open ones may have fallen silent.
+	ReadAnew(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch returns the changes under the prefix after a revision, as soon as
 	// there is one and at the latest after wait.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -59,6 +59,9 @@
 	ErrBroken = errors.New("upstream: exchange broken")
 )
 
+// errLeft: the server said that it leaves after it was chosen.
+var errLeft = errors.New("upstream: server left meanwhile")
+
 // Error is a failed exchange: what it means for the request, and its cause.
 type Error struct {
 	Meaning error // ErrNotSent or ErrBroken
@@ -110,6 +113,12 @@
 	if err != nil {
 		return nil, &Error{Meaning: ErrNotSent, Cause: err}
 	}
+	if a.Server.Leaving() {
+		// A connection may take its time to come about. Sent after it, the request would
+		// reach a server later than what was known of it when it was chosen.
+		_ = connection.Close() // nothing was sent on it
+		return nil, &Error{Meaning: ErrNotSent, Cause: errLeft}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() }) // a second close changes nothing
 	reply, err := c.exchange(connection, a)
 	if err != nil {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -182,3 +182,13 @@
 	qt.Assert(t, errors.Is(err, ErrBroken), qt.IsTrue)
 	qt.Assert(t, errors.Is(err, ErrNotSent), qt.IsFalse)
 }
+
+// A server is chosen, and says that it leaves while the connection to it comes about, which
+// may take 0.4 s. Nothing is sent to it, and the request is not said to have been sent.
+func TestServerThatLeftIsNotSentTo(t *testing.T) {
+	b := startBackend(t)
+	b.server.Leave()
+	c := NewClient(codec, prometheus.NewCounter(prometheus.CounterOpts{}))
+	_, err := c.Do(context.Background(), &Attempt{Request: &request.Request{ID: "r1", Method: http.MethodGet, Route: &policy.Route{}}, Server: b.server})
+	qt.Assert(t, err, qt.ErrorIs, ErrNotSent)
+}
