--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -282,11 +282,14 @@
 	if !f.late(now) || now.Before(f.checks.next) {
 		return
 	}
-	if !f.checks.told && f.Checked != nil {
+	first := !f.checks.told
+	f.checks.told = true
+	if first && f.Checked != nil {
 		f.Checked(now.Sub(f.asOf), f.relaying(), f.failing)
 	}
-	f.checks.told = true
-	if !f.Gate.Take(now, f.gateMost()) {
+	// The first check doesn't wait for a gate that calls on other connections have shut:
+	// they may have fallen silent, and by its wait what is known would get too old.
+	if !f.Gate.Take(now, f.gateMost()) && !first {
 		f.checks.next = now.Add(gatePoll)
 		return
 	}
