Split the follower by its jobs, and say how old knowledge may be

Cause: follow.go held all of it; each turn asked the list of routers several times; a panic in a call would have left the follower waiting for its answer; a router that had turned to the store and found it cut off could have missed, by a hair, that others were back.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,8 @@
 	serversPausePart = 0.1
 	serversCheckPart = 0.7
 	serversPatience  = 500 * time.Millisecond
+	// drainLeast bounds the calls where servers serve for a shorter time, or none.
+	drainLeast = 500 * time.Millisecond
 	// serversBurst lets a few servers that leave one after the other be known at once.
 	// Where entries change all the time, it is a call each wait and pause.
 	serversBurst = 4
--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -190,3 +190,51 @@
 		}
 	})
 }
+
+// cutStore answers nothing.
+type cutStore struct{ store.Store }
+
+func (cutStore) Read(ctx context.Context, _ string) (store.Snapshot, error) {
+	<-ctx.Done()
+	return store.Snapshot{}, store.ErrOutcomeUnknown
+}
+
+func (s cutStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	return s.Read(ctx, prefix)
+}
+
+func (s cutStore) Watch(ctx context.Context, _ string, _ store.Revision, _ time.Duration) (store.Changes, error) {
+	<-ctx.Done()
+	return store.Changes{}, store.ErrOutcomeUnknown
+}
+
+// A router loses the store and the router that it follows, one after the other in any
+// order. The other router is back, the store is not: it must learn from that router again,
+// although calls to the store have failed or are hanging.
+func TestRouterCutFromTheStoreLearnsFromOthersAgain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		others := drawFates(rt, "relay's calls")
+		synctest.Test(t, func(t *testing.T) {
+			s := memstore.New(nil)
+			s.Put("a/x", []byte("0"))
+			feed, sink := &store.Feed{}, &lastValue{}
+			reader := store.Follower{Store: s, Prefix: "a/", Wait: time.Second, Pause: 200 * time.Millisecond,
+				Patience: 500 * time.Millisecond, CheckAfter: 1400 * time.Millisecond, Sink: &lastValue{}, Feed: feed}
+			follower := reader
+			follower.Store, follower.Relay, follower.Feed, follower.Sink = cutStore{s}, fatedRelay{feed, others}, nil, sink
+			ctx, cancel := context.WithCancel(t.Context())
+			var tasks conc.WaitGroup
+			tasks.Go(func() { reader.Run(ctx) })
+			tasks.Go(func() { follower.Run(ctx) })
+			time.Sleep(time.Minute) // all fates are met
+			s.Put("a/x", []byte("1"))
+			time.Sleep(300 * time.Millisecond) // the pauses of both, and more
+			qt.Check(t, sink.known(), qt.Equals, "1")
+			cancel()
+			tasks.Wait()
+		})
+		if t.Failed() {
+			rt.FailNow()
+		}
+	})
+}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -86,79 +86,15 @@
 	reached, started bool
 	// failing: the last call to the store got no answer.
 	failing bool
-	sourced bool // an answer came
-	relayed bool // the last usual one came from another router
+	// relaying: this router follows others.
+	relaying bool
+	sourced  bool // an answer came
+	relayed  bool // the last usual one came from another router
 
 	usual  usualCall
 	checks checks
 }
 
-// usualCall is the one call that is always under way or due: a watch, or a read.
-type usualCall struct {
-	next   time.Time // its earliest start
-	busy   bool
-	serial int // of the call under way
-	stop   context.CancelFunc
-	// toStore: other routers could not tell, so the store is asked once.
-	toStore bool
-	credit  float64 // watches that may follow by Pause alone
-	started time.Time
-}
-
-// checks are the reads beside the usual call.
-type checks struct {
-	next   time.Time
-	serial int                  // of those that count
-	stops  []context.CancelFunc // of those that may be under way, oldest first
-	told   bool                 // Checked was told of this time
-}
-
-// Constants of the checks.
-const (
-	// checkPatience lets also a store that takes a second answer a check.
-	checkPatience = 1200 * time.Millisecond
-	// checksMost bounds the checks under way: as many as start within checkPatience at
-	// the spacing of a Gate. The oldest is given up for a new one.
-	checksMost = 4
-	// checkLead is how much later than the router that reads for it a router checks: that
-	// one's own check gets there first, and one call serves all.
-	checkLead = 150 * time.Millisecond
-	// gatePoll is how often a follower looks whether the gate was opened by another one.
-	gatePoll = 50 * time.Millisecond
-)
-
-// Pauses between two calls to other routers.
-const (
-	// relayPause is short: these calls cost nothing but their processor time, and what
-	// changes nothing is left out of their answers.
-	relayPause = 30 * time.Millisecond
-	// relayRetry spaces the calls to routers that have nothing to tell while the store
-	// doesn't answer this one either.
-	relayRetry = 500 * time.Millisecond
-)
-
-// watchLeast is the shortest wait that is asked for.
-const watchLeast = 20 * time.Millisecond
-
-// callKind says whom a call asks.
-type callKind int
-
-const (
-	askOthers  callKind = iota
-	askStore            // the usual call to the store
-	checkStore          // a read beside the usual call
-)
-
-// answer is how a call ended: with a snapshot, changes or an error.
-type answer struct {
-	kind     callKind
-	serial   int
-	started  time.Time
-	snapshot *Snapshot
-	changes  *Changes
-	err      error
-}
-
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -178,6 +114,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
+		f.lookAround()
 	}
 }
 
@@ -189,6 +126,7 @@
 	f.answers = make(chan answer)
 	f.asOf = f.now()
 	f.usual.credit = float64(f.Burst)
+	f.lookAround()
 }
 
 func (f *Follower) now() time.Time {
@@ -198,14 +136,15 @@
 	return f.Now()
 }
 
-// relaying says whether this router follows others.
-func (f *Follower) relaying() bool {
-	return f.Relay != nil && f.Relay.Used()
+// lookAround sees whom to ask. It is done once a turn: the answer takes a look at the list
+// of all routers.
+func (f *Follower) lookAround() {
+	f.relaying = f.Relay != nil && f.Relay.Used()
 }
 
 // gateMost is the longest time between two calls to a store that doesn't answer.
 func (f *Follower) gateMost() time.Duration {
-	if f.relaying() {
+	if f.relaying {
 		return gateMostRelayed
 	}
 	return gateMost
@@ -213,7 +152,7 @@
 
 // lateAt is when what is known gets old.
 func (f *Follower) lateAt() time.Time {
-	if f.relaying() {
+	if f.relaying {
 		return f.asOf.Add(f.CheckAfter + checkLead)
 	}
 	return f.asOf.Add(f.CheckAfter)
@@ -232,7 +171,7 @@
 			due = t
 		}
 	}
-	if !f.usual.busy && (f.usualKind() == askOthers || !f.late(now)) {
+	if !f.usual.busy && (f.usualKind(now) == askOthers || !f.late(now)) {
 		earlier(f.usual.next)
 	}
 	if f.CheckAfter > 0 {
@@ -245,9 +184,10 @@
 	return max(0, due.Sub(now))
 }
 
-// usualKind is whom the next usual call asks.
-func (f *Follower) usualKind() callKind {
-	if f.relaying() && !f.usual.toStore {
+// usualKind is whom the next usual call asks. When what is known is old, the checks ask the
+// store, and the usual call is for others: they may be back while the store is not.
+func (f *Follower) usualKind(now time.Time) callKind {
+	if f.relaying && (!f.usual.toStore || f.late(now)) {
 		return askOthers
 	}
 	return askStore
@@ -259,111 +199,3 @@
 	f.startUsual(ctx, calls, now)
 	f.startCheck(ctx, calls, now)
 }
-
-func (f *Follower) startUsual(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
-	if f.usual.busy || now.Before(f.usual.next) {
-		return
-	}
-	kind := f.usualKind()
-	if kind == askOthers {
-		f.Feed.stop()
-	} else if f.late(now) {
-		return // the checks ask
-	} else if f.failing && !f.Gate.Take(now, f.gateMost()) {
-		f.usual.next = now.Add(gatePoll)
-		return
-	}
-	f.usual.busy, f.usual.started = true, now
-	f.usual.serial++
-	f.usual.stop = f.call(ctx, calls, answer{kind: kind, serial: f.usual.serial, started: now}, f.usualAsk(kind, now))
-}
-
-func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
-	if !f.late(now) || now.Before(f.checks.next) {
-		return
-	}
-	first := !f.checks.told
-	f.checks.told = true
-	if first && f.Checked != nil {
-		f.Checked(now.Sub(f.asOf), f.relaying(), f.failing)
-	}
-	// The first check doesn't wait for a gate that calls on other connections have shut:
-	// they may have fallen silent, and by its wait what is known would get too old.
-	if !f.Gate.Take(now, f.gateMost()) && !first {
-		f.checks.next = now.Add(gatePoll)
-		return
-	}
-	f.checks.next = now.Add(gateFirst)
-	if len(f.checks.stops) == checksMost {
-		f.checks.stops[0]()
-		f.checks.stops = f.checks.stops[1:]
-	}
-	stop := f.call(ctx, calls, answer{kind: checkStore, serial: f.checks.serial, started: now}, func(ctx context.Context) (*Snapshot, *Changes, error) {
-		ctx, cancel := context.WithTimeout(ctx, checkPatience)
-		defer cancel()
-		snapshot, err := f.Store.ReadAnew(ctx, f.Prefix)
-		return &snapshot, nil, err
-	})
-	f.checks.stops = append(f.checks.stops, stop)
-}
-
-// ask makes one call.
-type ask func(ctx context.Context) (*Snapshot, *Changes, error)
-
-// call makes a call in a goroutine of its own, whose answer comes to Run.
-func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask) context.CancelFunc {
-	callCtx, stop := context.WithCancel(ctx)
-	calls.Go(func() {
-		defer stop()
-		a.snapshot, a.changes, a.err = ask(callCtx)
-		select {
-		case f.answers <- a:
-		case <-ctx.Done():
-		}
-	})
-	return stop
-}
-
-// usualAsk is the next usual call: of all, if nothing is known for sure, or of changes.
-func (f *Follower) usualAsk(kind callKind, now time.Time) ask {
-	after := f.at
-	switch {
-	case kind == askOthers && !f.synced:
-		return func(ctx context.Context) (*Snapshot, *Changes, error) {
-			snapshot, err := f.Relay.Read(ctx, f.Prefix, after)
-			return &snapshot, nil, err
-		}
-	case kind == askOthers:
-		return func(ctx context.Context) (*Snapshot, *Changes, error) {
-			changes, err := f.Relay.Watch(ctx, f.Prefix, after)
-			return nil, &changes, err
-		}
-	case !f.synced:
-		return func(ctx context.Context) (*Snapshot, *Changes, error) {
-			ctx, cancel := context.WithTimeout(ctx, f.Patience)
-			defer cancel()
-			snapshot, err := f.Store.Read(ctx, f.Prefix)
-			return &snapshot, nil, err
-		}
-	}
-	wait := f.watchWait(now)
-	return func(ctx context.Context) (*Snapshot, *Changes, error) { return f.watch(ctx, after, wait) }
-}
-
-// watchWait lets a watch come back when what is known is Wait + Pause old: an answer with
-// changes may have been sent as early as its call, so the one after it waits less.
-func (f *Follower) watchWait(now time.Time) time.Duration {
-	return min(f.Wait, max(watchLeast, f.asOf.Add(f.Wait+f.Pause).Sub(now)))
-}
-
-// watch asks the store for changes. An answer without any is of the end of the wait.
-func (f *Follower) watch(ctx context.Context, after Revision, wait time.Duration) (*Snapshot, *Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.Patience)
-	defer cancel()
-	began := f.now()
-	changes, err := f.Store.Watch(ctx, f.Prefix, after, wait)
-	if len(changes.Events) == 0 {
-		changes.Lag = -min(wait, f.now().Sub(began))
-	}
-	return nil, &changes, err
-}
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -117,3 +117,26 @@
 		// after a lost history everything is read once more
 	}
 }
+
+// brokenStore panics in its first read.
+type brokenStore struct {
+	*memstore.Store
+	reads int
+}
+
+func (s *brokenStore) Read(ctx context.Context, prefix string) (store.Snapshot, error) {
+	s.reads++
+	if s.reads == 1 {
+		panic("a fault of the client")
+	}
+	return s.Store.Read(ctx, prefix)
+}
+
+// The code that makes a call panics, on its own goroutine. The follower goes on: it would
+// else wait for ever for the answer, and the router serve by what it knew.
+func TestFollowerOutlivesAPanicOfACall(t *testing.T) {
+	s := &brokenStore{Store: memstore.New(nil)}
+	s.Put("a/1", []byte("known"))
+	known := follow(t, s)
+	qt.Assert(t, <-known.known, qt.Equals, "known")
+}
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -60,7 +60,7 @@
 	}
 	f.failing, f.usual.toStore = true, false
 	f.Gate.Failed(a.started)
-	if f.relaying() {
+	if f.relaying {
 		f.usual.next = now.Add(gateFirst)
 	}
 	if f.reached || !f.started {
@@ -157,7 +157,7 @@
 	}
 	f.usual.toStore = false
 	f.usual.next = now.Add(relayPause)
-	if !f.relaying() {
+	if !f.relaying {
 		f.usual.next = f.afterPause(now)
 	}
 }
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -58,13 +58,14 @@
 	f.begin()
 	step := func(relayed bool, changes Changes) {
 		source.relayed, source.changes = relayed, []Changes{changes}
-		c.Assert(f.usualKind() == askOthers, qt.Equals, relayed)
+		f.lookAround()
 		var calls conc.WaitGroup
 		defer calls.Wait()
 		f.usual.next = time.Time{}
 		f.startDue(context.Background(), &calls)
 		a := <-f.answers
 		c.Assert(a.err, qt.IsNil)
+		c.Assert(a.kind == askOthers, qt.Equals, relayed)
 		f.take(a)
 	}
 	step(false, Changes{}) // reads all
