Keep the pace of calls to the store where a router's reader can't tell

Cause: a router whose reader follows nothing asked the store again 30 ms after each answer, as if another router had given it.

Change: after an answer of the store its own pause holds. A failed check no longer moves the next call to other routers.

--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -102,6 +102,19 @@
 	return store.Changes{}, silence(ctx)
 }
 
+// ignorantOthers is the relay of a router whose reader follows nothing itself.
+type ignorantOthers struct{}
+
+func (ignorantOthers) Used() bool { return true }
+
+func (ignorantOthers) Read(context.Context, string, store.Revision) (store.Snapshot, error) {
+	return store.Snapshot{}, store.ErrNoFeed
+}
+
+func (ignorantOthers) Watch(context.Context, string, store.Revision) (store.Changes, error) {
+	return store.Changes{}, store.ErrNoFeed
+}
+
 // silence is a call to another router that runs out of time.
 func silence(ctx context.Context) error {
 	select {
@@ -246,17 +259,22 @@
 	})
 }
 
-// Entries change all the time. They are read at the pace of a quiet time, after the first few.
+// Entries change all the time. They are read at the pace of a quiet time, after the first
+// few, also by a router whose reader can't tell.
 func TestEntriesThatChangeAllTheTimeCostLittle(t *testing.T) {
-	withFollower(t, noOthers{}, func(w *followedWorld) {
-		before := w.store.calls()
-		for i := range 600 {
-			w.putServer(fmt.Sprint("c", i), false)
-			time.Sleep(100 * time.Millisecond)
-		}
-		calls := w.store.calls() - before
-		const most = 2*(60*10/12+1) + 60*10/33 + 2 + 2*serversBurst
-		w.Assert(calls <= most, qt.IsTrue, qt.Commentf("%d calls", calls))
-		w.Assert(w.used("c590"), qt.IsTrue)
-	})
+	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": ignorantOthers{}} {
+		t.Run(name, func(t *testing.T) {
+			withFollower(t, others, func(w *followedWorld) {
+				before := w.store.calls()
+				for i := range 600 {
+					w.putServer(fmt.Sprint("c", i), false)
+					time.Sleep(100 * time.Millisecond)
+				}
+				calls := w.store.calls() - before
+				const most = 2*(60*10/12+1) + 60*10/33 + 2 + 2*serversBurst
+				w.Assert(calls <= most, qt.IsTrue, qt.Commentf("%d calls", calls))
+				w.Assert(w.used("c590"), qt.IsTrue)
+			})
+		})
+	}
 }
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -54,14 +54,16 @@
 	// although there were changes: a router then serves by an old configuration for
 	// seconds. A read sees what is there at once.
 	f.synced = false
-	f.usual.next = now
+	if a.kind == askStore {
+		f.usual.next = now
+	}
 	if errors.Is(a.err, ErrCompacted) {
 		return
 	}
-	f.failing, f.usual.toStore = true, false
+	f.failing = true
 	f.Gate.Failed(a.started)
-	if f.relaying {
-		f.usual.next = now.Add(gateFirst)
+	if a.kind == askStore && f.relaying {
+		f.usual.toStore, f.usual.next = false, now.Add(gateFirst)
 	}
 	if f.reached || !f.started {
 		f.reached, f.started = false, true
@@ -156,10 +158,11 @@
 		f.note(kind == askOthers)
 	}
 	f.usual.toStore = false
-	f.usual.next = now.Add(relayPause)
-	if !f.relaying {
-		f.usual.next = f.afterPause(now)
+	if kind == askOthers {
+		f.usual.next = now.Add(relayPause)
+		return
 	}
+	f.usual.next = f.afterPause(now)
 }
 
 // afterPause is when the store may be watched again: after Pause while there is credit,
