Let all routers know a content that breaks servers in time, whatever calls take

Cause: the same as of the servers' entries, found by looking for it elsewhere: a watch on a silent connection held up what routers tell each other for 3.8 s; no router may send such a content three seconds after it broke the third server.

Change: that watch waits 2.0 s and is checked after 2.6 s.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -94,7 +94,7 @@
 }
 
 // memberWait is the longest quiet time between two answers of the members' watch.
-const memberWait = 3000 * time.Millisecond
+const memberWait = 2300 * time.Millisecond
 
 func (m *Members) put(item store.Item) {
 	member, err := m.decode(item)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,10 +69,12 @@
 
 	// fleetWait suits changes that are rare, fleetPause the times when they are not: after
 	// an outage each router enters itself again, and a call for each would be paid for.
-	fleetWait  = 3000 * time.Millisecond
+	fleetWait  = 2000 * time.Millisecond
 	fleetPause = 300 * time.Millisecond
-	// fleetCheck: callers leave a router that doesn't answer by themselves.
-	fleetCheck = 4200 * time.Millisecond
+	// fleetCheck lets each router know a content that breaks servers within the three
+	// seconds after which it must not be sent any more. Callers leave a router that doesn't
+	// answer by themselves.
+	fleetCheck = 2600 * time.Millisecond
 	// patience is the time an answer may take beyond its wait, also of a store
 	// that is slow.
 	patience = 800 * time.Millisecond
