Let checks get through slow links, and end no call that would be answered

Change: the first check goes over a connection of its own, the next over an open one, and so on; nothing is closed or given up for them; they and the usual calls have the time that a link with half a second of queue needs. A failed call counts only if the store has answered none since.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -49,7 +49,7 @@
 
 func (n *Node) configFollower() *store.Follower {
 	return &store.Follower{Prefix: n.dialect.ConfigPrefix, Sink: &configSink{node: n},
-		Wait: configWait, Pause: configPause, CheckAfter: configCheck, Patience: configPatience}
+		Wait: configWait, Pause: configPause, CheckAfter: configCheck, Patience: patience}
 }
 
 func (n *Node) serversFollower() *store.Follower {
@@ -57,7 +57,7 @@
 	part := func(share float64) time.Duration { return time.Duration(share * float64(drain)) }
 	return &store.Follower{Prefix: n.dialect.ServersPrefix, Sink: n.registry,
 		Wait: part(serversWaitPart), Pause: part(serversPausePart), CheckAfter: part(serversCheckPart),
-		Patience: serversPatience, Burst: serversBurst}
+		Patience: patience, Burst: serversBurst}
 }
 
 func (n *Node) fleetFollower() *store.Follower {
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,7 +41,8 @@
 	*memstore.Store
 	mu          sync.Mutex
 	cut         bool
-	deafWatches bool // watches are not answered: their connections fell silent
+	deafWatches bool          // watches are not answered: their connections fell silent
+	trip        time.Duration // of a call there and back; 0: roundTrip
 	asked       int
 }
 
@@ -52,7 +55,7 @@
 // send waits for the round trip, or for ever if there is no path at its start.
 func (s *linkedStore) send(ctx context.Context, watch bool) error {
 	s.mu.Lock()
-	s.asked++
+	trip := max(s.trip, roundTrip)
 	lost := s.cut || watch && s.deafWatches
 	s.mu.Unlock()
 	if lost {
@@ -62,27 +65,55 @@
 	select {
 	case <-ctx.Done():
 		return store.ErrOutcomeUnknown
-	case <-time.After(roundTrip):
+	case <-time.After(trip / 2):
 		return nil
 	}
 }
 
 func (s *linkedStore) Read(ctx context.Context, prefix string) (store.Snapshot, error) {
+	s.set(func() { s.asked++ })
 	if err := s.send(ctx, false); err != nil {
 		return store.Snapshot{}, err
 	}
-	return s.Store.Read(ctx, prefix)
+	snapshot, err := s.Store.Read(ctx, prefix)
+	if err != nil {
+		return snapshot, err
+	}
+	return snapshot, s.comeBack(ctx)
 }
 
 func (s *linkedStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
+	for range 2 { // there and back, until the connection comes about
+		if err := s.send(ctx, false); err != nil {
+			return store.Snapshot{}, err
+		}
+	}
 	return s.Read(ctx, prefix)
 }
 
+// comeBack is the way of an answer.
+func (s *linkedStore) comeBack(ctx context.Context) error {
+	s.mu.Lock()
+	trip := max(s.trip, roundTrip)
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return store.ErrOutcomeUnknown
+	case <-time.After(trip / 2):
+		return nil
+	}
+}
+
 func (s *linkedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	s.set(func() { s.asked++ })
 	if err := s.send(ctx, true); err != nil {
 		return store.Changes{}, err
 	}
-	return s.Store.Watch(ctx, prefix, after, wait)
+	changes, err := s.Store.Watch(ctx, prefix, after, wait)
+	if err != nil {
+		return changes, err
+	}
+	return changes, s.comeBack(ctx)
 }
 
 // noOthers is the relay of a router that follows the store itself.
@@ -125,17 +156,36 @@
 	return store.ErrNoFeed
 }
 
+// lines keeps a log.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(line)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
 // followedWorld is one router that follows a store with two servers and a configuration.
 type followedWorld struct {
 	*qt.C
 	store *linkedStore
 	node  *Node
+	lines *lines
 }
 
 // withFollower runs a test beside a router's followers.
 func withFollower(t *testing.T, others store.Relay, test func(w *followedWorld)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &followedWorld{C: qt.New(t), store: &linkedStore{Store: memstore.New(nil)}}
+		w := &followedWorld{C: qt.New(t), store: &linkedStore{Store: memstore.New(nil)}, lines: &lines{}}
 		w.store.Put("config/x", []byte("1"))
 		w.putServer("a", false)
 		w.putServer("b", false)
@@ -143,7 +193,7 @@
 			Store: w.store, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
 			ConfigPrefix: "config/", IsConfig: func(store.Item) bool { return true }, DecodeConfig: testConfig,
 			ServersPrefix: "servers/", DecodeServer: decodeTestServer,
-		}, event.Discard(), "p1")
+		}, event.New(w.lines, "p1", slog.LevelInfo, nil), "p1")
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks conc.WaitGroup
 		for _, f := range w.node.followers(others) {
@@ -231,6 +281,27 @@
 	}
 }
 
+// The link of a router is so full that a packet waits for 0.45 s each way. A call takes 0.9 s
+// and a new connection as much again, so what is known gets old in health, and checks run
+// beside calls that would be answered. They must not end those, nor be taken for a store that
+// is away: all calls then start anew, none is answered, and changes stay unknown for seconds.
+func TestChangesAreKnownOverASlowLink(t *testing.T) {
+	forEachPhase(t, func(t *testing.T, phase time.Duration) {
+		withFollower(t, noOthers{}, func(w *followedWorld) {
+			w.store.set(func() { w.store.trip = 900 * time.Millisecond })
+			time.Sleep(5*time.Second + phase)
+			w.putServer("a", true)
+			w.store.Put("config/x", []byte("2"))
+			time.Sleep(min(drain, applied))
+			w.Assert(w.used("a"), qt.IsFalse)
+			w.Assert(w.node.policy.Load().Version, qt.Equals, int64(2))
+			time.Sleep(10 * time.Second)
+			unreachable := fmt.Sprintf(`"event":%d,`, event.StoreUnreachable)
+			w.Assert(w.lines.text(), qt.Not(qt.Contains), unreachable)
+		})
+	})
+}
+
 // calls is how many reads and watches the router has made.
 func (s *linkedStore) calls() int {
 	s.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,16 +51,11 @@
 	// configCheck leaves 0.4 s of the two seconds within which a version must be in force
 	// for a router that follows another, its second check and slow links.
 	configCheck = 1400 * time.Millisecond
-	// configPatience is far above the few milliseconds of an answer that a slow store or
-	// link makes longer. Calls that hang longer put nothing off.
-	configPatience = 600 * time.Millisecond
-
 	// Of the time that a leaving server still serves, the entries of the servers are
 	// confirmed each half (watch) and tenth (pause), and checked after seven tenths.
 	serversWaitPart  = 0.5
 	serversPausePart = 0.1
 	serversCheckPart = 0.7
-	serversPatience  = 500 * time.Millisecond
 	// drainLeast bounds the calls where servers serve for a shorter time, or none.
 	drainLeast = 500 * time.Millisecond
 	// serversBurst lets a few servers that leave one after the other be known at once.
@@ -75,9 +70,10 @@
 	// seconds after which it must not be sent any more. Callers leave a router that doesn't
 	// answer by themselves.
 	fleetCheck = 2600 * time.Millisecond
-	// patience is the time an answer may take beyond its wait, also of a store
-	// that is slow.
-	patience = 800 * time.Millisecond
+	// patience is the time an answer may take beyond its wait: over a link whose queue holds
+	// packets for half a second each way, and of a store that is slow. A call that hangs for
+	// longer puts nothing off, since the checks run beside it.
+	patience = 1200 * time.Millisecond
 	// relayWait is how long a router that follows the store for others holds an answer
 	// back while it hears nothing; see relay.wait.
 	relayWait = 500 * time.Millisecond
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -15,10 +15,8 @@
 
 // usualCall is the one call that is always under way or due: a watch, or a read.
 type usualCall struct {
-	next   time.Time // its earliest start
-	busy   bool
-	serial int // of the call under way
-	stop   context.CancelFunc
+	next time.Time // its earliest start
+	busy bool
 	// toStore: other routers could not tell, so the store is asked once.
 	toStore bool
 	credit  float64 // watches that may follow by Pause alone
@@ -28,18 +26,20 @@
 // checks are the reads beside the usual call.
 type checks struct {
 	next   time.Time
-	serial int                  // of those that count
+	serial int                  // of the time in which what is known is old; others' answers don't count
 	stops  []context.CancelFunc // of those that may be under way, oldest first
-	told   bool                 // Checked was told of this time
+	made   int                  // in this time
 }
 
 // Constants of the checks.
 const (
-	// checkPatience lets also a store that takes a second answer a check.
-	checkPatience = 1200 * time.Millisecond
+	// checkPatience lets a check be answered over a link whose queue holds packets for half
+	// a second: a new connection and a call take four of those times. With less, no check
+	// ever got through on such a link, and a configuration stayed unknown for five seconds.
+	checkPatience = 2400 * time.Millisecond
 	// checksMost bounds the checks under way: as many as start within checkPatience at
 	// the spacing of a Gate. The oldest is given up for a new one.
-	checksMost = 4
+	checksMost = 6
 	// checkLead is how much later than the router that reads for it a router checks: that
 	// one's own check gets there first, and one call serves all.
 	checkLead = 150 * time.Millisecond
@@ -72,8 +72,9 @@
 // answer is how a call ended: with a snapshot, changes or an error.
 type answer struct {
 	kind     callKind
-	serial   int
+	serial   int // of checks
 	started  time.Time
+	after    Revision // what was known then
 	snapshot *Snapshot
 	changes  *Changes
 	err      error
@@ -93,16 +94,14 @@
 		return
 	}
 	f.usual.busy, f.usual.started = true, now
-	f.usual.serial++
-	f.usual.stop = f.call(ctx, calls, answer{kind: kind, serial: f.usual.serial, started: now}, f.usualAsk(kind, now))
+	f.call(ctx, calls, answer{kind: kind, started: now, after: f.at}, f.usualAsk(kind, now))
 }
 
 func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
 	if !f.late(now) || now.Before(f.checks.next) {
 		return
 	}
-	first := !f.checks.told
-	f.checks.told = true
+	first := f.checks.made == 0
 	if first && f.Checked != nil {
 		f.Checked(now.Sub(f.asOf), f.relaying, f.failing)
 	}
@@ -113,17 +112,29 @@
 		return
 	}
 	f.checks.next = now.Add(gateFirst)
+	f.checks.made++
 	if len(f.checks.stops) == checksMost {
 		f.checks.stops[0]()
 		f.checks.stops = f.checks.stops[1:]
 	}
-	stop := f.call(ctx, calls, answer{kind: checkStore, serial: f.checks.serial, started: now}, func(ctx context.Context) (*Snapshot, *Changes, error) {
+	a := answer{kind: checkStore, serial: f.checks.serial, started: now, after: f.at}
+	f.checks.stops = append(f.checks.stops, f.call(ctx, calls, a, f.checkAsk()))
+}
+
+// checkAsk is the next check. The first goes over a new connection, since the open ones may
+// have fallen silent; the next over an open one, since a new one takes twice as long on a
+// slow link; and so on in turn.
+func (f *Follower) checkAsk() ask {
+	read := f.Store.ReadAnew
+	if f.checks.made%2 == 0 {
+		read = f.Store.Read
+	}
+	return func(ctx context.Context) (*Snapshot, *Changes, error) {
 		ctx, cancel := context.WithTimeout(ctx, checkPatience)
 		defer cancel()
-		snapshot, err := f.Store.ReadAnew(ctx, f.Prefix)
+		snapshot, err := read(ctx, f.Prefix)
 		return &snapshot, nil, err
-	})
-	f.checks.stops = append(f.checks.stops, stop)
+	}
 }
 
 // ask makes one call.
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -84,8 +84,10 @@
 	lastOK time.Time // of the last answer, from wherever
 	// reached is whether the last call to the store was answered, as the sink was told.
 	reached, started bool
-	// failing: the last call to the store got no answer.
+	// failing: the last call to the store got no answer. storeOK is the start of the last
+	// one that got one.
 	failing bool
+	storeOK time.Time
 	// relaying: this router follows others.
 	relaying bool
 	sourced  bool // an answer came
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -8,11 +8,10 @@
 
 // take takes the end of a call.
 func (f *Follower) take(a answer) {
-	if f.givenUp(a) {
-		return
-	}
 	if a.kind != checkStore {
 		f.usual.busy = false
+	} else if a.serial != f.checks.serial {
+		return // another answer came first
 	}
 	now := f.now()
 	switch {
@@ -25,15 +24,6 @@
 	}
 }
 
-// givenUp says whether a call was ended because another one was answered: that it broke
-// tells nothing.
-func (f *Follower) givenUp(a answer) bool {
-	if a.kind == checkStore {
-		return a.serial != f.checks.serial
-	}
-	return a.serial != f.usual.serial || !f.usual.busy
-}
-
 // othersFailed turns to the store, or waits for its checks if they have begun.
 func (f *Follower) othersFailed(err error, now time.Time) {
 	f.usual.next = now
@@ -50,6 +40,10 @@
 
 // storeFailed judges a call that the store did not answer, or not with what was asked.
 func (f *Follower) storeFailed(a answer, now time.Time) {
+	if a.kind == askStore && f.storeOK.After(a.started) {
+		f.usual.next = now // only its connection was silent: the store has answered a later call
+		return
+	}
 	// A store that drops its history may leave watches silent for a while, also new ones,
 	// although there were changes: a router then serves by an old configuration for
 	// seconds. A read sees what is there at once.
@@ -79,7 +73,7 @@
 	if relayed {
 		f.Feed.hear(a.snapshot, a.changes)
 	} else {
-		f.failing = false
+		f.failing, f.storeOK = false, a.started
 		f.Gate.Answered(a.started)
 		f.Feed.learn(a.snapshot, a.changes, silence, asOf, f.freshFor())
 	}
@@ -88,7 +82,8 @@
 		f.asOf = asOf
 	}
 	if !f.late(now) {
-		f.stopChecks()
+		f.checks.made = 0
+		f.checks.serial++
 	}
 	f.contact()
 	f.planNext(a.kind, now)
@@ -139,10 +134,25 @@
 		}
 		return
 	}
-	f.Sink.Apply(a.changes.Events, silence)
+	f.Sink.Apply(f.unknown(a), silence)
 	f.at = max(f.at, a.changes.At)
 }
 
+// unknown are the changes of a watch that no check has overtaken. Old ones must not be
+// applied to what is known since: a server that left and came back would leave again.
+func (f *Follower) unknown(a answer) []Event {
+	if f.at == a.after {
+		return a.changes.Events
+	}
+	var events []Event
+	for _, e := range a.changes.Events {
+		if e.Revision > f.at {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
 func (f *Follower) contact() {
 	if !f.reached {
 		f.reached, f.started = true, true
@@ -153,10 +163,10 @@
 // planNext sets when the next usual call starts, after an answer.
 func (f *Follower) planNext(kind callKind, now time.Time) {
 	if kind == checkStore {
-		f.giveUpUsual()
-	} else {
-		f.note(kind == askOthers)
+		f.usual.next = f.afterPause(now) // of the next one, if none is under way
+		return
 	}
+	f.note(kind == askOthers)
 	f.usual.toStore = false
 	if kind == askOthers {
 		f.usual.next = now.Add(relayPause)
@@ -181,24 +191,6 @@
 	return f.usual.started.Add(cycle)
 }
 
-// giveUpUsual ends a usual call that a check has overtaken: it is hanging, and what it
-// waits for is known.
-func (f *Follower) giveUpUsual() {
-	if f.usual.busy {
-		f.usual.stop()
-		f.usual.busy = false
-	}
-}
-
-// stopChecks ends the checks that are still under way when what is known is not old any more.
-func (f *Follower) stopChecks() {
-	for _, stop := range f.checks.stops {
-		stop()
-	}
-	f.checks.stops, f.checks.told = nil, false
-	f.checks.serial++
-}
-
 // note tells of the source of a usual answer if it is another one than before.
 func (f *Follower) note(relayed bool) {
 	if f.SourceChanged != nil && (!f.sourced || f.relayed != relayed) {
