Take nothing back that a call overtook

Cause: found by reading. A check and the usual call may be answered in either order; a check that was overtaken by a watch told the feed that what the watch had just added was gone, and the router's followers with it.

Change: what is known since a call started is left out of its answer before anything else takes it.

--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -68,6 +68,7 @@
 // learn takes what an answer told.
 func (f *Follower) learn(a answer, now time.Time) {
 	relayed := a.kind == askOthers
+	a = f.withoutKnown(a)
 	silence := f.answered(a, now)
 	asOf := a.started.Add(-a.lag())
 	if relayed {
@@ -125,32 +126,37 @@
 	return silence
 }
 
-// apply passes an answer on, unless what is known is newer: a check may have overtaken it.
-func (f *Follower) apply(a answer, silence Silence) {
-	if a.snapshot != nil {
-		if a.snapshot.At >= f.at {
-			f.Sink.Reset(a.snapshot.Items, silence)
-			f.at, f.synced = a.snapshot.At, true
+// withoutKnown leaves out what another call has overtaken: a check and the usual call may
+// be answered in either order. What is known since must not be taken back, neither here nor
+// at those who follow this router: a server that is new in it would be taken for gone.
+func (f *Follower) withoutKnown(a answer) answer {
+	switch {
+	case f.at == a.after:
+	case a.snapshot != nil && a.snapshot.At < f.at:
+		a.changes = &Changes{At: a.snapshot.At, Lag: a.snapshot.Lag}
+		a.snapshot = nil
+	case a.changes != nil:
+		changes := *a.changes
+		changes.Events = nil
+		for _, e := range a.changes.Events {
+			if e.Revision > f.at {
+				changes.Events = append(changes.Events, e)
+			}
 		}
-		return
+		a.changes = &changes
 	}
-	f.Sink.Apply(f.unknown(a), silence)
-	f.at = max(f.at, a.changes.At)
+	return a
 }
 
-// unknown are the changes of a watch that no check has overtaken. Old ones must not be
-// applied to what is known since: a server that left and came back would leave again.
-func (f *Follower) unknown(a answer) []Event {
-	if f.at == a.after {
-		return a.changes.Events
-	}
-	var events []Event
-	for _, e := range a.changes.Events {
-		if e.Revision > f.at {
-			events = append(events, e)
-		}
+// apply passes an answer on.
+func (f *Follower) apply(a answer, silence Silence) {
+	if a.snapshot != nil {
+		f.Sink.Reset(a.snapshot.Items, silence)
+		f.at, f.synced = a.snapshot.At, true
+		return
 	}
-	return events
+	f.Sink.Apply(a.changes.Events, silence)
+	f.at = max(f.at, a.changes.At)
 }
 
 func (f *Follower) contact() {
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -78,3 +78,46 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(changes.Events, qt.HasLen, 2)
 }
+
+// A check reads everything, and a server enters itself right after; the usual call tells of
+// it first, and then the check is answered. The new server must not be taken for gone, here
+// or at the routers that follow this one.
+func TestOvertakenCheckTakesNothingBack(t *testing.T) {
+	c := qt.New(t)
+	sink := &keys{}
+	f := &Follower{Feed: &Feed{}, Sink: sink, Wait: time.Hour, Patience: time.Hour}
+	f.begin()
+	now := f.now()
+	f.take(answer{kind: askStore, started: now, snapshot: &Snapshot{Items: []Item{item("a", 2)}, At: 5}})
+	check := answer{kind: checkStore, started: now, after: f.at, snapshot: &Snapshot{Items: []Item{item("a", 2)}, At: 5}}
+	f.take(answer{kind: askStore, started: now, after: f.at, changes: &Changes{At: 8, Events: []Event{{Item: item("b", 7)}}}})
+	check.serial = f.checks.serial
+	f.take(check)
+	c.Assert(sink.known, qt.DeepEquals, map[string]bool{"a": true, "b": true})
+	snapshot, err := f.Feed.Read(0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(snapshot.Items, qt.HasLen, 2)
+	c.Assert(f.at, qt.Equals, Revision(8))
+}
+
+// keys is a sink that keeps the keys that are present.
+type keys struct{ known map[string]bool }
+
+func (k *keys) Reset(items []Item, _ Silence) {
+	k.known = map[string]bool{}
+	for _, i := range items {
+		k.known[i.Key] = true
+	}
+}
+
+func (k *keys) Apply(events []Event, _ Silence) {
+	for _, e := range events {
+		if e.Deleted {
+			delete(k.known, e.Key)
+		} else {
+			k.known[e.Key] = true
+		}
+	}
+}
+
+func (k *keys) Contact(bool, error) {}
