--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -43,6 +43,7 @@
 	cut         bool
 	deafWatches bool          // watches are not answered: their connections fell silent
 	trip        time.Duration // of a call there and back; 0: roundTrip
+	fullLink    bool          // what a read answers is too long to get through in time
 	asked       int
 }
 
@@ -56,7 +57,7 @@
 func (s *linkedStore) send(ctx context.Context, watch bool) error {
 	s.mu.Lock()
 	trip := max(s.trip, roundTrip)
-	lost := s.cut || watch && s.deafWatches
+	lost := s.cut || watch && s.deafWatches || !watch && s.fullLink
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -302,6 +303,21 @@
 	})
 }
 
+// A router is turned away by the store, and its link is full of callers when the store takes
+// it again: reads, of some 50 KB, don't get through in their time, the few bytes of a watch
+// do. A server leaves. The router must not stay with what it knew until a read gets through.
+func TestChangesAreKnownWhereOnlyShortAnswersGetThrough(t *testing.T) {
+	withFollower(t, noOthers{}, func(w *followedWorld) {
+		w.store.SetDown(true)
+		time.Sleep(8 * time.Second)
+		w.store.set(func() { w.store.fullLink = true })
+		w.store.SetDown(false)
+		w.putServer("a", true)
+		time.Sleep(settled)
+		w.Assert(w.used("a"), qt.IsFalse)
+	})
+}
+
 // calls is how many reads and watches the router has made.
 func (s *linkedStore) calls() int {
 	s.mu.Lock()
