Tell how a dead router's grant was judged, and hold ceilings closer

Cause: after a loss of power of all routers three accounts had 4 to 7% of their budgets counted as used by the dead, and nothing told by what rule. Change: event 310 tells each closed grant with granted, last known use, what counts, the ceiling, the age and the rule. A call to the store that ran out no longer counts as a slow write, which held ceilings up by a second of use after an outage; a home's first ceiling is a part of what is left, not of all.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -19,7 +19,9 @@
 	records []Record
 	// pendingAt is what each grant had before this transaction.
 	pendingAt []int64
-	ledger    Ledger
+	// ends are of this VM's dead incarnations that the transaction closes.
+	ends   []end
+	ledger Ledger
 	contact   bool // the contact key is written
 	txn       store.Txn
 }
@@ -128,7 +130,7 @@
 func (k *Keeper) add(d *draw, p *grant, granted int64) {
 	p.seq++
 	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
-	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(p.account))
+	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(d, p))
 	p.granted = min(p.granted, granted)
 	d.pendingAt = append(d.pendingAt, p.pendingAt)
 	p.pendingAt = p.revision
@@ -148,10 +150,30 @@
 	return k.o.Prefix + AccountKeys + p.account
 }
 
-// mostSpent judges this VM's dead incarnations by the ledger that the last left.
-func (k *Keeper) mostSpent(account string) MostSpent {
-	return func(incarnation string, granted int64) int64 {
-		return k.predecessor.MostSpent(account, incarnation, k.o.Address, granted, k.born, k.leasedIncarnation == incarnation)
+// end is how one account's grant of a dead incarnation was closed.
+type end struct {
+	account, incarnation string
+	figure               Figure
+	judged               Judgement
+}
+
+// mostSpent judges this VM's dead incarnations by the ledger that the last left, and notes
+// in the draw what came of it.
+func (k *Keeper) mostSpent(d *draw, p *grant) MostSpent {
+	return func(incarnation string, figure Figure) int64 {
+		judged := k.predecessor.Judge(p.account, incarnation, k.o.Address, figure.Granted, k.born, k.leasedIncarnation == incarnation)
+		d.ends = append(d.ends, end{p.account, incarnation, figure, judged})
+		return judged.Most
+	}
+}
+
+// logEnds tells what became of the grants of dead incarnations, once that is stored.
+func (k *Keeper) logEnds(d draw) {
+	for _, e := range d.ends {
+		k.o.Log.Emit(event.GrantClosed, slog.String(event.KeyBudget, e.account), slog.String("holder", e.incarnation),
+			slog.Int64("granted", e.figure.Granted), slog.Int64("spent", e.figure.Spent), slog.Int64("judged", e.judged.Most),
+			slog.Int64("ceiling", e.judged.Ceiling), slog.Int64("age_ms", e.judged.Age.Milliseconds()),
+			slog.String("by", string(e.judged.By)))
 	}
 }
 
@@ -164,7 +186,9 @@
 	k.contact(err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.noteRoundTrip(k.o.Clock().Steady - sent)
+	if err == nil || errors.Is(err, store.ErrConflict) {
+		k.noteRoundTrip(k.o.Clock().Steady - sent)
+	}
 	switch {
 	case err == nil:
 		k.landed(d, result)
@@ -189,8 +213,10 @@
 	return err == nil
 }
 
-// noteRoundTrip follows how long a write takes. A store may be slow for seconds: ceilings
-// are then higher by what is used during a write, and reservations wait for it.
+// noteRoundTrip follows how long a write takes that is answered. A store may be slow for
+// seconds: ceilings are then higher by what is used during a write, and reservations wait
+// for it. A call that ran out tells nothing of that: counted, it held ceilings up by a second
+// of use after each outage, and that was lost where all routers died then.
 func (k *Keeper) noteRoundTrip(took time.Duration) {
 	const fall = 0.8 // a write's part in what is remembered after it
 	k.roundTrip = max(took, time.Duration(fall*float64(k.roundTrip)))
@@ -199,6 +225,7 @@
 func (k *Keeper) landed(d draw, result store.Result) {
 	k.ledgerRevision = int64(result.Revision)
 	k.contactPut = k.contactPut || d.contact
+	k.logEnds(d)
 	for account, allowed := range d.ledger.Allowances {
 		k.grant(account).allowed = allowed
 	}
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -32,7 +32,8 @@
 	topUpBelow = 0.95
 	// firstShare is the part of a budget that its home holds before use is seen.
 	firstShare = 0.6
-	// firstCeiling is the part of it that the ceiling lets it use.
+	// firstCeiling is the part of what is left that the ceiling lets it use. Where homes die
+	// and move, each new one states it: of the whole budget that was lost each time.
 	firstCeiling = 0.01
 	// outageRateAbove is the rate of use out of contact, in usual rates; outageRateLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large. Use comes in
@@ -155,7 +156,7 @@
 func (p *grant) plan(prepaid int64, home bool, topUp float64) (granted int64, due bool) {
 	free := p.free(prepaid)
 	left := p.granted - p.used()
-	ahead := p.ahead(Horizon, firstShare, prepaid, home)
+	ahead := p.ahead(Horizon, int64(firstShare*float64(prepaid)), home)
 	fair := int64(endShare * float64(free+max(0, left)))
 	ahead = max(min(ahead, fair), p.waiting)
 	switch {
@@ -178,7 +179,7 @@
 // what is left below the present one is short.
 // roundTrip is what a write takes: the next ceiling counts only after it.
 func (p *grant) raised(granted, prepaid int64, home bool, roundTrip time.Duration) (ceiling int64, short bool) {
-	ahead := max(p.ahead(p.aheadTime(prepaid)+slowWrites*roundTrip, firstCeiling, prepaid, home), p.waiting)
+	ahead := max(p.ahead(p.aheadTime(prepaid)+slowWrites*roundTrip, int64(firstCeiling*float64(p.left(prepaid))), home), p.waiting)
 	left := min(p.granted, p.allowed.Ceiling) - p.used()
 	ceiling = max(0, min(granted, p.used()+ahead))
 	short = ceiling > p.allowed.Ceiling && (left < p.waiting || float64(left) < refillBelow*float64(ahead))
@@ -194,11 +195,11 @@
 	return min(max(aheadLeast, time.Duration(min(share, aheadMost.Seconds())*float64(time.Second))), aheadMost)
 }
 
-// ahead is what should be left for a time of use. At first, before use is seen, a
-// home holds a part of the budget.
-func (p *grant) ahead(time time.Duration, share float64, prepaid int64, home bool) int64 {
+// ahead is what should be left for a time of use. A home holds at least so many tokens,
+// also before use is seen.
+func (p *grant) ahead(time time.Duration, least int64, home bool) int64 {
 	if !home {
 		return 0
 	}
-	return int64(max(p.rate*time.Seconds(), share*float64(prepaid)))
+	return max(int64(p.rate*time.Seconds()), least)
 }
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -303,7 +303,7 @@
 	for account, prepaid := range budgets {
 		p := k.grant(account)
 		left := p.granted - p.used()
-		wanted := max(p.waiting, int64(refillBelow*float64(p.ahead(Horizon, firstShare, prepaid, k.o.Home(account) == ""))))
+		wanted := max(p.waiting, int64(refillBelow*float64(p.ahead(Horizon, int64(firstShare*float64(prepaid)), k.o.Home(account) == ""))))
 		if left < wanted && p.free(prepaid) < wanted-left {
 			return true
 		}
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -155,10 +155,10 @@
 	f.Add(Ledger{Format: recordFormat, Incarnation: "p"}.Encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if record, err := DecodeRecord(data); err == nil {
-			_ = record.With("vm", "new", Figure{}, func(_ string, granted int64) int64 { return granted }).Encode()
+			_ = record.With("vm", "new", Figure{}, func(_ string, f Figure) int64 { return f.Granted }).Encode()
 		}
 		if ledger, err := DecodeLedger(data); err == nil {
-			_ = ledger.MostSpent("a", "p", "vm", 10, ClockReading{}, true)
+			_ = ledger.Judge("a", "p", "vm", 10, ClockReading{}, true)
 		}
 	})
 }
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -83,21 +83,37 @@
 	Wall   time.Time     `json:"wall"`
 }
 
-// ageAt is the longest time that can have passed between the reading and now; ok is
-// false if nothing can be said. leaseAlive says that the lease bound to it still runs.
-func (s ClockReading) ageAt(now ClockReading, leaseAlive bool) (age time.Duration, ok bool) {
+// JudgedBy is what a dead router's spending was bounded by.
+type JudgedBy string
+
+// Bounds of a dead router's spending, the tightest first.
+const (
+	// BySteadyClock: its ledger, whose age the VM's steady clock tells.
+	BySteadyClock JudgedBy = "steady_clock"
+	// ByContactLease: its ledger, whose age the time of day tells; the store confirms it.
+	ByContactLease JudgedBy = "contact_lease"
+	// ByTimeOfDay: the same, with nothing that confirms it.
+	ByTimeOfDay JudgedBy = "time_of_day"
+	// ByGrant: no ledger of it, or no clock to judge that by. All counts as spent.
+	ByGrant JudgedBy = "grant"
+)
+
+// ageAt is the longest time that can have passed between the reading and now, and what
+// tells it; ByGrant if nothing can be said. leaseAlive says that the lease bound to it
+// still runs.
+func (s ClockReading) ageAt(now ClockReading, leaseAlive bool) (age time.Duration, by JudgedBy) {
 	age = now.Steady - s.Steady
 	if s.Boot == now.Boot && age >= 0 && age < readingOldest {
-		return age, true
+		return age, BySteadyClock
 	}
 	age = now.Wall.Sub(s.Wall)
 	switch {
 	case leaseAlive && age >= 0 && age <= contactLease:
-		return age + clockDrift, true
+		return age + clockDrift, ByContactLease
 	case age < -clockMargin:
-		return 0, false
+		return 0, ByGrant
 	}
-	return age + clockMargin, true
+	return age + clockMargin, ByTimeOfDay
 }
 
 // Ledger is what one router says of its own spending.
@@ -133,16 +149,31 @@
 	return data
 }
 
-// MostSpent is the most that a dead incarnation of a VM can have spent of a grant,
-// as its successor at the same address may conclude from the ledger. leaseAlive says
-// that the incarnation's contact lease has not run out.
-func (l Ledger) MostSpent(account, incarnation, address string, granted int64, now ClockReading, leaseAlive bool) int64 {
+// Judgement is how much of a dead incarnation's grant counts as spent, and why. The rest is
+// free again.
+type Judgement struct {
+	// Most is the tokens that it can have spent at most.
+	Most int64
+	By   JudgedBy
+	// Ceiling is the part of Most that it could use in contact; what is above is for the
+	// time that it may have been out of contact.
+	Ceiling int64
+	// Age is the longest time that it can have been out of contact.
+	Age time.Duration
+}
+
+// Judge says what a dead incarnation of a VM can have spent of a grant at most, as its
+// successor at the same address may conclude from the ledger. leaseAlive says that the
+// incarnation's contact lease has not run out.
+func (l Ledger) Judge(account, incarnation, address string, granted int64, now ClockReading, leaseAlive bool) Judgement {
+	all := Judgement{Most: granted, By: ByGrant, Ceiling: granted}
 	if l.Incarnation != incarnation || l.Address != address {
-		return granted
+		return all
 	}
-	age, ok := l.Contact.ageAt(now, leaseAlive)
-	if !ok {
-		return granted
+	age, by := l.Contact.ageAt(now, leaseAlive)
+	if by == ByGrant {
+		return all
 	}
-	return min(granted, l.Allowances[account].at(age))
+	allowed := l.Allowances[account]
+	return Judgement{Most: min(granted, allowed.at(age)), By: by, Ceiling: min(granted, allowed.Ceiling), Age: age}
 }
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -36,8 +36,8 @@
 		{name: "time of day moved back too far", now: readingAt("boot-2", 0, -time.Minute), unknown: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			age, ok := last.ageAt(test.now, test.leaseAlive)
-			qt.Assert(t, ok, qt.Equals, !test.unknown)
+			age, by := last.ageAt(test.now, test.leaseAlive)
+			qt.Assert(t, by == ByGrant, qt.Equals, test.unknown)
 			qt.Assert(t, age, qt.Equals, test.age)
 		})
 	}
@@ -66,10 +66,10 @@
 		{"no clock to go by", ledger, "old", "vm", readingAt("other", 0, -time.Hour), 1000},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			qt.Assert(t, test.ledger.MostSpent("boatyard", test.incarnation, test.address, 1000, test.now, false), qt.Equals, test.want)
+			qt.Assert(t, test.ledger.Judge("boatyard", test.incarnation, test.address, 1000, test.now, false).Most, qt.Equals, test.want)
 		})
 	}
-	qt.Assert(t, ledger.MostSpent("boatyard", "old", "vm", 200, at(0), false), qt.Equals, int64(200), qt.Commentf("a grant below its ceiling"))
+	qt.Assert(t, ledger.Judge("boatyard", "old", "vm", 200, at(0), false).Most, qt.Equals, int64(200), qt.Commentf("a grant below its ceiling"))
 }
 
 // All routers die six seconds into an outage, having used their usual rate all the while,
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -118,7 +118,7 @@
 }
 
 // MostSpent is the most that a dead incarnation can have spent of its grant.
-type MostSpent func(incarnation string, granted int64) int64
+type MostSpent func(incarnation string, figure Figure) int64
 
 // With returns a copy in which an incarnation has the given figure. Earlier
 // incarnations of the same VM are closed: their processes are gone.
@@ -149,7 +149,7 @@
 	}
 	for incarnation, f := range r.Holders[vm] {
 		if incarnation != present {
-			next.Closed += mostSpent(incarnation, f.Granted)
+			next.Closed += mostSpent(incarnation, f)
 			next.ClosedSpent += f.Spent
 		}
 	}
--- a/internal/escrow/stop.go
+++ b/internal/escrow/stop.go
@@ -50,7 +50,7 @@
 		p.granted = min(p.granted, used)
 		d.pendingAt = append(d.pendingAt, p.pendingAt)
 		d.grants = append(d.grants, p)
-		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(p.account)))
+		d.put(k.accountKey(p), p.revision, p.record.Without(k.o.VM, k.o.Incarnation, used, k.mostSpent(&d, p)))
 	}
 	return d, len(d.grants) > 0
 }
@@ -74,6 +74,7 @@
 	if err != nil {
 		return errors.Wrap(err, "return of grants")
 	}
+	k.logEnds(d)
 	for i, p := range d.grants {
 		p.record, p.revision = d.records[i], int64(result.Revision)
 		k.o.Log.Emit(event.GrantsReturned, slog.String(event.KeyBudget, p.account), slog.Int64("spent", p.spent))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,8 @@
 	TokensBorrowed   Number = 307
 	TokensHandedOver Number = 308
 	LoanShort        Number = 309
+	// GrantClosed: what a dead router can have spent of a grant is settled; the rest is free.
+	GrantClosed Number = 310
 )
 
 // Events of the configuration.
@@ -102,6 +104,7 @@
 	{TokensBorrowed, slog.LevelInfo, "tokens borrowed from other routers"},
 	{TokensHandedOver, slog.LevelInfo, "tokens handed over to another router"},
 	{LoanShort, slog.LevelDebug, "loan smaller than asked for"},
+	{GrantClosed, slog.LevelInfo, "grant of a dead router closed"},
 	{ConfigInForce, slog.LevelInfo, "configuration in force"},
 	{ConfigRejected, slog.LevelWarn, "configuration change rejected"},
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded"},
