--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -304,7 +304,9 @@
 		p := k.grant(account)
 		left := p.granted - p.used()
 		wanted := max(p.waiting, int64(refillBelow*float64(p.ahead(Horizon, int64(firstShare*float64(prepaid)), k.o.Home(account) == ""))))
-		if left < wanted && p.free(prepaid) < wanted-left {
+		// A router that wants nothing is never short, also where it has used a little more
+		// than it got: all of a fleet read all records each 1.5 s for that.
+		if wanted > 0 && left < wanted && p.free(prepaid) < wanted-left {
 			return true
 		}
 	}
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -139,6 +139,24 @@
 	c.Assert(k.grant("boatyard").granted > 0, qt.IsTrue)
 }
 
+// An answer was longer than what was reserved for it, so its router has used some tokens
+// more than it got. It holds nothing for others and nobody waits there, so it has no use for
+// the records: else each router of a large fleet reads all of them for as long as it runs.
+func TestRouterThatNeedsNoTokensDoesNotReadAgain(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.home = "elsewhere"
+	b.store.Put("budget/account/boatyard", newRecord().With("other-vm", "p0", Figure{Seq: 1, Granted: 1_000_000}, nil).Encode())
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	p := k.grant("boatyard")
+	p.spent = 5
+	b.steady += readEvery
+	c.Assert(k.scarce(), qt.IsFalse)
+	p.waiting = 1
+	c.Assert(k.scarce(), qt.IsTrue)
+}
+
 // A planned stop returns all that was not spent.
 func TestStopReturnsTheRest(t *testing.T) {
 	c := qt.New(t)
