Wait for a holder that is drawing, and hold the new rules by tests that fail without them

Cause: a loan that a holder was still drawing for was refused as held elsewhere: its patience of 60 ms was shorter than two rounds of the store with their pauses. Change: such a loan says so and is asked for again; patience covers two rounds.

--- a/internal/escrow/ceiling_test.go
+++ b/internal/escrow/ceiling_test.go
@@ -188,3 +188,38 @@
 	c.Assert(pauses(false), qt.DeepEquals, []time.Duration{roundPause, awayPause, awayMost, awayMost, awayMost})
 	c.Assert(pauses(true), qt.DeepEquals, []time.Duration{roundPause, awayPause, idlePause, idlePause, idlePause})
 }
+
+// A write of the ledger runs out in an outage. The store is not slow by that: right after the
+// outage the ceiling is no higher than usual, or a loss of all power then loses a second of
+// use more.
+func TestCallThatRanOutIsNoSlowWrite(t *testing.T) {
+	c := qt.New(t)
+	b, k, p := startedBench()
+	p.rate, p.weight, p.rateAt = 100_000, 1, b.steady
+	k.round(context.Background(), true)
+	usual := p.allowed.Ceiling
+	b.store.SetFate(func(store.Txn) memstore.Fate {
+		b.steady += callTimeout
+		return memstore.Lost
+	})
+	k.round(context.Background(), true)
+	b.store.SetFate(func(store.Txn) memstore.Fate { return memstore.Answered })
+	p.rateAt = b.steady // no time for the rate to fall
+	k.round(context.Background(), true)
+	c.Assert(k.isAway(), qt.IsFalse)
+	c.Assert(p.allowed.Ceiling <= usual, qt.IsTrue, qt.Commentf("%d, usually %d", p.allowed.Ceiling, usual))
+}
+
+// Homes move while a budget comes to its end, and each new one states a first ceiling before
+// it has seen any use. That is a part of what is left: of the whole budget, a few homes that
+// died would have taken what all who still come need.
+func TestFirstCeilingIsAPartOfWhatIsLeft(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(1_000_000)
+	b.store.Put("budget/account/boatyard", newRecord().With("other-vm", "p0", Figure{Seq: 1, Granted: 900_000}, nil).Encode())
+	k := b.keeper("p1", noPeers{})
+	k.round(context.Background(), true)
+	k.round(context.Background(), true)
+	ceiling := k.grant("boatyard").allowed.Ceiling
+	c.Assert(ceiling > 0 && ceiling <= int64(firstCeiling*100_000), qt.IsTrue, qt.Commentf("%d", ceiling))
+}
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -49,6 +49,8 @@
 	None Shortage = iota
 	// NotReached: it didn't answer.
 	NotReached
+	// Drawing: it waits for a draw longer than the borrower's call may take.
+	Drawing
 	// StoreAway: it has no contact with the store and could not draw.
 	StoreAway
 	// Held: all is granted, and some of it may come back.
@@ -62,7 +64,7 @@
 // err is what a reservation ends with for want of tokens.
 func (s Shortage) err() error {
 	switch s {
-	case Held:
+	case Drawing, Held:
 		return ErrContended
 	case InDoubt:
 		return ErrInDoubt
@@ -74,7 +76,7 @@
 
 // inContact says whether the router could have drawn if there were more to draw.
 func (s Shortage) inContact() bool {
-	return s == Held || s == InDoubt || s == UsedUp
+	return s == Drawing || s == Held || s == InDoubt || s == UsedUp
 }
 
 // shortageOf is what a lender tells of an error.
@@ -110,6 +112,10 @@
 	return borrower
 }
 
+// drawingMost is how often one that is drawing is asked for a request: a store that takes
+// half a second for a write is waited for, and no second router draws beside it.
+const drawingMost = 5
+
 // awayFor is how long a holder that had no contact with the store is left out.
 const awayFor = time.Second
 
@@ -119,6 +125,9 @@
 	ranked, awayHome := k.holdersToAsk(h.grant.account)
 	for _, address := range ranked {
 		short = k.borrowFrom(ctx, h, address)
+		for tries := 1; short == Drawing && tries < drawingMost && ctx.Err() == nil; tries++ {
+			short = k.borrowFrom(ctx, h, address)
+		}
 		if inContact = short.inContact(); inContact || h.missing == 0 {
 			break
 		}
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -22,19 +22,19 @@
 // counts the router's writes of records.
 type gatedStore struct {
 	store.Store
-	refuses atomic.Bool
+	refuses bool
 	writes  atomic.Int64
 }
 
 func (s *gatedStore) Read(ctx context.Context, prefix string) (store.Snapshot, error) {
-	if s.refuses.Load() {
+	if s.refuses {
 		return store.Snapshot{}, store.ErrUnavailable
 	}
 	return s.Store.Read(ctx, prefix)
 }
 
 func (s *gatedStore) Commit(ctx context.Context, txn store.Txn) (store.Result, error) {
-	if s.refuses.Load() {
+	if s.refuses {
 		return store.Result{}, store.ErrUnavailable
 	}
 	for _, put := range txn.Puts {
@@ -54,14 +54,15 @@
 	asks    atomic.Int64 // calls of routers to others that are no holders
 }
 
-// fleetOf starts so many keepers, r0 to rN, of which the first six hold the account.
-func fleetOf(ctx context.Context, tasks *conc.WaitGroup, size int, paid int64) *members {
+// fleetOf starts so many keepers, r0 to rN, of which the first six hold the account. The
+// store refuses the first refused of them.
+func fleetOf(ctx context.Context, tasks *conc.WaitGroup, size, refused int, paid int64) *members {
 	m := &members{keepers: make(map[string]*Keeper), stores: make(map[string]*gatedStore)}
 	began := time.Now()
 	shared := memstore.New(time.Now)
 	for i := range size {
 		name := fmt.Sprintf("r%d", i)
-		m.stores[name] = &gatedStore{Store: shared}
+		m.stores[name] = &gatedStore{Store: shared, refuses: i < refused}
 		k := New(Options{
 			Store: m.stores[name], Prefix: "budget/", VM: name, Address: name, Incarnation: name,
 			Budgets: func() map[string]int64 { return map[string]int64{"boatyard": paid} }, Log: event.Discard(),
@@ -125,14 +126,23 @@
 	longest time.Duration // until a refusal
 }
 
-// use sends requests of 1,000 tokens to each of the routers, five a second, for a time.
+// writesBy is how often some routers wrote the account's record.
+func (m *members) writesBy(routers []string) int64 {
+	sum := int64(0)
+	for _, name := range routers {
+		sum += m.stores[name].writes.Load()
+	}
+	return sum
+}
+
+// use sends requests of 1,000 tokens to each of the routers, ten a second, for a time.
 func (m *members) use(ctx context.Context, routers []string, long time.Duration) *outcome {
 	o := &outcome{refused: make(map[error]int)}
 	var tasks conc.WaitGroup
 	for i, name := range routers {
 		tasks.Go(func() {
 			time.Sleep(time.Duration(i) * 7 * time.Millisecond) // not all at once
-			for began := time.Now(); time.Since(began) < long; time.Sleep(200 * time.Millisecond) {
+			for began := time.Now(); time.Since(began) < long; time.Sleep(100 * time.Millisecond) {
 				o.request(ctx, m.keepers[name])
 			}
 		})
@@ -165,39 +175,35 @@
 }
 
 // play runs a fleet in virtual time.
-func play(t *testing.T, size int, paid int64, scene func(ctx context.Context, m *members)) {
+func play(t *testing.T, size, refused int, paid int64, scene func(ctx context.Context, m *members)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks conc.WaitGroup
-		m := fleetOf(ctx, &tasks, size, paid)
-		time.Sleep(2 * time.Second) // the home holds its first grant
+		m := fleetOf(ctx, &tasks, size, refused, paid)
+		time.Sleep(2 * time.Second) // who can has its first grant
 		scene(ctx, m)
 		cancel()
 		tasks.Wait()
 	})
 }
 
-// The store refuses an account's home and its first two standbys for some seconds, and
-// serves all others. All callers are served: the third standby draws for them. Before, each
-// of the routers drew for each of its requests, and all those writes raced for one record.
+// The store refuses an account's home and its first two standbys, and serves all others. All
+// callers are served: the third standby draws for them, ahead of need. Before, each of the
+// routers drew for each of its requests, and all those writes raced for one record.
 func TestStoreThatRefusesTheHomeFindsOneWriter(t *testing.T) {
 	for _, size := range []int{24, 96} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			play(t, size, 1_000_000_000, func(ctx context.Context, m *members) {
+			play(t, size, 3, 1_000_000_000, func(ctx context.Context, m *members) {
 				c := qt.New(t)
-				refused := names(0, 3)
-				for _, name := range refused {
-					m.stores[name].refuses.Store(true)
-				}
 				const long = 4 * time.Second
 				o := m.use(ctx, names(HoldersMost, size), long)
 				c.Assert(o.refused, qt.HasLen, 0)
-				c.Assert(o.served > (size-HoldersMost)*15, qt.IsTrue, qt.Commentf("%d served", o.served))
-				writes := int64(0)
-				for _, name := range names(0, size) {
-					writes += m.stores[name].writes.Load()
-				}
-				c.Assert(writes <= 30, qt.IsTrue, qt.Commentf("%d writes of one record by %d routers in %v", writes, size, long))
+				c.Assert(o.served > (size-HoldersMost)*30, qt.IsTrue, qt.Commentf("%d served", o.served))
+				c.Assert(m.writesBy(names(4, size)), qt.Equals, int64(0), qt.Commentf("others than the third standby write"))
+				// One that holds two seconds of use writes some times a second while it
+				// learns how much that is.
+				writes := m.writesBy(names(0, size))
+				c.Assert(writes <= 8*int64(long.Seconds()), qt.IsTrue, qt.Commentf("%d writes by %d routers in %v", writes, size, long))
 			})
 		})
 	}
@@ -208,7 +214,7 @@
 // waited for a draw, and all routers read all records again and again.
 func TestUsedUpBudgetIsRefusedAtOnce(t *testing.T) {
 	const size, paid = 24, 50_000
-	play(t, size, paid, func(ctx context.Context, m *members) {
+	play(t, size, 0, paid, func(ctx context.Context, m *members) {
 		c := qt.New(t)
 		first := m.use(ctx, names(0, size), time.Second)
 		c.Assert(first.served <= paid/1000, qt.IsTrue)
@@ -238,11 +244,8 @@
 // each about once a second, not once a request.
 func TestLastResortIsBounded(t *testing.T) {
 	const size = 48
-	play(t, size, 1_000_000_000, func(ctx context.Context, m *members) {
+	play(t, size, HoldersMost, 1_000_000_000, func(ctx context.Context, m *members) {
 		c := qt.New(t)
-		for _, name := range names(0, HoldersMost) {
-			m.stores[name].refuses.Store(true)
-		}
 		const long = 4 * time.Second
 		m.use(ctx, names(HoldersMost, size), long)
 		// Draws are half a second apart at the least; each may lose a race and be followed by
@@ -254,3 +257,13 @@
 		}
 	})
 }
+
+// The store refuses the home, which still reaches the other routers. Its own callers are
+// served by its standby, which can draw.
+func TestRefusedHomeAsksItsStandbys(t *testing.T) {
+	play(t, 8, 1, 1_000_000_000, func(ctx context.Context, m *members) {
+		o := m.use(ctx, names(0, 1), time.Second)
+		qt.Assert(t, o.refused, qt.HasLen, 0)
+		qt.Assert(t, o.served > 0, qt.IsTrue)
+	})
+}
--- a/internal/escrow/lend.go
+++ b/internal/escrow/lend.go
@@ -17,8 +17,9 @@
 	Short Shortage
 }
 
-// lendPatience is how long a router that is asked waits for a draw of its own.
-const lendPatience = 100 * time.Millisecond
+// lendPatience is how long a router that is asked waits for a draw of its own: less than its
+// borrower waits for the answer.
+const lendPatience = 150 * time.Millisecond
 
 // Lend gives tokens to another router. What it gives counts as used from then on. A waiter
 // is a request that asks this router as a holder of the account: it gets what can be drawn,
@@ -66,7 +67,7 @@
 	k.o.Log.Emit(event.LoanShort, slog.String(event.KeyBudget, h.grant.account), slog.Int64("missing", h.missing), slog.Any(event.KeyCause, err))
 	short := shortageOf(err)
 	if short == StoreAway && !k.isAway() {
-		return Held // the store is slow; a second router that draws makes it slower
+		return Drawing
 	}
 	return short
 }
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -184,16 +184,16 @@
 }
 
 // drawPatience is how long a reservation waits for a draw at least before it asks other
-// routers: some times what a store in good health takes. That the store is away shows
-// only after callTimeout.
-const drawPatience = 60 * time.Millisecond
+// routers: two rounds with a store in good health, with their pauses. That the store is away
+// shows only after callTimeout.
+const drawPatience = 100 * time.Millisecond
 
 // patience is how long a reservation waits for a draw: for one that is under way and the
-// one that follows it.
+// one that follows it, with the pauses between them.
 func (k *Keeper) patience() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(drawPatience, slowWrites*k.roundTrip)
+	return max(drawPatience, slowWrites*(k.roundTrip+roundPause))
 }
 
 // draw waits until the hold is filled by a draw, or says why it can't be.
