--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -181,6 +181,41 @@
 	}
 }
 
+// ask lends to a request that asks a router as a holder, which holds ahead of need from then
+// on, whoever the account's home is. The answer may be lost, as with any loan.
+func (w *world) ask(*rapid.T) {
+	from, to, account := w.router("holder"), w.router("borrower"), w.account()
+	from.keeper.mu.Lock()
+	available := from.keeper.grant(account).available(from.keeper.age())
+	from.keeper.mu.Unlock()
+	from.keeper.noteAsked(from.keeper.grant(account))
+	if from == to || available <= 0 {
+		return
+	}
+	given := from.keeper.Lend(account, rapid.Int64Range(1, available).Draw(w.t, "tokens"), "waiter").Tokens
+	switch rapid.SampledFrom([]string{"arrives", "voided", "lost"}).Draw(w.t, "answer") {
+	case "arrives":
+		to.keeper.Accept(map[string]int64{account: given})
+	case "voided":
+		from.keeper.TakeBack(account, given)
+	}
+}
+
+// handBack is a sweep whose gifts arrive, or are lost.
+func (w *world) handBack(*rapid.T) {
+	from := w.router("borrower")
+	for address, tokens := range from.keeper.strays() {
+		if !rapid.Bool().Draw(w.t, "arrives") {
+			continue
+		}
+		for _, to := range w.routers {
+			if to.vm == address {
+				to.keeper.Accept(tokens)
+			}
+		}
+	}
+}
+
 // die ends a process; what it had reserved may have been delivered whole.
 func (w *world) die(r *router) {
 	for _, reservation := range r.open {
@@ -272,3 +307,16 @@
 		})
 	})
 }
+
+// The same with routers that hold for others instead of an account's home, and hand back what
+// they don't need: any of them may come to be asked at any time, several at once too.
+func TestNoScheduleWithStandbysSpendsMoreThanWasPaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(2, 5).Draw(t, "vms"))
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": w.reserve, "work": w.work, "work more": w.work, "settle": w.settle, "round": w.round, "round again": w.round,
+			"ask": w.ask, "ask again": w.ask, "hand back": w.handBack, "lend": w.lend, "kill": w.kill, "lose power": w.losePower,
+			"stop": w.stop, "tick": w.tick, "outage": w.outage, "fates": w.fates, "settle late": w.settleLate, "": w.check,
+		})
+	})
+}
