--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -173,6 +173,11 @@
 		return
 	}
 	given := from.keeper.Lend(account, rapid.Int64Range(1, available).Draw(w.t, "tokens"), "").Tokens
+	w.answer(from, to, account, given)
+}
+
+// answer ends a loan: its answer arrives, or is lost and the loan voided, or lost for good.
+func (w *world) answer(from, to *router, account string, given int64) {
 	switch rapid.SampledFrom([]string{"arrives", "voided", "lost"}).Draw(w.t, "answer") {
 	case "arrives":
 		to.keeper.Accept(map[string]int64{account: given})
@@ -193,12 +198,7 @@
 		return
 	}
 	given := from.keeper.Lend(account, rapid.Int64Range(1, available).Draw(w.t, "tokens"), "waiter").Tokens
-	switch rapid.SampledFrom([]string{"arrives", "voided", "lost"}).Draw(w.t, "answer") {
-	case "arrives":
-		to.keeper.Accept(map[string]int64{account: given})
-	case "voided":
-		from.keeper.TakeBack(account, given)
-	}
+	w.answer(from, to, account, given)
 }
 
 // handBack is a sweep whose gifts arrive, or are lost.
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -57,17 +57,23 @@
 	}
 }
 
-// A home leaves the list of routers, and comes back. What was kept of the ranking follows at
-// once: else requests go on asking a router that is gone.
-func TestHoldersFollowTheList(t *testing.T) {
-	c := qt.New(t)
+// amongAlike is a router that knows so many alike, itself among them, and their entries.
+func amongAlike(routers int) (*Node, []store.Item) {
 	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.4}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	var items []store.Item
-	for i := range 10 {
+	for i := range routers {
 		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":0.4}`, i, i)
 		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
 	}
 	n.members.Reset(items, store.Silence{})
+	return n, items
+}
+
+// A home leaves the list of routers, and comes back. What was kept of the ranking follows at
+// once: else requests go on asking a router that is gone.
+func TestHoldersFollowTheList(t *testing.T) {
+	c := qt.New(t)
+	n, items := amongAlike(10)
 	for i := range 20 {
 		account := fmt.Sprint("account-", i)
 		home, standby := firstTwo(n, account)
@@ -96,13 +102,7 @@
 // that is lost go to their standbys: else grants of them lie at two routers.
 func TestLargeFleetHasFewHomes(t *testing.T) {
 	c := qt.New(t)
-	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.4}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
-	var items []store.Item
-	for i := range 80 {
-		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":0.4}`, i, i)
-		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
-	}
-	n.members.Reset(items, store.Silence{})
+	n, items := amongAlike(80)
 	standbys := map[string]string{} // by home
 	for i := range 300 {
 		home, standby := firstTwo(n, fmt.Sprint("account-", i))
--- a/internal/node/homes_bench_test.go
+++ b/internal/node/homes_bench_test.go
@@ -1,24 +1,11 @@
 package node
 
-import (
-	"fmt"
-	"testing"
+import "testing"
 
-	"chicorytiller.example/chicorytiller/internal/escrow"
-	"chicorytiller.example/chicorytiller/internal/event"
-	"chicorytiller.example/chicorytiller/internal/store"
-)
-
-// BenchmarkHolders is what ranking the routers of a large fleet for one account costs; a
-// request asks for it some times.
+// BenchmarkHolders is what it costs to name an account's holders in a large fleet; a request
+// asks for them some times.
 func BenchmarkHolders(b *testing.B) {
-	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.4}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
-	var items []store.Item
-	for i := range 195 {
-		record := fmt.Sprintf(`{"address":"a-%d","peer":"peer-%d","capacity":0.4}`, i, i)
-		items = append(items, store.Item{Key: fmt.Sprintf("%svm-%d", MemberPrefix, i), Value: []byte(record)})
-	}
-	n.members.Reset(items, store.Silence{})
+	n, _ := amongAlike(195)
 	b.Run("home", func(b *testing.B) {
 		for b.Loop() {
 			n.homeOf("account")
