--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -67,7 +67,7 @@
 	askedAt   time.Duration // when this router was last asked to hold; 0: never
 	nextDraw  time.Duration // before which it makes no draw of last resort
 	fruitless time.Duration // when other routers had nothing; 0: never
-	lately    recently      // lent lately
+	lately    recently      // lent in the last moments: some of it may come back
 
 	rate   float64 // tokens a second, averaged since the first use
 	weight float64 // of what rate averages: near 0 at first, 1 in the long run
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -212,7 +212,7 @@
 // requests of a used up budget were told to come back soon, again and again.
 const lentLately = sweepEvery
 
-// shortage says why the record can't give what is missing, as surely as is known here. The
+// shortage says why the record can't give what is missing, as far as that is known here. The
 // keeper is locked.
 func (k *Keeper) shortage(h *hold) error {
 	p := h.grant
@@ -244,7 +244,7 @@
 		slog.Int64("revision", p.revision), slog.Any(event.KeyCause, why), slog.Int("unlogged", p.lackLog.take()))
 }
 
-// recently sums up what was lent within lentLately, to the last and the present half of it.
+// recently sums up the tokens lent in the present lentLately and the one before it.
 type recently struct {
 	since     time.Duration
 	now, last int64
