Send nothing to evacuated failure domains, and few requests to cold servers

Change: orders to evacuate a failure domain travel with the configuration (same follower, same bound on their age, relays included); one predicate, Server.Closed, is asked by the choice, by the connection that took its time, and by the refusal at once (503 backends_evacuated, before any token is waited for). The product's own interface has the same orders (chicoryctl domain evacuate, restore, list).

A router takes itself for the sender only if it has been in a list of late for longer than the list's bound: the sum over all routers holds without talk, also after they all start at once.

Beside it: the end of a missing entry's grace was kept as time of day, so that a clock that jumps back kept a server that left in use; it is a time with its steady part now.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,14 +30,27 @@
 	domainMs = 10
 	// serviceMs is one request's stay at a plain service's server.
 	serviceMs = 20
+	// coldMs keeps work away from cold servers while warm ones have no longer queue than this.
+	coldMs = 150
 )
 
 // cacheKept is how long a server is taken to keep a part after its last use.
 const cacheKept = 20 * time.Second
 
+// ColdLimit bounds what cold servers are sent.
+type ColdLimit interface {
+	// Bounded says whether a server bears few requests now.
+	Bounded(*fleet.Server) bool
+	// Room says whether Take would allow one more to such a server.
+	Room(*fleet.Server) bool
+	// Take asks for one, which is counted if it is allowed.
+	Take(*fleet.Server) bool
+}
+
 // Chooser chooses servers. It is safe for concurrent use.
 type Chooser struct {
 	domain string // own failure domain
+	cold   ColdLimit
 	now    func() time.Time
 
 	mu   sync.Mutex
@@ -50,11 +63,11 @@
 
 // NewChooser makes a chooser for a router in the given failure domain. A nil now
 // means time.Now.
-func NewChooser(domain string, now func() time.Time) *Chooser {
+func NewChooser(domain string, cold ColdLimit, now func() time.Time) *Chooser {
 	if now == nil {
 		now = time.Now
 	}
-	return &Chooser{domain: domain, now: now, read: make(map[cached]time.Time)}
+	return &Chooser{domain: domain, cold: cold, now: now, read: make(map[cached]time.Time)}
 }
 
 // Choice is the chosen server and why.
@@ -64,26 +77,46 @@
 	Unread float64
 	// Score is the estimate that won, in ms.
 	Score float64
+	// avoided: it failed lately. cold: it bears few requests, and this one needs a permit.
+	avoided, cold bool
 }
 
 // Choose returns the best of the servers that are not excluded; its Server is nil
-// if there is none. Servers that failed lately are taken only if all others are out.
+// if there is none. Servers that failed lately are taken only if all others are out, cold
+// ones only within their limit.
 func (c *Chooser) Choose(servers []*fleet.Server, r *request.Request, excluded func(*fleet.Server) bool) Choice {
+	home := c.homeOf(servers, r.SharedPart())
+	best := c.best(servers, r, home, excluded, c.cold.Room)
+	if best.cold && !c.cold.Take(best.Server) {
+		none := func(*fleet.Server) bool { return false }
+		return c.best(servers, r, home, excluded, none) // another request took the place meanwhile
+	}
+	return best
+}
+
+// best rates the servers that may get the request. room says of a cold one whether it may.
+func (c *Chooser) best(servers []*fleet.Server, r *request.Request, home *fleet.Server, excluded, room func(*fleet.Server) bool) Choice {
 	now := c.now()
-	home := homeOf(servers, r.SharedPart())
 	best := Choice{}
-	bestAvoided := false
 	for _, s := range servers {
-		if s.Leaving() || excluded(s) {
+		if s.Closed() || excluded(s) {
+			continue
+		}
+		cold := c.cold.Bounded(s)
+		if cold && !room(s) {
 			continue
 		}
 		status := s.Status(now)
 		choice := c.rate(s, status, r, s == home, now)
+		choice.avoided, choice.cold = status.Avoided, cold
+		if cold {
+			choice.Score += coldMs
+		}
 		better := best.Server == nil ||
-			bestAvoided && !status.Avoided ||
-			bestAvoided == status.Avoided && choice.Score < best.Score
+			best.avoided && !choice.avoided ||
+			best.avoided == choice.avoided && choice.Score < best.Score
 		if better {
-			best, bestAvoided = choice, status.Avoided
+			best = choice
 		}
 	}
 	return best
@@ -150,16 +183,16 @@
 	}
 }
 
-// homeOf is the server that all routers prefer for a part (rendezvous hashing): a
+// homeOf is the warm server that all routers prefer for a part (rendezvous hashing): a
 // part is then read at one server, and only that server's parts move when it goes.
-func homeOf(servers []*fleet.Server, part string) *fleet.Server {
+func (c *Chooser) homeOf(servers []*fleet.Server, part string) *fleet.Server {
 	if part == "" {
 		return nil
 	}
 	var home *fleet.Server
 	var highest uint64
 	for _, s := range servers {
-		if s.Leaving() {
+		if s.Closed() || c.cold.Bounded(s) {
 			continue
 		}
 		if rank := xxhash.Sum64String(part + "/" + s.ID); home == nil || rank > highest {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -30,7 +30,7 @@
 // is read once; another subject's may go elsewhere.
 func TestOneSubjectHasOneServerAtAllRouters(t *testing.T) {
 	list := servers(9)
-	first, second := NewChooser("zone-1", nil), NewChooser("zone-1", nil)
+	first, second := NewChooser("zone-1", warm{}, nil), NewChooser("zone-1", warm{}, nil)
 	used := map[string]bool{}
 	for i := 0; i < 40; i++ {
 		r := prompt(fmt.Sprintf("subject-%d", i))
@@ -46,7 +46,7 @@
 // is sooner done, and keeps the subject from then on.
 func TestBusyServerIsLeft(t *testing.T) {
 	list := servers(3)
-	c := NewChooser("zone-1", nil)
+	c := NewChooser("zone-1", warm{}, nil)
 	r := prompt("subject")
 	home := c.Choose(list, r, none).Server
 	home.Begin(60_000)
@@ -61,7 +61,7 @@
 func TestRestartedServerHasReadNothing(t *testing.T) {
 	before := fleet.NewServer(fleet.Entry{ID: "s", Domain: "zone-1", Born: 1})
 	after := fleet.NewServer(fleet.Entry{ID: "s", Domain: "zone-1", Born: 2})
-	c, r := NewChooser("zone-1", nil), prompt("subject")
+	c, r := NewChooser("zone-1", warm{}, nil), prompt("subject")
 	c.Sent(before, r)
 	qt.Assert(t, c.kept(before, r, false, time.Now()), qt.Equals, r.SharedTokens())
 	qt.Assert(t, c.kept(after, r, false, time.Now()), qt.Equals, 0)
@@ -71,7 +71,7 @@
 // while there is another.
 func TestUnfitServersArePassedOver(t *testing.T) {
 	list := servers(3)
-	c := NewChooser("zone-1", nil)
+	c := NewChooser("zone-1", warm{}, nil)
 	list[0].Leave()
 	list[1].Failed(time.Now())
 	r := &request.Request{}
@@ -86,7 +86,7 @@
 func TestNearServerIsPreferred(t *testing.T) {
 	near := fleet.NewServer(fleet.Entry{ID: "near", Domain: "zone-1"})
 	far := fleet.NewServer(fleet.Entry{ID: "far", Domain: "zone-2"})
-	c := NewChooser("zone-1", nil)
+	c := NewChooser("zone-1", warm{}, nil)
 	list := []*fleet.Server{far, near}
 	qt.Assert(t, c.Choose(list, &request.Request{}, none).Server, qt.Equals, near)
 	near.Begin(0)
@@ -96,7 +96,7 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{20, 140, 3000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			list, c, r := servers(n), NewChooser("zone-1", nil), prompt("subject")
+			list, c, r := servers(n), NewChooser("zone-1", warm{}, nil), prompt("subject")
 			b.ReportAllocs()
 			for b.Loop() {
 				c.Choose(list, r, none)
@@ -104,3 +104,76 @@
 		})
 	}
 }
+
+// warm bounds nothing: no server is cold.
+type warm struct{}
+
+func (warm) Bounded(*fleet.Server) bool { return false }
+func (warm) Room(*fleet.Server) bool    { return true }
+func (warm) Take(*fleet.Server) bool    { return true }
+
+// permits is how many requests each cold server may get.
+type permits map[*fleet.Server]int
+
+func (p permits) Bounded(s *fleet.Server) bool {
+	_, cold := p[s]
+	return cold
+}
+
+func (p permits) Room(s *fleet.Server) bool { return p[s] > 0 }
+
+func (p permits) Take(s *fleet.Server) bool {
+	p[s]--
+	return p[s] >= 0
+}
+
+// A server has just started. Warm ones get the work, also that of its shared parts, until
+// they have a queue; then it gets what it bears, and no request more.
+func TestColdServerGetsLittle(t *testing.T) {
+	list := servers(3)
+	limit := permits{list[0]: 2}
+	c := NewChooser("zone-1", limit, nil)
+	for i := range 20 {
+		qt.Assert(t, c.Choose(list, prompt(fmt.Sprint("subject-", i)), none).Server, qt.Not(qt.Equals), list[0])
+	}
+	list[1].Begin(60_000)
+	list[2].Begin(60_000)
+	for range 2 {
+		qt.Assert(t, c.Choose(list, prompt("subject"), none).Server, qt.Equals, list[0])
+	}
+	qt.Assert(t, c.Choose(list, prompt("subject"), none).Server, qt.Not(qt.Equals), list[0])
+}
+
+// Two requests want the last place at a cold server; the second goes to a warm one.
+func TestLastPlaceAtAColdServerIsTakenOnce(t *testing.T) {
+	list := servers(2)
+	c := NewChooser("zone-1", lost{permits{list[0]: 1}}, nil)
+	list[1].Begin(60_000)
+	qt.Assert(t, c.Choose(list, prompt("subject"), none).Server, qt.Equals, list[1])
+}
+
+// lost refuses what it promised: another request was faster.
+type lost struct{ permits }
+
+func (lost) Take(*fleet.Server) bool { return false }
+
+// The reason for which nothing can be sent is told, so that a request is refused at once and
+// for what it is.
+func TestObstacles(t *testing.T) {
+	list := servers(2)
+	obstacle := func(limit ColdLimit) Obstacle {
+		why, _ := NewChooser("zone-1", limit, nil).Obstacle(list)
+		return why
+	}
+	qt.Assert(t, obstacle(warm{}), qt.Equals, Free)
+	qt.Assert(t, obstacle(permits{list[0]: 0}), qt.Equals, Free)
+	list[0].Chill(time.Now(), time.Minute)
+	list[1].Chill(time.Now(), time.Hour)
+	why, warmIn := NewChooser("zone-1", permits{list[0]: 0, list[1]: 0}, nil).Obstacle(list)
+	qt.Assert(t, why, qt.Equals, AllCold)
+	qt.Assert(t, warmIn > 50*time.Second && warmIn <= time.Minute, qt.IsTrue, qt.Commentf("%v", warmIn))
+	qt.Assert(t, obstacle(permits{list[0]: 0, list[1]: 1}), qt.Equals, Free)
+	list[0].Leave()
+	list[1].Leave()
+	qt.Assert(t, obstacle(warm{}), qt.Equals, NoServers)
+}
--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -41,6 +41,8 @@
 	forward.BudgetInDoubt:     http.StatusTooManyRequests,
 	forward.BudgetUnreachable: http.StatusServiceUnavailable,
 	forward.NoServer:          http.StatusServiceUnavailable,
+	forward.Evacuated:         http.StatusServiceUnavailable,
+	forward.Cold:              http.StatusServiceUnavailable,
 	forward.Rejected:          http.StatusServiceUnavailable,
 	forward.Stopping:          http.StatusServiceUnavailable,
 	forward.Quarantined:       http.StatusBadGateway,
--- /dev/null
+++ b/internal/callers/caller_test.go
@@ -0,0 +1,23 @@
+package callers
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/forward"
+)
+
+// A cause without a status ends in a panic while its caller waits: it gets a broken connection
+// for an answer. The causes are read from their source, so that none is forgotten here.
+func TestEachCauseHasAStatus(t *testing.T) {
+	source, err := os.ReadFile("../forward/refusal.go")
+	qt.Assert(t, err, qt.IsNil)
+	causes := regexp.MustCompile(`Cause = "([a-z_]+)"`).FindAllSubmatch(source, -1)
+	qt.Assert(t, len(causes) > 20, qt.IsTrue, qt.Commentf("%d causes found", len(causes)))
+	for _, cause := range causes {
+		qt.Check(t, StatusOf(forward.Cause(cause[1])) >= 400, qt.IsTrue, qt.Commentf("%s", cause[1]))
+	}
+}
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -76,6 +76,7 @@
 	a.configCommands(cli.Command("config", "The operators' document: models, services, contracts."))
 	a.budgetCommands(cli.Command("budget", "Prepaid tokens."))
 	a.backendCommands(cli.Command("backend", "Backend servers."))
+	a.domainCommands(cli.Command("domain", "Failure domains."))
 	router := cli.Command("router", "Routers.")
 	a.command(router.Command("list", "Lists the routers that live."), a.routers)
 	key := cli.Command("key", "Callers' keys.")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -126,3 +126,25 @@
 	o.Check(code, qt.Equals, ExitOK)
 	o.Check(out, qt.Contains, "ck_")
 }
+
+// An operator evacuates a failure domain, again, and restores it. A domain in which no backend
+// server is known is no domain: an order for a misspelled one would look like success.
+func TestFailureDomainIsEvacuatedAndRestored(t *testing.T) {
+	o := newOperator(t)
+	code, _ := o.run("", "domain", "evacuate", "east")
+	o.Assert(code, qt.Equals, ExitNotFound)
+	code, out := o.run(`{"id":"e1","kind":"engine","address":"10.0.0.1:80","failure_domain":"east","models":["m"]}`, "backend", "put", "-")
+	o.Assert(code, qt.Equals, ExitOK, qt.Commentf(out))
+	for range 2 {
+		code, out = o.run("", "domain", "evacuate", "east")
+		o.Assert(code, qt.Equals, ExitOK, qt.Commentf(out))
+	}
+	_, out = o.run("", "domain", "list")
+	o.Assert(out, qt.Equals, "EVACUATED\neast\n")
+	code, _ = o.run("", "domain", "restore", "west")
+	o.Assert(code, qt.Equals, ExitNotFound)
+	code, out = o.run("", "domain", "restore", "east")
+	o.Assert(code, qt.Equals, ExitOK, qt.Commentf(out))
+	_, out = o.run("", "domain", "list")
+	o.Assert(out, qt.Equals, "EVACUATED\n")
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -64,7 +64,13 @@
 
 // Events of backend servers and of the store.
 const (
-	BackendFound     Number = 705
+	BackendFound Number = 705
+	// DomainEvacuated: operators ordered that a failure domain's backend servers get
+	// nothing new; DomainRestored: the order was taken back.
+	DomainEvacuated Number = 706
+	DomainRestored  Number = 707
+	// BackendCold: a backend server that was warm says that it bears few requests for now.
+	BackendCold      Number = 708
 	BackendLeaving   Number = 702
 	EntryRejected    Number = 703
 	StoreUnreachable Number = 710
@@ -115,6 +121,9 @@
 	{PeerJoined, slog.LevelInfo, "peer joined"},
 	{PeerLeft, slog.LevelInfo, "peer left"},
 	{BackendFound, slog.LevelInfo, "backend server found"},
+	{DomainEvacuated, slog.LevelWarn, "failure domain evacuated"},
+	{DomainRestored, slog.LevelInfo, "failure domain restored"},
+	{BackendCold, slog.LevelInfo, "backend server cold"},
 	{BackendLeaving, slog.LevelInfo, "backend server leaving"},
 	{EntryRejected, slog.LevelWarn, "entry of the store rejected"},
 	{StoreUnreachable, slog.LevelWarn, "store unreachable"},
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -31,12 +31,17 @@
 	// reached: the store answers. While it doesn't, no missing entry can come back.
 	reached bool
 	lapses  lapses
+	// evacuated are the failure domains whose servers get nothing new.
+	evacuated map[string]bool
+	// warmUp is how long a service's servers are cold after a start.
+	warmUp func(service string) time.Duration
 	// heard is when the store, or who reads it for this router, last told something.
 	heard time.Time
 	view  atomic.Pointer[View]
-	// lapseDue is when the first of the missing entries is to be taken as gone, in Unix
-	// nanoseconds; 0: none is missing.
-	lapseDue atomic.Int64
+	// lapseDue is when the first of the missing entries is to be taken as gone; nil: none is
+	// missing. Kept as a time with its steady part: by the time of day, which may jump back,
+	// a server that left would stay in use for longer.
+	lapseDue atomic.Pointer[time.Time]
 }
 
 // tracked is a server with what the registry's last word on it was.
@@ -63,7 +68,8 @@
 		now = time.Now
 	}
 	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked),
-		rejected: make(map[string]string), reached: true, lapses: lapses{now: now}}
+		rejected: make(map[string]string), reached: true, lapses: lapses{now: now}, evacuated: make(map[string]bool),
+		warmUp: func(string) time.Duration { return 0 }}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
 }
@@ -72,7 +78,7 @@
 // left out from then on: an answer of the store, which may be seconds away, would come too
 // late for it, and requests would reach a server long after it left.
 func (r *Registry) View() *View {
-	if due := r.lapseDue.Load(); due != 0 && r.now().UnixNano() >= due {
+	if due := r.lapseDue.Load(); due != nil && !r.now().Before(*due) {
 		r.mu.Lock()
 		r.publish()
 		r.mu.Unlock()
@@ -128,14 +134,19 @@
 }
 
 // Same says whether two entries of one key name the same server in the same state:
-// heartbeats change all entries all the time.
+// heartbeats change all entries all the time. A cold server that gets warm stays the same,
+// since each router counts that time down by itself; one that is cold anew does not.
 func (r *Registry) Same(before, after store.Item) bool {
 	one, err := r.decode(before)
 	if err != nil {
 		return false
 	}
 	other, err := r.decode(after)
-	return err == nil && one == other
+	if err != nil || other.Cold > 0 && other.Cold >= one.Cold {
+		return false
+	}
+	one.Cold, other.Cold = 0, 0
+	return one == other
 }
 
 // Items returns the entries as they were stored last, for another router.
@@ -171,6 +182,7 @@
 	}
 	known.revision, known.item, known.unreadable = item.Revision, item, false
 	known.lapsed = false
+	r.chill(known.server, entry)
 	if entry.Draining {
 		r.leave(known, "draining")
 	}
@@ -184,9 +196,62 @@
 
 // found takes a server, or a new start of one: nothing of an earlier start is kept.
 func (r *Registry) found(item store.Item, entry Entry) {
-	r.servers[item.Key] = &tracked{server: NewServer(entry), revision: item.Revision, item: item}
+	server := NewServer(entry)
+	server.evacuated.Store(r.evacuated[entry.Domain])
+	server.Chill(r.now(), entry.Cold)
+	r.servers[item.Key] = &tracked{server: server, revision: item.Revision, item: item}
 	r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
-		slog.Int64("born", entry.Born), slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining))
+		slog.Int64("born", entry.Born), slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining),
+		slog.Int64("cold_ms", entry.Cold.Milliseconds()))
+}
+
+// chill takes what an entry says of a known server that has become cold.
+func (r *Registry) chill(server *Server, entry Entry) {
+	now := r.now()
+	if entry.Cold > 0 && server.ColdFor(now) == 0 {
+		r.log.Emit(event.BackendCold, slog.String(event.KeyBackend, entry.ID), slog.Int64("cold_ms", entry.Cold.Milliseconds()))
+	}
+	server.Chill(now, entry.Cold)
+}
+
+// SetWarmUp says how to look up how long a service's servers are cold after a start.
+func (r *Registry) SetWarmUp(warmUp func(service string) time.Duration) {
+	r.warmUp = warmUp
+}
+
+// evacuate closes a failure domain's servers and returns how many there are.
+func (r *Registry) evacuate(domain string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evacuated[domain] = true
+	return r.each(domain, func(s *Server) { s.evacuated.Store(true) })
+}
+
+// restore opens a failure domain's servers again and returns how many there are. They may
+// have become cold meanwhile, and their entries may tell so only after the order's end is
+// known: a whole domain would get its usual share at once, under which cold servers crash.
+// So they count as cold for as long as after a start.
+func (r *Registry) restore(domain string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.evacuated, domain)
+	now := r.now()
+	return r.each(domain, func(s *Server) {
+		s.Chill(now, r.warmUp(s.Service))
+		s.evacuated.Store(false)
+	})
+}
+
+// each calls do for a failure domain's servers and returns how many there are.
+func (r *Registry) each(domain string, do func(*Server)) int {
+	servers := 0
+	for _, known := range r.servers {
+		if known.server.Domain == domain {
+			do(known.server)
+			servers++
+		}
+	}
+	return servers
 }
 
 // reject takes an entry that names no server: another writer's, or one that was spoiled.
@@ -249,14 +314,15 @@
 
 func (r *Registry) publish() {
 	view := &View{ByService: make(map[string][]*Server)}
-	due := int64(0)
+	var due *time.Time
 	for key, known := range r.servers {
 		if known.lapsed && r.reached {
 			if !r.lapses.lenient() {
 				r.drop(key, known, "lapsed")
 				continue
 			}
-			due = r.lapses.until.UnixNano()
+			until := r.lapses.until
+			due = &until
 		}
 		if known.server.Leaving() || known.unreadable {
 			continue
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -21,6 +21,8 @@
 	Domain  string // failure domain
 	// Draining servers take nothing new.
 	Draining bool
+	// Cold is how much longer the server has just started and bears few requests.
+	Cold time.Duration
 }
 
 // Load is a backend server's own count of its work, as one answer carried it.
@@ -39,7 +41,10 @@
 	// connections of an earlier start must not be taken for this one's.
 	Start string
 
-	leaving atomic.Bool
+	leaving   atomic.Bool
+	evacuated atomic.Bool
+	// coldUntil is when it stops being cold; nil: it is warm.
+	coldUntil atomic.Pointer[time.Time]
 
 	mu          sync.Mutex
 	load        Load
@@ -75,6 +80,45 @@
 	s.leaving.Store(true)
 }
 
+// Evacuated says whether operators ordered that the server's failure domain gets nothing
+// new for now.
+func (s *Server) Evacuated() bool {
+	return s.evacuated.Load()
+}
+
+// Closed says whether the server gets nothing new at all.
+func (s *Server) Closed() bool {
+	return s.Leaving() || s.Evacuated()
+}
+
+// coldMost bounds what is believed of a server that says for how long it is cold. Servers
+// warm up within seconds, and one that is cold for longer says so again.
+const coldMost = time.Minute
+
+// Chill notes that the server is cold for some time from now on. Of several sources the
+// worst counts, so it never shortens what is known; zero or less changes nothing.
+func (s *Server) Chill(now time.Time, cold time.Duration) {
+	if cold <= 0 {
+		return
+	}
+	until := now.Add(min(cold, coldMost))
+	for {
+		known := s.coldUntil.Load()
+		if known != nil && !until.After(*known) || s.coldUntil.CompareAndSwap(known, &until) {
+			return
+		}
+	}
+}
+
+// ColdFor is how much longer the server is cold, as far as is known; zero: it is warm.
+func (s *Server) ColdFor(now time.Time) time.Duration {
+	until := s.coldUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, until.Sub(now))
+}
+
 // Begin counts a request that is being sent, with the prompt tokens that the
 // server will have to read for it.
 func (s *Server) Begin(prefill float64) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,6 +89,10 @@
 	}
 	defer done()
 	f.Retries.Request(r.Service)
+	if refusal := f.obstacle(r.Service); refusal != nil {
+		f.refuse(r, caller, *refusal, p, nil)
+		return
+	}
 	asked := time.Now()
 	reservation, cause := f.reserve(ctx, r)
 	if cause != "" {
@@ -130,6 +134,21 @@
 	return ""
 }
 
+// obstacle refuses a request that none of its service's servers can take, before it waits for
+// its tokens; nil if one can.
+func (f *Forwarder) obstacle(service string) *Refusal {
+	why, warmIn := f.Chooser.Obstacle(f.Servers(service))
+	switch why {
+	case balance.NoServers:
+		return &Refusal{Cause: NoServer, RetryAfter: retryLater}
+	case balance.AllEvacuated:
+		return &Refusal{Cause: Evacuated, RetryAfter: retryLater}
+	case balance.AllCold:
+		return &Refusal{Cause: Cold, RetryAfter: max(retrySoon, warmIn)}
+	}
+	return nil
+}
+
 // withinLimits holds the request against the limits of its account's contract, if it
 // has one.
 func (f *Forwarder) withinLimits(r *request.Request) (done func(), refused *Refusal) {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,6 +25,8 @@
 	BudgetInDoubt     Cause = "budget_in_doubt"           // the rest may be spent by routers that died
 	BudgetUnreachable Cause = "budget_unreachable"        // own grant used up, store away
 	NoServer          Cause = "no_backend"                // none to send it to
+	Evacuated         Cause = "backends_evacuated"        // operators ordered to send nothing to any of them
+	Cold              Cause = "backends_cold"             // all have just started and bear few requests
 	Rejected          Cause = "backend_rejected"          // the server said that it did not run it
 	Stopping          Cause = "router_stopping"           // this process stops
 	Quarantined       Cause = "request_quarantined"       // it breaks the servers that run it
@@ -61,7 +63,7 @@
 // sense.
 func RefusalOf(c Cause) Refusal {
 	switch c {
-	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer:
+	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer, Evacuated, Cold:
 		return Refusal{Cause: c, RetryAfter: retryLater}
 	case BudgetInDoubt:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -122,7 +122,7 @@
 	}
 	choice := t.f.Chooser.Choose(t.f.Servers(t.r.Service), t.r, t.excluded)
 	if choice.Server == nil {
-		return t.giveUp(t.failureCause(NoServer))
+		return t.giveUp(t.failureCause(t.noServerCause()))
 	}
 	switch t.attempt(ctx, choice) {
 	case finished:
@@ -165,6 +165,14 @@
 	return true
 }
 
+// noServerCause says why there is no server to send the request to.
+func (t *task) noServerCause() Cause {
+	if refusal := t.f.obstacle(t.r.Service); refusal != nil {
+		return refusal.Cause
+	}
+	return NoServer // those that could take one have been tried
+}
+
 // failureCause keeps the promise of 'not run' truthful.
 func (t *task) failureCause(unrun Cause) Cause {
 	if t.mayHaveRun {
@@ -203,6 +211,7 @@
 	if reply.HasLoad {
 		server.Report(reply.Load, time.Now())
 	}
+	server.Chill(time.Now(), reply.Cold)
 	if reply.NotExecuted || reply.Status == http.StatusMisdirectedRequest {
 		return t.rejectedBy(server, reply)
 	}
@@ -223,7 +232,9 @@
 		if watch.parent.Err() != nil && !t.late() {
 			return callerGone
 		}
-		server.Failed(time.Now())
+		if !server.Closed() {
+			server.Failed(time.Now())
+		}
 		t.logFailure(server, "unreachable", err)
 		return unreached
 	}
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -11,17 +11,19 @@
 // Dialect is what a router with the own interface speaks.
 func Dialect(s store.Store, clock func() escrow.ClockReading, log *event.Log) node.Dialect {
 	return node.Dialect{
-		Store:         s,
-		Clock:         clock,
-		Now:           store.BootNow,
-		ConfigPrefix:  ConfigPrefix,
-		IsConfig:      IsConfig,
-		DecodeConfig:  DecodeConfig,
-		ServersPrefix: BackendsPrefix,
-		DecodeServer:  fleet.DecodeEntry(DecodeBackend),
-		Codec:         Codec,
-		Front:         Front(s, log),
-		Directory:     Directory,
-		Ready:         Ready,
+		Store:        s,
+		Clock:        clock,
+		Now:          store.BootNow,
+		ConfigPrefix: ConfigPrefix,
+		IsConfig:     IsConfig,
+		DecodeConfig: DecodeConfig,
+
+		EvacuatedDomain: EvacuatedDomain,
+		ServersPrefix:   BackendsPrefix,
+		DecodeServer:    fleet.DecodeEntry(DecodeBackend),
+		Codec:           Codec,
+		Front:           Front(s, log),
+		Directory:       Directory,
+		Ready:           Ready,
 	}
 }
--- a/internal/native/document.go
+++ b/internal/native/document.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -21,6 +22,8 @@
 	ConfigPrefix = "chicory-config/"
 	// ConfigKey is the document itself.
 	ConfigKey = ConfigPrefix + "document"
+	// EvacuatePrefix holds the orders to evacuate a failure domain, under its name.
+	EvacuatePrefix = ConfigPrefix + "evacuate/"
 	// BackendsPrefix holds the backend servers' entries, each under its id.
 	BackendsPrefix = "chicory-backend/"
 	// claimsPrefix holds the claims of idempotency keys.
@@ -113,6 +116,12 @@
 	return item.Key == ConfigKey
 }
 
+// EvacuatedDomain reads which failure domain an item under ConfigPrefix orders to be
+// evacuated, by its key; isOrder is false for another item.
+func EvacuatedDomain(key string) (domain string, isOrder bool) {
+	return strings.CutPrefix(key, EvacuatePrefix)
+}
+
 // DecodeConfig makes a policy of the stored document.
 func DecodeConfig(item store.Item) (*policy.Policy, error) {
 	d, err := ParseDocument(item.Value)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -61,7 +61,7 @@
 }
 
 func (n *Node) fleetFollower() *store.Follower {
-	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n},
+	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n}, Learned: n.listing.confirmed,
 		Wait: fleetWait, Pause: fleetPause, CheckAfter: fleetCheck, Patience: patience}
 }
 
@@ -95,6 +95,7 @@
 	for _, item := range items {
 		s.take(item)
 	}
+	s.node.evacuated.Reset(items)
 }
 
 func (s *configSink) Apply(events []store.Event, _ store.Silence) {
@@ -103,6 +104,7 @@
 			s.take(e.Item)
 		}
 	}
+	s.node.evacuated.Apply(events)
 }
 
 // take puts a version in force, whole or not at all. Versions never go back.
@@ -143,6 +145,7 @@
 		}
 	}
 	s.node.members.Reset(members, silence)
+	s.node.noteListed()
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
 }
 
@@ -154,6 +157,7 @@
 		}
 	}
 	s.node.members.Apply(members, silence)
+	s.node.noteListed()
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.sharers())
 }
 
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -192,8 +193,9 @@
 		w.putServer("b", false)
 		w.node = New(&Settings{VM: "vm-1", FailureDomain: "zone-1", Drain: drain}, Dialect{
 			Store: w.store, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
-			ConfigPrefix: "config/", IsConfig: func(store.Item) bool { return true }, DecodeConfig: testConfig,
-			ServersPrefix: "servers/", DecodeServer: decodeTestServer,
+			ConfigPrefix: "config/", IsConfig: func(item store.Item) bool { return item.Key == "config/x" }, DecodeConfig: testConfig,
+			EvacuatedDomain: func(key string) (string, bool) { return strings.CutPrefix(key, "config/evacuate/") },
+			ServersPrefix:   "servers/", DecodeServer: decodeTestServer,
 		}, event.New(w.lines, "p1", slog.LevelInfo, nil), "p1")
 		ctx, cancel := context.WithCancel(t.Context())
 		var tasks conc.WaitGroup
@@ -213,7 +215,7 @@
 }
 
 func (w *followedWorld) putServer(id string, draining bool) {
-	value, err := json.Marshal(fleet.Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Draining: draining})
+	value, err := json.Marshal(fleet.Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Domain: "zone-" + id, Draining: draining})
 	w.Assert(err, qt.IsNil)
 	w.store.Put("servers/"+id, value)
 }
@@ -222,7 +224,7 @@
 func (w *followedWorld) used(id string) bool {
 	for _, s := range w.node.registry.View().ByService["engines"] {
 		if s.ID == id {
-			return true
+			return !s.Closed()
 		}
 	}
 	return false
@@ -260,7 +262,7 @@
 // A router follows another one, from which it is cut off, and its connections to the store
 // fell silent too. Each call takes its whole time for nothing, one after the other. The
 // store itself answers new calls within milliseconds all the time, so a server that leaves
-// must be out, a version in force, and what another router said known, in time.
+// must be out, an evacuated domain closed, a version in force, and what another router said known, in time.
 func TestChangesAreKnownInTimeWhateverOtherCallsTake(t *testing.T) {
 	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
 		t.Run(name, func(t *testing.T) {
@@ -270,9 +272,11 @@
 					time.Sleep(phase)
 					w.putServer("a", true)
 					w.store.Put("config/x", []byte("2"))
+					w.store.Put("config/evacuate/zone-b", []byte("{}"))
 					w.store.Put(MemberPrefix+"vm-2", []byte(`{"address":"127.0.0.1:1"}`))
 					time.Sleep(min(drain, applied) - roundTrip)
 					w.Assert(w.used("a"), qt.IsFalse)
+					w.Assert(w.used("b"), qt.IsFalse, qt.Commentf("its domain is evacuated"))
 					w.Assert(w.node.policy.Load().Version, qt.Equals, int64(2))
 					time.Sleep(shared - min(drain, applied))
 					w.Assert(w.node.members.List(), qt.HasLen, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
+	"chicorytiller.example/chicorytiller/internal/slowstart"
 	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
@@ -84,13 +85,15 @@
 	Store store.Store
 	Clock func() escrow.ClockReading
 	// Now is a clock that goes on while the VM is suspended; nil means time.Now.
-	Now           func() time.Time
-	ConfigPrefix  string
-	IsConfig      func(store.Item) bool
-	DecodeConfig  func(store.Item) (*policy.Policy, error)
-	ServersPrefix string
-	DecodeServer  fleet.DecodeEntry
-	Codec         upstream.Codec
+	Now          func() time.Time
+	ConfigPrefix string
+	IsConfig     func(store.Item) bool
+	DecodeConfig func(store.Item) (*policy.Policy, error)
+	// EvacuatedDomain reads an order under ConfigPrefix to evacuate a failure domain.
+	EvacuatedDomain fleet.DomainOf
+	ServersPrefix   string
+	DecodeServer    fleet.DecodeEntry
+	Codec           upstream.Codec
 	// Front, Directory and Ready make the handlers of the three listeners.
 	Front     func(callers.Router) http.Handler
 	Directory func(resolve func(domain, caller string) []string, ttl time.Duration) http.Handler
@@ -111,8 +114,10 @@
 	configMu   sync.Mutex             // orders changes of both
 	feeds      map[string]*store.Feed // by prefix
 	registry   *fleet.Registry
+	evacuated  *fleet.Evacuations
 	members    *fleet.Members
 	rankings   rankings
+	listing    listing
 	keeper     *escrow.Keeper
 	retries    *retry.Budget
 	held       *retry.Quarantine
@@ -139,6 +144,8 @@
 	d.Store = store.Counted{Store: d.Store, Count: n.metrics.StoreCall}
 	n.dialect.Store = d.Store
 	n.registry = fleet.NewRegistry(d.DecodeServer, log, nil)
+	n.registry.SetWarmUp(n.warmUp)
+	n.evacuated = fleet.NewEvacuations(d.EvacuatedDomain, n.registry, log)
 	n.members = fleet.NewMembers(decodeMember, log, nil)
 	n.feeds = map[string]*store.Feed{
 		d.ConfigPrefix: {Now: d.Now}, fleetPrefix: {Now: d.Now}, d.ServersPrefix: {Now: d.Now, Same: n.registry.Same},
@@ -158,7 +165,7 @@
 		Retries:    n.retries,
 		Quarantine: n.held,
 		Report:     n.report,
-		Chooser:    balance.NewChooser(s.FailureDomain, nil),
+		Chooser:    balance.NewChooser(s.FailureDomain, &slowstart.Limiter{Rate: n.coldRate, Sender: n.warms, Now: time.Now}, nil),
 		Backend:    n.client,
 		Limits:     limit.New(n.routers, nil),
 		Log:        log,
@@ -344,7 +351,7 @@
 func (n *Node) Known() peers.Known {
 	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items()}
 	if item := n.configItem.Load(); item != nil {
-		known.Config = []store.Item{*item}
+		known.Config = append([]store.Item{*item}, n.evacuated.Items()...)
 	}
 	return known
 }
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -88,8 +89,9 @@
 		s := &countedStore{Store: f.store}
 		settings := &Settings{VM: vm, FailureDomain: "zone-1", Peers: "127.0.0.1:0", Drain: 500 * time.Millisecond}
 		n := New(settings, Dialect{Store: s, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
-			ConfigPrefix: "config/", IsConfig: func(store.Item) bool { return true }, DecodeConfig: testConfig,
-			ServersPrefix: "servers/", DecodeServer: func(store.Item) (fleet.Entry, error) { return fleet.Entry{}, nil },
+			ConfigPrefix: "config/", IsConfig: func(item store.Item) bool { return item.Key == "config/x" }, DecodeConfig: testConfig,
+			EvacuatedDomain: func(key string) (string, bool) { return strings.CutPrefix(key, "config/evacuate/") },
+			ServersPrefix:   "servers/", DecodeServer: func(store.Item) (fleet.Entry, error) { return fleet.Entry{}, nil },
 		}, event.Discard(), vm)
 		var err error
 		n.peerListener, err = listenOn(&settings.Peers)
--- /dev/null
+++ b/internal/node/warm_test.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// warmers are routers on one clock that know the list of routers as a test tells them.
+type warmers struct {
+	*qt.C
+	now   time.Time
+	nodes []*Node
+}
+
+func newWarmers(t *testing.T, routers int) *warmers {
+	w := &warmers{C: qt.New(t), now: time.Unix(1000, 0)}
+	for i := range routers {
+		settings := &Settings{VM: fmt.Sprint("vm-", i), FailureDomain: "zone-1", Callers: "127.0.0.1:1", Capacity: 1}
+		w.nodes = append(w.nodes, New(settings, Dialect{Now: func() time.Time { return w.now },
+			Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), settings.VM))
+	}
+	return w
+}
+
+// learn lets routers know the list of those that are in it.
+func (w *warmers) learn(routers []*Node, listed []*Node) {
+	items := make([]store.Item, 0, len(listed))
+	for _, n := range listed {
+		record, err := json.Marshal(MemberRecord{Address: n.settings.Callers, Domain: "zone-1", Capacity: n.settings.Capacity})
+		w.Assert(err, qt.IsNil)
+		items = append(items, store.Item{Key: MemberPrefix + n.settings.VM, Value: record, Revision: 1})
+	}
+	for _, n := range routers {
+		(&fleetSink{node: n}).Reset(items, store.Silence{})
+		n.listing.confirmed(w.now)
+	}
+}
+
+// senders are the routers that take themselves for the one that sends to a cold server.
+func (w *warmers) senders(server string) []*Node {
+	var list []*Node
+	for _, n := range w.nodes {
+		if n.warms(server) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// In health each cold server has exactly one sender, and the servers' senders differ.
+func TestColdServerHasOneSender(t *testing.T) {
+	for _, routers := range []int{8, 80, 195} {
+		w := newWarmers(t, routers)
+		w.learn(w.nodes, w.nodes)
+		w.now = w.now.Add(listedLeast)
+		w.learn(w.nodes, w.nodes)
+		used := map[*Node]bool{}
+		for i := range 40 {
+			senders := w.senders(fmt.Sprint("server-", i))
+			w.Assert(senders, qt.HasLen, 1)
+			used[senders[0]] = true
+		}
+		w.Assert(len(used) > 4, qt.IsTrue, qt.Commentf("%d of %d routers", len(used), routers))
+	}
+}
+
+// All routers start at once, each seeing at first nobody but itself in the list. Each would
+// take itself for the sender of every cold server, and those would crash.
+func TestRoutersThatStartTogetherWaitForEachOther(t *testing.T) {
+	w := newWarmers(t, 80)
+	for _, n := range w.nodes {
+		w.learn([]*Node{n}, []*Node{n})
+	}
+	w.Assert(w.senders("server"), qt.HasLen, 0)
+	w.now = w.now.Add(fleetCheck)
+	w.learn(w.nodes, w.nodes)
+	w.Assert(w.senders("server"), qt.HasLen, 0)
+	w.now = w.now.Add(listedLeast - fleetCheck)
+	w.learn(w.nodes, w.nodes)
+	w.Assert(w.senders("server"), qt.HasLen, 1)
+}
+
+// The sender loses the store, its entry lapses, and the next router stands in for it. The
+// first stops by itself, since its list gets old; two at the most send meanwhile.
+func TestSenderThatLostTheStoreStops(t *testing.T) {
+	w := newWarmers(t, 80)
+	w.learn(w.nodes, w.nodes)
+	w.now = w.now.Add(listedLeast)
+	w.learn(w.nodes, w.nodes)
+	lost := w.senders("server")[0]
+	var others []*Node
+	for _, n := range w.nodes {
+		if n != lost {
+			others = append(others, n)
+		}
+	}
+	w.now = w.now.Add(entryLease)
+	w.learn(others, others)
+	w.Assert(len(w.senders("server")) <= 2, qt.IsTrue)
+	w.now = w.now.Add(listOldMost - entryLease + time.Millisecond)
+	w.learn(others, others)
+	w.Assert(w.senders("server"), qt.HasLen, 1)
+	w.Assert(lost.warms("server"), qt.IsFalse)
+
+	// It is back, and waits until all know it.
+	w.learn(w.nodes, others)
+	w.learn(w.nodes, w.nodes)
+	w.Assert(lost.warms("server"), qt.IsFalse)
+}
+
+// A router that stops sends nothing to cold servers: another one stands in for it at once.
+func TestStoppingRouterIsNoSender(t *testing.T) {
+	w := newWarmers(t, 1)
+	w.learn(w.nodes, w.nodes)
+	w.now = w.now.Add(listedLeast)
+	w.learn(w.nodes, w.nodes)
+	w.Assert(w.nodes[0].warms("server"), qt.IsTrue)
+	w.nodes[0].stopping.Store(true)
+	w.Assert(w.nodes[0].warms("server"), qt.IsFalse)
+}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -78,6 +78,10 @@
 	Name string
 	// TokensPerEvent is what one event of a stream holds at most.
 	TokensPerEvent int
+	// WarmUp is how long a server is cold after a start.
+	WarmUp time.Duration
+	// ColdRate is the requests a second that a cold server bears; 0: as many as a warm one.
+	ColdRate float64
 }
 
 // Account is a client account: who pays.
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -73,6 +73,9 @@
 	// Checked is told when what is known got old: how old, whether others were asked,
 	// and whether calls to the store failed before. Nil: nobody is told.
 	Checked func(age time.Duration, relayed, failing bool)
+	// Learned is told, after each answer, of which moment the state is that is known at the
+	// least; nil: nobody is told.
+	Learned func(asOf time.Time)
 	// Now is a clock that goes on while the VM is suspended; nil means time.Now.
 	Now func() time.Time
 
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -82,6 +82,9 @@
 	if asOf.After(f.asOf) {
 		f.asOf = asOf
 	}
+	if f.Learned != nil {
+		f.Learned(f.asOf)
+	}
 	if !f.late(now) {
 		f.checks.made = 0
 		f.checks.serial++
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,6 +32,8 @@
 	NotExecuted bool
 	Load        fleet.Load
 	HasLoad     bool
+	// Cold is how much longer the server is cold, as it says; zero: it is warm, or doesn't say.
+	Cold time.Duration
 	// Output is the output tokens of an answer that isn't a stream; OutputUnknown if
 	// the server should have told and didn't.
 	Output int
@@ -59,8 +61,8 @@
 	ErrBroken = errors.New("upstream: exchange broken")
 )
 
-// errLeft: the server said that it leaves after it was chosen.
-var errLeft = errors.New("upstream: server left meanwhile")
+// errClosed: the server left, or its failure domain was evacuated, after it was chosen.
+var errClosed = errors.New("upstream: server closed meanwhile")
 
 // Error is a failed exchange: what it means for the request, and its cause.
 type Error struct {
@@ -113,11 +115,11 @@
 	if err != nil {
 		return nil, &Error{Meaning: ErrNotSent, Cause: err}
 	}
-	if a.Server.Leaving() {
+	if a.Server.Closed() {
 		// A connection may take its time to come about. Sent after it, the request would
 		// reach a server later than what was known of it when it was chosen.
 		_ = connection.Close() // nothing was sent on it
-		return nil, &Error{Meaning: ErrNotSent, Cause: errLeft}
+		return nil, &Error{Meaning: ErrNotSent, Cause: errClosed}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() }) // a second close changes nothing
 	reply, err := c.exchange(connection, a)
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -19,6 +19,7 @@
 	Urgency     string // 0 to 9, 0 is first
 	NotExecuted string // of an answer: the server did not run the request
 	Load        string // of an answer: running, waiting and most running requests
+	Cold        string // of an answer: how much longer the server is cold, in ms; empty: never told
 	Output      string // of a whole answer: its output tokens; empty: never told
 }
 
@@ -81,6 +82,9 @@
 		KeepAlive:   keepAlive(header.Get("Keep-Alive")),
 	}
 	meta.Load, meta.HasLoad = parseLoad(header.Get(c.Names.Load))
+	if c.Names.Cold != "" {
+		meta.Cold = parseCold(header.Get(c.Names.Cold))
+	}
 	if c.Names.Output != "" {
 		meta.Output = outputOf(header.Get(c.Names.Output))
 	}
@@ -96,6 +100,18 @@
 	return numbers[0]
 }
 
+// coldLongest bounds what a header can say.
+const coldLongest = time.Hour
+
+// parseCold reads a time in ms; zero if it is none.
+func parseCold(value string) time.Duration {
+	ms, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(ms > 0) {
+		return 0
+	}
+	return time.Duration(min(ms, float64(coldLongest.Milliseconds())) * float64(time.Millisecond))
+}
+
 // parseLoad reads "running,waiting,slots".
 func parseLoad(value string) (fleet.Load, bool) {
 	numbers, ok := ParseNumbers(value, 3)
