Avoid a router only for its own silence, not for callers who left it

Cause: whoever asked an account's home for tokens and gave up (its caller had left, or its 1.2 s for tokens were over) counted that as the home's silence: the connection was dropped with the loans of all other requests on it, and the home avoided for two seconds (one more in the keeper), in which each request was refused budget_unreachable after 0 ms. At the beginning of each cut from the store requests wait for tokens, so this began there.

Change: a call that its asker ended says nothing of the peer; one that took too long says something only if the peer has answered no later call.

Tests: two of three new ones of peers, and the one of escrow, fail without it.

--- /dev/null
+++ b/internal/escrow/away_test.go
@@ -0,0 +1,31 @@
+package escrow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// unreachedPeers answer nobody.
+type unreachedPeers struct{ Peers }
+
+func (unreachedPeers) BorrowFrom(context.Context, string, string, int64, string) Loan {
+	return Loan{Short: NotReached}
+}
+
+// A caller leaves while its request asks the account's home for tokens. The router must not
+// take the home for one without contact: for a second all other requests would pass it by.
+func TestRequestWhoseTimeIsOverTellsNothingOfTheHome(t *testing.T) {
+	k := New(Options{Log: event.Discard(), Peers: unreachedPeers{}, Clock: func() ClockReading { return ClockReading{Steady: time.Minute} }})
+	h := &hold{keeper: k, grant: k.grant("boatyard"), tokens: 1, missing: 1}
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	k.borrowFrom(ctx, h, "home")
+	qt.Assert(t, k.wasAway("home"), qt.IsFalse)
+	k.borrowFrom(context.Background(), h, "home")
+	qt.Assert(t, k.wasAway("home"), qt.IsTrue)
+}
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -142,7 +142,8 @@
 func (k *Keeper) borrowFrom(ctx context.Context, h *hold, address string) Shortage {
 	loan := k.o.Peers.BorrowFrom(ctx, address, h.grant.account, h.missing, h.waiterID)
 	h.got(loan.Tokens)
-	if loan.Short == NotReached || loan.Short == StoreAway {
+	// A request whose time is over tells nothing of whom it asked.
+	if ctx.Err() == nil && (loan.Short == NotReached || loan.Short == StoreAway) {
 		k.noteAway(address)
 	}
 	return loan.Short
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -42,6 +42,7 @@
 	mu        sync.Mutex
 	clients   map[string]*rpc.Client
 	avoided   map[string]time.Time
+	answered  map[string]time.Time // when a peer's last answer came
 	unsettled []unsettled
 }
 
@@ -57,7 +58,8 @@
 // NewClient makes a client for a process; addresses lists the other routers as
 // known now.
 func NewClient(incarnation string, addresses func() []string, clock Clock) *Client {
-	return &Client{incarnation: incarnation, addresses: addresses, clock: clock, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time)}
+	return &Client{incarnation: incarnation, addresses: addresses, clock: clock, clients: make(map[string]*rpc.Client), avoided: make(map[string]time.Time),
+		answered: make(map[string]time.Time)}
 }
 
 // Borrow asks peers in random order until it has the tokens or ctx ends. It
@@ -205,15 +207,20 @@
 	return c.callFor(ctx, callTimeout, address, method, request, answer)
 }
 
-// callFor makes a call whose answer may take some time.
+// callFor makes a call whose answer may take some time. A peer that is silent for that long is
+// avoided, and its connection dropped with all calls on it; so that needs to be the peer's
+// fault. It is not if who asked has left, nor if the peer has answered a later call: on a day
+// on which callers leave, or wait for tokens until their time is over, each of them kept all
+// others from the account's home for seconds.
 func (c *Client) callFor(ctx context.Context, patience time.Duration, address, method string, request, answer any) error {
 	client, err := c.client(address)
 	if err != nil {
 		c.avoid(address, nil)
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
+	started := time.Now()
+	silent := time.NewTimer(patience)
+	defer silent.Stop()
 	call := client.Go(serviceName+"."+method, request, answer, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -221,13 +228,30 @@
 			c.avoid(address, client)
 			return errors.Wrap(ErrUnreachable, call.Error.Error())
 		}
+		c.noteAnswer(address)
 		return nil
+	case <-silent.C:
+		if !c.answeredSince(address, started) {
+			c.avoid(address, client)
+		}
+		return ErrUnreachable
 	case <-ctx.Done():
-		c.avoid(address, client)
 		return ErrUnreachable
 	}
 }
 
+func (c *Client) noteAnswer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered[address] = time.Now()
+}
+
+func (c *Client) answeredSince(address string, start time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answered[address].After(start)
+}
+
 func (c *Client) client(address string) (*rpc.Client, error) {
 	c.mu.Lock()
 	client := c.clients[address]
--- /dev/null
+++ b/internal/peers/silence_test.go
@@ -0,0 +1,82 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// held is a lender that keeps the requests of one waiter until the test lets them go.
+type held struct {
+	lender
+	asked, let chan struct{}
+}
+
+const heldWaiter = "held"
+
+func (h *held) Lend(account string, tokens int64, waiter string) escrow.Loan {
+	if waiter == heldWaiter {
+		h.asked <- struct{}{}
+		<-h.let
+	}
+	return h.lender.Lend(account, tokens, waiter)
+}
+
+func startHeld(t *testing.T) (*held, string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() }) // the test is over
+	h := &held{lender: lender{left: 1000}, asked: make(chan struct{}, 1), let: make(chan struct{})}
+	go func() { _ = Serve(listener, h, nothing{}, event.Discard()) }() // ends with its listener
+	return h, listener.Addr().String()
+}
+
+// Two requests wait at their account's home. The caller of one leaves. Its loan is given up;
+// the other's goes on, and the next request gets its tokens from the home at once: a router
+// from which one caller had left refused all that paid from that home for two seconds.
+func TestCallerThatLeavesKeepsNobodyFromTheHome(t *testing.T) {
+	h, home := startHeld(t)
+	c := NewClient("p1", func() []string { return nil }, event.Discard())
+	waits := make(chan escrow.Loan)
+	go func() { waits <- c.BorrowFrom(context.Background(), home, "a", 5, heldWaiter) }()
+	<-h.asked
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan escrow.Loan)
+	go func() { left <- c.BorrowFrom(ctx, home, "a", 5, heldWaiter) }()
+	<-h.asked
+	leave()
+	qt.Assert(t, (<-left).Short, qt.Equals, escrow.NotReached)
+	qt.Assert(t, c.BorrowFrom(context.Background(), home, "a", 5, "next").Tokens, qt.Equals, int64(5))
+	close(h.let)
+	qt.Assert(t, (<-waits).Tokens, qt.Equals, int64(5))
+}
+
+// One call at a home takes too long while the home answers others. It is given up, and the
+// home is not avoided: it is not silent.
+func TestPeerThatAnswersOthersIsNotSilent(t *testing.T) {
+	h, home := startHeld(t)
+	defer close(h.let)
+	c := NewClient("p1", func() []string { return nil }, event.Discard())
+	late := make(chan escrow.Loan)
+	go func() { late <- c.BorrowFrom(context.Background(), home, "a", 5, heldWaiter) }()
+	<-h.asked
+	qt.Assert(t, c.BorrowFrom(context.Background(), home, "a", 5, "other").Tokens, qt.Equals, int64(5))
+	qt.Assert(t, (<-late).Short, qt.Equals, escrow.NotReached)
+	qt.Assert(t, c.avoiding(home), qt.IsFalse)
+	qt.Assert(t, c.BorrowFrom(context.Background(), home, "a", 5, "next").Tokens, qt.Equals, int64(5))
+}
+
+// A home that answers nobody is avoided, so that requests go on elsewhere at once.
+func TestSilentPeerIsAvoided(t *testing.T) {
+	h, home := startHeld(t)
+	defer close(h.let)
+	c := NewClient("p1", func() []string { return nil }, event.Discard())
+	go func() { <-h.asked }()
+	qt.Assert(t, c.BorrowFrom(context.Background(), home, "a", 5, heldWaiter).Short, qt.Equals, escrow.NotReached)
+	qt.Assert(t, c.avoiding(home), qt.IsTrue)
+}
