--- a/internal/node/warm.go
+++ b/internal/node/warm.go
@@ -74,15 +74,10 @@
 	if n.stopping.Load() || !n.listing.sure(n.now()) {
 		return false
 	}
-	members, _ := n.members.Listed()
-	self := n.self()
-	own := self.Rank(start)
-	for _, m := range members {
-		if m.Name != self.Name && m.Rank(start) < own {
-			return false
-		}
-	}
-	return true
+	members, version := n.members.Listed()
+	key := "warms " + start
+	ranked := n.rankings.get(rankedFrom{version: version}, key, func() []string { return n.rank(members, key, false) })
+	return ranked[0] == "" // this router
 }
 
 // coldRate is the requests a second that a service's cold servers bear; 0: no bound.
--- a/internal/node/warm_test.go
+++ b/internal/node/warm_test.go
@@ -33,8 +33,9 @@
 // learn lets routers know the list of those that are in it.
 func (w *warmers) learn(routers []*Node, listed []*Node) {
 	items := make([]store.Item, 0, len(listed))
-	for _, n := range listed {
-		record, err := json.Marshal(MemberRecord{Address: n.settings.Callers, Domain: "zone-1", Capacity: n.settings.Capacity})
+	for i, n := range listed {
+		record, err := json.Marshal(MemberRecord{Address: n.settings.Callers, Peer: fmt.Sprintf("10.0.0.1:%d", i+1), Domain: "zone-1",
+			Capacity: n.settings.Capacity})
 		w.Assert(err, qt.IsNil)
 		items = append(items, store.Item{Key: MemberPrefix + n.settings.VM, Value: record, Revision: 1})
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -8,6 +8,11 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/operate"
+	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 // fault is one thing that goes wrong, and is well again when do returns.
@@ -38,10 +43,47 @@
 		lasts := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
 		faults = append(faults, f.draw(random, at, lasts))
 	}
+	faults = append(faults, f.planEvacuations(seed, duration)...)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
 	return faults
 }
 
+// evacuationEvery is the mean time between two evacuations of a failure domain.
+const evacuationEvery = 4 * time.Second
+
+// planEvacuations draws what operators rehearse meanwhile. It has random numbers of its own,
+// so that a seed's faults stay what they were.
+func (f *fleet) planEvacuations(seed uint64, duration time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	var plan []fault
+	for range int(duration / evacuationEvery) {
+		at := time.Duration(random.Int64N(int64(duration)))
+		lasts := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+		name := string(domain(random.IntN(engines)))
+		plan = append(plan, fault{at: at, name: name + " evacuated", do: func(ctx context.Context) { f.evacuated(ctx, name, lasts) }})
+	}
+	return plan
+}
+
+// evacuated orders a domain's evacuation and takes it back, each as soon as the store takes
+// the order.
+func (f *fleet) evacuated(ctx context.Context, name string, lasts time.Duration) {
+	f.order(ctx, name, operate.Evacuate)
+	sleep(ctx, lasts)
+	f.order(ctx, name, operate.Restore)
+}
+
+// order repeats an operator's order until the store has taken it. A domain that another
+// evacuation of the schedule has restored is not found, which is as good.
+func (f *fleet) order(ctx context.Context, name string, give func(context.Context, store.Store, string) error) {
+	for {
+		err := give(ctx, f.store, name)
+		if err == nil || errors.Is(err, operate.ErrNotFound) || !sleep(ctx, pollEvery) {
+			return
+		}
+	}
+}
+
 // draw makes one fault.
 func (f *fleet) draw(random *rand.Rand, at, lasts time.Duration) fault {
 	r := f.routers[random.IntN(len(f.routers))]
