Split the life of a request by job

Cause: forward/task.go (407 lines) held the life of a request, its attempts, whole answers and its ends.

Change: task.go, attempt.go, answer.go, ends.go; functions moved, no line changed (compared as sorted lines).

--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/upstream"
+)
+
+// relayWhole reads an answer to its end before the caller gets any of it.
+func (t *task) relayWhole(watch *watchdog, server *fleet.Server, reply *upstream.Reply) outcome {
+	body, err := io.ReadAll(io.LimitReader(reply, wholeAnswer))
+	if err != nil {
+		return t.brokenBy(watch, server, err)
+	}
+	if len(body) == wholeAnswer {
+		return t.relayLong(server, reply, body)
+	}
+	ownFailure := reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
+	if ownFailure && t.r.Route.Repeatable() && t.mayRepeat("failed") {
+		t.logFailure(server, "failed", errors.Errorf("status %d", reply.Status))
+		return again
+	}
+	server.Worked()
+	t.firstAt = time.Now()
+	if reply.Status == http.StatusOK {
+		t.answered = true
+		t.countOutput(reply.Output)
+	}
+	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
+		return callerGone
+	}
+	t.served(server, reply.Status)
+	return finished
+}
+
+// countOutput notes the output of a whole answer. What the server doesn't tell counts
+// as all that was asked for: less could spend what nobody paid.
+func (t *task) countOutput(output int) {
+	t.output = output
+	if output == upstream.OutputUnknown {
+		t.output = t.r.OutputTokens
+	}
+}
+
+// relayLong passes on an answer that is too long to be held.
+func (t *task) relayLong(server *fleet.Server, reply *upstream.Reply, head []byte) outcome {
+	t.begun, t.firstAt = true, time.Now()
+	t.countOutput(reply.Output)
+	t.caller.Begin(reply.Status, reply.Header, reply.Length)
+	part := head
+	buf := make([]byte, 16<<10)
+	for {
+		if err := t.caller.Write(part); err != nil {
+			return callerGone
+		}
+		n, err := reply.Read(buf)
+		part = buf[:n]
+		if err == nil {
+			continue
+		}
+		if n > 0 {
+			if failure := t.caller.Write(part); failure != nil {
+				return callerGone
+			}
+		}
+		if err == io.EOF {
+			server.Worked()
+			t.served(server, reply.Status)
+			return finished
+		}
+		t.logFailure(server, "broken", err)
+		t.giveUp(BackendFailed)
+		return finished
+	}
+}
--- /dev/null
+++ b/internal/forward/ends.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+// noServerCause says why there is no server to send the request to.
+func (t *task) noServerCause() Cause {
+	if refusal := t.f.obstacle(t.r.Service); refusal != nil {
+		return refusal.Cause
+	}
+	return NoServer // those that could take one have been tried
+}
+
+// failureCause keeps the promise of 'not run' truthful.
+func (t *task) failureCause(unrun Cause) Cause {
+	if t.mayHaveRun {
+		return BackendFailed
+	}
+	return unrun
+}
+
+func (t *task) lateCause() Cause {
+	if t.mayHaveRun {
+		return TimedOut
+	}
+	return Overdue
+}
+
+// giveUp gives the caller its final answer; it returns true, for step.
+func (t *task) giveUp(cause Cause) bool {
+	if !t.begun {
+		t.f.refuse(t.r, t.caller, RefusalOf(cause), t.policy, t)
+		return true
+	}
+	t.caller.Abort()
+	t.f.Metrics.Refused(cause)
+	t.f.Log.Emit(event.RequestCut, append(t.attrs(), slog.String(event.KeyCause, string(cause)),
+		slog.Int64("last_event", t.lastEvent), slog.String("last", t.lastFailure))...)
+	return true
+}
+
+// abandon notes that the caller left; it returns true, for step.
+func (t *task) abandon() bool {
+	t.caller.Abort()
+	t.f.Log.Emit(event.RequestAbandoned, append(t.attrs(), slog.Int("events", t.events))...)
+	return true
+}
+
+func (t *task) served(server *fleet.Server, status int) {
+	whole := time.Since(t.r.Arrived)
+	first := t.firstAt.Sub(t.r.Arrived)
+	t.f.Metrics.Served(first, whole)
+	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", status),
+		slog.Int64("first_ms", first.Milliseconds()), slog.Int64("reserved_ms", t.reserved.Milliseconds()),
+		slog.Int64("server_ms", t.firstAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.pause.Milliseconds()),
+		slog.Int64("unread", int64(t.unread)), slog.Int("events", t.events))...)
+}
+
+func (t *task) attrs() []slog.Attr {
+	attrs := []slog.Attr{
+		slog.String(event.KeyRequest, t.r.ID),
+		slog.String("route", t.r.Route.Name),
+		slog.Int64("config", t.policy.Version),
+		slog.Int("sends", t.sends),
+		slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()),
+	}
+	if t.r.Account != nil {
+		attrs = append(attrs, slog.String(event.KeyAccount, t.r.Account.Name), slog.Int64(event.KeyTokens, t.used()))
+	}
+	return attrs
+}
+
+func (t *task) logFailure(server *fleet.Server, how string, err error) {
+	t.lastFailure = how
+	status := server.Status(time.Now())
+	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
+		slog.String("address", server.Address), slog.String("how", how), slog.Any(event.KeyCause, err),
+		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
+		slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+}
