--- a/cmd/chicory-edge/main.go
+++ b/cmd/chicory-edge/main.go
@@ -21,13 +21,12 @@
 
 func dialect(settings *node.Settings, clock func() escrow.ClockReading, _ *event.Log) node.Dialect {
 	return node.Dialect{
-		Store:        platform.NewStore(settings.Store),
-		Clock:        clock,
-		Now:          store.BootNow,
-		ConfigPrefix: platform.ConfigPrefix,
-		IsConfig:     platform.IsConfig,
-		DecodeConfig: platform.DecodeConfig,
-
+		Store:           platform.NewStore(settings.Store),
+		Clock:           clock,
+		Now:             store.BootNow,
+		ConfigPrefix:    platform.ConfigPrefix,
+		IsConfig:        platform.IsConfig,
+		DecodeConfig:    platform.DecodeConfig,
 		EvacuatedDomain: platform.EvacuatedDomain,
 		ServersPrefix:   platform.ServersPrefix,
 		DecodeServer:    fleet.DecodeEntry(platform.DecodeServer),
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -11,13 +11,12 @@
 // Dialect is what a router with the own interface speaks.
 func Dialect(s store.Store, clock func() escrow.ClockReading, log *event.Log) node.Dialect {
 	return node.Dialect{
-		Store:        s,
-		Clock:        clock,
-		Now:          store.BootNow,
-		ConfigPrefix: ConfigPrefix,
-		IsConfig:     IsConfig,
-		DecodeConfig: DecodeConfig,
-
+		Store:           s,
+		Clock:           clock,
+		Now:             store.BootNow,
+		ConfigPrefix:    ConfigPrefix,
+		IsConfig:        IsConfig,
+		DecodeConfig:    DecodeConfig,
 		EvacuatedDomain: EvacuatedDomain,
 		ServersPrefix:   BackendsPrefix,
 		DecodeServer:    fleet.DecodeEntry(DecodeBackend),
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -209,9 +209,9 @@
 
 // callFor makes a call whose answer may take some time. A peer that is silent for that long is
 // avoided, and its connection dropped with all calls on it; so that needs to be the peer's
-// fault. It is not if who asked has left, nor if the peer has answered a later call: on a day
-// on which callers leave, or wait for tokens until their time is over, each of them kept all
-// others from the account's home for seconds.
+// fault. It is not if who asked has left, nor if the peer has answered a later call: each
+// caller that leaves, or waits for tokens until its time is over, would keep all others from
+// their account's home for seconds.
 func (c *Client) callFor(ctx context.Context, patience time.Duration, address, method string, request, answer any) error {
 	client, err := c.client(address)
 	if err != nil {
