Let only large VMs follow the store for others

Timeline: 9.1 s the configuration grows by many routes; 16 to 25 s it changes often while half of the routers are cut off; from 16.5 s on edge-karlin-12 and edge-smichov-21 get no read of the configuration through (17 watches and 17 checks fail), 2.1 s old knowledge of all else; 22.8 s requests are handled by a version that ended 3.5 s before.

Hypotheses: a full link by callers (no: few requests there); the follower's checks (its bound is held, the calls run out); what it sends to its followers: yes. Both are the readers of their failure domain by rank (worked out from their names), with 10 Mbit/s links; a version of some hundred KB to 26 followers fills such a link for seconds, and their own reads with it.

Change: readers are chosen among the VMs with half of the largest capacity of their failure domain at least. Where all are equal nothing changes. The test of 24 small and two large VMs fails without it.

--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -120,3 +120,39 @@
 	}
 	c.Assert(n.homeOf("account-1"), qt.Equals, standby)
 }
+
+// A failure domain has two large VMs and 24 small ones. A configuration of some hundred KB
+// changes, and whoever reads it for the others sends it to all of them: a small VM's link is
+// full for seconds with that. Only the large ones read for others, whatever their names; the
+// small ones do where no large one is left.
+func TestSmallRoutersReadForNobody(t *testing.T) {
+	for round := range 50 {
+		var members []fleet.Member
+		for i := range 26 {
+			m := fleet.Member{Name: fmt.Sprintf("vm-%d-%d", round, i), Peer: "p", Domain: "zone-1", Capacity: 0.04}
+			if i < 2 {
+				m.Capacity = 0.8
+			}
+			members = append(members, m)
+		}
+		chosen := readers(members, "zone-1")
+		qt.Assert(t, chosen, qt.HasLen, 1)
+		qt.Assert(t, chosen[0].Capacity, qt.Equals, 0.8)
+		qt.Assert(t, readers(members[2:], "zone-1"), qt.HasLen, 1)
+	}
+}
+
+// Where all VMs are equal each may read for others, one of them for 32.
+func TestEqualRoutersAreReadersByRank(t *testing.T) {
+	used := map[string]bool{}
+	for round := range 50 {
+		var members []fleet.Member
+		for i := range 40 {
+			members = append(members, fleet.Member{Name: fmt.Sprint("vm-", round*100+i), Peer: "p", Domain: "zone-1", Capacity: 1})
+		}
+		chosen := readers(members, "zone-1")
+		qt.Assert(t, chosen, qt.HasLen, 2)
+		used[chosen[0].Name] = true
+	}
+	qt.Assert(t, len(used), qt.Equals, 50)
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -23,18 +24,28 @@
 // follower costs it some six small calls a second, a thousandth of a core.
 const readersFor = 32
 
+// readerPart is the part of a failure domain's largest capacity that its readers have at
+// least. A reader passes each version of the configuration on to all its followers: with some
+// hundred KB to 26 of them the link of a small VM was full for seconds, its own reads of the
+// store ran out of time, and it served by an old version for as long.
+const readerPart = 0.5
+
 // readers are the routers that follow the store for a failure domain, of all routers that
 // take callers.
 func readers(members []fleet.Member, domain string) []fleet.Member {
 	var near []fleet.Member
+	largest := 0.0
 	for _, m := range members {
 		if m.Domain == domain && m.Peer != "" {
 			near = append(near, m)
+			largest = max(largest, m.Capacity)
 		}
 	}
+	followed := 1 + len(near)/readersFor
+	near = slices.DeleteFunc(near, func(m fleet.Member) bool { return m.Capacity < readerPart*largest })
 	const key = "follows the store"
 	sort.Slice(near, func(i, j int) bool { return near[i].Rank(key) < near[j].Rank(key) })
-	return near[:min(len(near), 1+len(near)/readersFor)]
+	return near[:min(len(near), followed)]
 }
 
 // relay is where this router learns from; it implements store.Relay.
