--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -15,18 +15,15 @@
 
 // Weights of the estimate, in milliseconds unless said otherwise.
 const (
-	// tokensPerMs is how fast a server reads a prompt. Servers don't tell; 40 is
-	// the measured order of the present ones. Only its ratio to the other
-	// weights matters.
+	// tokensPerMs is how fast a server reads a prompt. Servers don't tell. Only its ratio to
+	// the other weights matters.
 	tokensPerMs = 40
 	// runningMs is what a request at the server delays a new one: its share of a
-	// step, and of prompts that this router doesn't know of. Of 2, 4 and 8 the
-	// smallest had the fewest shared parts read again (by 14% and 31%), at the same
-	// delays to the first event.
+	// step, and of prompts that this router doesn't know of. A larger one drives
+	// requests away from the servers that keep their shared parts.
 	runningMs = 2
-	// domainMs is what crossing into another failure domain costs: the round trip of some
-	// three, and bytes that are paid for. With 10 instead of 3 the bytes between failure
-	// domains fell, and no request was later for it.
+	// domainMs is what crossing into another failure domain costs: the round trip, and bytes
+	// that are paid for.
 	domainMs = 10
 	// serviceMs is one request's stay at a plain service's server.
 	serviceMs = 20
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -37,8 +37,7 @@
 	firstCeiling = 0.01
 	// outageRateAbove is the rate of use out of contact, in usual rates; outageRateLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large. Use comes in
-	// clumps of some three times its mean: at 1.5 times it a fifth of the requests
-	// of a cut of eight seconds were refused. What is stated is lost only by a router
+	// clumps of several times its mean, and what goes beyond the rate is refused. What is stated is lost only by a router
 	// that dies out of contact or stays down for longer than openAfter.
 	outageRateAbove = 2.2
 	outageRateLeast = 0.008
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -70,8 +70,8 @@
 }
 
 // used is the tokens that the client account pays: the prompt once, and what was passed on.
-// A request of whose answer nothing was passed on costs nothing, also if it ran: on days on
-// which servers break or callers leave early, 2% of the budgets went to such prompts.
+// A request of whose answer nothing was passed on costs nothing, also if it ran: nobody would
+// pay a prompt twice because a server broke or a caller left early.
 func (t *task) used() int64 {
 	if !t.begun && !t.answered {
 		return 0
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -69,9 +69,9 @@
 	return addresses
 }
 
-// rankings keeps holders by key for as long as the list of routers stays as it is. To work
-// them out for 195 routers took 0.3 ms of a core on a busy machine (BenchmarkHolders), some
-// times a request and for each account with each ledger; small VMs have a fifth of a core.
+// rankings keeps holders by key for as long as the list of routers stays as it is: they are
+// wanted some times a request and for each account with each ledger, and to work them out
+// takes a look at all routers.
 type rankings struct {
 	mu      sync.Mutex
 	from    rankedFrom
