End the soak's programs with the soak

Its log has grants of vm-3 closed each 2.1 s, for a holder that is none of its processes. That incarnation is in the log of a TestShortSoak that its time limit had ended 35 minutes before: three of its routers still ran, the port of their store had become the port of this soak's, and two routers of one VM closed each other's grants.

Hypotheses: an evacuation that was not taken back (no: 707 at all routers), a budget lost by deaths (no: the holder lives), a second process of the VM (yes, by its log and process id).

Change: the kernel ends what the soak started when the soak ends, however it ends.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -38,6 +38,9 @@
 		return "", errors.Wrap(err, p.name)
 	}
 	cmd := exec.Command(p.path, p.args...)
+	// A soak that is killed can't end what it started. Its routers would go on, and join the
+	// fleet of a later soak whose store gets the port of their own: two routers of one VM.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Stderr = file
 	cmd.Stdout = file
 	var out io.ReadCloser
