Hold each safeguard of evacuations and cold servers by a test that fails without it

Seventeen safeguards were taken out one by one. Two were missed by all tests: the choice passing over evacuated servers (the connection's own check hid it), and the handicap of cold ones. Both are held now, and that a router which starts in an outage learns of evacuations from another one. No code but a setter's name.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -136,6 +136,7 @@
 	for i := range 20 {
 		qt.Assert(t, c.Choose(list, prompt(fmt.Sprint("subject-", i)), none).Server, qt.Not(qt.Equals), list[0])
 	}
+	qt.Assert(t, c.Choose(list, &request.Request{}, none).Server, qt.Not(qt.Equals), list[0])
 	list[1].Begin(60_000)
 	list[2].Begin(60_000)
 	for range 2 {
@@ -173,7 +174,31 @@
 	qt.Assert(t, why, qt.Equals, AllCold)
 	qt.Assert(t, warmIn > 50*time.Second && warmIn <= time.Minute, qt.IsTrue, qt.Commentf("%v", warmIn))
 	qt.Assert(t, obstacle(permits{list[0]: 0, list[1]: 1}), qt.Equals, Free)
+	list[0].Evacuate(true)
+	qt.Assert(t, obstacle(warm{}), qt.Equals, Free)
+	qt.Assert(t, obstacle(permits{list[1]: 0}), qt.Equals, AllCold)
+	list[1].Evacuate(true)
+	qt.Assert(t, obstacle(warm{}), qt.Equals, AllEvacuated)
 	list[0].Leave()
 	list[1].Leave()
 	qt.Assert(t, obstacle(warm{}), qt.Equals, NoServers)
 }
+
+// A server's failure domain is evacuated. It gets nothing, though it is the home of what is
+// asked for and idle, until the order is taken back.
+func TestEvacuatedServerIsPassedOver(t *testing.T) {
+	list, r := servers(3), prompt("subject")
+	c := NewChooser("zone-1", warm{}, nil)
+	home := c.Choose(list, r, none).Server
+	home.Evacuate(true)
+	for range 5 {
+		qt.Assert(t, c.Choose(list, r, none).Server, qt.Not(qt.Equals), home)
+	}
+	home.Evacuate(false)
+	qt.Assert(t, c.Choose(list, r, none).Server, qt.Equals, home)
+
+	plain := &request.Request{}
+	first := c.Choose(list, plain, none).Server
+	first.Evacuate(true)
+	qt.Assert(t, c.Choose(list, plain, none).Server, qt.Not(qt.Equals), first)
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -197,7 +197,7 @@
 // found takes a server, or a new start of one: nothing of an earlier start is kept.
 func (r *Registry) found(item store.Item, entry Entry) {
 	server := NewServer(entry)
-	server.evacuated.Store(r.evacuated[entry.Domain])
+	server.Evacuate(r.evacuated[entry.Domain])
 	server.Chill(r.now(), entry.Cold)
 	r.servers[item.Key] = &tracked{server: server, revision: item.Revision, item: item}
 	r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
@@ -224,7 +224,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.evacuated[domain] = true
-	return r.each(domain, func(s *Server) { s.evacuated.Store(true) })
+	return r.each(domain, func(s *Server) { s.Evacuate(true) })
 }
 
 // restore opens a failure domain's servers again and returns how many there are. They may
@@ -238,7 +238,7 @@
 	now := r.now()
 	return r.each(domain, func(s *Server) {
 		s.Chill(now, r.warmUp(s.Service))
-		s.evacuated.Store(false)
+		s.Evacuate(false)
 	})
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -86,6 +86,11 @@
 	return s.evacuated.Load()
 }
 
+// Evacuate notes that the server's failure domain is evacuated, or is not any more.
+func (s *Server) Evacuate(evacuated bool) {
+	s.evacuated.Store(evacuated)
+}
+
 // Closed says whether the server gets nothing new at all.
 func (s *Server) Closed() bool {
 	return s.Leaving() || s.Evacuated()
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -219,3 +219,22 @@
 	qt.Assert(t, readers(without, "zone-1")[0], qt.Equals, chosen[1], qt.Commentf("the others stay"))
 	qt.Assert(t, readers(members, "zone-9"), qt.HasLen, 0)
 }
+
+// A router starts while the store is away, and learns from another one. A domain was evacuated
+// before the outage: without the order the new router would send there until the store is back.
+func TestStartingRouterLearnsOfEvacuations(t *testing.T) {
+	c := qt.New(t)
+	dialect := Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
+		IsConfig: func(item store.Item) bool { return item.Key == "config/x" }, DecodeConfig: testConfig,
+		EvacuatedDomain: func(key string) (string, bool) { return strings.CutPrefix(key, "config/evacuate/") },
+		DecodeServer:    decodeTestServer}
+	knows, starts := New(&Settings{VM: "vm-1"}, dialect, event.Discard(), "p1"), New(&Settings{VM: "vm-2"}, dialect, event.Discard(), "p2")
+	(&configSink{node: knows}).Reset([]store.Item{
+		{Key: "config/x", Value: []byte("1"), Revision: 1}, {Key: "config/evacuate/zone-a", Value: []byte("{}"), Revision: 2},
+	}, store.Silence{})
+	(&configSink{node: starts}).Reset(knows.Known().Config, store.Silence{})
+	server := store.Item{Key: "servers/a", Revision: 3, Value: []byte(`{"ID":"a","Service":"engines","Address":"10.0.0.1:80","Domain":"zone-a"}`)}
+	starts.registry.Seed([]store.Item{server})
+	c.Assert(starts.policy.Load().Version, qt.Equals, int64(1))
+	c.Assert(starts.registry.View().ByService["engines"][0].Closed(), qt.IsTrue)
+}
