--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -259,6 +259,33 @@
 	})
 }
 
+// Guards against requests to a server that left during a cut: a call that waits for the
+// retransmission of its connection, after the cut, taken for a store that is still away.
+func TestServerThatLeftDuringACutIsOutInTime(t *testing.T) {
+	const (
+		leavesAfter    = 2 * time.Second
+		retransmission = 1500 * time.Millisecond
+	)
+	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
+		t.Run(name, func(t *testing.T) {
+			forEachPhase(t, func(t *testing.T, phase time.Duration) {
+				withFollower(t, others, func(w *followedWorld) {
+					w.store.set(func() { w.store.cut, w.store.deafWatches = true, true })
+					time.Sleep(leavesAfter)
+					w.store.Remove("servers/a")
+					time.Sleep(9*time.Second + phase)
+					w.store.set(func() { w.store.cut = false })
+					time.Sleep(retransmission)
+					w.store.set(func() { w.store.deafWatches = false })
+					time.Sleep(settled - retransmission)
+					w.Assert(w.used("a"), qt.IsFalse)
+					w.Assert(w.used("b"), qt.IsTrue)
+				})
+			})
+		})
+	}
+}
+
 // A router follows another one, from which it is cut off, and its connections to the store
 // fell silent too. Each call takes its whole time for nothing, one after the other. The
 // store itself answers new calls within milliseconds all the time, so a server that leaves
