Count the grace of missing entries from what proves that the store was away

A server that is missing after an outage is kept until 2.8 s after the last call without an answer, on the ground that the store can't have returned before that call. It can: a call over a connection that was open in the outage waits for its retransmission, and one that is under way has no answer yet.

Ruled out: a late word of the entry itself (the other six routers had it in 0.7 s), other routers' word (none was asked).

Checks go over connections of their own now, also those that ask for changes only. The order of their answers tells since when the store may have answered again (store.Probe), whatever the link's delay. A router that hears from another one takes that one's silence, not its own.

--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -85,14 +85,50 @@
 }
 
 func (s *linkedStore) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
-	for range 2 { // there and back, until the connection comes about
-		if err := s.send(ctx, false); err != nil {
-			return store.Snapshot{}, err
-		}
+	if err := s.connect(ctx); err != nil {
+		return store.Snapshot{}, err
 	}
 	return s.Read(ctx, prefix)
 }
 
+func (s *linkedStore) WatchAnew(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	if err := s.connect(ctx); err != nil {
+		return store.Changes{}, err
+	}
+	s.set(func() { s.asked++ })
+	if err := s.comeBack(ctx); err != nil {
+		return store.Changes{}, err
+	}
+	changes, err := s.Store.Watch(ctx, prefix, after, wait)
+	if err != nil {
+		return changes, err
+	}
+	return changes, s.comeBack(ctx)
+}
+
+// connect makes a connection. Its first packet is sent again after one second, and then
+// after twice the time before.
+func (s *linkedStore) connect(ctx context.Context) error {
+	for again := time.Second; ; again *= 2 {
+		s.mu.Lock()
+		trip, lost := max(s.trip, roundTrip), s.cut
+		s.mu.Unlock()
+		wait := trip
+		if lost {
+			wait = again
+		}
+		select {
+		case <-ctx.Done():
+			return store.ErrUnavailable
+		case <-time.After(wait):
+		}
+		if !lost {
+			store.Connected(ctx)
+			return nil
+		}
+	}
+}
+
 // comeBack is the way of an answer.
 func (s *linkedStore) comeBack(ctx context.Context) error {
 	s.mu.Lock()
@@ -267,22 +303,55 @@
 		retransmission = 1500 * time.Millisecond
 	)
 	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
-		t.Run(name, func(t *testing.T) {
-			forEachPhase(t, func(t *testing.T, phase time.Duration) {
-				withFollower(t, others, func(w *followedWorld) {
-					w.store.set(func() { w.store.cut, w.store.deafWatches = true, true })
-					time.Sleep(leavesAfter)
-					w.store.Remove("servers/a")
-					time.Sleep(9*time.Second + phase)
-					w.store.set(func() { w.store.cut = false })
-					time.Sleep(retransmission)
-					w.store.set(func() { w.store.deafWatches = false })
-					time.Sleep(settled - retransmission)
-					w.Assert(w.used("a"), qt.IsFalse)
-					w.Assert(w.used("b"), qt.IsTrue)
+		for link, trip := range map[string]time.Duration{"short": roundTrip, "long": 400 * time.Millisecond} {
+			t.Run(name+"/"+link, func(t *testing.T) {
+				forEachPhase(t, func(t *testing.T, phase time.Duration) {
+					withFollower(t, others, func(w *followedWorld) {
+						w.store.set(func() { w.store.cut, w.store.deafWatches, w.store.trip = true, true, trip })
+						time.Sleep(leavesAfter)
+						w.store.Remove("servers/a")
+						time.Sleep(9*time.Second + phase)
+						w.store.set(func() { w.store.cut = false })
+						time.Sleep(retransmission)
+						w.store.set(func() { w.store.deafWatches = false })
+						time.Sleep(settled - retransmission)
+						w.Assert(w.used("a"), qt.IsFalse)
+						w.Assert(w.used("b"), qt.IsTrue)
+					})
 				})
 			})
-		})
+		}
+	}
+}
+
+// Guards against services that are empty after an outage: entries that lapsed in it are back
+// within two seconds of the store's return, and their servers are used until then.
+func TestServersThatLapsedInAnOutageStayInUse(t *testing.T) {
+	outages := map[string]func(s *linkedStore, away bool){
+		"cut":     func(s *linkedStore, away bool) { s.set(func() { s.cut = away }) },
+		"refuses": func(s *linkedStore, away bool) { s.SetDown(away) },
+	}
+	const back = 1900 * time.Millisecond
+	for outage, set := range outages {
+		for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
+			t.Run(outage+"/"+name, func(t *testing.T) {
+				forEachPhase(t, func(t *testing.T, phase time.Duration) {
+					withFollower(t, others, func(w *followedWorld) {
+						set(w.store, true)
+						time.Sleep(8*time.Second + phase)
+						w.store.Remove("servers/a")
+						set(w.store, false)
+						for range back / phaseStep {
+							time.Sleep(phaseStep)
+							w.Assert(w.used("a"), qt.IsTrue)
+						}
+						w.putServer("a", false)
+						time.Sleep(settled)
+						w.Assert(w.used("a"), qt.IsTrue)
+					})
+				})
+			})
+		}
 	}
 }
 
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -58,6 +58,10 @@
 	return s.Read(ctx, prefix)
 }
 
+func (s *countedStore) WatchAnew(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	return s.Watch(ctx, prefix, after, wait)
+}
+
 func (s *countedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
 	if s.note() {
 		return store.Changes{}, store.ErrUnavailable
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -35,6 +35,7 @@
 	Changes store.Changes
 	At      store.Revision // of Items
 	Lag     time.Duration  // of Items
+	Silence store.Silence  // of Items
 }
 
 // Follow answers a peer that follows the store through this router.
@@ -48,7 +49,7 @@
 	if request.All {
 		var snapshot store.Snapshot
 		snapshot, err = feed.Read(request.After)
-		answer.Items, answer.At, answer.Lag = snapshot.Items, snapshot.At, snapshot.Lag
+		answer.Items, answer.At, answer.Lag, answer.Silence = snapshot.Items, snapshot.At, snapshot.Lag, snapshot.Silence
 	} else {
 		answer.Changes, err = feed.Watch(context.Background(), request.After, min(request.Wait, followMost))
 	}
--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -71,6 +71,11 @@
 	return s.Store.Read(ctx, prefix)
 }
 
+func (s fatedStore) WatchAnew(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	time.Sleep(roundTrip)
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
 func (s fatedStore) Read(ctx context.Context, prefix string) (store.Snapshot, error) {
 	if !s.open.meet(ctx) {
 		return store.Snapshot{}, store.ErrOutcomeUnknown
@@ -203,6 +208,10 @@
 	return s.Read(ctx, prefix)
 }
 
+func (s cutStore) WatchAnew(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	return s.Watch(ctx, prefix, after, wait)
+}
+
 func (s cutStore) Watch(ctx context.Context, _ string, _ store.Revision, _ time.Duration) (store.Changes, error) {
 	<-ctx.Done()
 	return store.Changes{}, store.ErrOutcomeUnknown
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -72,8 +72,11 @@
 // answer is how a call ended: with a snapshot, changes or an error.
 type answer struct {
 	kind     callKind
-	serial   int // of checks
+	serial   int    // of checks
+	probe    *Probe // of checks
 	started  time.Time
+	ended    time.Time
+	gaveUp   bool     // this router ended it
 	after    Revision // what was known then
 	snapshot *Snapshot
 	changes  *Changes
@@ -117,20 +120,20 @@
 		f.checks.stops[0]()
 		f.checks.stops = f.checks.stops[1:]
 	}
-	a := answer{kind: checkStore, serial: f.checks.serial, started: now, after: f.at}
+	a := answer{kind: checkStore, serial: f.checks.serial, probe: f.Gate.Probe(now), started: now, after: f.at}
+	ctx = whenConnected(ctx, func() { f.Gate.ProbeConnected(a.probe, f.now()) })
 	f.checks.stops = append(f.checks.stops, f.call(ctx, calls, a, f.checkAsk()))
 }
 
-// checkAsk is the next check. The first reads everything over a new connection, since the
-// open ones may have fallen silent. The next asks for the changes only, over an open one:
-// over a full link a new connection takes four trips until it has carried some 50 KB, and a
-// router that was back from an outage stayed without an answer for five seconds. And so on
-// in turn.
+// checkAsk is the next check, over a new connection, since the open ones may have fallen
+// silent. The first reads everything. The next asks for the changes only: over a full link
+// some 50 KB take too long, and a router that was back from an outage stayed without an
+// answer for five seconds. And so on in turn.
 func (f *Follower) checkAsk() ask {
 	after := f.at
 	if f.checks.made%2 == 0 && after > 0 {
 		return func(ctx context.Context) (*Snapshot, *Changes, error) {
-			return f.watch(ctx, after, watchLeast, checkPatience)
+			return f.watch(ctx, f.Store.WatchAnew, after, watchLeast, checkPatience)
 		}
 	}
 	return func(ctx context.Context) (*Snapshot, *Changes, error) {
@@ -152,6 +155,8 @@
 		if panics.Try(func() { a.snapshot, a.changes, a.err = ask(callCtx) }) != nil {
 			a.err = ErrPanicked
 		}
+		a.ended = f.now()
+		a.gaveUp = callCtx.Err() != nil || a.ended.Sub(a.started) >= checkPatience
 		select {
 		case f.answers <- a:
 		case <-ctx.Done():
@@ -183,7 +188,9 @@
 		}
 	}
 	wait := f.watchWait(now)
-	return func(ctx context.Context) (*Snapshot, *Changes, error) { return f.watch(ctx, after, wait, f.Patience) }
+	return func(ctx context.Context) (*Snapshot, *Changes, error) {
+		return f.watch(ctx, f.Store.Watch, after, wait, f.Patience)
+	}
 }
 
 // watchWait lets a watch come back when what is known is Wait + Pause old: an answer with
@@ -192,12 +199,15 @@
 	return min(f.Wait, max(watchLeast, f.asOf.Add(f.Wait+f.Pause).Sub(now)))
 }
 
+// watchCall is Store.Watch or Store.WatchAnew.
+type watchCall func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+
 // watch asks the store for changes. An answer without any is of the end of the wait.
-func (f *Follower) watch(ctx context.Context, after Revision, wait, patience time.Duration) (*Snapshot, *Changes, error) {
+func (f *Follower) watch(ctx context.Context, call watchCall, after Revision, wait, patience time.Duration) (*Snapshot, *Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	began := f.now()
-	changes, err := f.Store.Watch(ctx, f.Prefix, after, wait)
+	changes, err := call(ctx, f.Prefix, after, wait)
 	if len(changes.Events) == 0 {
 		changes.Lag = -min(wait, f.now().Sub(began))
 	}
--- a/internal/store/counted.go
+++ b/internal/store/counted.go
@@ -44,6 +44,13 @@
 	return changes, err
 }
 
+// WatchAnew implements Store.
+func (c Counted) WatchAnew(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error) {
+	changes, err := c.Store.WatchAnew(ctx, prefix, after, wait)
+	c.Count("check", subject(prefix), err)
+	return changes, err
+}
+
 // Commit implements Store.
 func (c Counted) Commit(ctx context.Context, txn Txn) (Result, error) {
 	result, err := c.Store.Commit(ctx, txn)
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -192,7 +192,7 @@
 	if f.at < after {
 		return Snapshot{}, ErrBehind
 	}
-	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items)), Lag: f.now().Sub(f.asOf)}
+	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items)), Lag: f.now().Sub(f.asOf), Silence: f.silenceSince(after)}
 	for _, item := range f.items {
 		s.Items = append(s.Items, item)
 	}
@@ -237,9 +237,17 @@
 			changes.Events = append(changes.Events, e.Event)
 		}
 	}
-	if f.silence.Length > 0 && after <= f.silentAt {
-		changes.Silence = f.silence
-		changes.Silence.Ago += now.Sub(f.silenceTold)
-	}
+	changes.Silence = f.silenceSince(after)
 	return changes, f.heard, nil
 }
+
+// silenceSince is the remarkable silence that came after what a reader knows; none if there
+// was none.
+func (f *Feed) silenceSince(after Revision) Silence {
+	if f.silence.Length == 0 || after > f.silentAt {
+		return Silence{}
+	}
+	silence := f.silence
+	silence.Ago += f.now().Sub(f.silenceTold)
+	return silence
+}
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -224,8 +224,7 @@
 			now = now.Add(wait)
 			qt.Assert(t, g.Take(now, most), qt.IsTrue)
 		}
-		qt.Assert(t, g.Tried(now), qt.Equals, now.Add(-most), qt.Commentf("before the call that is answered"))
-		g.Answered(now)
+		g.Answered()
 		qt.Assert(t, g.Take(now, most), qt.IsTrue)
 	}
 }
@@ -235,6 +234,7 @@
 	g, now := &Gate{}, time.Unix(1000, 0)
 	g.Failed(now)
 	qt.Assert(t, g.Take(now.Add(gateFirst-1), gateMost), qt.IsFalse)
-	qt.Assert(t, g.Tried(now.Add(1)), qt.Equals, now)
+	_, broken := g.Outage(now.Add(-1))
+	qt.Assert(t, broken, qt.IsTrue)
 	qt.Assert(t, g.Take(now.Add(gateFirst), gateMost), qt.IsTrue)
 }
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -11,11 +11,11 @@
 // hangs doesn't put off the next one: a router that came back from a cut has an answer
 // after one spacing and a round trip, whatever the calls before took.
 type Gate struct {
-	mu   sync.Mutex
-	shut time.Time
-	wait time.Duration // between the last call and the next one; 0: the store answers
-	// tried and triedBefore are the starts of the latest calls of which no answer is known.
-	tried, triedBefore time.Time
+	mu     sync.Mutex
+	shut   time.Time
+	wait   time.Duration // between the last call and the next one; 0: the store answers
+	failed time.Time     // the start of the latest call that failed
+	probes probes
 }
 
 // Times between the starts of two calls while the store doesn't answer.
@@ -41,26 +41,54 @@
 	}
 	g.wait = min(max(gateFirst, 2*g.wait), most)
 	g.shut = now.Add(g.wait)
-	g.triedBefore, g.tried = g.tried, now
 	return true
 }
 
+// Probe notes that a call starts over a connection of its own.
+func (g *Gate) Probe(now time.Time) *Probe {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.probes.start(now)
+}
+
+// ProbeConnected notes that a probe's connection has come about. A read of several pages
+// has one for each; the first one counts.
+func (g *Gate) ProbeConnected(p *Probe, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.connected.IsZero() {
+		p.connected = now
+	}
+}
+
+// ProbeFailed notes that a probe got no answer: the store, or the way there, ended it, or
+// the router gave it up.
+func (g *Gate) ProbeFailed(p *Probe, now time.Time, refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.gaveUp, p.refused = now, refused
+}
+
+// ProbeAnswered notes the answer to a probe.
+func (g *Gate) ProbeAnswered(p *Probe, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.probes.answered(p, now)
+}
+
 // Answered opens the gate.
-func (g *Gate) Answered(started time.Time) {
+func (g *Gate) Answered() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shut, g.wait = time.Time{}, 0
-	if g.tried.Equal(started) {
-		g.tried = g.triedBefore
-	}
 }
 
 // Failed notes that a call failed. The first one may not have asked for leave.
 func (g *Gate) Failed(started time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if started.After(g.tried) {
-		g.triedBefore, g.tried = g.tried, started
+	if started.After(g.failed) {
+		g.failed = started
 	}
 	if g.wait == 0 {
 		g.wait = gateFirst
@@ -68,14 +96,13 @@
 	}
 }
 
-// Tried is when the latest call before a moment started of which no answer is known, by all
-// who use the gate. For an answered call that started at that moment, it is the moment
-// since when the store may have answered again.
-func (g *Gate) Tried(before time.Time) time.Time {
+// Outage says whether a call that started after a moment got no answer, and since when the
+// store may have answered again at the earliest.
+func (g *Gate) Outage(after time.Time) (returned time.Time, broken bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.tried.Before(before) {
-		return g.tried
+	if g.probes.away.After(after) {
+		return g.probes.away, true
 	}
-	return g.triedBefore
+	return after, g.failed.After(after)
 }
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -8,6 +8,9 @@
 
 // take takes the end of a call.
 func (f *Follower) take(a answer) {
+	if a.kind == checkStore {
+		f.judgeProbe(a)
+	}
 	if a.kind != checkStore {
 		f.usual.busy = false
 	} else if a.serial != f.checks.serial {
@@ -24,6 +27,15 @@
 	}
 }
 
+// judgeProbe notes how a check ended, also of one that another answer came before.
+func (f *Follower) judgeProbe(a answer) {
+	if a.err == nil {
+		f.Gate.ProbeAnswered(a.probe, a.ended)
+		return
+	}
+	f.Gate.ProbeFailed(a.probe, a.ended, !a.gaveUp)
+}
+
 // othersFailed turns to the store, or waits for its checks if they have begun.
 func (f *Follower) othersFailed(err error, now time.Time) {
 	f.usual.next = now
@@ -75,7 +87,7 @@
 		f.Feed.hear(a.snapshot, a.changes)
 	} else {
 		f.failing, f.storeOK = false, a.started
-		f.Gate.Answered(a.started)
+		f.Gate.Answered()
 		f.Feed.learn(a.snapshot, a.changes, silence, asOf, f.freshFor())
 	}
 	f.apply(a, silence)
@@ -110,25 +122,34 @@
 	return a.changes.Lag
 }
 
-// answered notes an answer and returns the silence before it.
+// answered notes an answer and returns the silence before it. Of another router's answer it
+// is that router's: where that one had the store all the time, nothing has lapsed.
 func (f *Follower) answered(a answer, now time.Time) Silence {
-	silence := Silence{}
-	if !f.lastOK.IsZero() {
-		silence.Length = now.Sub(f.lastOK)
-	}
-	ended := a.started
-	if tried := f.Gate.Tried(a.started); tried.After(f.lastOK) {
-		silence.Broken, ended = true, tried
-	}
-	silence.Ago = now.Sub(ended)
+	last := f.lastOK
 	f.lastOK = now
-	if a.changes != nil && a.changes.Silence.Length > silence.Length {
-		silence = a.changes.Silence
+	if a.kind == askOthers {
+		silence := a.toldSilence()
 		silence.Ago += now.Sub(a.started)
+		return silence
+	}
+	if last.IsZero() {
+		return Silence{}
+	}
+	silence := Silence{Length: now.Sub(last), Ago: now.Sub(a.started)}
+	if returned, broken := f.Gate.Outage(last); broken {
+		silence.Broken, silence.Ago = true, now.Sub(returned)
 	}
 	return silence
 }
 
+// toldSilence is the silence of the store that another router told of with an answer.
+func (a *answer) toldSilence() Silence {
+	if a.snapshot != nil {
+		return a.snapshot.Silence
+	}
+	return a.changes.Silence
+}
+
 // withoutKnown leaves out what another call has overtaken: a check and the usual call may
 // be answered in either order. What is known since must not be taken back, neither here nor
 // at those who follow this router: a server that is new in it would be taken for gone.
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -155,6 +155,11 @@
 	return snapshot, nil
 }
 
+// WatchAnew implements store.Store.
+func (s *Store) WatchAnew(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	return s.Watch(ctx, prefix, after, wait)
+}
+
 // ReadAnew implements store.Store.
 func (s *Store) ReadAnew(ctx context.Context, prefix string) (store.Snapshot, error) {
 	return s.Read(ctx, prefix)
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -89,7 +89,7 @@
 	f.begin()
 	now := f.now()
 	f.take(answer{kind: askStore, started: now, snapshot: &Snapshot{Items: []Item{item("a", 2)}, At: 5}})
-	check := answer{kind: checkStore, started: now, after: f.at, snapshot: &Snapshot{Items: []Item{item("a", 2)}, At: 5}}
+	check := answer{kind: checkStore, probe: f.Gate.Probe(now), started: now, ended: now, after: f.at, snapshot: &Snapshot{Items: []Item{item("a", 2)}, At: 5}}
 	f.take(answer{kind: askStore, started: now, after: f.at, changes: &Changes{At: 8, Events: []Event{{Item: item("b", 7)}}}})
 	check.serial = f.checks.serial
 	f.take(check)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,8 +51,9 @@
 type Snapshot struct {
 	Items []Item
 	At    Revision
-	// Lag is set by a Feed: see Changes.
-	Lag time.Duration
+	// Lag and Silence are set by a Feed: see Changes.
+	Lag     time.Duration
+	Silence Silence
 }
 
 // Changes is what a watch returned. Events is empty when the wait ran out.
@@ -73,8 +74,8 @@
 	Length time.Duration
 	// Broken: a call failed in it. Else nobody asked.
 	Broken bool
-	// Ago is how long before now the store may have answered again already: the time
-	// since the last call that failed, or since the call that was answered.
+	// Ago is how long before now the store may have answered again already: the time since
+	// it surely could not be reached, or, where nobody asked, since the call that was answered.
 	Ago time.Duration
 }
 
@@ -109,12 +110,13 @@
 type Store interface {
 	// Read returns all items under the prefix, at the store's present state.
 	Read(ctx context.Context, prefix string) (Snapshot, error)
-	// ReadAnew is Read over a connection that carried nothing before, or has just carried
-	// an answer: open ones may have fallen silent.
+	// ReadAnew is Read over a new connection: open ones may have fallen silent.
 	ReadAnew(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch returns the changes under the prefix after a revision, as soon as
 	// there is one and at the latest after wait.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+	// WatchAnew is Watch over a new connection.
+	WatchAnew(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
 	// Commit runs a transaction.
 	Commit(ctx context.Context, txn Txn) (Result, error)
 	// Grant makes a lease; its keys go when it is not renewed for ttl.
