Show one account's budget: free, in doubt, and who holds the rest

An operator saw of a budget how much was granted, not by whom it is held, what routers that died may have used, or what will free it. chicoryctl budget show tells each holder with its state (in contact, replaced, silent), ceiling and last contact, and the tokens in doubt. A ledger that can't be read, or of another process, tells nothing; a spoiled record is an error.

The commands on budgets moved out of the two large files.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -14,11 +14,9 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/contract"
-	"chicorytiller.example/chicorytiller/internal/id"
 	"chicorytiller.example/chicorytiller/internal/native"
 	"chicorytiller.example/chicorytiller/internal/operate"
 	"chicorytiller.example/chicorytiller/internal/store"
@@ -176,34 +174,6 @@
 	return a.printJSON(d)
 }
 
-func (a *app) budgetCommands(parent *kingpin.CmdClause) {
-	a.command(parent.Command("list", "Lists what was paid, granted and spent."), a.budgets)
-	topUp := parent.Command("topup", "Adds prepaid tokens.")
-	account := topUp.Arg("account", "The client account.").Required().String()
-	tokens := topUp.Arg("tokens", "How many.").Required().Int64()
-	payment := topUp.Flag("id", "Id of the payment; the same id counts once however often it is sent. Default: a random one.").
-		Default(uuid.NewString()).String()
-	a.command(topUp, func(ctx context.Context, s store.Store) error {
-		prepaid, err := operate.TopUp(ctx, s, id.ClientAccount(*account), id.Tokens(*tokens), *payment)
-		if err != nil {
-			return errors.Wrapf(err, "payment %s", *payment)
-		}
-		return a.printf("%s has paid for %d tokens in all (payment %s)\n", *account, prepaid, *payment)
-	})
-}
-
-func (a *app) budgets(ctx context.Context, s store.Store) error {
-	budgets, err := operate.Budgets(ctx, s)
-	if err != nil {
-		return err
-	}
-	t := table{{"ACCOUNT", "PREPAID", "SPENT", "GRANTED", "HOLDERS"}}
-	for _, b := range budgets {
-		t = append(t, []string{b.Account, number(b.Prepaid), number(b.Spent), number(b.Granted), strconv.Itoa(b.Holders)})
-	}
-	return a.print(budgets, t)
-}
-
 func (a *app) backendCommands(parent *kingpin.CmdClause) {
 	a.command(parent.Command("list", "Lists backend servers by model or service."), a.backends)
 	put := parent.Command("put", "Registers a backend server, or changes it.")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"chicorytiller.example/chicorytiller/internal/contract"
+	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/id"
 	"chicorytiller.example/chicorytiller/internal/native"
 	"chicorytiller.example/chicorytiller/internal/operate"
@@ -91,6 +92,21 @@
 	o.Assert(code, qt.Equals, ExitNotFound)
 }
 
+func TestBudgetOfOneAccountIsShown(t *testing.T) {
+	o := newOperator(t)
+	o.run(document(unchanged), "config", "apply", "-")
+	record := escrow.Record{Format: 1, Closed: 30, ClosedSpent: 20, Holders: map[string]map[string]escrow.Figure{"vm-1": {"p1": {Seq: 1, Granted: 40, Spent: 15}}}}
+	o.store.Put("chicory-budget/account/boatyard", record.Encode())
+	code, out := o.run("", "budget", "show", "boatyard")
+	o.Assert(code, qt.Equals, ExitOK, qt.Commentf(out))
+	o.Assert(out, qt.Matches, `(?s).*PREPAID +SPENT +FREE +IN DOUBT\n100 +35 +30 +10\n.*vm-1 +silent +40 +15 +40 +unknown +p1\n`)
+	code, _ = o.run("", "budget", "show", "nobody")
+	o.Assert(code, qt.Equals, ExitNotFound)
+	code, out = o.run("", "--json", "budget", "show", "boatyard")
+	o.Assert(code, qt.Equals, ExitOK)
+	o.Assert(out, qt.Contains, `"in_doubt": 10`)
+}
+
 func TestBackendsAreRegisteredDrainedAndRemoved(t *testing.T) {
 	o := newOperator(t)
 	engine := `{"id":"e1","kind":"engine","address":"127.0.0.1:80","failure_domain":"karlin","models":["m","n"]}`
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -7,13 +7,10 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sort"
-	"strings"
 
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/contract"
-	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/id"
 	"chicorytiller.example/chicorytiller/internal/native"
 	"chicorytiller.example/chicorytiller/internal/node"
@@ -119,46 +116,6 @@
 	return nil
 }
 
-// Budget is what is known of an account's tokens. Spent lags behind by some seconds;
-// Granted, which bounds it, doesn't.
-type Budget struct {
-	Account string `json:"account"`
-	Prepaid int64  `json:"prepaid"`
-	Spent   int64  `json:"spent"`   // at least
-	Granted int64  `json:"granted"` // given out to routers, with all that was spent
-	Holders int    `json:"holders"` // routers that hold some of it
-}
-
-// Budgets lists the budgets by account.
-func Budgets(ctx context.Context, s store.Store) ([]Budget, error) {
-	d, _, err := Document(ctx, s)
-	if err != nil {
-		return nil, err
-	}
-	prefix := node.BudgetPrefix + escrow.AccountKeys
-	snapshot, err := s.Read(ctx, prefix)
-	if err != nil {
-		return nil, err
-	}
-	records := map[string]escrow.Record{}
-	for _, item := range snapshot.Items {
-		record, err := escrow.DecodeRecord(item.Value)
-		if err != nil {
-			return nil, errors.Wrap(err, item.Key)
-		}
-		records[strings.TrimPrefix(item.Key, prefix)] = record
-	}
-	budgets := make([]Budget, 0, len(d.Contracts))
-	for i := range d.Contracts {
-		name := string(d.Contracts[i].Account)
-		record := records[name]
-		budgets = append(budgets, Budget{Account: name, Prepaid: int64(d.Contracts[i].Prepaid),
-			Spent: record.SpentAtLeast(), Granted: record.Given(), Holders: len(record.Holders)})
-	}
-	sort.Slice(budgets, func(i, j int) bool { return budgets[i].Account < budgets[j].Account })
-	return budgets, nil
-}
-
 // Register writes a backend server's entries and removes those it had before.
 func Register(ctx context.Context, s store.Store, b contract.BackendServer) error {
 	if err := b.Validate(); err != nil {
