Say in one line which failure a test guards against, and take measurements out of comments

Comments of the tests of knowledge (store, fleet, followers) told stories of two to five lines; CONTRIBUTING asked for them. Comments in escrow, homes, relay and lapses that told measured figures say what they protect; the figures stand in design/budgets.md and design/relay.md.

--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -33,7 +33,7 @@
 	// firstShare is the part of a budget that its home holds before use is seen.
 	firstShare = 0.6
 	// firstCeiling is the part of what is left that the ceiling lets it use. Where homes die
-	// and move, each new one states it: of the whole budget that was lost each time.
+	// and move, each new one states it, and it is lost each time.
 	firstCeiling = 0.01
 	// outageRateAbove is the rate of use out of contact, in usual rates; outageRateLeast is a part of the
 	// budget a second on top, for accounts whose few requests are large. Use comes in
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -14,11 +14,10 @@
 
 // An account's grant is held by few routers for all: its home, and while that has no contact
 // with the store, the first of its standbys that has. All others ask those and don't write
-// the record. Where each router drew for itself while the store refused a third of 83
-// routers, they made 285 writes a second, most of them of the same records.
+// the record: the writes of a record don't grow with the routers, nor race for it.
 
 // HoldersMost is how many routers are ranked for an account. That the store refuses all of
-// them and not the others is rare: one in a hundred where it refuses half of the fleet.
+// them and not the others is rare.
 const HoldersMost = 6
 
 // role is what a router is for an account.
@@ -183,8 +182,7 @@
 
 // lastResort is the mean time between two draws of a router that ranks nowhere, when none of
 // the account's holders can draw. All routers are in that case at once, so each waits for a
-// random time around it: at 195 routers that is some 200 writes a second at the most, and
-// who is refused meanwhile is told to come back.
+// random time around it, and who is refused meanwhile is told to come back.
 const lastResort = time.Second
 
 // mayDraw says whether this router may draw for a request: as one of the account's holders,
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -43,8 +43,7 @@
 	fullRateTime = 1500 * time.Millisecond
 	// lateRateShare is the part of the rate that holds afterwards, once the allowance's reserve
 	// is used up. Where all routers die late in an outage, all that it allowed counts as
-	// spent: at the full outage rate less than a quarter of the requests were served once they
-	// were back.
+	// spent, and little is left for who comes afterwards.
 	lateRateShare = 0.45
 )
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,8 +60,7 @@
 	return store.Silence{Length: length, Broken: true, Ago: 10 * time.Millisecond}
 }
 
-// A server says that it drains, and an older entry of it arrives afterwards. It must
-// get nothing new: requests sent to it would be cut when it exits.
+// Guards against new requests to a draining server because of a late, older entry.
 func TestDrainingIsNeverTakenBack(t *testing.T) {
 	r, _ := newRegistry()
 	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
@@ -76,8 +75,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
-// An entry is removed while the store is in health: its server has left, and is out
-// at once. The usual pause between two reads is no outage.
+// Guards against requests to a server whose entry was removed in health.
 func TestRemovedEntryIsOutAtOnce(t *testing.T) {
 	r, _ := newRegistry()
 	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
@@ -85,8 +83,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
-// The store is away for ten seconds and entries lapse with it. Living servers are
-// back within two seconds of its return; one that isn't is gone.
+// Guards against dropping living servers whose entries lapsed in an outage, and keeping the others.
 func TestLapsedEntriesGetTwoSecondsToComeBack(t *testing.T) {
 	r, c := newRegistry()
 	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false)}, store.Silence{})
@@ -100,9 +97,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a"})
 }
 
-// A router returns from a cut, and reads the store, which no longer has a server's entry.
-// The server is not back within its two seconds, and no answer of the store comes right
-// then: it is out all the same, and not only with the next answer.
+// Guards against requests to a server that is not back in its time while no answer of the store comes.
 func TestLapsedEntryIsOutWithoutAnAnswer(t *testing.T) {
 	r, c := newRegistry()
 	r.Contact(true, nil)
@@ -114,8 +109,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
-// The store returns for a moment and is away again before the two seconds are over.
-// The time to come back begins anew with its next return.
+// Guards against dropping living servers because a second outage began in the grace of the first.
 func TestSecondOutageDoesNotUseUpTheGrace(t *testing.T) {
 	r, c := newRegistry()
 	r.Contact(true, nil)
@@ -153,9 +147,7 @@
 	return store.Item{Key: "servers/" + id, Value: value, Revision: revision}
 }
 
-// A server crashes and starts again under its id, while its entry still stands. What the
-// router believed of it is of the earlier start: requests would go by a load, failures and
-// prompts that are no more.
+// Guards against judging a restarted server by the load, failures and prompts of its earlier start.
 func TestRestartedServerIsAnotherServer(t *testing.T) {
 	r, c := newRegistry()
 	r.Reset([]store.Item{reborn("a", 1, 100, false)}, store.Silence{})
@@ -176,8 +168,7 @@
 	qt.Assert(t, r.View().ByService["engines"][0], qt.Equals, after, qt.Commentf("a heartbeat changes nothing"))
 }
 
-// A server drains, starts again and serves; then drains again, and a late word of its
-// first start says that it is ready. It must not come back.
+// Guards against a server brought back by a late word of an earlier start.
 func TestDrainingEndsWithTheStart(t *testing.T) {
 	r, _ := newRegistry()
 	r.Reset([]store.Item{reborn("a", 1, 100, true)}, store.Silence{})
@@ -188,9 +179,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{})
 }
 
-// Another writer spoils a server's entry, again and again. The server is not used by it,
-// the others are, and it is back with the next entry that can be read, but not if it was
-// leaving.
+// Guards against use of a server whose entry another writer spoiled.
 func TestSpoiledEntryNamesNobody(t *testing.T) {
 	r, _ := newRegistry()
 	spoiled := func(id string, revision store.Revision) store.Event {
@@ -203,8 +192,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"a", "b"})
 }
 
-// A server that failed is avoided for a while that grows with each failure, and
-// free again at the first whole answer.
+// Guards against new requests to a server that fails again and again.
 func TestFailedServerIsAvoidedForAWhile(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
 	s := NewServer(Entry{ID: "a"})
@@ -222,8 +210,7 @@
 	qt.Assert(t, s.Status(c.now()).Avoided, qt.IsFalse)
 }
 
-// A load report counts all routers' requests; own ones sent since then come on top,
-// and an old report counts for nothing.
+// Guards against choosing by a load report without the own requests sent since, or by an old one.
 func TestLoadReportIsMovedByOwnRequests(t *testing.T) {
 	c := &clock{at: time.Unix(1000, 0)}
 	s := NewServer(Entry{ID: "a"})
@@ -247,8 +234,7 @@
 	return NewMembers(decode, event.Discard(), c.now), c
 }
 
-// Two cuts follow each other within two seconds. A router that forgets the others
-// between them sends all callers to itself and has nobody to borrow from.
+// Guards against a router that forgets all others between two cuts and has nobody to borrow from.
 func TestRoutersAreNotForgottenBetweenTwoOutages(t *testing.T) {
 	m, c := newMembers()
 	m.Contact(true, nil)
--- a/internal/fleet/lapses.go
+++ b/internal/fleet/lapses.go
@@ -13,15 +13,13 @@
 const lapseGap = 3 * time.Second
 
 // lapseGrace is how long entries that lapsed during an outage stay in use after
-// the store's return: living servers are back within two seconds (users' letter).
+// the store's return: living servers are back within two seconds.
 const lapseGrace = 2 * time.Second
 
 // lapseLatest bounds the same from the moment at which the store may have returned. An
-// entry that was removed after that is taken for a lapsed one too, and its server is used
-// although it left. Three seconds after the return a router is held to the two seconds of
-// a leaving server, which may have left one second after the return; the rest is for the
-// requests on their way. Counted from the moment at which a router noticed the return,
-// which may be a second later, requests reached servers that had left 2.1 s before.
+// entry that was removed in the outage, or after it, is taken for a lapsed one too, and its
+// server is used although it left. Three seconds after the return a router is held to the
+// bound of leaving servers; the rest is for the requests on their way.
 const lapseLatest = 2800 * time.Millisecond
 
 // lapseAgain is the silence within the grace after which it begins anew: living servers
--- a/internal/fleet/lapses_test.go
+++ b/internal/fleet/lapses_test.go
@@ -9,9 +9,7 @@
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
-// The list of routers changes rarely, so the store is quiet for seconds in health. A
-// router whose lease runs out after such a pause is gone, not lapsed: callers must not be
-// sent to it.
+// Guards against callers sent to a router that is gone: a list that changes rarely is no outage.
 func TestQuietStoreIsNoOutage(t *testing.T) {
 	m, _ := newMembers()
 	m.Contact(true, nil)
@@ -20,8 +18,7 @@
 	qt.Assert(t, m.List(), qt.DeepEquals, []Member{{Name: "b"}})
 }
 
-// A router starts while the store is away and learns the others from one of them. At its
-// first read of the store their entries have lapsed. They get their time to come back.
+// Guards against an empty list at a router that started in an outage: what another router told may have lapsed.
 func TestWhatAnotherRouterToldIsNotDroppedAtTheFirstRead(t *testing.T) {
 	m, c := newMembers()
 	m.Seed([]store.Item{memberItem("a")})
@@ -40,10 +37,7 @@
 	qt.Assert(t, ids(r), qt.HasLen, 0)
 }
 
-// A router returns from a cut and notices it late: its last call into the cut was a second
-// and a half before the first answer, and servers leave meanwhile. It can't tell them from
-// those that lapsed, and must drop all that are missing before three seconds from that call
-// are over: it is held to the time that a leaving server serves from then on.
+// Guards against requests to servers that left, from a router that notices the end of its cut late.
 func TestGraceEndsInTimeHoweverLateTheReturnIsNoticed(t *testing.T) {
 	const noticed = 1500 * time.Millisecond
 	r, c := newRegistry()
@@ -55,8 +49,7 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
-// A call to the store breaks in the grace, while the store is in health, and the next is
-// answered. The grace doesn't begin anew, or a server that left would be used for longer.
+// Guards against a grace for missing servers that one broken call in health renews.
 func TestOneBrokenCallDoesNotRenewTheGrace(t *testing.T) {
 	r, c := newRegistry()
 	r.Reset([]store.Item{entryItem("a", 1, false)}, store.Silence{})
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -274,11 +274,7 @@
 	}
 }
 
-// Requests reached a server two seconds after it had left. They came from two routers that
-// were back from a cut of eight seconds from the store. The server's entry was removed a
-// second after their return. They kept it like one that lapsed in an outage, for two
-// seconds from the moment at which they noticed that the store answers; all other routers
-// dropped it at once. Their log shows it: 711 late, and 702 'lapsed' two seconds after it.
+// Guards against requests to a server that leaves right after the end of a router's cut from the store.
 func TestServerThatLeavesAfterACutIsOutInTime(t *testing.T) {
 	const leavesAfter = 900 * time.Millisecond
 	forEachPhase(t, func(t *testing.T, phase time.Duration) {
@@ -295,8 +291,7 @@
 	})
 }
 
-// Guards against requests to a server that left during a cut: a call that waits for the
-// retransmission of its connection, after the cut, taken for a store that is still away.
+// Guards against requests to a server that left during a cut: silence of old connections proves no outage.
 func TestServerThatLeftDuringACutIsOutInTime(t *testing.T) {
 	const (
 		leavesAfter    = 2 * time.Second
@@ -324,8 +319,7 @@
 	}
 }
 
-// Guards against services that are empty after an outage: entries that lapsed in it are back
-// within two seconds of the store's return, and their servers are used until then.
+// Guards against empty services after an outage: servers whose entries lapsed in it are used until they are back.
 func TestServersThatLapsedInAnOutageStayInUse(t *testing.T) {
 	outages := map[string]func(s *linkedStore, away bool){
 		"cut":     func(s *linkedStore, away bool) { s.set(func() { s.cut = away }) },
@@ -355,10 +349,7 @@
 	}
 }
 
-// A router follows another one, from which it is cut off, and its connections to the store
-// fell silent too. Each call takes its whole time for nothing, one after the other. The
-// store itself answers new calls within milliseconds all the time, so a server that leaves
-// must be out, an evacuated domain closed, a version in force, and what another router said known, in time.
+// Guards against changes that are known late because calls run out of time one after the other.
 func TestChangesAreKnownInTimeWhateverOtherCallsTake(t *testing.T) {
 	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": silentOthers{}} {
 		t.Run(name, func(t *testing.T) {
@@ -382,10 +373,7 @@
 	}
 }
 
-// The link of a router is so full that a packet waits for 0.45 s each way. A call takes 0.9 s
-// and a new connection as much again, so what is known gets old in health, and checks run
-// beside calls that would be answered. They must not end those, nor be taken for a store that
-// is away: all calls then start anew, none is answered, and changes stay unknown for seconds.
+// Guards against checks over a full link that end the calls beside them, or take the store for away.
 func TestChangesAreKnownOverASlowLink(t *testing.T) {
 	forEachPhase(t, func(t *testing.T, phase time.Duration) {
 		withFollower(t, noOthers{}, func(w *followedWorld) {
@@ -403,9 +391,7 @@
 	})
 }
 
-// A router is turned away by the store, and its link is full of callers when the store takes
-// it again: reads, of some 50 KB, don't get through in their time, the few bytes of a watch
-// do. A server leaves. The router must not stay with what it knew until a read gets through.
+// Guards against a router that stays with old knowledge while its link is too full for whole reads.
 func TestChangesAreKnownWhereOnlyShortAnswersGetThrough(t *testing.T) {
 	withFollower(t, noOthers{}, func(w *followedWorld) {
 		w.store.SetDown(true)
@@ -425,8 +411,7 @@
 	return s.asked
 }
 
-// While nothing changes, what is known is confirmed each 1.2 s (configuration, servers) and
-// 2.3 s (routers) at the store; nothing gets old, and no call is made beside those.
+// Guards against calls to the store in health beyond one confirmation of each prefix in its time.
 func TestFollowingCostsLittleInHealth(t *testing.T) {
 	withFollower(t, noOthers{}, func(w *followedWorld) {
 		before := w.store.calls()
@@ -437,8 +422,7 @@
 	})
 }
 
-// The store refuses a router for a minute, which is paid for by the call. It is asked for
-// one thing at a time, not for all three, each 0.6 s.
+// Guards against paid calls to a store that refuses: one thing at a time is asked for.
 func TestFollowingCostsLittleInAnOutage(t *testing.T) {
 	withFollower(t, noOthers{}, func(w *followedWorld) {
 		w.store.SetDown(true)
@@ -450,8 +434,7 @@
 	})
 }
 
-// Entries change all the time. They are read at the pace of a quiet time, after the first
-// few, also by a router whose reader can't tell.
+// Guards against a call for each change of entries that change all the time.
 func TestEntriesThatChangeAllTheTimeCostLittle(t *testing.T) {
 	for name, others := range map[string]store.Relay{"reader": noOthers{}, "follower": ignorantOthers{}} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -105,13 +105,12 @@
 
 // Homes of accounts in a large fleet.
 const (
-	// homesTogether is the fleet from which on accounts share homes. Each home writes its
-	// ledger all the time: with an own one for each account, and every router writing that
-	// had ever drawn, four in ten calls to the store of 83 routers were such writes. In a
-	// small fleet homes are few anyway, and one that dies holds up all its accounts.
+	// homesTogether is the fleet from which on accounts share homes: each home writes its
+	// ledger all the time, and with one for each account those writes grow with the fleet.
+	// In a small fleet homes are few anyway, and one that dies holds up all its accounts.
 	homesTogether = 32
 	// homesLeast is how many homes there are then, and homesFor one more for so many
-	// routers: a home answers each request of its accounts, some hundred a second.
+	// routers: a home answers each request of its accounts.
 	homesLeast = 8
 	homesFor   = 32
 	// accountsFor bounds the accounts of a home: its ledger has some 80 bytes of each, and
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -25,9 +25,9 @@
 const readersFor = 32
 
 // readerPart is the part of a failure domain's largest capacity that its readers have at
-// least. A reader passes each version of the configuration on to all its followers: with some
-// hundred KB to 26 of them the link of a small VM was full for seconds, its own reads of the
-// store ran out of time, and it served by an old version for as long.
+// least. A reader passes each version of the configuration on to all its followers: that
+// fills the link of a small VM for seconds, its own reads of the store run out of time, and it
+// serves by an old version for as long.
 const readerPart = 0.5
 
 // readers are the routers that follow the store for a failure domain, of all routers that
--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -150,9 +150,7 @@
 	return l.value
 }
 
-// Calls over open connections and to another router hang, break or take long, in any order
-// and number; the store answers new calls. A change must be known at a router that reads and
-// at one that follows it before its bound is over, and stay known.
+// Guards against old knowledge while calls over open connections and to another router hang, break or take long.
 func TestAgeOfKnowledgeIsBoundedWhateverCallsTake(t *testing.T) {
 	const (
 		checkAfter = 1400 * time.Millisecond
@@ -217,9 +215,7 @@
 	return store.Changes{}, store.ErrOutcomeUnknown
 }
 
-// A router loses the store and the router that it follows, one after the other in any
-// order. The other router is back, the store is not: it must learn from that router again,
-// although calls to the store have failed or are hanging.
+// Guards against a router without the store that does not learn from another one which is back.
 func TestRouterCutFromTheStoreLearnsFromOthersAgain(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		others := drawFates(rt, "relay's calls")
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -50,8 +50,7 @@
 	return keys
 }
 
-// A router follows another one. It is told what came after what it knows, and not the
-// heartbeats, which tell nothing new.
+// Guards against bytes for heartbeats, which tell a follower nothing new.
 func TestFeedTellsChangesWithoutHeartbeats(t *testing.T) {
 	w := newFeed(t)
 	w.feed.Same = func(before, after Item) bool { return string(before.Value) == string(after.Value) }
@@ -67,8 +66,7 @@
 	w.Assert(snapshot.Items, qt.HasLen, 2)
 }
 
-// A watch of the router that reads for others fails, and it reads all again. Those who
-// follow it hear what changed meanwhile, also what is gone.
+// Guards against followers that miss what changed between a failed watch and the read after it.
 func TestFeedTellsAReadAsChanges(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2), item("b", 3))
@@ -76,8 +74,7 @@
 	w.Assert(w.since(5), qt.DeepEquals, []string{"c", "-b"})
 }
 
-// A router reads for others and loses the store itself. What it knows gets old, and a
-// router that took it for new would serve by it: it must turn to the store instead.
+// Guards against old knowledge told as new by a router that lost the store.
 func TestFeedEndsWithItsContact(t *testing.T) {
 	w := newFeed(t)
 	_, err := w.feed.Watch(context.Background(), 0, 0)
@@ -90,8 +87,7 @@
 	w.Assert(err, qt.ErrorIs, ErrNoFeed)
 }
 
-// Two routers hold each other for the one that follows the store. Neither may serve the
-// other: a router that learns from others has nothing to tell.
+// Guards against two routers that take each other's old knowledge for new.
 func TestFeedIsOfTheStoreOnly(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -100,8 +96,7 @@
 	w.Assert(err, qt.ErrorIs, ErrNoFeed)
 }
 
-// A reader that knows more, from the store itself, must not be set back; one that knows
-// too little must read everything.
+// Guards against followers set back by a feed that knows less, or left behind by one that forgot too much.
 func TestFeedOfAnotherAgeIsNotUsed(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -117,9 +112,7 @@
 	w.Assert(w.since(6), qt.HasLen, eventsMost)
 }
 
-// The store is away for eight seconds and entries lapse with it. Routers that follow this
-// one hear of the silence together with what went in it, once: without it they take all
-// servers for gone, which are back a second later.
+// Guards against followers that take servers for gone whose entries lapsed in an outage.
 func TestFeedTellsOfTheStoresSilence(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -136,9 +129,14 @@
 	changes, err = w.feed.Watch(context.Background(), 9, 0)
 	w.Assert(err, qt.IsNil)
 	w.Assert(changes.Silence, qt.Equals, Silence{})
+	for after, want := range map[Revision]Silence{5: {Length: 8 * time.Second, Ago: time.Second}, 9: {}} {
+		snapshot, err := w.feed.Read(after)
+		w.Assert(err, qt.IsNil)
+		w.Assert(snapshot.Silence, qt.Equals, want, qt.Commentf("a read by one that knows %d", after))
+	}
 }
 
-// A reader waits. It hears of a change at once, and of the end of the feed too.
+// Guards against followers that hear of a change, or of the end of a feed, only after their wait.
 func TestFeedWakesItsReaders(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -155,8 +153,7 @@
 	w.Assert(<-told, qt.ErrorIs, ErrNoFeed)
 }
 
-// A router asks one that reads for it, and must know how old the answer may be: by how much
-// the state that is told is older than the call, however long that was held back.
+// Guards against followers that take held back answers for newer than they are.
 func TestFeedTellsHowOldItsKnowledgeIs(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -177,9 +174,7 @@
 	w.Assert(err, qt.ErrorIs, ErrNoFeed, qt.Commentf("it counts from the state, not from the answer"))
 }
 
-// The store passes over a change in a watch that waits, and its history is dropped; a read
-// then shows the change, at a revision that the feed's readers have passed. They hear of it
-// all the same, or they would never know a server that leaves.
+// Guards against a change that only a later read shows, below what followers know by then.
 func TestFeedTellsWhatAWatchPassedOver(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2), item("b", 3))
@@ -189,8 +184,7 @@
 	w.Assert(w.since(20), qt.DeepEquals, []string{"a"})
 }
 
-// Readers wait for news. Each answer of the store tells them that there were none until
-// then, or they would take what they know for older than it is and ask the store too.
+// Guards against followers that ask the store because nothing changed.
 func TestFeedTellsOfEachAnswer(t *testing.T) {
 	w := newFeed(t)
 	w.read(5, item("a", 2))
@@ -212,8 +206,7 @@
 	}
 }
 
-// The store doesn't answer. It is asked less and less often, whatever is asked for, by the
-// starts of the calls, and at once again after an answer.
+// Guards against paid calls without pause to a store that does not answer.
 func TestGateSpacesCalls(t *testing.T) {
 	for _, most := range []time.Duration{gateMost, gateMostRelayed} {
 		g, now := &Gate{}, time.Unix(1000, 0)
@@ -229,7 +222,7 @@
 	}
 }
 
-// A call that nobody asked the gate for is refused. The next one waits too.
+// Guards against a second call right after a failed one that nobody asked the gate for.
 func TestGateTakesAFirstFailure(t *testing.T) {
 	g, now := &Gate{}, time.Unix(1000, 0)
 	g.Failed(now)
--- a/internal/store/follower_test.go
+++ b/internal/store/follower_test.go
@@ -62,8 +62,7 @@
 	return s.Read(ctx, prefix)
 }
 
-// The store refuses a router again and again, and is paid for each call. It is asked less
-// and less often, and never less than it takes to notice its return in time.
+// Guards against paid calls without pause to a store that refuses.
 func TestRefusingStoreIsAskedLessOften(t *testing.T) {
 	s := &refusingStore{Store: memstore.New(nil), reads: make(chan struct{}, 64)}
 	began := time.Now()
@@ -92,8 +91,7 @@
 	return known
 }
 
-// The store drops its history: a change is made, the open watch breaks without a word of
-// it, and the next watch hears nothing either. The follower reads, and knows the change.
+// Guards against a change that is missed because the store dropped its history and watches stay silent.
 func TestChangeDuringASilentWatchIsRead(t *testing.T) {
 	s := &silentStore{Store: memstore.New(nil)}
 	s.broken = func() { s.Put("a/1", []byte("new")) }
@@ -132,8 +130,7 @@
 	return s.Store.Read(ctx, prefix)
 }
 
-// The code that makes a call panics, on its own goroutine. The follower goes on: it would
-// else wait for ever for the answer, and the router serve by what it knew.
+// Guards against a follower that waits for ever for a call whose code panicked.
 func TestFollowerOutlivesAPanicOfACall(t *testing.T) {
 	s := &brokenStore{Store: memstore.New(nil)}
 	s.Put("a/1", []byte("known"))
--- a/internal/store/probes_test.go
+++ b/internal/store/probes_test.go
@@ -63,8 +63,7 @@
 	return returned
 }
 
-// Guards against a grace for lapsed entries that ends too late: whatever a link's delay and
-// the order of answers, the store is not taken for away after its return.
+// Guards against a grace for lapsed entries that ends too late, whatever a link's delay and the order of answers.
 func TestStoreIsNotTakenForAwayAfterItsReturn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ms := func(label string, least, most int) time.Duration {
@@ -86,8 +85,7 @@
 	})
 }
 
-// Guards against services that are empty after an outage: on a usual link the return is known
-// to one spacing of the probes with the first answer to a probe.
+// Guards against services that are empty after an outage because its end is taken for earlier than it was.
 func TestReturnOfTheStoreIsKnownToASpacing(t *testing.T) {
 	for _, spacing := range []time.Duration{gateMost, gateMostRelayed} {
 		for phase := time.Duration(0); phase < spacing; phase += 10 * time.Millisecond {
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -48,9 +48,7 @@
 func (quiet) Apply([]Event, Silence) {}
 func (quiet) Contact(bool, error)    {}
 
-// A router follows others for a while, hears of a change there, and then follows the store
-// itself and serves others. Those who read here know the store from before that change: they
-// must hear of it, or they never will.
+// Guards against followers that never hear of a change which their reader learned before it read the store itself.
 func TestFeedTellsWhatWasHeardFromOthers(t *testing.T) {
 	c := qt.New(t)
 	source := &answers{snapshot: Snapshot{Items: []Item{item("a", 2)}, At: 5}}
@@ -79,9 +77,7 @@
 	c.Assert(changes.Events, qt.HasLen, 2)
 }
 
-// A check reads everything, and a server enters itself right after; the usual call tells of
-// it first, and then the check is answered. The new server must not be taken for gone, here
-// or at the routers that follow this one.
+// Guards against a new server taken for gone because an older read was answered later.
 func TestOvertakenCheckTakesNothingBack(t *testing.T) {
 	c := qt.New(t)
 	sink := &keys{}
@@ -100,6 +96,31 @@
 	c.Assert(f.at, qt.Equals, Revision(8))
 }
 
+// silences is a sink that keeps the last silence it was told of.
+type silences struct {
+	quiet
+	last Silence
+}
+
+func (s *silences) Reset(_ []Item, silence Silence)  { s.last = silence }
+func (s *silences) Apply(_ []Event, silence Silence) { s.last = silence }
+
+// Guards against use of servers that left in a cut of this router alone, where its reader had the store.
+func TestSilenceOfAFollowerIsThatOfItsReader(t *testing.T) {
+	c := qt.New(t)
+	sink, now := &silences{}, time.Unix(1000, 0)
+	f := &Follower{Sink: sink, Wait: time.Hour, Patience: time.Hour, Now: func() time.Time { return now }}
+	f.begin()
+	f.take(answer{kind: askOthers, started: now, snapshot: &Snapshot{At: 5}})
+	now = now.Add(10 * time.Second)
+	f.Gate.Failed(now)
+	f.take(answer{kind: askOthers, started: now, after: 5, changes: &Changes{At: 6}})
+	c.Assert(sink.last.Length, qt.Equals, time.Duration(0))
+	told := Silence{Length: 8 * time.Second, Ago: time.Second}
+	f.take(answer{kind: askOthers, started: now.Add(-time.Millisecond), after: 6, snapshot: &Snapshot{At: 7, Silence: told}})
+	c.Assert(sink.last, qt.Equals, Silence{Length: told.Length, Ago: told.Ago + time.Millisecond})
+}
+
 // keys is a sink that keeps the keys that are present.
 type keys struct{ known map[string]bool }
 
