--- a/cmd/chicory-timeline/main.go
+++ b/cmd/chicory-timeline/main.go
@@ -1,5 +1,5 @@
 // Command chicory-timeline merges the event logs of many processes into one time
-// line in causal order and filters it. It ends with 0, or with 1 when a log
+// line in causal order and filters it, or sums it up by route or client account. It ends with 0, or with 1 when a log
 // can't be read; damaged lines are counted on standard error and passed over.
 package main
 
@@ -7,7 +7,9 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +32,11 @@
 	output string
 }
 
+// writers are the ways to write lines, by the value of --output.
+var writers = map[string]func(io.Writer, []timeline.Line) error{
+	"table": timeline.WriteTable, "json": timeline.WriteJSON, "requests": timeline.WriteRequests, "budgets": timeline.WriteBudgets,
+}
+
 func main() {
 	o, err := parseOptions(os.Args[1:])
 	if err == nil {
@@ -55,7 +62,8 @@
 	app.Flag("event", "Event numbers: N[,N]").StringVar(&o.events)
 	app.Flag("since", "First time, RFC 3339").StringVar(&o.since)
 	app.Flag("until", "Time past the last, RFC 3339").StringVar(&o.until)
-	app.Flag("output", "table or json (the logs' own lines)").Default("table").EnumVar(&o.output, "table", "json")
+	app.Flag("output", "table, json (the logs' own lines), requests (times by route and stage, refusals by cause) or budgets (use and doubt by account)").
+		Default("table").EnumVar(&o.output, slices.Sorted(maps.Keys(writers))...)
 	kingpin.MustParse(app.Parse(args))
 	return o, o.parseFilter()
 }
@@ -111,11 +119,7 @@
 		fmt.Fprintf(stderr, "chicory-timeline: %d damaged lines passed over\n", log.Damaged)
 	}
 	buffered := bufio.NewWriter(stdout)
-	write := timeline.WriteTable
-	if o.output == "json" {
-		write = timeline.WriteJSON
-	}
-	if err := write(buffered, lines); err != nil {
+	if err := writers[o.output](buffered, lines); err != nil {
 		return err
 	}
 	return errors.WithStack(buffered.Flush())
