Take no word on an outage from a router that started in it

One that was killed in an outage and started again has no silence to tell, and its followers, whose own knowledge it does not reach back to, would drop all servers whose entries lapsed, for up to two seconds.

Whole reads say whether their feed has followed the store since what the reader knows. If not, the follower goes by its own silence and its own unanswered checks. A router that heard of a silence from another one keeps it for its own readers.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -91,7 +91,7 @@
 // Read implements store.Relay.
 func (r *relay) Read(ctx context.Context, prefix string, after store.Revision) (store.Snapshot, error) {
 	answer, err := r.ask(ctx, peers.FollowRequest{Prefix: prefix, All: true, After: after})
-	return store.Snapshot{Items: answer.Items, At: answer.At, Lag: answer.Lag, Silence: answer.Silence}, err
+	return answer.Snapshot, err
 }
 
 // Watch implements store.Relay.
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -30,12 +30,9 @@
 
 // FollowAnswer is what the peer knows from the store itself.
 type FollowAnswer struct {
-	Status  FollowStatus
-	Items   []store.Item
-	Changes store.Changes
-	At      store.Revision // of Items
-	Lag     time.Duration  // of Items
-	Silence store.Silence  // of Items
+	Status   FollowStatus
+	Snapshot store.Snapshot
+	Changes  store.Changes
 }
 
 // Follow answers a peer that follows the store through this router.
@@ -47,9 +44,7 @@
 	}
 	var err error
 	if request.All {
-		var snapshot store.Snapshot
-		snapshot, err = feed.Read(request.After)
-		answer.Items, answer.At, answer.Lag, answer.Silence = snapshot.Items, snapshot.At, snapshot.Lag, snapshot.Silence
+		answer.Snapshot, err = feed.Read(request.After)
 	} else {
 		answer.Changes, err = feed.Watch(context.Background(), request.After, min(request.Wait, followMost))
 	}
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -32,6 +32,7 @@
 	items  map[string]Item
 	events []feedEvent // after floor, in the order of what they were told at
 	floor  Revision    // a reader that knows less must read everything
+	began  Revision    // of the first read: what was before it is not known here
 	at     Revision
 	// asOf: what is known is the store's state of this moment or a later one.
 	asOf time.Time
@@ -74,7 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if silence.Length > freshFor {
-		f.silence, f.silentAt, f.silenceTold = silence, f.at, f.now()
+		f.note(silence)
 	}
 	f.know(s, c)
 	if asOf.After(f.asOf) {
@@ -84,18 +85,26 @@
 	f.notify()
 }
 
-// hear takes what another router told, which is not served. Without it this feed would
-// lack those changes once this router follows the store itself again, and its readers
-// would never hear of them.
-func (f *Feed) hear(s *Snapshot, c *Changes) {
+// hear takes what another router told, and the silence before it, which is not served.
+// Without it this feed would lack those changes once this router follows the store itself
+// again, and its readers would never hear of them.
+func (f *Feed) hear(s *Snapshot, c *Changes, silence Silence) {
 	if f == nil {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if silence.Length > 0 {
+		f.note(silence)
+	}
 	f.know(s, c)
 }
 
+// note keeps a silence that came after what is known.
+func (f *Feed) note(silence Silence) {
+	f.silence, f.silentAt, f.silenceTold = silence, f.at, f.now()
+}
+
 func (f *Feed) know(s *Snapshot, c *Changes) {
 	defer f.forget()
 	if s != nil {
@@ -157,7 +166,7 @@
 	for _, item := range s.Items {
 		f.items[item.Key] = item
 	}
-	f.floor, f.at = s.At, s.At
+	f.floor, f.began, f.at = s.At, s.At, s.At
 }
 
 // apply takes one change, which readers are told of whose knowledge ends before told.
@@ -192,7 +201,8 @@
 	if f.at < after {
 		return Snapshot{}, ErrBehind
 	}
-	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items)), Lag: f.now().Sub(f.asOf), Silence: f.silenceSince(after)}
+	s := Snapshot{At: f.at, Items: make([]Item, 0, len(f.items)), Lag: f.now().Sub(f.asOf),
+		Silence: f.silenceSince(after), Continuous: after >= f.began}
 	for _, item := range f.items {
 		s.Items = append(s.Items, item)
 	}
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -133,7 +133,11 @@
 		snapshot, err := w.feed.Read(after)
 		w.Assert(err, qt.IsNil)
 		w.Assert(snapshot.Silence, qt.Equals, want, qt.Commentf("a read by one that knows %d", after))
+		w.Assert(snapshot.Continuous, qt.IsTrue)
 	}
+	snapshot, err := w.feed.Read(4)
+	w.Assert(err, qt.IsNil)
+	w.Assert(snapshot.Continuous, qt.IsFalse, qt.Commentf("it began to follow after that"))
 }
 
 // Guards against followers that hear of a change, or of the end of a feed, only after their wait.
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -106,3 +106,17 @@
 	}
 	return after, g.failed.After(after)
 }
+
+// StillOut is Outage for a router to which the store has not answered yet: a probe that waits
+// for longer than a sound path takes stands for one that was overtaken.
+func (g *Gate) StillOut(after, now time.Time) (returned time.Time, broken bool) {
+	returned, broken = g.Outage(after)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.probes.unanswered {
+		if p.started.After(returned) && now.Sub(p.started) >= answerJitter {
+			returned, broken = p.started, true
+		}
+	}
+	return returned, broken
+}
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -84,7 +84,7 @@
 	silence := f.answered(a, now)
 	asOf := a.started.Add(-a.lag())
 	if relayed {
-		f.Feed.hear(a.snapshot, a.changes)
+		f.Feed.hear(a.snapshot, a.changes, silence)
 	} else {
 		f.failing, f.storeOK = false, a.started
 		f.Gate.Answered()
@@ -123,31 +123,39 @@
 }
 
 // answered notes an answer and returns the silence before it. Of another router's answer it
-// is that router's: where that one had the store all the time, nothing has lapsed.
+// is that router's: where that one had the store all the time, nothing has lapsed. One that
+// started meanwhile can't tell.
 func (f *Follower) answered(a answer, now time.Time) Silence {
 	last := f.lastOK
 	f.lastOK = now
-	if a.kind == askOthers {
-		silence := a.toldSilence()
-		silence.Ago += now.Sub(a.started)
-		return silence
+	if told, known := a.toldSilence(); known {
+		told.Ago += now.Sub(a.started)
+		return told
 	}
 	if last.IsZero() {
 		return Silence{}
 	}
 	silence := Silence{Length: now.Sub(last), Ago: now.Sub(a.started)}
-	if returned, broken := f.Gate.Outage(last); broken {
+	returned, broken := f.Gate.Outage(last)
+	if a.kind == askOthers {
+		returned, broken = f.Gate.StillOut(last, now)
+	}
+	if broken {
 		silence.Broken, silence.Ago = true, now.Sub(returned)
 	}
 	return silence
 }
 
-// toldSilence is the silence of the store that another router told of with an answer.
-func (a *answer) toldSilence() Silence {
-	if a.snapshot != nil {
-		return a.snapshot.Silence
+// toldSilence is the silence of the store that another router told of with an answer, if it
+// could tell.
+func (a *answer) toldSilence() (told Silence, known bool) {
+	switch {
+	case a.kind != askOthers:
+		return Silence{}, false
+	case a.snapshot != nil:
+		return a.snapshot.Silence, a.snapshot.Continuous
 	}
-	return a.changes.Silence
+	return a.changes.Silence, true
 }
 
 // withoutKnown leaves out what another call has overtaken: a check and the usual call may
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -67,7 +67,7 @@
 		f.take(a)
 	}
 	step(false, Changes{}) // reads all
-	step(true, Changes{At: 8, Events: []Event{{Item: item("b", 7)}}})
+	step(true, Changes{At: 8, Events: []Event{{Item: item("b", 7)}}, Silence: Silence{Length: 8 * time.Second}})
 	_, err := f.Feed.Read(0)
 	c.Assert(err, qt.ErrorIs, ErrNoFeed, qt.Commentf("it has nothing of the store itself to tell"))
 	step(false, Changes{At: 10, Events: []Event{{Item: item("c", 9)}}})
@@ -75,6 +75,7 @@
 	changes, err := f.Feed.Watch(context.Background(), 5, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(changes.Events, qt.HasLen, 2)
+	c.Assert(changes.Silence.Length, qt.Equals, 8*time.Second)
 }
 
 // Guards against a new server taken for gone because an older read was answered later.
@@ -111,16 +112,33 @@
 	sink, now := &silences{}, time.Unix(1000, 0)
 	f := &Follower{Sink: sink, Wait: time.Hour, Patience: time.Hour, Now: func() time.Time { return now }}
 	f.begin()
-	f.take(answer{kind: askOthers, started: now, snapshot: &Snapshot{At: 5}})
+	f.take(answer{kind: askOthers, started: now, snapshot: &Snapshot{At: 5, Continuous: true}})
 	now = now.Add(10 * time.Second)
 	f.Gate.Failed(now)
 	f.take(answer{kind: askOthers, started: now, after: 5, changes: &Changes{At: 6}})
 	c.Assert(sink.last.Length, qt.Equals, time.Duration(0))
 	told := Silence{Length: 8 * time.Second, Ago: time.Second}
-	f.take(answer{kind: askOthers, started: now.Add(-time.Millisecond), after: 6, snapshot: &Snapshot{At: 7, Silence: told}})
+	f.take(answer{kind: askOthers, started: now.Add(-time.Millisecond), after: 6, snapshot: &Snapshot{At: 7, Silence: told, Continuous: true}})
 	c.Assert(sink.last, qt.Equals, Silence{Length: told.Length, Ago: told.Ago + time.Millisecond})
 }
 
+// Guards against dropping servers whose entries lapsed in an outage on the word of a router
+// that started in it.
+func TestRouterThatStartedInAnOutageTellsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	sink, now := &silences{}, time.Unix(1000, 0)
+	f := &Follower{Sink: sink, Wait: time.Hour, Patience: time.Hour, Now: func() time.Time { return now }}
+	f.begin()
+	f.take(answer{kind: askOthers, started: now, changes: &Changes{At: 5}})
+	for range 10 {
+		now = now.Add(time.Second)
+		f.Gate.Probe(now)
+	}
+	now = now.Add(600 * time.Millisecond)
+	f.take(answer{kind: askOthers, started: now, after: 5, snapshot: &Snapshot{At: 9}})
+	c.Assert(sink.last, qt.Equals, Silence{Length: 10600 * time.Millisecond, Broken: true, Ago: 600 * time.Millisecond})
+}
+
 // keys is a sink that keeps the keys that are present.
 type keys struct{ known map[string]bool }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,9 +51,11 @@
 type Snapshot struct {
 	Items []Item
 	At    Revision
-	// Lag and Silence are set by a Feed: see Changes.
-	Lag     time.Duration
-	Silence Silence
+	// Lag and Silence are set by a Feed: see Changes. Continuous says that the feed has
+	// followed the store since what its reader knows; else Silence tells nothing.
+	Lag        time.Duration
+	Silence    Silence
+	Continuous bool
 }
 
 // Changes is what a watch returned. Events is empty when the wait ran out.
