--- a/internal/escrow/away_test.go
+++ b/internal/escrow/away_test.go
@@ -17,8 +17,7 @@
 	return Loan{Short: NotReached}
 }
 
-// A caller leaves while its request asks the account's home for tokens. The router must not
-// take the home for one without contact: for a second all other requests would pass it by.
+// Guards against passing a home by for a second because one caller left.
 func TestRequestWhoseTimeIsOverTellsNothingOfTheHome(t *testing.T) {
 	k := New(Options{Log: event.Discard(), Peers: unreachedPeers{}, Clock: func() ClockReading { return ClockReading{Steady: time.Minute} }})
 	h := &hold{keeper: k, grant: k.grant("boatyard"), tokens: 1, missing: 1}
--- a/internal/escrow/ceiling_test.go
+++ b/internal/escrow/ceiling_test.go
@@ -11,9 +11,7 @@
 	"chicorytiller.example/chicorytiller/internal/store/memstore"
 )
 
-// What a router writes while it holds the store for away may land before it learns
-// that. It spends beyond its ceilings until then, so the write must not look like
-// one of a router in contact.
+// Guards against a late ledger of an outage that looks like one of a router in contact.
 func TestLedgerOfAnOutageCarriesTheLastContact(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -28,8 +26,7 @@
 	c.Assert(k.age(), qt.Equals, 8*time.Second)
 }
 
-// A ledger write is answered by nothing and done seconds later. It must not put an
-// older ledger in the place of a newer one.
+// Guards against a late, older ledger in the place of a newer one.
 func TestLateLedgerDoesNotReplaceANewerOne(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -44,9 +41,7 @@
 	c.Assert(ledgerOf(c, b), qt.DeepEquals, newest)
 }
 
-// A router that is home no more gives back what lies above its ceiling. The write
-// is not answered and may land at any time, so from its sending on the router uses
-// neither the tokens nor an outage rate above the lower one that it stated.
+// Guards against spending what an unanswered write gives back.
 func TestUnansweredWriteBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -70,8 +65,7 @@
 	return ledger
 }
 
-// An account's use falls after a busy time. With the next ledger its ceiling comes down
-// too, so that a death then loses little: what it was in the busy time would be lost.
+// Guards against deaths that lose a ceiling of a busier time.
 func TestCeilingFollowsTheUseDown(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -86,8 +80,7 @@
 	c.Assert(p.allowed.Ceiling, qt.Equals, calm)
 }
 
-// A write that lowers a ceiling is not answered. It may land at any time, so the router
-// holds itself to the lower one from its sending on, also after it read the old one.
+// Guards against spending above a lower ceiling whose write is not answered.
 func TestLowerCeilingBindsFromItsSending(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -100,8 +93,7 @@
 	c.Assert(p.allowed.Ceiling, qt.Equals, int64(firstCeiling*1_000_000))
 }
 
-// In an outage requests wait or are refused, so the use that is seen falls. What may be
-// spent out of contact must not fall with it, or it never recovers.
+// Guards against outages in which less and less may be spent because requests wait.
 func TestOutageLowersNeitherPaceNorCeiling(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -116,9 +108,7 @@
 	c.Assert(p.allowed.Ceiling, qt.Equals, ceiling)
 }
 
-// A router that is no longer the account's home holds idle tokens that it borrowed, so
-// that by its own grant it has used less than nothing. What it gives back must not make
-// its grant negative: nobody could read the record any more.
+// Guards against a negative grant, with which nobody can read the record any more.
 func TestBorrowedTokensMakeNoNegativeGrant(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -130,9 +120,7 @@
 	c.Assert(b.record(c).Figure("vm", "p1").Granted >= 0, qt.IsTrue)
 }
 
-// The store answers, but takes half a second. Ceilings reach as much further as is used
-// meanwhile, and reservations wait for the write that covers them; both come down again
-// once the store is well.
+// Guards against refusals while a store takes half a second for a write.
 func TestSlowStoreIsAllowedFor(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -150,9 +138,7 @@
 	c.Assert(ledgerOf(c, b).Allowances["boatyard"].Ceiling < int64(100_000*(aheadLeast.Seconds()+0.1)), qt.IsTrue)
 }
 
-// A router once drew for itself, since the account's home was out of reach, and has used
-// all of it. In a large fleet many have after each cut; if each wrote a ledger several times
-// a second from then on, that would cost more calls to the store than all else.
+// Guards against paid writes by routers that hold nothing any more.
 func TestRouterThatUsedItsGrantWritesNoLedger(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -171,8 +157,7 @@
 	c.Assert(due, qt.IsTrue, qt.Commentf("a successor must be able to free it"))
 }
 
-// The store refuses a router for seconds, and is paid for each call. A router that holds
-// grants asks at the latest each half second, one that holds nothing each second.
+// Guards against paid calls without pause to a store that refuses.
 func TestAbsentStoreIsAskedLessAndLess(t *testing.T) {
 	c := qt.New(t)
 	_, k, _ := startedBench()
@@ -189,9 +174,7 @@
 	c.Assert(pauses(true), qt.DeepEquals, []time.Duration{roundPause, awayPause, idlePause, idlePause, idlePause})
 }
 
-// A write of the ledger runs out in an outage. The store is not slow by that: right after the
-// outage the ceiling is no higher than usual, or a loss of all power then loses a second of
-// use more.
+// Guards against higher ceilings after an outage because a write ran out in it.
 func TestCallThatRanOutIsNoSlowWrite(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
@@ -210,9 +193,7 @@
 	c.Assert(p.allowed.Ceiling <= usual, qt.IsTrue, qt.Commentf("%d, usually %d", p.allowed.Ceiling, usual))
 }
 
-// Homes move while a budget comes to its end, and each new one states a first ceiling before
-// it has seen any use. That is a part of what is left: of the whole budget, a few homes that
-// died would have taken what all who still come need.
+// Guards against homes that die one after the other and take the end of a budget.
 func TestFirstCeilingIsAPartOfWhatIsLeft(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -187,9 +187,7 @@
 	})
 }
 
-// The store refuses an account's home and its first two standbys, and serves all others. All
-// callers are served: the third standby draws for them, ahead of need. Before, each of the
-// routers drew for each of its requests, and all those writes raced for one record.
+// Guards against a draw by each router where the store refuses an account's first holders.
 func TestStoreThatRefusesTheHomeFindsOneWriter(t *testing.T) {
 	for _, size := range []int{24, 96} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -209,9 +207,7 @@
 	}
 }
 
-// An account is used up, and its callers come on. They are refused by what the home knows,
-// within a moment. Before, each request asked up to twelve other routers, each of which
-// waited for a draw, and all routers read all records again and again.
+// Guards against slow refusals, and reads by all routers, for a budget that is used up.
 func TestUsedUpBudgetIsRefusedAtOnce(t *testing.T) {
 	const size, paid = 24, 50_000
 	play(t, size, 0, paid, func(ctx context.Context, m *members) {
@@ -227,8 +223,7 @@
 	})
 }
 
-// A home has just started and knows no configuration yet, so no budget either. It must not
-// tell others that the account's budget is used up: they pass that on as final.
+// Guards against a false, final refusal by a home that has just started.
 func TestHomeWithoutConfigurationSaysNothingOfBudgets(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -240,8 +235,7 @@
 	c.Assert(k.Lend("harbour", 1_000, "waiter").Short, qt.Equals, StoreAway)
 }
 
-// The store refuses all of an account's holders. The other routers draw as a last resort,
-// each about once a second, not once a request.
+// Guards against a draw a request where the store refuses all holders of an account.
 func TestLastResortIsBounded(t *testing.T) {
 	const size = 48
 	play(t, size, HoldersMost, 1_000_000_000, func(ctx context.Context, m *members) {
@@ -258,8 +252,7 @@
 	})
 }
 
-// The store refuses the home, which still reaches the other routers. Its own callers are
-// served by its standby, which can draw.
+// Guards against refusals at a home that the store refuses and whose standbys can draw.
 func TestRefusedHomeAsksItsStandbys(t *testing.T) {
 	play(t, 8, 1, 1_000_000_000, func(ctx context.Context, m *members) {
 		o := m.use(ctx, names(0, 1), time.Second)
--- a/internal/escrow/keeper_test.go
+++ b/internal/escrow/keeper_test.go
@@ -51,8 +51,7 @@
 	return record
 }
 
-// A caller of a budget that nobody used yet is served at once: the router holds a
-// part of it before the first request.
+// Guards against a first caller that waits for a draw.
 func TestFirstGrantComesBeforeTheFirstRequest(t *testing.T) {
 	c := qt.New(t)
 	_, k, _ := startedBench()
@@ -63,8 +62,7 @@
 	c.Assert(k.grant("boatyard").spent, qt.Equals, int64(5_000), qt.Commentf("only the first settlement counts"))
 }
 
-// A process dies while it is in contact with the store; its successor on the VM has
-// all back that lay above the ceiling.
+// Guards against losing with a process what it could not have used.
 func TestSuccessorFreesWhatWasOutOfReach(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -76,8 +74,7 @@
 	c.Assert(b.record(c).Closed <= int64(firstCeiling*1_000_000), qt.IsTrue, qt.Commentf("closed %d", b.record(c).Closed))
 }
 
-// After a restart of many routers the account has another home, which knows nothing
-// of this VM's dead process. Its successor frees the grant all the same.
+// Guards against grants that nobody frees because the account's home has moved.
 func TestSuccessorFreesAlsoWhereItIsNotHome(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -89,8 +86,7 @@
 	c.Assert(b.record(c).Given() < granted/10, qt.IsTrue, qt.Commentf("%d of %d", b.record(c).Given(), granted))
 }
 
-// The same, but the process was out of contact for minutes before it died: all
-// that it held may be spent.
+// Guards against freeing what a process without contact may have spent.
 func TestSuccessorOfAnIsolatedProcessFreesNothing(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -102,9 +98,7 @@
 	c.Assert(b.record(c).Closed, qt.Equals, granted)
 }
 
-// The store is back, and the first thing that a router writes tells of the outage.
-// The process dies before it could write another. What it held counts as spent only
-// as far as its outage rate allowed since the last contact, not whole.
+// Guards against losing a whole grant by a death right after an outage.
 func TestDeathRightAfterAnOutageDoesNotLoseTheWholeGrant(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -120,9 +114,7 @@
 	c.Assert(closed < granted/2, qt.IsTrue, qt.Commentf("%d of %d", closed, granted))
 }
 
-// At its start a home finds the whole budget granted to others, who then return it.
-// Its copy of the record is as old as its own last write; unless it reads again, it
-// holds nothing for as long as it runs.
+// Guards against a home that holds nothing for ever since all was granted at its start.
 func TestHomeReadsAgainWhileItIsShort(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -139,9 +131,7 @@
 	c.Assert(k.grant("boatyard").granted > 0, qt.IsTrue)
 }
 
-// An answer was longer than what was reserved for it, so its router has used some tokens
-// more than it got. It holds nothing for others and nobody waits there, so it has no use for
-// the records: else each router of a large fleet reads all of them for as long as it runs.
+// Guards against reads of all records by routers that need no tokens.
 func TestRouterThatNeedsNoTokensDoesNotReadAgain(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -181,8 +171,7 @@
 	})
 }
 
-// An operator lowers a budget of which most is granted to its home. The home gives back what
-// lies beyond it: callers are refused though the grant would have served them.
+// Guards against spending a grant beyond a budget that was lowered.
 func TestLoweredBudgetIsNotSpent(t *testing.T) {
 	c := qt.New(t)
 	b, k, p := startedBench()
--- a/internal/escrow/ledger_test.go
+++ b/internal/escrow/ledger_test.go
@@ -13,9 +13,7 @@
 	return ClockReading{Boot: boot, Steady: steady, Wall: noon.Add(wall)}
 }
 
-// A successor may free only what its predecessor can't have reached. The age of
-// the last reading decides: by the steady clock after a kill, by the time of day
-// after a loss of power.
+// Guards against freeing too much because a clock is trusted that tells nothing.
 func TestAgeOfAStamp(t *testing.T) {
 	last := readingAt("boot-1", time.Hour, 0)
 	for _, test := range []struct {
@@ -43,9 +41,7 @@
 	}
 }
 
-// The predecessor held 1,000 tokens, of which 300 lay below its ceiling. What it
-// may have spent beyond follows from its outage rate and the time out of contact; whatever
-// leaves doubt counts the whole grant.
+// Guards against freeing what a dead process may have spent.
 func TestMostSpent(t *testing.T) {
 	ledger := Ledger{Incarnation: "old", Address: "vm", Contact: readingAt("boot", 0, 0),
 		Allowances: map[string]Allowance{"boatyard": {Ceiling: 300, OutageRate: 100}}}
@@ -72,9 +68,7 @@
 	qt.Assert(t, ledger.Judge("boatyard", "old", "vm", 200, at(0), false).Most, qt.Equals, int64(200), qt.Commentf("a grant below its ceiling"))
 }
 
-// All routers die six seconds into an outage, having used their usual rate all the while,
-// and each account uses its budget up in some 35 s. What their paces allowed, and they did
-// not use, is lost: it must stay below what a day's remaining requests can bear.
+// Guards against losing the rest of a budget by deaths late in an outage.
 func TestPaceLosesLittleLateInAnOutage(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
 	p := newGrant("boatyard")
@@ -94,10 +88,7 @@
 	return p
 }
 
-// Routers are cut off from the store for eight seconds in the first third of a day, while
-// an account uses half as much again as before, and none of them dies. All of that is
-// allowed, from the fourth second on: what nobody lost must not be refused for fear that
-// all may die.
+// Guards against refusals in a cut early in a budget, in which nobody dies.
 func TestCutEarlyInABudgetIsBridged(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
 	p := granted(2_000_000)
@@ -111,9 +102,7 @@
 	qt.Assert(t, allowed.at(openAfter) >= p.spent+int64(rate*aheadLeast.Seconds()), qt.IsTrue)
 }
 
-// All routers die eight seconds into an outage, whenever in the day that is. What their
-// allowances let them use counts as spent; half of what was left must still be there for
-// those who come back, or more than in an outage with no reserve.
+// Guards against a reserve that leaves nothing to those who come back from an outage.
 func TestReserveLosesHalfOfWhatIsLeftAtMost(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
 	for spent := int64(0); spent < prepaid; spent += 100_000 {
@@ -128,9 +117,7 @@
 	}
 }
 
-// A ceiling is far above the use of a fresh budget, so that the first seconds of an outage
-// are bridged, and close to it near the budget's end, where a death would lose what all
-// who still come need.
+// Guards against deaths near a budget's end that lose what all who still come need.
 func TestCeilingComesCloserAsTheBudgetEnds(t *testing.T) {
 	const prepaid, rate = 3_500_000, 100_000
 	p := granted(prepaid)
@@ -144,9 +131,7 @@
 	qt.Assert(t, p.aheadTime(prepaid), qt.Equals, aheadMost)
 }
 
-// A router gives tokens back; the write is not answered. It may still land, so the
-// router must not use them, whatever the record says; only a record of a higher
-// revision proves that it can't land any more.
+// Guards against spending tokens whose return is not answered.
 func TestUnansweredReturnIsNotSpent(t *testing.T) {
 	p := newGrant("boatyard")
 	p.learned(newRecord(), 5, Figure{Granted: 1000})
@@ -160,8 +145,7 @@
 	qt.Assert(t, p.granted, qt.Equals, int64(1000), qt.Commentf("another write came first"))
 }
 
-// The outage rate in force is the lowest that a successor may find: a write that states a
-// higher one counts only when it is known to be stored.
+// Guards against an outage rate above the one that a successor may find.
 func TestPaceRisesOnlyWhenStored(t *testing.T) {
 	p := newGrant("boatyard")
 	p.granted, p.allowed = 10_000, Allowance{Ceiling: 100, OutageRate: 50}
--- a/internal/escrow/outage_test.go
+++ b/internal/escrow/outage_test.go
@@ -8,8 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A router that holds nothing finds the store away when it needs a draw. It must find
-// out by itself that the store is back, or it refuses for ever after.
+// Guards against a router without a grant that refuses for ever after an outage.
 func TestReturnOfTheStoreIsNoticedWithoutAnyGrant(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -36,8 +35,7 @@
 	return min(tokens, p.left), p.used
 }
 
-// The store is away and this router has nothing left: others lend. Without them the
-// caller is told to come back, not that its budget is exhausted.
+// Guards against refusals in an outage while other routers have tokens.
 func TestOutageIsRiddenOutOnLoans(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -54,9 +52,7 @@
 	c.Assert(err, qt.Equals, ErrUnreachable)
 }
 
-// The store goes away while a ceiling is nearly used up. A caller that comes then is
-// served once the grant opens, instead of being sent away from a router that holds
-// enough for it.
+// Guards against sending callers away a moment before a grant opens.
 func TestReservationWaitsForTheOpening(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -74,9 +70,7 @@
 	c.Assert(<-served, qt.IsNil)
 }
 
-// A router is cut off from the store and from all others. After some callers that it
-// could not serve it counts as isolated, so that it names others to those who ask
-// where to go; the first it can serve again ends that.
+// Guards against callers named to a router that can serve nobody.
 func TestRouterThatFindsNobodyIsIsolated(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
@@ -97,9 +91,7 @@
 	c.Assert(k.Isolated(), qt.IsFalse)
 }
 
-// A caller is told that its budget is exhausted only where that is sure: what this router
-// and the record know to be used leaves too little. Tokens that a lost router holds are no
-// proof, nor those that were lent a moment ago: what their requests leave comes back.
+// Guards against a final refusal while tokens may come back.
 func TestExhaustedIsSaidOnlyWhenSure(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(100_000)
@@ -137,9 +129,7 @@
 	return err
 }
 
-// The store is away, and two routers ask a home that may spend little. It serves the one
-// that came first, whole, once it can; the other neither takes a part of that nor
-// overtakes. A loan without a waiter gets nothing that they wait for.
+// Guards against requests that each take a part of the little there is, so that none is served.
 func TestLoansOfAnOutageAreServedInTurn(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
@@ -161,9 +151,7 @@
 	c.Assert(lend(1_500, "second"), qt.Equals, int64(1_500))
 }
 
-// Most of the budget may have been spent by routers that died, and nobody knows. A
-// request that doesn't fit into the rest is refused as in doubt, not as exhausted, and
-// not as if the rest were at another router.
+// Guards against refusals that say exhausted, or held, where nobody knows.
 func TestInDoubtIsToldFromExhausted(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000)
@@ -194,9 +182,7 @@
 	return Loan{Short: NotReached}
 }
 
-// An account's home has died, and its entry has not lapsed yet. A request gets its tokens
-// from the next router in rank; none is drawn here, where it would be one small part of
-// the budget among many.
+// Guards against draws by all routers while a home is dead and still listed.
 func TestDeputyGivesWhileTheHomeIsOutOfReach(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(1_000_000)
--- a/internal/escrow/queue_test.go
+++ b/internal/escrow/queue_test.go
@@ -7,8 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Three requests wait while tokens come in slowly. They are served whole, in the order in
-// which they came, though a later and smaller one would fit sooner.
+// Guards against large requests that later, smaller ones overtake for ever.
 func TestQueueServesWholeAndInOrder(t *testing.T) {
 	l := queue{}
 	now := time.Second
--- a/internal/escrow/sparselog_test.go
+++ b/internal/escrow/sparselog_test.go
@@ -7,8 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A budget is used up and forty requests a second are refused for it. Its state is told
-// once a second, with the number of times that it was not told.
+// Guards against a log line for each refusal of a budget that is used up.
 func TestSparseLogTellsOnceASecond(t *testing.T) {
 	l, now := sparseLog{}, time.Minute
 	qt.Assert(t, l.due(now), qt.IsTrue)
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -293,10 +293,7 @@
 	}
 }
 
-// A caller sees nothing of it, but the client account pays for tokens twice: under
-// kills, losses of power, outages, lost and late writes, loans whose answers are
-// lost, and planned stops in any order, all routers together never deliver more
-// than the budget.
+// Guards against overspending under any order of kills, outages, lost and late writes, loans and stops.
 func TestNoScheduleSpendsMoreThanWasPaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(1, 4).Draw(t, "vms"))
@@ -308,8 +305,7 @@
 	})
 }
 
-// The same with routers that hold for others instead of an account's home, and hand back what
-// they don't need: any of them may come to be asked at any time, several at once too.
+// Guards against overspending where several routers hold for others at any time.
 func TestNoScheduleWithStandbysSpendsMoreThanWasPaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(2, 5).Draw(t, "vms"))
