--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -121,7 +121,7 @@
 		f.checks.stops = f.checks.stops[1:]
 	}
 	a := answer{kind: checkStore, serial: f.checks.serial, probe: f.Gate.Probe(now), started: now, after: f.at}
-	ctx = whenConnected(ctx, func() { f.Gate.ProbeConnected(a.probe, f.now()) })
+	ctx = WhenConnected(ctx, func() { f.Gate.ProbeConnected(a.probe, f.now()) })
 	f.checks.stops = append(f.checks.stops, f.call(ctx, calls, a, f.checkAsk()))
 }
 
--- a/internal/store/probes.go
+++ b/internal/store/probes.go
@@ -93,8 +93,8 @@
 // connectedKey is the key of a context's function to call.
 type connectedKey struct{}
 
-// whenConnected returns a context whose calls report that they got a connection.
-func whenConnected(ctx context.Context, report func()) context.Context {
+// WhenConnected returns a context whose calls to a Store report that they got a connection.
+func WhenConnected(ctx context.Context, report func()) context.Context {
 	return context.WithValue(ctx, connectedKey{}, report)
 }
 
