--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -26,8 +26,7 @@
 
 func none(*fleet.Server) bool { return false }
 
-// Requests about one subject go to one server, at every router, so that its prompt
-// is read once; another subject's may go elsewhere.
+// Guards against prompts read again because routers send one subject to different servers.
 func TestOneSubjectHasOneServerAtAllRouters(t *testing.T) {
 	list := servers(9)
 	first, second := NewChooser("zone-1", warm{}, nil), NewChooser("zone-1", warm{}, nil)
@@ -42,8 +41,7 @@
 	qt.Assert(t, len(used) > 5, qt.IsTrue, qt.Commentf("%d of 9 servers used", len(used)))
 }
 
-// The subject's server has much to read. Another one that must read the whole prompt
-// is sooner done, and keeps the subject from then on.
+// Guards against requests that wait at their subject's busy server while another is sooner done.
 func TestBusyServerIsLeft(t *testing.T) {
 	list := servers(3)
 	c := NewChooser("zone-1", warm{}, nil)
@@ -67,8 +65,7 @@
 	qt.Assert(t, c.kept(after, r, false, time.Now()), qt.Equals, 0)
 }
 
-// A leaving, an excluded and a failed server are passed over, the failed one only
-// while there is another.
+// Guards against requests to leaving, excluded or failed servers while there is another.
 func TestUnfitServersArePassedOver(t *testing.T) {
 	list := servers(3)
 	c := NewChooser("zone-1", warm{}, nil)
@@ -81,8 +78,7 @@
 	qt.Assert(t, c.Choose(list, r, func(*fleet.Server) bool { return true }).Server, qt.IsNil)
 }
 
-// A plain service's server in another failure domain is taken only when the near one
-// has more in hand.
+// Guards against bytes between failure domains that a near server would save.
 func TestNearServerIsPreferred(t *testing.T) {
 	near := fleet.NewServer(fleet.Entry{ID: "near", Domain: "zone-1"})
 	far := fleet.NewServer(fleet.Entry{ID: "far", Domain: "zone-2"})
@@ -127,8 +123,7 @@
 	return p[s] >= 0
 }
 
-// A server has just started. Warm ones get the work, also that of its shared parts, until
-// they have a queue; then it gets what it bears, and no request more.
+// Guards against a rush of requests on a server that has just started.
 func TestColdServerGetsLittle(t *testing.T) {
 	list := servers(3)
 	limit := permits{list[0]: 2}
@@ -158,8 +153,7 @@
 
 func (lost) Take(*fleet.Server) bool { return false }
 
-// The reason for which nothing can be sent is told, so that a request is refused at once and
-// for what it is.
+// Guards against refusals that wait, or name a wrong reason, where nothing can be sent.
 func TestObstacles(t *testing.T) {
 	list := servers(2)
 	obstacle := func(limit ColdLimit) Obstacle {
@@ -184,8 +178,7 @@
 	qt.Assert(t, obstacle(warm{}), qt.Equals, NoServers)
 }
 
-// A server's failure domain is evacuated. It gets nothing, though it is the home of what is
-// asked for and idle, until the order is taken back.
+// Guards against requests to a server whose failure domain is evacuated.
 func TestEvacuatedServerIsPassedOver(t *testing.T) {
 	list, r := servers(3), prompt("subject")
 	c := NewChooser("zone-1", warm{}, nil)
--- a/internal/callers/caller_test.go
+++ b/internal/callers/caller_test.go
@@ -10,8 +10,7 @@
 	"chicorytiller.example/chicorytiller/internal/forward"
 )
 
-// A cause without a status ends in a panic while its caller waits: it gets a broken connection
-// for an answer. The causes are read from their source, so that none is forgotten here.
+// Guards against a cause without a status: its caller gets a broken connection.
 func TestEachCauseHasAStatus(t *testing.T) {
 	source, err := os.ReadFile("../forward/refusal.go")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -120,9 +120,7 @@
 	assertFault(t, damagedModel(func(m *Model) { m.ContextTokens = 0 }), "context_tokens")
 }
 
-// A caller writes the path of a call that must not be repeated in another way;
-// a server that reads both the same would run it. Were it taken for idempotent,
-// a broken connection would make it run twice.
+// Guards against a call run twice because its path is written in another way.
 func TestNonIdempotentInEveryWriting(t *testing.T) {
 	s := &Service{NonIdempotent: []string{"POST /orders", "* /confirm/"}}
 	for _, path := range []string{"/orders", "/orders/7", "//orders", "/x/../orders", "/%6frders", "/orders?a=b",
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -75,8 +75,7 @@
 	o.Assert(out, qt.Contains, `"version": 1`)
 }
 
-// A payment arrives twice, and an operator applies a document that doesn't know of it:
-// the payment counts once and is not lost.
+// Guards against a payment that counts twice, or is lost to a document that does not know of it.
 func TestPaymentCountsOnceAndIsNotLost(t *testing.T) {
 	o := newOperator(t)
 	o.run(document(unchanged), "config", "apply", "-")
@@ -143,8 +142,7 @@
 	o.Check(out, qt.Contains, "ck_")
 }
 
-// An operator evacuates a failure domain, again, and restores it. A domain in which no backend
-// server is known is no domain: an order for a misspelled one would look like success.
+// Guards against an order for a misspelled failure domain that looks like success.
 func TestFailureDomainIsEvacuatedAndRestored(t *testing.T) {
 	o := newOperator(t)
 	code, _ := o.run("", "domain", "evacuate", "east")
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,8 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// The process is told to reload before its program has begun to run. It lives, and the
-// signal waits for whoever watches the settings.
+// Guards against a process that ends because it is told to reload at its start.
 func TestHangupBeforeTheProgramRuns(t *testing.T) {
 	qt.Assert(t, syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
 	qt.Assert(t, <-hangups, qt.Equals, os.Signal(syscall.SIGHUP))
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -132,8 +132,7 @@
 	c.Assert(answer.Usage.Completion, qt.Equals, 20)
 }
 
-// A caller without a right key, or that asks for what its contract doesn't have, is
-// told so, and that nothing ran.
+// Guards against refusals that leave open what was wrong or whether anything ran.
 func TestRefusalsSayWhy(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, nil)
@@ -165,8 +164,7 @@
 	c.Assert(f.Service.Runs().Calls, qt.Equals, 0)
 }
 
-// A caller repeats a request under the same key at another router. Both times it gets
-// the same bytes and request id, and only one engine ran it, once.
+// Guards against a repeat under the same key that runs again at another router.
 func TestSameKeyRunsOnce(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, nil)
@@ -217,8 +215,7 @@
 	return sum
 }
 
-// An engine dies in the middle of a stream. The caller reads on: the rest comes from
-// the other engine, and the text is the one that a single engine would have given.
+// Guards against a stream that ends with its engine, or goes on with another text.
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, func(o *Options) { o.Token = 2 * time.Millisecond })
@@ -250,8 +247,7 @@
 	}
 }
 
-// The store is away. Requests without a key are served from grants; one whose key
-// can't be claimed is refused as not run.
+// Guards against refusals of requests without a key in an outage of the store.
 func TestStoreOutage(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, nil)
@@ -266,8 +262,7 @@
 	f.Store.SetDown(false)
 }
 
-// Routers stop as planned. What is left in the store is what callers used, to the
-// token: prompts, output and the price of a call.
+// Guards against tokens lost or made up by planned stops.
 func TestBooksAreExactAfterPlannedStops(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, nil)
@@ -290,8 +285,7 @@
 	c.Assert(budgets[1].Granted, qt.Equals, int64(0))
 }
 
-// The budget is used up: refused as such, until it is topped up. The same payment
-// sent twice counts once.
+// Guards against a used up budget that a top-up does not open, or that a repeated payment opens twice.
 func TestTopUp(t *testing.T) {
 	c := qt.New(t)
 	f := fleet(t, nil)
--- a/internal/enginestub/enginestub_test.go
+++ b/internal/enginestub/enginestub_test.go
@@ -124,9 +124,7 @@
 	c.Assert(e.load(), qt.Equals, "0,1,64")
 }
 
-// A marked request crashes the engine when it has the set number of tokens, but
-// never after its last one, which would let its caller have a whole answer. The
-// other sequence ends where it was.
+// Guards against a stand-in that crashes after its caller has a whole answer.
 func TestCrashPoint(t *testing.T) {
 	for content, want := range map[string]int{"BOOM len=50": 10, "BOOM len=5": 4} {
 		t.Run(content, func(t *testing.T) {
@@ -149,8 +147,7 @@
 	}
 }
 
-// The cache against a plain model of it: the leading blocks that are among the
-// most recently used ones.
+// Guards against a stand-in whose cache keeps other blocks than the most recently used.
 func TestPrefixCacheKeepsTheLatest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.IntRange(0, 6).Draw(t, "capacity")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,8 +9,7 @@
 	"chicorytiller.example/chicorytiller/internal/fleet"
 )
 
-// A caller is told the routers of its own failure domain; with only one of them, the
-// others too, so that its death leaves the caller somewhere to go.
+// Guards against callers with nowhere to go when the only near router dies.
 func TestNearRoutersFirst(t *testing.T) {
 	a, b, c := fleet.Member{Address: "a", Domain: "1"}, fleet.Member{Address: "b", Domain: "1"}, fleet.Member{Address: "c", Domain: "2"}
 	qt.Assert(t, Choose([]fleet.Member{a, b, c}, "1", "caller"), qt.DeepEquals, []string{"a", "b"})
@@ -19,8 +18,7 @@
 	qt.Assert(t, Choose(nil, "1", "caller"), qt.HasLen, 0)
 }
 
-// A failure domain has two large routers and eighteen that are a quarter of their size. Callers spread over
-// them by what they can carry, and each keeps the routers that it was told.
+// Guards against small routers that get as many callers as large ones.
 func TestCallersFollowTheCapacities(t *testing.T) {
 	var members []fleet.Member
 	for i := range 20 {
@@ -46,8 +44,7 @@
 	qt.Assert(t, share > 0.18 && share < 0.35, qt.IsTrue, qt.Commentf("%.2f of the connections", share))
 }
 
-// Two routers of a failure domain can carry most of its traffic; the others have a
-// twentieth of their link. Callers are sent to these only when the large ones are gone.
+// Guards against callers at small routers while large ones can carry most of the traffic.
 func TestSmallRoutersAreAReserve(t *testing.T) {
 	large := []fleet.Member{{Name: "l1", Address: "l1", Domain: "1", Capacity: 0.8}, {Name: "l2", Address: "l2", Domain: "1", Capacity: 0.8}}
 	var small []fleet.Member
--- a/internal/event/buffer_test.go
+++ b/internal/event/buffer_test.go
@@ -9,8 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Standard output's reader stands still while lines come. Nobody waits for it: what
-// doesn't fit is dropped whole and counted, and the rest is written in order.
+// Guards against requests that wait for standard output, and lines dropped unseen.
 func TestBufferNeverBlocksAndCountsWhatItDrops(t *testing.T) {
 	var out bytes.Buffer
 	b := NewBuffer(&out)
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -32,9 +32,7 @@
 	})
 }
 
-// A handler panics with a caller's text, and another by a fault of the program. Both
-// are told with their stacks, but only the second one's text: the first would bring
-// a prompt into the log.
+// Guards against prompts in the log by way of a panic.
 func TestEmitPanicTellsNoText(t *testing.T) {
 	c := qt.New(t)
 	var out bytes.Buffer
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -21,8 +21,7 @@
 	}
 }
 
-// A server dies in the middle of an event: the whole ones come, the part does not,
-// and the end is told from a proper one.
+// Guards against half an event, or a broken end that looks proper.
 func TestPartOfAnEventIsNotPassedOn(t *testing.T) {
 	events, err := read("id: 1\ndata: a\n\nid: 2\nda")
 	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -64,8 +64,7 @@
 	return strings.TrimSpace(list)
 }
 
-// An order closes a failure domain's servers, those that come later too, until it is removed.
-// An order that is written again, and other items of the operators, change nothing.
+// Guards against requests to servers that join an evacuated failure domain.
 func TestEvacuatedDomainIsClosedUntilItIsRestored(t *testing.T) {
 	e := newEvacuated(t)
 	e.Apply([]store.Event{put(order("east", 5)), put(store.Item{Key: "orders/document", Revision: 6})})
@@ -89,8 +88,7 @@
 	e.Assert(e.Items(), qt.DeepEquals, []store.Item{order("west", 6)}, qt.Commentf("what a starting router is told"))
 }
 
-// Servers got cold while their domain was evacuated. A router hears of the order's end before
-// their entries say so: it must not send them their usual share at once.
+// Guards against the usual share at once for servers that got cold while evacuated.
 func TestRestoredDomainCountsAsCold(t *testing.T) {
 	e := newEvacuated(t)
 	e.Apply([]store.Event{put(order("east", 5))})
@@ -110,8 +108,7 @@
 	e.Assert(e.log.String(), qt.Contains, fmt.Sprintf(`"event":%d`, event.EntryRejected))
 }
 
-// A server starts cold, gets warm, and is cold again at any moment. Heartbeats, which count
-// the time down, are the same state; a server that turned cold is not.
+// Guards against heartbeats told on as changes, and a server turned cold that is not.
 func TestColdServersAreKnown(t *testing.T) {
 	e := newEvacuated(t)
 	e.put(3, "north", 2*time.Second)
--- a/internal/forward/task_test.go
+++ b/internal/forward/task_test.go
@@ -19,8 +19,7 @@
 	return t.used()
 }
 
-// A request may run at a server that then breaks, or whose caller has left: nothing of an
-// answer reaches anybody, and nothing is charged. What was passed on is, with its prompt.
+// Guards against charges for answers of which nothing reached anybody.
 func TestRequestsAreChargedForWhatCame(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(paid(task{}, 0), qt.Equals, int64(0), qt.Commentf("not run"))
--- a/internal/idempotency/guard_test.go
+++ b/internal/idempotency/guard_test.go
@@ -76,8 +76,7 @@
 	return caller
 }
 
-// A repeat arrives at another router while the first request runs, and again after it.
-// It is told to come back, and then gets the first one's answer.
+// Guards against a repeat that runs beside, or after, the first request.
 func TestRepeatWaitsForTheFirst(t *testing.T) {
 	b := newBench(t)
 	first := b.send(0, "r1", policy.NonIdempotent, func(caller forward.Caller) {
@@ -90,8 +89,7 @@
 	b.Assert(b.runs, qt.Equals, 1)
 }
 
-// The claim is written and the store's answer lost. The second try tells that the claim
-// is this request's own: it runs, once.
+// Guards against a request refused, or run twice, because the answer to its claim was lost.
 func TestLostAnswerOfTheClaim(t *testing.T) {
 	b := newBench(t)
 	lost := 0
@@ -124,8 +122,7 @@
 	b.Assert(b.send(1, "r2", policy.NonIdempotent, answerWith("right")).body, qt.Equals, "right")
 }
 
-// The first request broke off after it was sent. A repeat of one that must not run twice
-// is refused, as unknown; one that may is run again.
+// Guards against a second run of a broken request that must run once.
 func TestBrokenRunIsRepeatedOnlyWhereItMay(t *testing.T) {
 	b := newBench(t)
 	b.send(0, "r1", policy.NonIdempotent, refuseWith(forward.BackendFailed))
@@ -138,8 +135,7 @@
 	b.Assert(b.send(1, "r2", policy.Idempotent, answerWith("right")).body, qt.Equals, "right")
 }
 
-// The end of the first request can't be written, as the store went away meanwhile. Its
-// repeats are refused rather than run.
+// Guards against repeats that run while the end of the first is not known.
 func TestOpenClaimKeepsRepeatsFromRunning(t *testing.T) {
 	b := newBench(t)
 	b.send(0, "r1", policy.NonIdempotent, func(caller forward.Caller) {
@@ -151,8 +147,7 @@
 	b.Assert(b.runs, qt.Equals, 1)
 }
 
-// A key comes again with another request. That one neither runs nor gets an answer that
-// isn't its own.
+// Guards against an answer that belongs to another request under the same key.
 func TestKeyOfAnotherRequest(t *testing.T) {
 	b := newBench(t)
 	b.send(0, "r1", policy.Idempotent, answerWith("first"))
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -8,8 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// An account at its limits is refused with the time after which it may come again,
-// and is admitted then.
+// Guards against a refusal whose time to come back is not true.
 func TestRefusedUntilTheTimeThatWasTold(t *testing.T) {
 	now := time.Unix(0, 0)
 	l := New(func() int { return 1 }, func() time.Time { return now })
@@ -41,8 +40,7 @@
 	qt.Assert(t, ok, qt.IsTrue)
 }
 
-// However many routers there are, all together admit at most twice the contract's
-// rate beyond their bursts.
+// Guards against rate limits that grow with the number of routers.
 func TestFleetStaysWithinTwiceTheRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		routers := rapid.IntRange(1, 9).Draw(t, "routers")
--- a/internal/load/caller_test.go
+++ b/internal/load/caller_test.go
@@ -15,9 +15,7 @@
 	return slices.Replace(slices.Clone(events), at, at+1, with...)
 }
 
-// A router, or an engine behind it, may join the parts of two streams, leave out
-// the end or send a chunk again. To the caller it looks like a good answer: the
-// form is right. Only the comparison with the right bytes shows it.
+// Guards against joined, cut or doubled streams whose form looks right.
 func TestEachAnswerIsCheckedByteForByte(t *testing.T) {
 	whole := wholeEvents()
 	usage := `"usage":{"prompt_tokens":3,"completion_tokens":5}`
@@ -55,10 +53,7 @@
 	}
 }
 
-// The caller finds a closed port, then its stream ends without [DONE], then an
-// error asks it to come back. It asks again each time, at the next address,
-// with the same key and body: a fresh key would be a second request with a
-// second bill.
+// Guards against retries that are new requests with new bills.
 func TestRetriesKeepKeyAndBody(t *testing.T) {
 	c := qt.New(t)
 	overload := `{"error":{"message":"busy","cause":"overload","outcome":"not_run"}}`
@@ -86,9 +81,7 @@
 	return listener.Addr().String()
 }
 
-// A router was paused: it takes the connection and never answers. The caller gives
-// the try up after its own timeout and is answered at the next address, under the
-// same key.
+// Guards against a caller that waits for a paused router.
 func TestSilentRouterIsGivenUp(t *testing.T) {
 	c := qt.New(t)
 	silent, err := net.Listen("tcp", "127.0.0.1:0") // connections wait in the backlog
--- a/internal/load/evidence_test.go
+++ b/internal/load/evidence_test.go
@@ -24,8 +24,7 @@
 	return listener.Addr().String()
 }
 
-// The real engine stand-in must give what the workload wants, and its list of
-// runs must be read rightly.
+// Guards against a load client that reads the stand-in's runs wrongly.
 func TestEngineStandInIsUnderstood(t *testing.T) {
 	c := qt.New(t)
 	engine := enginestub.New(enginestub.Config{ChunkTokens: 3})
--- a/internal/load/reconcile_test.go
+++ b/internal/load/reconcile_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// Two accounts: a refusal is counted as false only if both had enough that was never
-// granted to a router.
+// Guards against counting refusals as false where the rest was granted elsewhere.
 func TestFalseRefusalsAreThoseWithEnoughLeftAtTheEnd(t *testing.T) {
 	c := qt.New(t)
 	outcomes := []Outcome{
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -9,8 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Both loops must make each request once, and a paired run each request once at
-// each target.
+// Guards against a load loop that makes a request twice, or leaves one out.
 func TestRunnerMakesEachRequestOnce(t *testing.T) {
 	for name, pace := range map[string]Pace{
 		"closed loop": {Requests: 30, Concurrency: 4},
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -27,8 +27,7 @@
 	}
 }
 
-// Homes and standbys of many accounts, as one router sees them. Both follow the
-// capacities, no router is its own standby, and a lost home's accounts go to their standbys.
+// Guards against homes on small routers, and accounts of a lost home that scatter.
 func TestHomesFollowTheCapacities(t *testing.T) {
 	c := qt.New(t)
 	n := New(&Settings{VM: "vm-0", Peers: "peer-0", Capacity: 0.04}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
@@ -69,8 +68,7 @@
 	return n, items
 }
 
-// A home leaves the list of routers, and comes back. What was kept of the ranking follows at
-// once: else requests go on asking a router that is gone.
+// Guards against requests for tokens to a router that has left the list.
 func TestHoldersFollowTheList(t *testing.T) {
 	c := qt.New(t)
 	n, items := amongAlike(10)
@@ -98,8 +96,7 @@
 	return holders[0], holders[1]
 }
 
-// A large fleet has a few homes, whatever the number of accounts, and the accounts of one
-// that is lost go to their standbys: else grants of them lie at two routers.
+// Guards against ledgers that grow with the accounts, and grants that lie at two routers.
 func TestLargeFleetHasFewHomes(t *testing.T) {
 	c := qt.New(t)
 	n, items := amongAlike(80)
@@ -121,10 +118,7 @@
 	c.Assert(n.homeOf("account-1"), qt.Equals, standby)
 }
 
-// A failure domain has two large VMs and 24 small ones. A configuration of some hundred KB
-// changes, and whoever reads it for the others sends it to all of them: a small VM's link is
-// full for seconds with that. Only the large ones read for others, whatever their names; the
-// small ones do where no large one is left.
+// Guards against small routers whose links are full with what they pass on to followers.
 func TestSmallRoutersReadForNobody(t *testing.T) {
 	for round := range 50 {
 		var members []fleet.Member
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,9 +11,7 @@
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
-// All routers start at once and know each other only a moment later. Until a router
-// has seen itself in the list it would take itself for the home of every account,
-// and all of them together would draw whole budgets; so it has no budgets to draw.
+// Guards against whole budgets drawn by each of the routers that start together.
 func TestNothingIsDrawnBeforeTheFleetIsKnown(t *testing.T) {
 	s := &Settings{VM: "vm-1", FailureDomain: "zone-1", Callers: "127.0.0.1:1", Peers: "127.0.0.1:2"}
 	n := New(s, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -149,9 +149,7 @@
 	}
 }
 
-// In a fleet each router's own calls to the store add up to more than all else that it
-// does. One router follows the store; the others hear of a change through it, and don't
-// ask the store.
+// Guards against calls to the store by each router of a failure domain.
 func TestOneRouterReadsForTheOthers(t *testing.T) {
 	f := newRelayFleet(t, 4)
 	// Each learned everything from the store at its start, and may be in the last watch of
@@ -179,8 +177,7 @@
 	return sum
 }
 
-// The router that reads for the others loses the store while they reach it: a change of
-// the configuration must be in force at them within seconds, so they turn to the store.
+// Guards against old knowledge at routers whose reader lost the store.
 func TestRoutersTurnToTheStoreWhenTheirReaderLostIt(t *testing.T) {
 	f := newRelayFleet(t, 3)
 	f.stores[f.reader].cut()
@@ -201,8 +198,7 @@
 	f.awaitVersion(2, f.reader)
 }
 
-// Which routers read follows from the list alone, so that all agree: one of each failure
-// domain, and more where it is large.
+// Guards against routers that disagree on who reads the store for the others.
 func TestReadersFollowFromTheList(t *testing.T) {
 	var members []fleet.Member
 	for i := range 80 {
@@ -224,8 +220,7 @@
 	qt.Assert(t, readers(members, "zone-9"), qt.HasLen, 0)
 }
 
-// A router starts while the store is away, and learns from another one. A domain was evacuated
-// before the outage: without the order the new router would send there until the store is back.
+// Guards against requests to an evacuated domain by a router that starts in an outage.
 func TestStartingRouterLearnsOfEvacuations(t *testing.T) {
 	c := qt.New(t)
 	dialect := Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -28,8 +28,7 @@
 func (r *refused) Write([]byte) error                    { r.Fatal("written"); return nil }
 func (r *refused) Abort()                                { r.Fatal("aborted") }
 
-// A caller with an old address comes while the router returns its grants, right before it
-// ends. It is refused at once, as not run: taken, it would be cut off in its run.
+// Guards against requests that are taken while a stopping router returns its grants, and cut off.
 func TestRouterThatLeavesTakesNothing(t *testing.T) {
 	n := New(&Settings{VM: "vm-0", Grace: 8 * time.Second}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	n.stopping.Store(true)
@@ -40,8 +39,7 @@
 	qt.Assert(t, caller.cause, qt.Equals, forward.Stopping)
 }
 
-// A request came right before the router took no more. The grants are returned only once
-// it has ended.
+// Guards against grants returned before the last request has ended.
 func TestLastRequestIsWaitedFor(t *testing.T) {
 	n := New(&Settings{VM: "vm-0"}, Dialect{Clock: func() escrow.ClockReading { return escrow.ClockReading{} }}, event.Discard(), "p1")
 	n.inHand.Store(1)
--- a/internal/node/warm_test.go
+++ b/internal/node/warm_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// All routers start at once, each seeing at first nobody but itself in the list. Each would
-// take itself for the sender of every cold server, and those would crash.
+// Guards against cold servers that crash since each of the routers that start together sends to them.
 func TestRoutersThatStartTogetherWaitForEachOther(t *testing.T) {
 	w := newWarmers(t, 80)
 	for _, n := range w.nodes {
@@ -89,8 +88,7 @@
 	w.Assert(w.senders("server"), qt.HasLen, 1)
 }
 
-// The sender loses the store, its entry lapses, and the next router stands in for it. The
-// first stops by itself, since its list gets old; two at the most send meanwhile.
+// Guards against two senders to a cold server for longer than the list can be old.
 func TestSenderThatLostTheStoreStops(t *testing.T) {
 	w := newWarmers(t, 80)
 	w.learn(w.nodes, w.nodes)
--- a/internal/peers/follow_test.go
+++ b/internal/peers/follow_test.go
@@ -25,8 +25,7 @@
 	return f.feed
 }
 
-// A router asks one that follows nothing, or nothing under that prefix. It is told so at
-// once, and not taken for unreachable: other calls to that router go on.
+// Guards against taking a router that follows nothing for unreachable.
 func TestRouterWithoutAFeedSaysSo(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -55,8 +55,7 @@
 	return l, listener.Addr().String()
 }
 
-// A router lacks 100 tokens; two others have 60 and 70. It gets all, and hears what
-// they have used.
+// Guards against a loan that stops at the first peer which has too little.
 func TestBorrowAsksOneAfterTheOther(t *testing.T) {
 	_, one := start(t, 60)
 	_, two := start(t, 70)
@@ -66,8 +65,7 @@
 	qt.Assert(t, used, qt.Equals, int64(14))
 }
 
-// The answer of a loan is lost, so its borrower never uses it. The lender has it back
-// once it hears of that, and once only; also if that comes before the loan's call.
+// Guards against a lost loan that stays lent, or comes back twice.
 func TestLostLoanIsTakenBackOnce(t *testing.T) {
 	l := &lender{left: 100}
 	s := &Service{lender: l, clock: event.Discard(), transfers: newTransfers()}
@@ -104,8 +102,7 @@
 	qt.Assert(t, c.HandOver(context.Background(), address, map[string]int64{"a": 5}), qt.IsFalse)
 }
 
-// Two routers stop at the same moment, and each holds the other for the new home. What one
-// hands over is refused by the other, so that the first still has it, to return it.
+// Guards against tokens lost between two routers that stop at the same moment.
 func TestRouterThatLeavesRefusesGifts(t *testing.T) {
 	l, address := start(t, 0)
 	l.leaves = true
@@ -113,8 +110,7 @@
 	qt.Assert(t, c.HandOver(context.Background(), address, map[string]int64{"a": 5}), qt.IsFalse)
 }
 
-// A lender whose VM's time of day is behind gives a loan. By the clocks in the messages
-// the loan comes after its request, and what the borrower does next after the loan.
+// Guards against logs whose order wrong clocks turn round.
 func TestMessagesCarryTheClock(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/peers/silence_test.go
+++ b/internal/peers/silence_test.go
@@ -36,9 +36,7 @@
 	return h, listener.Addr().String()
 }
 
-// Two requests wait at their account's home. The caller of one leaves. Its loan is given up;
-// the other's goes on, and the next request gets its tokens from the home at once: a router
-// from which one caller had left refused all that paid from that home for two seconds.
+// Guards against passing a home by, and dropping other loans, because one caller left.
 func TestCallerThatLeavesKeepsNobodyFromTheHome(t *testing.T) {
 	h, home := startHeld(t)
 	c := NewClient("p1", func() []string { return nil }, event.Discard())
@@ -56,8 +54,7 @@
 	qt.Assert(t, (<-waits).Tokens, qt.Equals, int64(5))
 }
 
-// One call at a home takes too long while the home answers others. It is given up, and the
-// home is not avoided: it is not silent.
+// Guards against avoiding a home that answers others because one call took too long.
 func TestPeerThatAnswersOthersIsNotSilent(t *testing.T) {
 	h, home := startHeld(t)
 	defer close(h.let)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -16,9 +16,7 @@
 
 var limits = Limits{Window: 10 * time.Second, Ratio: 0.2, Extra: 54}
 
-// Several routers take repeats as fast as they are allowed, at any times. In any
-// window the repeats of all together stay within the ratio of the requests counted
-// in that window or one of the two before it, and the extra.
+// Guards against repeats beyond the fleet's budget, whatever their times and routers.
 func TestRepeatsOfAllRoutersStayWithinTheLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
@@ -57,8 +55,7 @@
 	return n
 }
 
-// A request crashes each server that runs it, and its caller sends it again. After
-// two crashes it is held here, and on another router's word at once.
+// Guards against a request that crashes one server after the other.
 func TestContentThatBreaksServersIsHeld(t *testing.T) {
 	now := time.Unix(1000, 0)
 	q := NewQuarantine(func() time.Time { return now })
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -44,10 +44,7 @@
 	return highest
 }
 
-// A domain's servers are back cold, and all routers have more work than they can place. In
-// any second a cold server gets no more than it bears, over all routers; also while one
-// router takes itself for the sender and another one was it a moment ago, where a half more
-// is allowed.
+// Guards against cold servers that get more than they bear from all routers together.
 func TestColdServerGetsNoMoreThanItBearsOverAllRouters(t *testing.T) {
 	for _, fleetSize := range []int{8, 80, 195} {
 		for _, senders := range []map[int]bool{{3: true}, {3: true, 5: true}} {
@@ -72,8 +69,7 @@
 	}
 }
 
-// Servers that are warm, and services whose cold servers bear what warm ones do, are not
-// bounded.
+// Guards against bounds on servers that are warm or bear a warm one's load.
 func TestOnlyColdServersAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := routers(1, &now, nil)[0]
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -15,9 +15,7 @@
 // starterEnv makes the test binary start a program and wait, in the place of its tests.
 const starterEnv = "SOAK_TEST_STARTER"
 
-// A soak is killed, as by a test's time limit. The programs that it started end with it: a
-// router that went on joined the fleet of a later soak, closed the grants of that one's router
-// under the same name, and budgets were in doubt that nobody had spent.
+// Guards against routers that outlive a soak and join the fleet of a later one.
 func TestProgramsEndWithTheSoak(t *testing.T) {
 	if os.Getenv(starterEnv) != "" {
 		p := &process{name: "sleeper", path: "/bin/sleep", args: []string{"60"}, log: t.TempDir() + "/log"}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,8 +24,7 @@
 	{30007, 10 * time.Second}, // SIGHUP right after a start ended the router: its handler came late
 }
 
-// The real programs, some seconds of faults, and every promise held against what callers,
-// engines, service and store saw.
+// Guards every promise against some seconds of random faults on the real programs.
 func TestShortSoak(t *testing.T) {
 	c := qt.New(t)
 	programs := t.TempDir()
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -122,8 +122,7 @@
 	c.Assert(sink.last, qt.Equals, Silence{Length: told.Length, Ago: told.Ago + time.Millisecond})
 }
 
-// Guards against dropping servers whose entries lapsed in an outage on the word of a router
-// that started in it.
+// Guards against dropping servers that lapsed in an outage on the word of a router that started in it.
 func TestRouterThatStartedInAnOutageTellsNoSilence(t *testing.T) {
 	c := qt.New(t)
 	sink, now := &silences{}, time.Unix(1000, 0)
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -46,10 +46,7 @@
 	return steps
 }
 
-// A router hands tokens over to another one, whose wall clock is an hour behind. By
-// wall clocks they would arrive before they were sent.
-// The messages carry the Lamport clocks, so that the time line has the order in
-// which things happened.
+// Guards against a time line in the order of wrong clocks.
 func TestCausalOrderBeatsWallClocks(t *testing.T) {
 	c := qt.New(t)
 	router, other := newLog("a@1", 0), newLog("b@1", -time.Hour)
@@ -64,9 +61,7 @@
 	c.Assert(trace(Merge(log.Lines)), qt.DeepEquals, []string{"a@1 207", "a@1 208", "b@1 308", "a@1 206"})
 }
 
-// Processes emit events and send messages at random; wall clocks are random too.
-// The merged line must keep each process's seq order, and no message's receipt
-// may come before what its sender had done.
+// Guards against a merged line with an effect before its cause, whatever the clocks.
 func TestMergeKeepsCausesFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var logs []*logOf
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -121,8 +121,7 @@
 	qt.Assert(t, b.connections, qt.HasLen, 1)
 }
 
-// A server sends another answer behind the one that was asked for, where the next one is
-// due. The connection is not used again: the next request must not get it.
+// Guards against a second answer that the next request takes for its own.
 func TestConnectionWithBytesLeftIsNotUsedAgain(t *testing.T) {
 	b := startBackend(t, answer("r1", "ok")+answer("r1", "no"), answer("r2", "ok"))
 	c := newClient()
@@ -134,8 +133,7 @@
 	qt.Assert(t, b.connections, qt.HasLen, 2)
 }
 
-// An answer is given up before its end. What is still due of it would be taken for the
-// next answer, so the connection is closed.
+// Guards against the rest of an answer that the next request takes for its own.
 func TestConnectionOfAnUnreadAnswerIsNotUsedAgain(t *testing.T) {
 	head, _ := strings.CutSuffix(answer("r1", "ok"), "ok") // the body is still to come
 	b := startBackend(t, head, answer("r2", "ok"))
@@ -149,8 +147,7 @@
 	qt.Assert(t, b.connections, qt.HasLen, 2)
 }
 
-// What comes first is another request's answer. It is skipped, and the connection given up
-// afterwards.
+// Guards against another request's answer that comes first.
 func TestAnotherRequestsAnswerIsSkipped(t *testing.T) {
 	b := startBackend(t, answer("r0", "no")+answer("r1", "ok"), answer("r2", "ok"))
 	c := newClient()
@@ -169,8 +166,7 @@
 	qt.Assert(t, err, qt.IsNotNil)
 }
 
-// A server that can't be reached has nothing of the request; one that closes without an
-// answer may have run it.
+// Guards against taking a request that may have run for one that was not sent.
 func TestNotSentIsToldFromBroken(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -183,8 +179,7 @@
 	qt.Assert(t, errors.Is(err, ErrNotSent), qt.IsFalse)
 }
 
-// A server is chosen, and says that it leaves while the connection to it comes about, which
-// may take 0.4 s. Nothing is sent to it, and the request is not said to have been sent.
+// Guards against a send to a server that said it leaves while the connection came about.
 func TestServerThatLeftIsNotSentTo(t *testing.T) {
 	b := startBackend(t)
 	b.server.Leave()
