Let each follower ask at once when the store has answered another one

In its log routers and configuration are known 1.35 and 2.2 s after the cut, and backend servers not at all after three seconds: three followers share the spacing of calls, and the one whose check comes when the gate opens takes each turn until its own answer is there. On short links that is ten milliseconds.

A follower that asked before the last answer of the store may ask once without leave.

--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -319,6 +319,31 @@
 	}
 }
 
+// Guards against one follower that takes each turn at a store which was away while others know nothing.
+func TestAllIsKnownSoonAfterACutOverALongLink(t *testing.T) {
+	const (
+		trip     = 400 * time.Millisecond
+		spacing  = 800 * time.Millisecond // of calls to a store that is away, at a follower
+		poll     = 50 * time.Millisecond
+		whole    = 2*trip + 2*poll // of a call with its connection
+		allKnown = spacing + 2*(whole+poll)
+	)
+	forEachPhase(t, func(t *testing.T, phase time.Duration) {
+		withFollower(t, silentOthers{}, func(w *followedWorld) {
+			w.store.set(func() { w.store.cut, w.store.trip = true, trip })
+			w.putServer("a", true)
+			w.store.Put("config/x", []byte("2"))
+			w.store.Put(MemberPrefix+"vm-2", []byte(`{"address":"127.0.0.1:1"}`))
+			time.Sleep(9*time.Second + phase)
+			w.store.set(func() { w.store.cut = false })
+			time.Sleep(allKnown)
+			w.Check(w.used("a"), qt.IsFalse)
+			w.Check(w.node.policy.Load().Version, qt.Equals, int64(2))
+			w.Check(w.node.members.List(), qt.HasLen, 1)
+		})
+	})
+}
+
 // Guards against empty services after an outage: servers whose entries lapsed in it are used until they are back.
 func TestServersThatLapsedInAnOutageStayInUse(t *testing.T) {
 	outages := map[string]func(s *linkedStore, away bool){
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -26,6 +26,7 @@
 // checks are the reads beside the usual call.
 type checks struct {
 	next   time.Time
+	asked  time.Time            // when the last one started
 	serial int                  // of the time in which what is known is old; others' answers don't count
 	stops  []context.CancelFunc // of those that may be under way, oldest first
 	made   int                  // in this time
@@ -110,11 +111,12 @@
 	}
 	// The first check doesn't wait for a gate that calls on other connections have shut:
 	// they may have fallen silent, and by its wait what is known would get too old.
-	if !f.Gate.Take(now, f.gateMost()) && !first {
+	free := first || f.Gate.AnsweredSince(f.checks.asked)
+	if !f.Gate.Take(now, f.gateMost()) && !free {
 		f.checks.next = now.Add(gatePoll)
 		return
 	}
-	f.checks.next = now.Add(gateFirst)
+	f.checks.next, f.checks.asked = now.Add(gateFirst), now
 	f.checks.made++
 	if len(f.checks.stops) == checksMost {
 		f.checks.stops[0]()
--- a/internal/store/feed_test.go
+++ b/internal/store/feed_test.go
@@ -221,7 +221,9 @@
 			now = now.Add(wait)
 			qt.Assert(t, g.Take(now, most), qt.IsTrue)
 		}
-		g.Answered()
+		qt.Assert(t, g.AnsweredSince(now), qt.IsFalse)
+		g.Answered(now.Add(1))
+		qt.Assert(t, g.AnsweredSince(now), qt.IsTrue)
 		qt.Assert(t, g.Take(now, most), qt.IsTrue)
 	}
 }
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -15,7 +15,9 @@
 	shut   time.Time
 	wait   time.Duration // between the last call and the next one; 0: the store answers
 	failed time.Time     // the start of the latest call that failed
-	probes probes
+	// answered is when the latest answer came.
+	answered time.Time
+	probes   probes
 }
 
 // Times between the starts of two calls while the store doesn't answer.
@@ -76,10 +78,20 @@
 	g.probes.answered(p, now)
 }
 
+// AnsweredSince says whether an answer came after a moment. Who asked last before it may ask
+// once without leave: else the one whose turn comes first takes each turn until its own answer
+// is there, and over a long link the others know what changed seconds late.
+func (g *Gate) AnsweredSince(asked time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answered.After(asked)
+}
+
 // Answered opens the gate.
-func (g *Gate) Answered() {
+func (g *Gate) Answered(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.answered = now
 	g.shut, g.wait = time.Time{}, 0
 }
 
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -87,7 +87,7 @@
 		f.Feed.hear(a.snapshot, a.changes, silence)
 	} else {
 		f.failing, f.storeOK = false, a.started
-		f.Gate.Answered()
+		f.Gate.Answered(now)
 		f.Feed.learn(a.snapshot, a.changes, silence, asOf, f.freshFor())
 	}
 	f.apply(a, silence)
