Log the request limits that backend servers name

Lines 719 and 720 now say when a router hears of a limit, of another one, or of its end. Nothing acts on it yet.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,7 +70,11 @@
 	DomainEvacuated Number = 706
 	DomainRestored  Number = 707
 	// BackendCold: a backend server that was warm says that it bears few requests for now.
-	BackendCold      Number = 708
+	BackendCold Number = 708
+	// BackendLimited: a backend server names a limit of requests a second, or another one than
+	// before; BackendUnlimited: the limit is over.
+	BackendLimited   Number = 719
+	BackendUnlimited Number = 720
 	BackendLeaving   Number = 702
 	EntryRejected    Number = 703
 	StoreUnreachable Number = 710
@@ -135,6 +139,8 @@
 	{StoreCalls, slog.LevelInfo, "calls to the store"},
 	{BackendMissing, slog.LevelInfo, "entry of a backend server missing after an outage"},
 	{KnowledgeOld, slog.LevelInfo, "knowledge is old, the store is asked beside the call under way"},
+	{BackendLimited, slog.LevelWarn, "backend server limits its requests"},
+	{BackendUnlimited, slog.LevelInfo, "backend server limits its requests no more"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -32,6 +32,26 @@
 	Slots   int
 }
 
+// LimitState is whether an answer names a rate limit.
+type LimitState int
+
+const (
+	// LimitAbsent: it names none.
+	LimitAbsent LimitState = iota
+	// LimitNamed: it names one.
+	LimitNamed
+	// LimitUnreadable: it names something that is no rate, which tells nothing.
+	LimitUnreadable
+)
+
+// RateLimit is what one answer of a backend server says of the requests that the server
+// takes from all routers together.
+type RateLimit struct {
+	State LimitState
+	// PerSecond is requests a second, zero or more; only where State is LimitNamed.
+	PerSecond float64
+}
+
 // Server is a backend server as this router knows it. The entry never changes;
 // the rest is shared by all requests.
 type Server struct {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/limit"
+	"chicorytiller.example/chicorytiller/internal/pacing"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
@@ -67,7 +68,9 @@
 	// Report tells the other routers of a content that breaks servers.
 	Report  func(content uint64)
 	Chooser *balance.Chooser
-	Backend Exchanger
+	// RateLimits takes what servers say of the requests that they take.
+	RateLimits *pacing.Limits
+	Backend    Exchanger
 	// Limits holds accounts to their contracts.
 	Limits  *limit.Limiter
 	Log     *event.Log
--- a/internal/native/backends.go
+++ b/internal/native/backends.go
@@ -21,6 +21,7 @@
 	HeaderUrgency     = "X-Chicory-Urgency"      // 0 is first
 	HeaderNotExecuted = "X-Chicory-Not-Executed" // of an answer: the request did not run
 	HeaderLoad        = "X-Chicory-Load"         // of an answer: running,waiting,slots
+	HeaderRateLimit   = "X-Chicory-Rate-Limit"   // of an answer: requests a second that the server takes from all routers
 	HeaderOutput      = "X-Chicory-Output"       // of a whole answer: its output tokens
 	HeaderLastEvent   = "Last-Event-Id"
 )
@@ -29,6 +30,7 @@
 var Codec = upstream.HeaderCodec{Names: upstream.HeaderNames{
 	RequestID: HeaderRequestID, Server: HeaderBackend, TimeLeft: HeaderTimeLeft, LastEvent: HeaderLastEvent,
 	Account: HeaderAccount, Urgency: HeaderUrgency, NotExecuted: HeaderNotExecuted, Load: HeaderLoad, Output: HeaderOutput,
+	RateLimit: HeaderRateLimit,
 }}
 
 // Patience with engines, from which the watchdog's is derived.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/limit"
+	"chicorytiller.example/chicorytiller/internal/pacing"
 	"chicorytiller.example/chicorytiller/internal/peers"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
@@ -166,6 +167,7 @@
 		Quarantine: n.held,
 		Report:     n.report,
 		Chooser:    balance.NewChooser(s.FailureDomain, &slowstart.Limiter{Rate: n.coldRate, Sender: n.warms, Now: time.Now}, nil),
+		RateLimits: pacing.NewLimits(log, nil),
 		Backend:    n.client,
 		Limits:     limit.New(n.routers, nil),
 		Log:        log,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,6 +34,8 @@
 	HasLoad     bool
 	// Cold is how much longer the server is cold, as it says; zero: it is warm, or doesn't say.
 	Cold time.Duration
+	// RateLimit is what the answer says of the requests that the server takes.
+	RateLimit fleet.RateLimit
 	// Output is the output tokens of an answer that isn't a stream; OutputUnknown if
 	// the server should have told and didn't.
 	Output int
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,7 @@
 	NotExecuted string // of an answer: the server did not run the request
 	Load        string // of an answer: running, waiting and most running requests
 	Cold        string // of an answer: how much longer the server is cold, in ms; empty: never told
+	RateLimit   string // of an answer: requests a second that the server takes from all routers; empty: never told
 	Output      string // of a whole answer: its output tokens; empty: never told
 }
 
@@ -85,6 +87,9 @@
 	if c.Names.Cold != "" {
 		meta.Cold = parseCold(header.Get(c.Names.Cold))
 	}
+	if c.Names.RateLimit != "" {
+		meta.RateLimit = parseRateLimit(header.Values(c.Names.RateLimit))
+	}
 	if c.Names.Output != "" {
 		meta.Output = outputOf(header.Get(c.Names.Output))
 	}
@@ -112,6 +117,22 @@
 	return time.Duration(min(ms, float64(coldLongest.Milliseconds())) * float64(time.Millisecond))
 }
 
+// parseRateLimit reads the values of a header with a decimal number. Of several the lowest
+// counts.
+func parseRateLimit(values []string) fleet.RateLimit {
+	limit := fleet.RateLimit{}
+	for _, value := range values {
+		perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+			return fleet.RateLimit{State: fleet.LimitUnreadable}
+		}
+		if limit.State == fleet.LimitAbsent || perSecond < limit.PerSecond {
+			limit = fleet.RateLimit{State: fleet.LimitNamed, PerSecond: perSecond}
+		}
+	}
+	return limit
+}
+
 // parseLoad reads "running,waiting,slots".
 func parseLoad(value string) (fleet.Load, bool) {
 	numbers, ok := ParseNumbers(value, 3)
