Pace servers that name a limit: a few senders in rank, told by one record

What callers saw: nothing; a backend server in need that names a limit of 1.2 requests a second went on getting 3 to 4 from nine routers. Cause: nothing read the limit.

A router that reads a limit and keeps it by itself is no mend: nine buckets of one request are over the bound already, 195 are at any limit. So the senders of cold servers are taken over: package slowstart becomes pacing, which bounds what any such server gets, whatever named its rate. The first routers in rank send, all others nothing. How many follows from the bound: floor(2.5 + 0.2 L), which keeps 1.5 L x 4 s + 5 also where all of them are replaced at once, each with 0.7 L / n a second and a bucket of one that begins empty.

Those who send nothing never hear of the end, so a record in the store tells of the limit, confirms it each 10 s while it is named, and tells of its end: one write a server, not a router, by rank with 0.1 s between two. No router that knows of a limit sends before the record is known, so that the turns of the senders count from the same moment. If the first in rank have no callers, the next stand in after 25 s. The end takes an answer without a limit to a request sent 2 s after the last word of it.

Where all servers of a service are bounded, requests are refused at once (backends_limited) with the time of the next place, and less urgent ones leave the places to those refused within a second before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -27,27 +27,34 @@
 	domainMs = 10
 	// serviceMs is one request's stay at a plain service's server.
 	serviceMs = 20
-	// coldMs keeps work away from cold servers while warm ones have no longer queue than this.
-	coldMs = 150
+	// boundedMs keeps work away from servers that bear few requests while the others have no
+	// longer queue than this.
+	boundedMs = 150
+	// dueMs is above the estimate of any server that answers at all.
+	dueMs = 1e6
 )
 
 // cacheKept is how long a server is taken to keep a part after its last use.
 const cacheKept = 20 * time.Second
 
-// ColdLimit bounds what cold servers are sent.
-type ColdLimit interface {
+// Pacer bounds what servers are sent that bear few requests.
+type Pacer interface {
 	// Bounded says whether a server bears few requests now.
 	Bounded(*fleet.Server) bool
 	// Room says whether Take would allow one more to such a server.
 	Room(*fleet.Server) bool
 	// Take asks for one, which is counted if it is allowed.
 	Take(*fleet.Server) bool
+	// Due says whether one is to be sent whatever speaks for another server.
+	Due(*fleet.Server) bool
+	// Wait is the time after which one more makes sense.
+	Wait(*fleet.Server) time.Duration
 }
 
 // Chooser chooses servers. It is safe for concurrent use.
 type Chooser struct {
 	domain string // own failure domain
-	cold   ColdLimit
+	pacer  Pacer
 	now    func() time.Time
 
 	mu   sync.Mutex
@@ -60,11 +67,11 @@
 
 // NewChooser makes a chooser for a router in the given failure domain. A nil now
 // means time.Now.
-func NewChooser(domain string, cold ColdLimit, now func() time.Time) *Chooser {
+func NewChooser(domain string, pacer Pacer, now func() time.Time) *Chooser {
 	if now == nil {
 		now = time.Now
 	}
-	return &Chooser{domain: domain, cold: cold, now: now, read: make(map[cached]time.Time)}
+	return &Chooser{domain: domain, pacer: pacer, now: now, read: make(map[cached]time.Time)}
 }
 
 // Choice is the chosen server and why.
@@ -74,24 +81,24 @@
 	Unread float64
 	// Score is the estimate that won, in ms.
 	Score float64
-	// avoided: it failed lately. cold: it bears few requests, and this one needs a permit.
-	avoided, cold bool
+	// avoided: it failed lately. bounded: it bears few requests, and this one needs a permit.
+	avoided, bounded bool
 }
 
 // Choose returns the best of the servers that are not excluded; its Server is nil
-// if there is none. Servers that failed lately are taken only if all others are out, cold
-// ones only within their limit.
+// if there is none. Servers that failed lately are taken only if all others are out, those
+// that bear few requests only within their bound.
 func (c *Chooser) Choose(servers []*fleet.Server, r *request.Request, excluded func(*fleet.Server) bool) Choice {
 	home := c.homeOf(servers, r.SharedPart())
-	best := c.best(servers, r, home, excluded, c.cold.Room)
-	if best.cold && !c.cold.Take(best.Server) {
+	best := c.best(servers, r, home, excluded, c.pacer.Room)
+	if best.bounded && !c.pacer.Take(best.Server) {
 		none := func(*fleet.Server) bool { return false }
 		return c.best(servers, r, home, excluded, none) // another request took the place meanwhile
 	}
 	return best
 }
 
-// best rates the servers that may get the request. room says of a cold one whether it may.
+// best rates the servers that may get the request. room says of a bounded one whether it may.
 func (c *Chooser) best(servers []*fleet.Server, r *request.Request, home *fleet.Server, excluded, room func(*fleet.Server) bool) Choice {
 	now := c.now()
 	best := Choice{}
@@ -99,15 +106,15 @@
 		if s.Closed() || excluded(s) {
 			continue
 		}
-		cold := c.cold.Bounded(s)
-		if cold && !room(s) {
+		bounded := c.pacer.Bounded(s)
+		if bounded && !room(s) {
 			continue
 		}
 		status := s.Status(now)
 		choice := c.rate(s, status, r, s == home, now)
-		choice.avoided, choice.cold = status.Avoided, cold
-		if cold {
-			choice.Score += coldMs
+		choice.avoided, choice.bounded = status.Avoided, bounded
+		if bounded {
+			choice.Score += c.penalty(s)
 		}
 		better := best.Server == nil ||
 			best.avoided && !choice.avoided ||
@@ -119,6 +126,14 @@
 	return best
 }
 
+// penalty is what is added to the estimate of a server that bears few requests, in ms.
+func (c *Chooser) penalty(s *fleet.Server) float64 {
+	if c.pacer.Due(s) {
+		return -dueMs
+	}
+	return boundedMs
+}
+
 func (c *Chooser) rate(s *fleet.Server, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
 	score := 0.0
 	if s.Domain != c.domain {
@@ -180,7 +195,7 @@
 	}
 }
 
-// homeOf is the warm server that all routers prefer for a part (rendezvous hashing): a
+// homeOf is the server that all routers prefer for a part (rendezvous hashing): a
 // part is then read at one server, and only that server's parts move when it goes.
 func (c *Chooser) homeOf(servers []*fleet.Server, part string) *fleet.Server {
 	if part == "" {
@@ -189,7 +204,7 @@
 	var home *fleet.Server
 	var highest uint64
 	for _, s := range servers {
-		if s.Closed() || c.cold.Bounded(s) {
+		if s.Closed() || c.pacer.Bounded(s) {
 			continue
 		}
 		if rank := xxhash.Sum64String(part + "/" + s.ID); home == nil || rank > highest {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -104,9 +104,11 @@
 // warm bounds nothing: no server is cold.
 type warm struct{}
 
-func (warm) Bounded(*fleet.Server) bool { return false }
-func (warm) Room(*fleet.Server) bool    { return true }
-func (warm) Take(*fleet.Server) bool    { return true }
+func (warm) Bounded(*fleet.Server) bool       { return false }
+func (warm) Room(*fleet.Server) bool          { return true }
+func (warm) Take(*fleet.Server) bool          { return true }
+func (warm) Due(*fleet.Server) bool           { return false }
+func (warm) Wait(*fleet.Server) time.Duration { return 0 }
 
 // permits is how many requests each cold server may get.
 type permits map[*fleet.Server]int
@@ -118,6 +120,10 @@
 
 func (p permits) Room(s *fleet.Server) bool { return p[s] > 0 }
 
+func (p permits) Due(*fleet.Server) bool { return false }
+
+func (p permits) Wait(s *fleet.Server) time.Duration { return s.ColdFor(time.Now()) }
+
 func (p permits) Take(s *fleet.Server) bool {
 	p[s]--
 	return p[s] >= 0
@@ -156,17 +162,16 @@
 // Guards against refusals that wait, or name a wrong reason, where nothing can be sent.
 func TestObstacles(t *testing.T) {
 	list := servers(2)
-	obstacle := func(limit ColdLimit) Obstacle {
-		why, _ := NewChooser("zone-1", limit, nil).Obstacle(list)
-		return why
+	obstacle := func(limit Pacer) Obstacle {
+		return NewChooser("zone-1", limit, nil).Outlook(list).Obstacle
 	}
 	qt.Assert(t, obstacle(warm{}), qt.Equals, Free)
 	qt.Assert(t, obstacle(permits{list[0]: 0}), qt.Equals, Free)
 	list[0].Chill(time.Now(), time.Minute)
 	list[1].Chill(time.Now(), time.Hour)
-	why, warmIn := NewChooser("zone-1", permits{list[0]: 0, list[1]: 0}, nil).Obstacle(list)
-	qt.Assert(t, why, qt.Equals, AllCold)
-	qt.Assert(t, warmIn > 50*time.Second && warmIn <= time.Minute, qt.IsTrue, qt.Commentf("%v", warmIn))
+	out := NewChooser("zone-1", permits{list[0]: 0, list[1]: 0}, nil).Outlook(list)
+	qt.Assert(t, out.Obstacle, qt.Equals, AllCold)
+	qt.Assert(t, out.Wait > 50*time.Second && out.Wait <= time.Minute, qt.IsTrue, qt.Commentf("%v", out.Wait))
 	qt.Assert(t, obstacle(permits{list[0]: 0, list[1]: 1}), qt.Equals, Free)
 	list[0].Evacuate(true)
 	qt.Assert(t, obstacle(warm{}), qt.Equals, Free)
--- a/internal/balance/obstacle.go
+++ b/internal/balance/obstacle.go
@@ -19,27 +19,52 @@
 	// AllCold: those that are not evacuated started a moment ago, and this router may send
 	// them nothing more now.
 	AllCold
+	// AllLimited: they bear few requests, some since they name a limit, and this router may
+	// send them nothing more now.
+	AllLimited
 )
 
-// Obstacle says whether any of a service's servers can take a request now. Where all are
-// cold it also says after what time the first is warm.
-func (c *Chooser) Obstacle(servers []*fleet.Server) (Obstacle, time.Duration) {
+// Outlook is whether a service's servers can take a request now.
+type Outlook struct {
+	Obstacle Obstacle
+	// Wait is the time after which another try makes sense; only for AllCold and AllLimited.
+	Wait time.Duration
+	// Scarce: one may take it, but all that may bear few requests.
+	Scarce bool
+}
+
+// Outlook says whether any of a service's servers can take a request now.
+func (c *Chooser) Outlook(servers []*fleet.Server) Outlook {
 	now := c.now()
-	why, warmIn := NoServers, time.Duration(0)
+	out := Outlook{Obstacle: NoServers}
+	bounded := false
 	for _, s := range servers {
 		switch {
 		case s.Leaving():
 		case s.Evacuated():
-			if why == NoServers {
-				why = AllEvacuated
+			if out.Obstacle == NoServers {
+				out.Obstacle = AllEvacuated
 			}
-		case !c.cold.Bounded(s) || c.cold.Room(s):
-			return Free, 0
+		case !c.pacer.Bounded(s):
+			return Outlook{}
+		case c.pacer.Room(s):
+			out.Scarce = true
 		default:
-			if left := s.ColdFor(now); why != AllCold || left < warmIn {
-				why, warmIn = AllCold, left
+			wait := c.pacer.Wait(s)
+			if !bounded || wait < out.Wait {
+				out.Wait = wait
+			}
+			if out.Obstacle != AllLimited {
+				out.Obstacle = AllCold
 			}
+			if s.ColdFor(now) == 0 {
+				out.Obstacle = AllLimited
+			}
+			bounded = true
 		}
 	}
-	return why, warmIn
+	if out.Scarce {
+		out.Obstacle = Free
+	}
+	return out
 }
--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -43,6 +43,7 @@
 	forward.NoServer:          http.StatusServiceUnavailable,
 	forward.Evacuated:         http.StatusServiceUnavailable,
 	forward.Cold:              http.StatusServiceUnavailable,
+	forward.Limited:           http.StatusServiceUnavailable,
 	forward.Rejected:          http.StatusServiceUnavailable,
 	forward.Stopping:          http.StatusServiceUnavailable,
 	forward.Quarantined:       http.StatusBadGateway,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -75,6 +75,10 @@
 	// before; BackendUnlimited: the limit is over.
 	BackendLimited   Number = 719
 	BackendUnlimited Number = 720
+	// LimitRecorded: the other routers are told of a backend server's limit, or of its end;
+	// LimitUnrecorded: they could not be told yet.
+	LimitRecorded    Number = 721
+	LimitUnrecorded  Number = 722
 	BackendLeaving   Number = 702
 	EntryRejected    Number = 703
 	StoreUnreachable Number = 710
@@ -141,6 +145,8 @@
 	{KnowledgeOld, slog.LevelInfo, "knowledge is old, the store is asked beside the call under way"},
 	{BackendLimited, slog.LevelWarn, "backend server limits its requests"},
 	{BackendUnlimited, slog.LevelInfo, "backend server limits its requests no more"},
+	{LimitRecorded, slog.LevelInfo, "limit of a backend server recorded"},
+	{LimitUnrecorded, slog.LevelWarn, "limit of a backend server not recorded"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -149,6 +149,18 @@
 	return one == other
 }
 
+// Has says whether a start of a server is registered.
+func (r *Registry) Has(start string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.servers {
+		if known.server.Start == start {
+			return true
+		}
+	}
+	return false
+}
+
 // Items returns the entries as they were stored last, for another router.
 func (r *Registry) Items() []store.Item {
 	r.mu.Lock()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,16 @@
 	return s
 }
 
+// IDOfStart is the id of the server that a Start names.
+func IDOfStart(start string) string {
+	for range 2 { // of address and birth
+		if at := strings.LastIndexByte(start, '@'); at >= 0 {
+			start = start[:at]
+		}
+	}
+	return start
+}
+
 // Restarted says whether an entry of the same id tells of another start, or of another
 // server that took the id over.
 func (s *Server) Restarted(e Entry) bool {
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -10,7 +10,7 @@
 
 // noServerCause says why there is no server to send the request to.
 func (t *task) noServerCause() Cause {
-	if refusal := t.f.obstacle(t.r.Service); refusal != nil {
+	if refusal := t.f.obstacle(t.r); refusal != nil {
 		return refusal.Cause
 	}
 	return NoServer // those that could take one have been tried
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,7 +70,9 @@
 	Chooser *balance.Chooser
 	// RateLimits takes what servers say of the requests that they take.
 	RateLimits *pacing.Limits
-	Backend    Exchanger
+	// Yield keeps places at servers that bear few requests for urgent ones.
+	Yield   *pacing.Yield
+	Backend Exchanger
 	// Limits holds accounts to their contracts.
 	Limits  *limit.Limiter
 	Log     *event.Log
@@ -92,7 +94,7 @@
 	}
 	defer done()
 	f.Retries.Request(r.Service)
-	if refusal := f.obstacle(r.Service); refusal != nil {
+	if refusal := f.obstacle(r); refusal != nil {
 		f.refuse(r, caller, *refusal, p, nil)
 		return
 	}
@@ -139,15 +141,23 @@
 
 // obstacle refuses a request that none of its service's servers can take, before it waits for
 // its tokens; nil if one can.
-func (f *Forwarder) obstacle(service string) *Refusal {
-	why, warmIn := f.Chooser.Obstacle(f.Servers(service))
-	switch why {
+func (f *Forwarder) obstacle(r *request.Request) *Refusal {
+	out := f.Chooser.Outlook(f.Servers(r.Service))
+	switch out.Obstacle {
+	case balance.Free:
+		if out.Scarce && f.Yield.Must(r.Service, r.Urgency()) {
+			return &Refusal{Cause: Limited, RetryAfter: retryLater}
+		}
 	case balance.NoServers:
 		return &Refusal{Cause: NoServer, RetryAfter: retryLater}
 	case balance.AllEvacuated:
 		return &Refusal{Cause: Evacuated, RetryAfter: retryLater}
 	case balance.AllCold:
-		return &Refusal{Cause: Cold, RetryAfter: max(retrySoon, warmIn)}
+		f.Yield.Refused(r.Service, r.Urgency())
+		return &Refusal{Cause: Cold, RetryAfter: max(retrySoon, out.Wait)}
+	case balance.AllLimited:
+		f.Yield.Refused(r.Service, r.Urgency())
+		return &Refusal{Cause: Limited, RetryAfter: max(retrySoon, out.Wait)}
 	}
 	return nil
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -27,6 +27,7 @@
 	NoServer          Cause = "no_backend"                // none to send it to
 	Evacuated         Cause = "backends_evacuated"        // operators ordered to send nothing to any of them
 	Cold              Cause = "backends_cold"             // all have just started and bear few requests
+	Limited           Cause = "backends_limited"          // all bear few requests, some by a limit that they name
 	Rejected          Cause = "backend_rejected"          // the server said that it did not run it
 	Stopping          Cause = "router_stopping"           // this process stops
 	Quarantined       Cause = "request_quarantined"       // it breaks the servers that run it
@@ -63,7 +64,7 @@
 // sense.
 func RefusalOf(c Cause) Refusal {
 	switch c {
-	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer, Evacuated, Cold:
+	case NotReady, BudgetElsewhere, BudgetUnreachable, NoServer, Evacuated, Cold, Limited:
 		return Refusal{Cause: c, RetryAfter: retryLater}
 	case BudgetInDoubt:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -48,6 +48,9 @@
 	(&configSink{node: n}).Reset(known.Config, store.Silence{})
 	n.registry.Seed(known.Servers)
 	n.members.Seed(known.Members)
+	for _, item := range known.Limits {
+		n.limits.Learn(item)
+	}
 	n.log.Emit(event.Bootstrapped, slog.String("from", address), slog.Int("servers", len(known.Servers)), slog.Int("routers", len(known.Members)))
 	return true
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -24,6 +24,7 @@
 	tasks.Go(func() { n.bootstrap(ctx) })
 	tasks.Go(func() { n.announce(ctx) })
 	tasks.Go(func() { n.publishReports(ctx) })
+	tasks.Go(func() { n.publishLimits(ctx) })
 }
 
 // followStore starts the followers of configuration, backend servers and routers.
@@ -128,7 +129,8 @@
 	n.log.Emit(event.ConfigInForce, slog.Int64("config", p.Version), slog.Int64("revision", int64(item.Revision)))
 }
 
-// fleetSink takes the fleet's own records: routers and quarantined contents.
+// fleetSink takes the fleet's own records: routers, quarantined contents and limits of
+// backend servers.
 type fleetSink struct {
 	node *Node
 }
@@ -140,7 +142,7 @@
 func (s *fleetSink) Reset(items []store.Item, silence store.Silence) {
 	var members []store.Item
 	for _, item := range items {
-		if !s.node.holdBroken(item.Key) {
+		if !s.node.holdBroken(item.Key) && !s.node.limits.Learn(item) {
 			members = append(members, item)
 		}
 	}
@@ -152,7 +154,7 @@
 func (s *fleetSink) Apply(events []store.Event, silence store.Silence) {
 	var members []store.Event
 	for _, e := range events {
-		if e.Deleted || !s.node.holdBroken(e.Key) {
+		if e.Deleted || !s.node.holdBroken(e.Key) && !s.node.limits.Learn(e.Item) {
 			members = append(members, e)
 		}
 	}
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -69,13 +69,13 @@
 	return addresses
 }
 
-// rankings keeps holders by key for as long as the list of routers stays as it is: they are
-// wanted some times a request and for each account with each ledger, and to work them out
-// takes a look at all routers.
-type rankings struct {
-	mu      sync.Mutex
-	from    rankedFrom
-	holders map[string][]string
+// rankings keeps what was worked out from the list of routers, by key, for as long as that
+// list stays as it is: holders are wanted some times a request and for each account with each
+// ledger, and to work them out takes a look at all routers.
+type rankings[T any] struct {
+	mu    sync.Mutex
+	from  rankedFrom
+	byKey map[string]T
 }
 
 // rankedFrom is what rankings depend on beside their key.
@@ -89,18 +89,18 @@
 const rankingsMost = 10_000
 
 // get returns what is kept for a key, or works it out.
-func (r *rankings) get(from rankedFrom, key string, work func() []string) []string {
+func (r *rankings[T]) get(from rankedFrom, key string, work func() T) T {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.holders == nil || r.from != from || len(r.holders) >= rankingsMost {
-		r.from, r.holders = from, make(map[string][]string)
+	if r.byKey == nil || r.from != from || len(r.byKey) >= rankingsMost {
+		r.from, r.byKey = from, make(map[string]T)
 	}
-	holders, found := r.holders[key]
+	ranked, found := r.byKey[key]
 	if !found {
-		holders = work()
-		r.holders[key] = holders
+		ranked = work()
+		r.byKey[key] = ranked
 	}
-	return holders
+	return ranked
 }
 
 // Homes of accounts in a large fleet.
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/pacing"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+const (
+	// limitLease is how long a record outlives the lease's grant, and limitLeaseUsed how long
+	// a lease takes new records: far longer than the pauses in which a limit is confirmed.
+	limitLease     = 5 * time.Minute
+	limitLeaseUsed = 2 * time.Minute
+	// limitsSweep is how often limits of servers that are gone are dropped.
+	limitsSweep = 30 * time.Second
+)
+
+// limitWriter writes the records of the limits that backend servers named.
+type limitWriter struct {
+	node    *Node
+	lease   store.LeaseID
+	granted time.Time
+}
+
+// publishLimits tells the other routers of limits that backend servers named to this one.
+func (n *Node) publishLimits(ctx context.Context) {
+	w := limitWriter{node: n}
+	sweep := time.NewTicker(limitsSweep)
+	defer sweep.Stop()
+	for {
+		record, wait := n.limits.Next(n.placeFor)
+		if record != nil {
+			w.write(ctx, *record)
+			continue
+		}
+		var due <-chan time.Time
+		if wait > 0 {
+			due = time.After(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweep.C:
+			n.limits.Forget(n.registry.Has)
+		case <-n.limits.Wake():
+		case <-due:
+		}
+	}
+}
+
+// write writes one record. If that fails the record stays due.
+func (w *limitWriter) write(ctx context.Context, record pacing.Record) {
+	ctx, cancel := context.WithTimeout(ctx, entryCall)
+	defer cancel()
+	record.Router = w.node.settings.VM
+	err := w.commit(ctx, record)
+	if errors.Is(err, store.ErrLeaseGone) {
+		w.lease = 0
+	}
+	attrs := []slog.Attr{slog.String(event.KeyBackend, fleet.IDOfStart(record.Start)), slog.Float64("per_second", record.PerSecond),
+		slog.Bool("over", record.Over)}
+	if err != nil {
+		w.node.log.Emit(event.LimitUnrecorded, append(attrs, slog.Any(event.KeyCause, err))...)
+		return
+	}
+	w.node.log.Emit(event.LimitRecorded, attrs...)
+}
+
+func (w *limitWriter) commit(ctx context.Context, record pacing.Record) error {
+	if w.lease == 0 || time.Since(w.granted) > limitLeaseUsed {
+		lease, err := w.node.dialect.Store.Grant(ctx, limitLease)
+		if err != nil {
+			return err
+		}
+		w.lease, w.granted = lease, time.Now()
+	}
+	value, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	put := store.Put{Key: record.Key(), Value: value, Lease: w.lease}
+	_, err = w.node.dialect.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	return err
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,6 +54,12 @@
 	return m
 }
 
+// watchLimits exposes how many backend servers limit their requests.
+func (m *Metrics) watchLimits(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_limited_backends",
+		Help: "Backend servers that name a limit of requests a second."}, func() float64 { return float64(count()) }))
+}
+
 // Served implements forward.Metrics.
 func (m *Metrics) Served(first, whole time.Duration) {
 	m.first.Observe(first.Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,7 +27,6 @@
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
-	"chicorytiller.example/chicorytiller/internal/slowstart"
 	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
@@ -117,7 +116,9 @@
 	registry   *fleet.Registry
 	evacuated  *fleet.Evacuations
 	members    *fleet.Members
-	rankings   rankings
+	rankings   rankings[[]string]     // holders of accounts
+	places     rankings[pacing.Place] // of this router, by start of a backend server
+	limits     *pacing.Limits
 	listing    listing
 	keeper     *escrow.Keeper
 	retries    *retry.Budget
@@ -159,6 +160,9 @@
 		Store: d.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.Peers, Incarnation: incarnation, Clock: d.Clock,
 		Budgets: n.budgets, Home: n.homeOf, Holders: n.holdersOf, Log: log, Peers: n.peers,
 	})
+	n.limits = pacing.NewLimits(log, nil)
+	n.metrics.watchLimits(n.limits.Count)
+	pacer := &pacing.Limiter{ColdRate: n.coldRate, Place: n.placeFor, Limits: n.limits, Now: time.Now}
 	n.forward = &forward.Forwarder{
 		Policy:     n.policy.Load,
 		Servers:    func(service string) []*fleet.Server { return n.registry.View().ByService[service] },
@@ -166,8 +170,9 @@
 		Retries:    n.retries,
 		Quarantine: n.held,
 		Report:     n.report,
-		Chooser:    balance.NewChooser(s.FailureDomain, &slowstart.Limiter{Rate: n.coldRate, Sender: n.warms, Now: time.Now}, nil),
-		RateLimits: pacing.NewLimits(log, nil),
+		Chooser:    balance.NewChooser(s.FailureDomain, pacer, nil),
+		RateLimits: n.limits,
+		Yield:      &pacing.Yield{Now: time.Now},
 		Backend:    n.client,
 		Limits:     limit.New(n.routers, nil),
 		Log:        log,
@@ -351,7 +356,7 @@
 // Known implements peers.Knowledge: what another router that starts while the store is
 // away needs.
 func (n *Node) Known() peers.Known {
-	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items()}
+	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items(), Limits: n.limits.Items()}
 	if item := n.configItem.Load(); item != nil {
 		known.Config = append([]store.Item{*item}, n.evacuated.Items()...)
 	}
--- a/internal/node/warm.go
+++ b/internal/node/warm.go
@@ -3,12 +3,15 @@
 import (
 	"sync"
 	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/pacing"
 )
 
-// A cold backend server bears few requests a second over all routers, so one router sends to
-// it and all others don't: the first in rank for it. Routers that know different lists could
-// take two routers for the first. What follows lets that be two at the most, and for some
-// seconds only: a router takes itself for the first only if it has been in the list for so
+// Some backend servers bear few requests a second over all routers, so the first in rank for
+// such a server send to it and all others don't. Routers that know different lists could take
+// different ones for the first. What follows lets that be twice as many at the most, and for
+// some seconds only: a router relies on its rank only if it has been in the list for so
 // long that all others who are know it, and if its own list is of late. A router that lost
 // the store stops before another one can learn that its entry lapsed and stand in for it,
 // or soon after.
@@ -69,15 +72,30 @@
 	return n.dialect.Now()
 }
 
-// warms says whether this router is the one that may send to a cold server, by its start.
-func (n *Node) warms(start string) bool {
+// placeFor is this router's rank among all that send to a server that bears few requests, by
+// the server's start.
+func (n *Node) placeFor(start string) pacing.Place {
 	if n.stopping.Load() || !n.listing.sure(n.now()) {
-		return false
+		return pacing.Place{}
 	}
 	members, version := n.members.Listed()
-	key := "warms " + start
-	ranked := n.rankings.get(rankedFrom{version: version}, key, func() []string { return n.rank(members, key, false) })
-	return ranked[0] == "" // this router
+	return n.places.get(rankedFrom{version: version}, start, func() pacing.Place { return n.place(members, "sends to "+start) })
+}
+
+// place works out this router's rank for a key.
+func (n *Node) place(members []fleet.Member, key string) pacing.Place {
+	place := pacing.Place{Of: 1, Sure: true}
+	own := n.self().Rank(key)
+	for _, m := range members {
+		if m.Name == n.settings.VM || m.Peer == "" {
+			continue
+		}
+		place.Of++
+		if m.Rank(key) < own {
+			place.Ahead++
+		}
+	}
+	return place
 }
 
 // coldRate is the requests a second that a service's cold servers bear; 0: no bound.
--- a/internal/node/warm_test.go
+++ b/internal/node/warm_test.go
@@ -45,11 +45,17 @@
 	}
 }
 
+// isFirst says whether a router takes itself for the first in rank for a server.
+func isFirst(n *Node, server string) bool {
+	place := n.placeFor(server)
+	return place.Sure && place.Ahead == 0
+}
+
 // senders are the routers that take themselves for the one that sends to a cold server.
 func (w *warmers) senders(server string) []*Node {
 	var list []*Node
 	for _, n := range w.nodes {
-		if n.warms(server) {
+		if isFirst(n, server) {
 			list = append(list, n)
 		}
 	}
@@ -107,12 +113,12 @@
 	w.now = w.now.Add(listOldMost - entryLease + time.Millisecond)
 	w.learn(others, others)
 	w.Assert(w.senders("server"), qt.HasLen, 1)
-	w.Assert(lost.warms("server"), qt.IsFalse)
+	w.Assert(isFirst(lost, "server"), qt.IsFalse)
 
 	// It is back, and waits until all know it.
 	w.learn(w.nodes, others)
 	w.learn(w.nodes, w.nodes)
-	w.Assert(lost.warms("server"), qt.IsFalse)
+	w.Assert(isFirst(lost, "server"), qt.IsFalse)
 }
 
 // A router that stops sends nothing to cold servers: another one stands in for it at once.
@@ -121,7 +127,7 @@
 	w.learn(w.nodes, w.nodes)
 	w.now = w.now.Add(listedLeast)
 	w.learn(w.nodes, w.nodes)
-	w.Assert(w.nodes[0].warms("server"), qt.IsTrue)
+	w.Assert(isFirst(w.nodes[0], "server"), qt.IsTrue)
 	w.nodes[0].stopping.Store(true)
-	w.Assert(w.nodes[0].warms("server"), qt.IsFalse)
+	w.Assert(isFirst(w.nodes[0], "server"), qt.IsFalse)
 }
--- /dev/null
+++ b/internal/pacing/cold.go
@@ -0,0 +1,33 @@
+package pacing
+
+import (
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+// coldWindow is the time in which a cold server's requests are counted.
+const coldWindow = time.Second
+
+// isCold says whether a server started a moment ago, so that it crashes under the rate that
+// it bears once it is warm.
+func (l *Limiter) isCold(s *fleet.Server) bool {
+	return s.ColdFor(l.Now()) > 0 && l.ColdRate(s.Service) > 0
+}
+
+// coldRoom counts what was sent to a cold server within the window; the limiter is locked.
+func (l *Limiter) coldRoom(s *fleet.Server, now time.Time) bool {
+	if l.cold == nil {
+		l.cold = make(map[string][]time.Time)
+	}
+	recent := l.cold[s.Start]
+	for len(recent) > 0 && now.Sub(recent[0]) >= coldWindow {
+		recent = recent[1:]
+	}
+	if len(recent) == 0 {
+		delete(l.cold, s.Start) // nothing is kept of servers that got warm or left
+	} else {
+		l.cold[s.Start] = recent
+	}
+	return float64(len(recent)+1) <= share*l.ColdRate(s.Service)
+}
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/pacing/cold_test.go
@@ -1,4 +1,4 @@
-package slowstart
+package pacing
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 )
 
@@ -17,8 +18,13 @@
 func routers(n int, now *time.Time, senders map[int]bool) []*Limiter {
 	list := make([]*Limiter, n)
 	for i := range list {
-		list[i] = &Limiter{Rate: func(string) float64 { return testRate }, Sender: func(string) bool { return senders[i] },
-			Now: func() time.Time { return *now }}
+		ahead := 1
+		if senders[i] {
+			ahead = 0
+		}
+		clock := func() time.Time { return *now }
+		list[i] = &Limiter{ColdRate: func(string) float64 { return testRate }, Limits: NewLimits(event.Discard(), clock), Now: clock,
+			Place: func(string) Place { return Place{Ahead: ahead, Of: n, Sure: true} }}
 	}
 	return list
 }
@@ -78,7 +84,7 @@
 	qt.Assert(t, l.Room(server), qt.IsFalse)
 	now = now.Add(time.Second)
 	qt.Assert(t, l.Bounded(server), qt.IsFalse)
-	l.Rate = func(string) float64 { return 0 }
+	l.ColdRate = func(string) float64 { return 0 }
 	qt.Assert(t, l.Bounded(cold(now, time.Second)), qt.IsFalse)
 }
 
@@ -93,7 +99,7 @@
 	}
 	qt.Assert(t, taken, qt.Equals, 7)
 	qt.Assert(t, l.Take(server), qt.IsFalse)
-	now = now.Add(window)
+	now = now.Add(coldWindow)
 	qt.Assert(t, l.Room(server), qt.IsTrue)
-	qt.Assert(t, l.sent, qt.HasLen, 0)
+	qt.Assert(t, l.cold, qt.HasLen, 0)
 }
--- /dev/null
+++ b/internal/pacing/limiter.go
@@ -0,0 +1,202 @@
+// Package pacing bounds what backend servers are sent that bear fewer requests than they
+// would get, over all routers together: cold ones, and those that name a limit. A few
+// routers in rank send to such a server and all others send it nothing, so the bound holds
+// without any talk between them.
+package pacing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+const (
+	// share is the part of a server's rate that its senders use. While the senders change
+	// there may be twice as many for some seconds; together they stay below one and a half
+	// times the rate.
+	share = 0.7
+	// turnLength is how long the first senders in rank may leave a limit unconfirmed before
+	// the next in rank stand in: a sender without callers never hears of the limit's end.
+	turnLength = 25 * time.Second
+	// leastPerSecond is the rate at which a server that takes nothing, or next to nothing,
+	// is asked whether it still does.
+	leastPerSecond = 0.1
+	// askEvery is how often a sender's request goes to a limited server whatever else speaks
+	// for another one, so that the end of the limit is heard.
+	askEvery = time.Second
+	// waitMost bounds the time after which callers are told to come again.
+	waitMost = 10 * time.Second
+)
+
+// Place is where this router stands among all routers for a server.
+type Place struct {
+	Ahead int // routers before it in rank
+	Of    int // routers in rank
+	// Sure: all other routers know this one, and this one them, as of late.
+	Sure bool
+}
+
+// Limiter decides whether this router may send a request to a server that bears few. It is
+// safe for concurrent use.
+type Limiter struct {
+	// ColdRate is the requests a second that a cold server of a service bears; 0: no bound.
+	ColdRate func(service string) float64
+	// Place is this router's rank for a server, by the server's start.
+	Place func(start string) Place
+	// Limits are those that servers named.
+	Limits *Limits
+	// Now is the clock.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	cold    map[string][]time.Time // sent within the window, by start of the server
+	buckets map[string]*bucket     // of limited servers, by start
+}
+
+// Bounded says whether a server bears few requests now.
+func (l *Limiter) Bounded(s *fleet.Server) bool {
+	if _, limited := l.Limits.Of(s.Start); limited {
+		return true
+	}
+	return l.isCold(s)
+}
+
+// Room says whether Take would allow a request to a bounded server.
+func (l *Limiter) Room(s *fleet.Server) bool {
+	return l.permit(s, false)
+}
+
+// Take asks for one request to a bounded server. It is counted if it is allowed.
+func (l *Limiter) Take(s *fleet.Server) bool {
+	return l.permit(s, true)
+}
+
+// permit says whether a request is allowed, and counts it if it is to be taken.
+func (l *Limiter) permit(s *fleet.Server, take bool) bool {
+	now, cold := l.Now(), l.isCold(s)
+	limit, limited := l.Limits.Of(s.Start)
+	place := l.Place(s.Start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cold && !(place.Sure && place.Ahead == 0 && l.coldRoom(s, now)) {
+		return false
+	}
+	var b *bucket
+	if limited {
+		b = l.bucket(s.Start, limit, place, now)
+		if b == nil || b.tokens < 1 {
+			return false
+		}
+	}
+	if take && cold {
+		l.cold[s.Start] = append(l.cold[s.Start], now)
+	}
+	if take && limited {
+		b.tokens--
+		b.taken = now
+	}
+	return true
+}
+
+// Due says whether a limited server is to be asked for its limit by the next request that
+// can go there.
+func (l *Limiter) Due(s *fleet.Server) bool {
+	limit, limited := l.Limits.Of(s.Start)
+	if !limited {
+		return false
+	}
+	now, place := l.Now(), l.Place(s.Start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(s.Start, limit, place, now)
+	return b != nil && b.tokens >= 1 && now.Sub(b.taken) >= askEvery
+}
+
+// Wait is the time after which another request to a bounded server makes sense.
+func (l *Limiter) Wait(s *fleet.Server) time.Duration {
+	now := l.Now()
+	wait := time.Duration(0)
+	if l.isCold(s) {
+		wait = s.ColdFor(now)
+	}
+	limit, limited := l.Limits.Of(s.Start)
+	if !limited {
+		return wait
+	}
+	place := l.Place(s.Start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	missing := 1.0
+	if b := l.bucket(s.Start, limit, place, now); b != nil {
+		missing = max(0, 1-b.tokens)
+	}
+	next := time.Duration(missing / (share * max(limit.PerSecond, leastPerSecond)) * float64(time.Second))
+	return max(wait, min(next, waitMost))
+}
+
+// senders is how many routers send to a server with a limit: as many as keep the sum of all
+// windows of four seconds below one and a half times the limit and five requests, also
+// where all of them are replaced at once. Each may send one request at any time, and its
+// part of the rate.
+func senders(perSecond float64) int {
+	const most, each = 5, 2
+	spare := (1.5 - 2*share) * 4 * perSecond
+	return int(math.Floor((most + spare) / each))
+}
+
+// isSender says whether this router is one of those that send to a limited server. It never
+// is before the limit is recorded, since the routers take turns by the age of the record.
+func (l *Limiter) isSender(limit Limit, place Place, now time.Time) bool {
+	if !place.Sure || limit.Recorded.IsZero() {
+		return false
+	}
+	n := senders(limit.PerSecond)
+	turn := int(now.Sub(limit.Recorded) / turnLength)
+	first := turn * n % place.Of
+	return (place.Ahead-first+place.Of)%place.Of < n
+}
+
+// bucket returns the allowance of a limited server as of now; nil: this router sends it
+// nothing. The limiter is locked.
+func (l *Limiter) bucket(start string, limit Limit, place Place, now time.Time) *bucket {
+	if !l.isSender(limit, place, now) {
+		delete(l.buckets, start)
+		return nil
+	}
+	b := l.buckets[start]
+	if b == nil {
+		l.forgetBuckets()
+		b = &bucket{at: now}
+		l.buckets[start] = b
+	}
+	n := min(senders(limit.PerSecond), place.Of)
+	b.refill(share*max(limit.PerSecond, leastPerSecond)/float64(n), now)
+	return b
+}
+
+// forgetBuckets drops those of servers that are not limited any more.
+func (l *Limiter) forgetBuckets() {
+	if l.buckets == nil {
+		l.buckets = make(map[string]*bucket)
+	}
+	for start := range l.buckets {
+		if _, limited := l.Limits.Of(start); !limited {
+			delete(l.buckets, start)
+		}
+	}
+}
+
+// bucket is an allowance of one request at most that fills with time. It begins empty: the
+// router that sent before may have used its own a moment ago.
+type bucket struct {
+	tokens float64
+	at     time.Time
+	taken  time.Time // when it was last used; zero: never
+}
+
+func (b *bucket) refill(perSecond float64, now time.Time) {
+	b.tokens = min(1, b.tokens+perSecond*now.Sub(b.at).Seconds())
+	b.at = now
+}
--- a/internal/pacing/limits.go
+++ b/internal/pacing/limits.go
@@ -1,31 +1,72 @@
-// Package pacing bounds what backend servers are sent that bear fewer requests than they
-// would get, over all routers together.
 package pacing
 
 import (
 	"log/slog"
+	"maps"
+	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/store"
 )
 
+const (
+	// endQuiet is how long after the last word of a limit a request must have been sent for
+	// its answer to end the limit. An answer that was under way when the limit began, or a
+	// server that names it in most answers only, doesn't end it.
+	endQuiet = 2 * time.Second
+	// wordLag is the greatest time that a record takes to be known at all routers. What a
+	// router heard from the server itself within it may be newer than a record of the end.
+	wordLag = 3 * time.Second
+	// sameRate is the relative difference below which two rates count as the same.
+	sameRate = 0.1
+	// limitsMost bounds the servers kept; some hundred bytes each.
+	limitsMost = 8192
+	// goneKept is how long the limit of a server that isn't registered is kept.
+	goneKept = time.Minute
+)
+
+// Limit is a server's limit as this router knows it.
+type Limit struct {
+	PerSecond float64
+	// Recorded is when the fleet's record of it became known here; zero: there is none yet.
+	Recorded time.Time
+}
+
 // Limits is what this router knows of the limits that backend servers name in their
-// answers. It is safe for concurrent use.
+// answers. A router hears of a limit from the server, or from a record in the store that
+// another router wrote; so also those that are not to send anything learn of its end. It is
+// safe for concurrent use.
 type Limits struct {
 	log *event.Log
 	now func() time.Time
 
 	mu    sync.Mutex
-	named map[string]*limit // by start of the server
+	known map[string]*limit // by start of the server
+	// view holds the limits in force, by start of the server. The map never changes.
+	view atomic.Pointer[map[string]Limit]
+	wake chan struct{}
 }
 
-// limit is one server's.
+// limit is what is known of one server's.
 type limit struct {
+	start     string
 	perSecond float64
-	// heard is when an answer last named it.
+	// over: the limit has ended. It is kept so that an older record can't bring it back.
+	over bool
+	// heard is when an answer to this router last named it; zero: none did.
 	heard time.Time
+	// endedHere: this router found the end, and is to tell the others.
+	endedHere bool
+	// record is the last one known, and recorded when it became known; zero: none.
+	record   Record
+	item     store.Item
+	recorded time.Time
+	pending  pending
 }
 
 // NewLimits makes an empty set. A nil now means time.Now.
@@ -33,26 +74,175 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Limits{log: log, now: now, named: make(map[string]*limit)}
+	l := &Limits{log: log, now: now, known: make(map[string]*limit), wake: make(chan struct{}, 1)}
+	l.publish()
+	return l
+}
+
+// Of returns the limit in force of a server, by its start.
+func (l *Limits) Of(start string) (Limit, bool) {
+	view := *l.view.Load()
+	if len(view) == 0 {
+		return Limit{}, false
+	}
+	limit, found := view[start]
+	return limit, found
+}
+
+// Count is how many servers limit their requests.
+func (l *Limits) Count() int {
+	return len(*l.view.Load())
 }
 
 // Answered takes what an answer to a request says, and when that request was sent.
 func (l *Limits) Answered(s *fleet.Server, said fleet.RateLimit, sent time.Time) {
+	if _, limited := l.Of(s.Start); said.State == fleet.LimitUnreadable || said.State == fleet.LimitAbsent && !limited {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.named[s.Start]
+	if said.State == fleet.LimitNamed {
+		l.heard(s, said.PerSecond)
+	} else {
+		l.heardNone(s, sent)
+	}
+	l.publish()
+	l.signal()
+}
+
+// heard takes a limit that a server named to this router.
+func (l *Limits) heard(s *fleet.Server, perSecond float64) {
+	known := l.known[s.Start]
+	if known == nil && len(l.known) >= limitsMost {
+		return
+	}
+	if known == nil {
+		known = &limit{start: s.Start, over: true}
+		l.known[s.Start] = known
+	}
+	if known.over || !isSameRate(known.perSecond, perSecond) {
+		l.log.Emit(event.BackendLimited, slog.String(event.KeyBackend, s.ID), slog.Float64("per_second", perSecond), slog.String("by", "answer"))
+	}
+	known.perSecond, known.heard = perSecond, l.now()
+	known.over, known.endedHere = false, false
+}
+
+// heardNone takes that a server named no limit to this router.
+func (l *Limits) heardNone(s *fleet.Server, sent time.Time) {
+	known := l.known[s.Start]
+	if known == nil || known.over {
+		return
+	}
+	last := known.heard
+	if known.recorded.After(last) {
+		last = known.recorded
+	}
+	if sent.Sub(last) < endQuiet {
+		return
+	}
+	known.over, known.endedHere = true, true
+	l.log.Emit(event.BackendUnlimited, slog.String(event.KeyBackend, s.ID), slog.String("by", "answer"),
+		slog.Int64("named_ms", l.now().Sub(last).Milliseconds()))
+}
+
+// Learn takes a record that another router, or this one, wrote. It says whether the item is
+// one.
+func (l *Limits) Learn(item store.Item) bool {
+	if !isRecord(item.Key) {
+		return false
+	}
+	record, err := decodeRecord(item)
+	if err != nil {
+		l.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learn(item, record)
+	l.publish()
+	l.signal()
+	return true
+}
+
+func (l *Limits) learn(item store.Item, record Record) {
+	known := l.known[record.Start]
+	if known != nil && known.item.Revision >= item.Revision || known == nil && len(l.known) >= limitsMost {
+		return
+	}
+	if known == nil {
+		known = &limit{start: record.Start, over: true}
+		l.known[record.Start] = known
+	}
+	now := l.now()
+	known.record, known.item, known.recorded = record, item, now
+	heardLately := !known.heard.IsZero() && now.Sub(known.heard) < wordLag
 	switch {
-	case said.State == fleet.LimitNamed:
-		l.takeNamed(s, known, said.PerSecond)
-	case said.State == fleet.LimitAbsent && known != nil && sent.After(known.heard):
-		delete(l.named, s.Start)
-		l.log.Emit(event.BackendUnlimited, slog.String(event.KeyBackend, s.ID), slog.Int64("heard_ms", l.now().Sub(known.heard).Milliseconds()))
+	case record.Over && !known.over && !heardLately:
+		known.over = true
+		l.logRecord(event.BackendUnlimited, item, record)
+	case !record.Over && !heardLately:
+		if known.over || !isSameRate(known.perSecond, record.PerSecond) {
+			l.logRecord(event.BackendLimited, item, record)
+		}
+		known.over, known.endedHere, known.perSecond = false, false, record.PerSecond
+	}
+}
+
+func (l *Limits) logRecord(n event.Number, item store.Item, record Record) {
+	l.log.Emit(n, slog.String(event.KeyBackend, fleet.IDOfStart(record.Start)), slog.Float64("per_second", record.PerSecond),
+		slog.String("by", "record"), slog.String(event.KeyRouter, record.Router), slog.Int64("revision", int64(item.Revision)))
+}
+
+// Items returns the records of the limits in force, for another router.
+func (l *Limits) Items() []store.Item {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var items []store.Item
+	for _, known := range l.known {
+		if !known.over && !known.recorded.IsZero() {
+			items = append(items, known.item)
+		}
+	}
+	return items
+}
+
+// Forget drops what is known of servers that are not registered any more.
+func (l *Limits) Forget(registered func(start string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	old := func(at time.Time) bool { return now.Sub(at) > goneKept }
+	maps.DeleteFunc(l.known, func(start string, known *limit) bool {
+		return old(known.heard) && old(known.recorded) && (known.over || !registered(start))
+	})
+	l.publish()
+}
+
+// publish makes the view anew.
+func (l *Limits) publish() {
+	view := make(map[string]Limit)
+	for start, known := range l.known {
+		if !known.over {
+			view[start] = Limit{PerSecond: known.perSecond, Recorded: known.recordedSince()}
+		}
 	}
+	l.view.Store(&view)
 }
 
-func (l *Limits) takeNamed(s *fleet.Server, known *limit, perSecond float64) {
-	if known == nil || known.perSecond != perSecond {
-		l.log.Emit(event.BackendLimited, slog.String(event.KeyBackend, s.ID), slog.Float64("per_second", perSecond))
+// recordedSince is when the record of the limit in force became known; zero: there is none.
+func (k *limit) recordedSince() time.Time {
+	if k.record.Over {
+		return time.Time{}
 	}
-	l.named[s.Start] = &limit{perSecond: perSecond, heard: l.now()}
+	return k.recorded
+}
+
+// starts lists the servers known, in a fixed order.
+func (l *Limits) starts() []string {
+	return slices.Sorted(maps.Keys(l.known))
+}
+
+// isSameRate says whether two rates differ by little.
+func isSameRate(a, b float64) bool {
+	return math.Abs(a-b) <= sameRate*max(a, b)
 }
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -66,6 +66,8 @@
 
 // Known is the peer's knowledge as it was in the store.
 type Known struct {
+	// Limits are the records of the limits that backend servers named.
+	Limits  []store.Item
 	Config  []store.Item
 	Servers []store.Item
 	Members []store.Item
