Soak: stand-in servers that name limits, change them and drop them

Each stand-in backend server names the limit that it is told to, and keeps what arrives and when it answered. The soak draws servers that name 0 to 4 a second or no number, some change it meanwhile, and holds each span of one limit against the bound: any four seconds that end three seconds after it was named or later, requests of the processes that were told half a second before.

--- a/internal/enginestub/enginehandlers.go
+++ b/internal/enginestub/enginehandlers.go
@@ -21,14 +21,16 @@
 // accept answers under the request's id, tells the load, and rejects what is meant
 // for another backend server.
 func (h *httpServer) accept(c *fiber.Ctx) error {
-	if request := c.Get(native.HeaderRequestID); request != "" {
-		c.Set(native.HeaderRequestID, request)
+	request := strings.Clone(c.Get(native.HeaderRequestID))
+	if request == "" {
+		return c.Next()
 	}
+	c.Set(native.HeaderRequestID, request)
 	meant := c.Get(native.HeaderBackend)
 	if h.id != "" && meant != "" && meant != h.id {
 		return ErrMisdirected
 	}
-	return c.Next()
+	return h.limit.handle(c, request)
 }
 
 func (s *Server) handleGenerate(c *fiber.Ctx) error {
--- a/internal/enginestub/httpserver.go
+++ b/internal/enginestub/httpserver.go
@@ -19,8 +19,9 @@
 // httpServer serves a fiber app on one listener and can break all its connections
 // at once, as the death of the process would.
 type httpServer struct {
-	id  string // of the backend server; empty: requests for any are taken
-	app *fiber.App
+	id    string // of the backend server; empty: requests for any are taken
+	app   *fiber.App
+	limit rateLimit
 
 	mu       sync.Mutex
 	closed   bool
@@ -29,7 +30,7 @@
 }
 
 func newHTTPServer(id string) *httpServer {
-	return &httpServer{
+	h := &httpServer{
 		id: id,
 		app: fiber.New(fiber.Config{
 			DisableStartupMessage: true,
@@ -38,7 +39,10 @@
 			ErrorHandler:          answerError,
 		}),
 		conns: make(map[net.Conn]struct{}),
+		limit: rateLimit{now: time.Now},
 	}
+	h.rateLimitRoutes()
+	return h
 }
 
 // Serve answers on the listener until Close.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -44,6 +44,7 @@
 		faults = append(faults, f.draw(random, at, lasts))
 	}
 	faults = append(faults, f.planEvacuations(seed, duration)...)
+	faults = append(faults, f.planLimits(seed, duration)...)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
 	return faults
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -75,6 +75,11 @@
 		return nil, err
 	}
 	broken = append(broken, found...)
+	overrun, err := f.judgeLimits()
+	if err != nil {
+		return nil, err
+	}
+	broken = append(broken, overrun...)
 	broken = append(broken, f.stopAll(ctx, answeredTokens(outcomes))...)
 	return append(broken, f.ends()...), nil
 }
