Keep the ranks for limited servers for 50 ms

Each request looks at all servers, and the rank of each limited one took locks and a clock. Among 3,000 servers before 195 routers a choice takes 1.06 ms with no limit; with 900 limited 1.27 ms now, 1.46 ms before (BenchmarkChooseWhileLimited).

--- /dev/null
+++ b/internal/node/limits_bench_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/pacing"
+	"chicorytiller.example/chicorytiller/internal/request"
+)
+
+// BenchmarkChooseWhileLimited chooses among the servers of the planned size, of which a part
+// names a limit.
+func BenchmarkChooseWhileLimited(b *testing.B) {
+	const routers, servers = 195, 3000
+	for _, limited := range []int{0, 30, 900} {
+		b.Run(fmt.Sprint(limited, " limited"), func(b *testing.B) {
+			w := newWarmers(b, routers)
+			w.learn(w.nodes, w.nodes)
+			w.now = w.now.Add(listedLeast)
+			w.learn(w.nodes, w.nodes)
+			n := w.nodes[0]
+			list := make([]*fleet.Server, servers)
+			for i := range list {
+				list[i] = fleet.NewServer(fleet.Entry{ID: fmt.Sprint("server-", i)})
+			}
+			for i := range limited {
+				n.limits.Answered(list[i], fleet.RateLimit{State: fleet.LimitNamed, PerSecond: 1.2}, time.Now())
+			}
+			limiter := &pacing.Limiter{ColdRate: n.coldRate, Place: n.placeFor, Limits: n.limits, Now: time.Now}
+			chooser := balance.NewChooser("zone-1", limiter, nil)
+			r := &request.Request{HasUsage: true, PromptTokens: 1000, Parts: []request.Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 500}}}
+			for b.Loop() {
+				chooser.Choose(list, r, func(*fleet.Server) bool { return false })
+			}
+		})
+	}
+}
--- a/internal/pacing/limiter.go
+++ b/internal/pacing/limiter.go
@@ -35,6 +35,8 @@
 	// askEvery is how often a sender's request goes to a limited server whatever else speaks
 	// for another one, so that the end of the limit is heard.
 	askEvery = time.Second
+	// placeKept is how long a rank is used again: each request looks at all servers.
+	placeKept = 50 * time.Millisecond
 	// waitMost bounds the time after which callers are told to come again.
 	waitMost = 10 * time.Second
 )
@@ -62,6 +64,13 @@
 	mu      sync.Mutex
 	cold    map[string][]time.Time // sent within the window, by start of the server
 	buckets map[string]*bucket     // of limited servers, by start
+	places  map[string]placeAt     // of late, by start
+}
+
+// placeAt is a rank and when it was looked up.
+type placeAt struct {
+	Place
+	at time.Time
 }
 
 // Bounded says whether a server bears few requests now.
@@ -86,9 +95,9 @@
 func (l *Limiter) permit(s *fleet.Server, take bool) bool {
 	now, cold := l.Now(), l.isCold(s)
 	limit, limited := l.Limits.Of(s.Start)
-	place := l.Place(s.Start)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	place := l.place(s.Start, now)
 	if cold && !(place.Sure && place.Ahead == 0 && l.coldRoom(s, now)) {
 		return false
 	}
@@ -116,10 +125,10 @@
 	if !limited {
 		return false
 	}
-	now, place := l.Now(), l.Place(s.Start)
+	now := l.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucket(s.Start, limit, place, now)
+	b := l.bucket(s.Start, limit, l.place(s.Start, now), now)
 	return b != nil && b.tokens >= 1 && now.Sub(b.taken) >= askEvery
 }
 
@@ -134,17 +143,30 @@
 	if !limited {
 		return wait
 	}
-	place := l.Place(s.Start)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	missing := 1.0
-	if b := l.bucket(s.Start, limit, place, now); b != nil {
+	if b := l.bucket(s.Start, limit, l.place(s.Start, now), now); b != nil {
 		missing = max(0, 1-b.tokens)
 	}
 	next := time.Duration(missing / max(limit.PerSecond, leastPerSecond) * float64(time.Second))
 	return max(wait, min(next, waitMost))
 }
 
+// place is this router's rank as of a moment ago; the limiter is locked.
+func (l *Limiter) place(start string, now time.Time) Place {
+	known, found := l.places[start]
+	if found && now.Sub(known.at) < placeKept {
+		return known.Place
+	}
+	if l.places == nil || len(l.places) >= limitsMost {
+		l.places = make(map[string]placeAt)
+	}
+	known = placeAt{Place: l.Place(start), at: now}
+	l.places[start] = known
+	return known.Place
+}
+
 // senders is how many routers send to a server with a limit, each its part of the limit. With
 // more of them more callers find one that may send; with a bounded number the requests that
 // each may have saved up stay below what is allowed beside the limit, whatever the fleet.
