--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -16,6 +16,8 @@
 	All   bool
 	After store.Revision
 	Wait  time.Duration
+	// Unpacks: the answer may be compressed.
+	Unpacks bool
 }
 
 // FollowStatus says whether a FollowAnswer can be used.
@@ -33,6 +35,9 @@
 	Status   FollowStatus
 	Snapshot store.Snapshot
 	Changes  store.Changes
+	// Packed holds the items and changes of a large answer instead; Data is empty where none is
+	// compressed.
+	Packed Packed
 }
 
 // Follow answers a peer that follows the store through this router.
@@ -54,6 +59,9 @@
 	case err != nil:
 		answer.Status = NoFeed // it doesn't follow the store, or is behind: the peer asks elsewhere
 	}
+	if request.Unpacks {
+		return s.packer.pack(answer)
+	}
 	return nil
 }
 
@@ -67,6 +75,7 @@
 		return FollowAnswer{}, ErrUnreachable
 	}
 	answer := FollowAnswer{}
+	request.Unpacks = true
 	if err := c.callFor(ctx, callTimeout+request.Wait, address, "Follow", request, &answer); err != nil {
 		return FollowAnswer{}, err
 	}
@@ -76,5 +85,8 @@
 	case NoFeed:
 		return FollowAnswer{}, store.ErrNoFeed
 	}
+	if err := answer.unpack(); err != nil {
+		return FollowAnswer{}, err
+	}
 	return answer, nil
 }
--- /dev/null
+++ b/internal/peers/pack_test.go
@@ -0,0 +1,152 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fixedseed"
+	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/store/memstore"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, nil) }
+
+// routes is a configuration with many routes, whose names are drawn.
+func routes(n int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	var b strings.Builder
+	b.WriteString(`{"version":7,"routes":[`)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%x","host":"h%x.example","prefix":"/%x/","kind":"streaming","timeout_ms":8000,"goal_ms":800,"priority":0,"service":"s-%d","max_attempts":2}`,
+			random.Uint32(), random.Uint32(), random.Uint64(), random.IntN(5))
+	}
+	b.WriteString("]}")
+	return []byte(b.String())
+}
+
+// countedListener counts the bytes that its connections send.
+type countedListener struct {
+	net.Listener
+	sent atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countedConn{Conn: c, sent: &l.sent}, err
+}
+
+type countedConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// Guards against configurations that fill a small VM's link for longer than their reader waits.
+func TestLargeAnswersAreCompressed(t *testing.T) {
+	c := qt.New(t)
+	config := routes(1800)
+	c.Assert(len(config) > 250_000, qt.IsTrue)
+	memory := memstore.New(nil)
+	memory.Put("a/config", config)
+	feed := &store.Feed{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follower := &store.Follower{Store: memory, Prefix: "a/", Sink: ignore{}, Feed: feed, Wait: time.Hour, CheckAfter: time.Hour, Patience: time.Hour}
+	go follower.Run(ctx)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := &countedListener{Listener: raw}
+	defer func() { _ = listener.Close() }()                                            // the test is over
+	go func() { _ = Serve(listener, &lender{}, feeds{feed: feed}, event.Discard()) }() // ends with its listener
+	client := NewClient("p1", func() []string { return nil }, event.Discard())
+	var answer FollowAnswer
+	for answer.Snapshot.At == 0 {
+		answer, err = client.Follow(ctx, raw.Addr().String(), FollowRequest{Prefix: "a/", All: true})
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Assert(answer.Snapshot.Items, qt.HasLen, 1)
+	c.Assert(string(answer.Snapshot.Items[0].Value), qt.Equals, string(config))
+	c.Assert(listener.sent.Load() < int64(len(config))/2, qt.IsTrue, qt.Commentf("%d bytes of %d", listener.sent.Load(), len(config)))
+}
+
+// ignore is a sink that keeps nothing.
+type ignore struct{}
+
+func (ignore) Contact(bool, error)                {}
+func (ignore) Reset([]store.Item, store.Silence)  {}
+func (ignore) Apply([]store.Event, store.Silence) {}
+
+// What is packed comes back as it was, whatever the order of answers.
+func TestPackedAnswersComeBackWhole(t *testing.T) {
+	p := &packer{}
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		a := FollowAnswer{}
+		for i := range rapid.IntRange(0, 40).Draw(t, "items") {
+			item := store.Item{Key: fmt.Sprint("a/", i), Value: rapid.SliceOfN(rapid.Byte(), 0, 600).Draw(t, "value"),
+				Revision: store.Revision(rapid.Int64Range(1, 1<<40).Draw(t, "revision"))}
+			if rapid.Bool().Draw(t, "event") {
+				a.Changes.Events = append(a.Changes.Events, store.Event{Item: item, Deleted: rapid.Bool().Draw(t, "deleted")})
+			} else {
+				a.Snapshot.Items = append(a.Snapshot.Items, item)
+			}
+		}
+		items, events := fmt.Sprint(a.Snapshot.Items), fmt.Sprint(a.Changes.Events)
+		c.Assert(p.pack(&a), qt.IsNil)
+		c.Assert(a.unpack(), qt.IsNil)
+		c.Assert(fmt.Sprint(a.Snapshot.Items), qt.Equals, items)
+		c.Assert(fmt.Sprint(a.Changes.Events), qt.Equals, events)
+	})
+	qt.Assert(t, len(p.kept) <= packedKept, qt.IsTrue)
+}
+
+// Guards against a spoiled or cut answer that is taken for an empty one.
+func TestSpoiledAnswerIsAnError(t *testing.T) {
+	a := FollowAnswer{Snapshot: store.Snapshot{Items: []store.Item{{Key: "a/config", Value: routes(500), Revision: 3}}}}
+	qt.Assert(t, (&packer{}).pack(&a), qt.IsNil)
+	qt.Assert(t, len(a.Packed.Data) > 0, qt.IsTrue)
+	whole := a.Packed
+	a.Packed.Data = append([]byte(nil), whole.Data...)
+	a.Packed.Data[len(a.Packed.Data)/2] ^= 1
+	qt.Assert(t, a.unpack(), qt.ErrorIs, ErrPacked)
+	cut := contentOf(whole.Data[:len(whole.Data)/2])
+	qt.Assert(t, cut.unpack(), qt.ErrorIs, ErrPacked)
+	foreign := contentOf([]byte("no answer at all"))
+	qt.Assert(t, foreign.unpack(), qt.ErrorIs, ErrPacked)
+}
+
+func BenchmarkPack(b *testing.B) {
+	content := packedContent{Items: []store.Item{{Key: "a/config", Value: routes(1800), Revision: 3}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		packed, err := content.pack()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(packed.Data)), "bytes")
+	}
+}
+
+// contentOf is an answer with compressed bytes of any kind, and their digest.
+func contentOf(data []byte) *FollowAnswer {
+	return &FollowAnswer{Packed: Packed{Data: data, Digest: xxhash.Sum64(data)}}
+}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -97,6 +97,7 @@
 	knowledge Knowledge
 	clock     Clock
 	transfers *transfers
+	packer    packer
 }
 
 // Lend gives a loan.
