Gather what a home holds that left the list of routers

Cause: the store refused the account's home, whose entry lapsed; the next in rank held for all then, drew what was free, and said 'held elsewhere' when all was granted. The home still held most of the budget, was reachable, and may lend what its ledger allows, but nobody asked it: it was in nobody's list of holders any more.

Change: a holder in contact that finds all granted asks the router to which the record leaves the most, at the address of its ledger: half a second of use at a time, one call at a time for an account, none for a second after one that brought too little. No request waits for it longer than for a draw.

--- /dev/null
+++ b/internal/escrow/gather.go
@@ -0,0 +1,160 @@
+package escrow
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+)
+
+// A home that the store refuses leaves the list of routers, and nobody asks it any more. Its
+// grant may be most of a budget, which it can't return; but it may lend of it what its ledger
+// allows. So the router that holds instead asks whoever the record names, once all is granted.
+
+const (
+	// gatherTime bounds one gathering: less than a reservation waits for a draw.
+	gatherTime = 80 * time.Millisecond
+	// gatherAhead is how much of the use seen is gathered at once, so that each request need
+	// not wait for a gathering of its own.
+	gatherAhead = 500 * time.Millisecond
+	// gatherPause is how long nobody is asked again after one that brought nothing.
+	gatherPause = time.Second
+)
+
+// gathering is a call for tokens to a router that the record leaves some to.
+type gathering struct {
+	grant       *grant
+	vm, address string
+	tokens      int64
+}
+
+// gather orders tokens from a router that holds some, or says that this is under way; false:
+// nobody else has any. The keeper is locked.
+func (k *Keeper) gather(h *hold) bool {
+	p := h.grant
+	if p.gathering {
+		return true
+	}
+	if p.gathered > 0 && k.o.Clock().Steady-p.gathered < gatherPause {
+		return false
+	}
+	vm, address := k.largestElsewhere(p.record)
+	if address == "" {
+		return false
+	}
+	p.gathering = true
+	tokens := max(h.missing, int64(p.rate*gatherAhead.Seconds()))
+	k.gatherings = append(k.gatherings, gathering{grant: p, vm: vm, address: address, tokens: tokens})
+	select {
+	case k.gatherDue <- struct{}{}:
+	default: // one is due already
+	}
+	return true
+}
+
+// gathers carries gatherings out until ctx ends.
+func (k *Keeper) gathers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.gatherDue:
+			k.gatherAll(ctx)
+		}
+	}
+}
+
+// gatherAll carries out what was ordered, all at once: one router that doesn't answer must
+// not hold up the others.
+func (k *Keeper) gatherAll(ctx context.Context) {
+	var calls conc.WaitGroup
+	for _, g := range k.takeGatherings() {
+		calls.Go(func() { k.gatherOne(ctx, g) })
+	}
+	calls.Wait()
+}
+
+func (k *Keeper) takeGatherings() []gathering {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	due := k.gatherings
+	k.gatherings = nil
+	return due
+}
+
+// largestElsewhere is the VM, with its address, that the record leaves the most tokens to
+// beside this one; the address is empty if there is none that can be asked.
+func (k *Keeper) largestElsewhere(r Record) (vm, address string) {
+	most := int64(0)
+	for name, incarnations := range r.Holders {
+		if name == k.o.VM || k.addresses[name] == "" {
+			continue
+		}
+		left := int64(0)
+		for _, f := range incarnations {
+			left += f.Granted - f.Spent
+		}
+		if left > most {
+			most, vm, address = left, name, k.addresses[name]
+		}
+	}
+	return vm, address
+}
+
+// gatherOne asks one router and ends the gathering. What it lends is what none of its own
+// requests waits for.
+func (k *Keeper) gatherOne(ctx context.Context, g gathering) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTime)
+	defer cancel()
+	p := g.grant
+	loan := k.o.Peers.BorrowFrom(ctx, g.address, p.account, g.tokens, noWaiter)
+	k.mu.Lock()
+	p.borrowed += loan.Tokens
+	p.gathering = false
+	if loan.Tokens < g.tokens {
+		p.gathered = k.o.Clock().Steady
+	}
+	if loan.Tokens > 0 || p.lackLog.due(k.o.Clock().Steady) {
+		k.o.Log.Emit(event.TokensGathered, slog.String(event.KeyBudget, p.account), slog.String(event.KeyRouter, g.vm),
+			slog.Int64("wanted", g.tokens), slog.Int64(event.KeyTokens, loan.Tokens))
+	}
+	k.mu.Unlock()
+	k.broadcast()
+}
+
+// noWaiter names no request: what nobody waits for is lent, and nothing is drawn for it.
+const noWaiter = ""
+
+// ledgerAddress reads the address of a stored ledger, and no more of it: a ledger of
+// thousands of accounts is large. It is empty if there is none.
+func ledgerAddress(data []byte) string {
+	d := json.NewDecoder(bytes.NewReader(data))
+	for depth, key := 0, ""; ; {
+		token, err := d.Token()
+		if err != nil {
+			return ""
+		}
+		switch t := token.(type) {
+		case json.Delim:
+			if t != '{' || depth > 0 {
+				return "" // the address comes before the first nested value
+			}
+			depth++
+			continue
+		case string:
+			if key == "" {
+				key = t
+				continue
+			}
+			if key == "address" {
+				return t
+			}
+		}
+		key = ""
+	}
+}
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -66,6 +66,8 @@
 	askedAt   time.Duration // when this router was last asked to hold; 0: never
 	nextDraw  time.Duration // before which it makes no draw of last resort
 	fruitless time.Duration // when other routers had nothing; 0: never
+	gathering bool          // another router is being asked for what the record leaves it
+	gathered  time.Duration // when one had less than was asked for; 0: never
 	lately    recently      // lent in the last moments: some of it may come back
 
 	rate   float64 // tokens a second, averaged since the first use
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -52,6 +52,8 @@
 	keepers map[string]*Keeper
 	stores  map[string]*gatedStore
 	asks    atomic.Int64 // calls of routers to others that are no holders
+	// unlisted are those that the others don't know any more.
+	unlisted sync.Map
 }
 
 // fleetOf starts so many keepers, r0 to rN, of which the first six hold the account. The
@@ -69,8 +71,8 @@
 			Clock: func() ClockReading {
 				return ClockReading{Boot: "boot", Steady: time.Minute + time.Since(began), Wall: time.Now()}
 			},
-			Home:    func(string) string { return holdersFor(name)[0] },
-			Holders: func(string) []string { return holdersFor(name) },
+			Home:    func(string) string { return m.holdersFor(name)[0] },
+			Holders: func(string) []string { return m.holdersFor(name) },
 			Peers:   &memberPeers{members: m, own: name},
 		})
 		m.keepers[name] = k
@@ -80,10 +82,13 @@
 }
 
 // holdersFor are the account's holders as one router addresses them.
-func holdersFor(router string) []string {
+func (m *members) holdersFor(router string) []string {
 	var addresses []string
 	for i := range HoldersMost {
 		name := fmt.Sprintf("r%d", i)
+		if _, gone := m.unlisted.Load(name); gone && name != router {
+			continue
+		}
 		if name == router {
 			name = ""
 		}
@@ -92,6 +97,11 @@
 	return addresses
 }
 
+// unlist takes a router out of the list that the others know.
+func (m *members) unlist(router string) {
+	m.unlisted.Store(router, true)
+}
+
 // memberPeers are the other routers as one of them reaches them, a millisecond away.
 type memberPeers struct {
 	members *members
@@ -260,3 +270,20 @@
 		qt.Assert(t, o.served > 0, qt.IsTrue)
 	})
 }
+
+// Guards against refusals while a home that the store refuses, and that left the list of routers, holds most of the budget.
+func TestGrantOfAHomeThatLeftTheListIsUsed(t *testing.T) {
+	const paid = 2_000_000
+	play(t, 8, 0, paid, func(ctx context.Context, m *members) {
+		c := qt.New(t)
+		first := m.use(ctx, names(1, 8), 6*time.Second)
+		c.Assert(first.refused, qt.HasLen, 0)
+		c.Assert(m.keepers["r0"].grants["boatyard"].granted > paid*3/4, qt.IsTrue, qt.Commentf("the home holds most"))
+		m.stores["r0"].refuses = true
+		m.unlist("r0")
+		time.Sleep(3 * time.Second)
+		o := m.use(ctx, names(1, 8), 10*time.Second)
+		left := int64(paid) - int64(first.served+o.served)*1000
+		c.Assert(o.refused[ErrContended]*20 < o.served, qt.IsTrue, qt.Commentf("%d served, %v refused, %d tokens left", o.served, o.refused, left))
+	})
+}
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -92,6 +92,11 @@
 	roundTrip time.Duration
 	// holdersAway is when holders, by address, last had no contact with the store.
 	holdersAway map[string]time.Duration
+	// addresses are those of the VMs that have a ledger, as of the last read.
+	addresses map[string]string
+	// gatherings are ordered and not begun.
+	gatherings []gathering
+	gatherDue  chan struct{}
 	// conflicts counts writes in a row that lost the race for a record.
 	conflicts int
 	// isolated counts reservations in a row that found nobody to give tokens.
@@ -117,7 +122,7 @@
 
 // New makes a keeper without grants. Run fetches the first ones.
 func New(o Options) *Keeper {
-	return &Keeper{o: o, grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
+	return &Keeper{o: o, grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration), addresses: make(map[string]string), gatherDue: make(chan struct{}, 1), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
 }
 
 // age is how old the last contact is; zero in contact, where the ceilings hold.
@@ -198,6 +203,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
+	tasks.Go(func() { k.gathers(ctx) })
 	tasks.Go(func() { k.sweeps(ctx) }) // a home that doesn't answer must not hold up the ledger
 	ticker := time.NewTicker(ledgerEvery)
 	defer ticker.Stop()
@@ -348,6 +354,9 @@
 			found[account] = true
 			k.learn(k.grant(account), item)
 		}
+		if vm, isLedger := strings.CutPrefix(key, ledgerKeys); isLedger {
+			k.addresses[vm] = ledgerAddress(item.Value)
+		}
 		if key == ledgerKeys+k.o.VM {
 			k.learnLedger(item)
 		}
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -231,7 +231,10 @@
 	case k.away:
 		return nil, ErrUnreachable
 	case h.grant.decided && (waited || k.isFresh()) && k.lacks(h):
-		return nil, k.shortage(h)
+		why := k.shortage(h)
+		if !errors.Is(why, ErrContended) || !k.gather(h) {
+			return nil, why
+		}
 	}
 	h.grant.waiting += h.missing
 	k.wakeUp()
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -305,6 +305,50 @@
 	})
 }
 
+// worldPeers lends between the routers of the world; an answer may be lost.
+type worldPeers struct {
+	noPeers
+	w   *world
+	own *router
+}
+
+func (p worldPeers) BorrowFrom(_ context.Context, address, account string, tokens int64, waiter string) Loan {
+	for _, from := range p.w.routers {
+		if from.vm != address || from == p.own || !rapid.Bool().Draw(p.w.t, "reached") {
+			continue
+		}
+		loan := from.keeper.Lend(account, tokens, waiter)
+		switch rapid.SampledFrom([]string{"arrives", "arrives", "voided", "lost"}).Draw(p.w.t, "loan") {
+		case "arrives":
+			return loan
+		case "voided":
+			from.keeper.TakeBack(account, loan.Tokens)
+		}
+	}
+	return Loan{Short: NotReached}
+}
+
+// gather carries out what a router ordered from others.
+func (w *world) gather(*rapid.T) {
+	r := w.router("router")
+	r.keeper.o.Peers = worldPeers{w: w, own: r}
+	for _, g := range r.keeper.takeGatherings() {
+		r.keeper.gatherOne(context.Background(), g)
+	}
+}
+
+// Guards against overspending where a router that holds for all takes in what others hold.
+func TestNoScheduleWithGatheringSpendsMoreThanWasPaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(2, 4).Draw(t, "vms"))
+		t.Repeat(map[string]func(*rapid.T){
+			"work": w.work, "work more": w.work, "reserve": w.reserve, "settle": w.settle, "round": w.round, "round again": w.round,
+			"gather": w.gather, "gather more": w.gather, "lend": w.lend, "kill": w.kill, "lose power": w.losePower, "stop": w.stop, "tick": w.tick,
+			"outage": w.outage, "fates": w.fates, "settle late": w.settleLate, "": w.check,
+		})
+	})
+}
+
 // Guards against overspending where several routers hold for others at any time.
 func TestNoScheduleWithStandbysSpendsMoreThanWasPaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -45,6 +45,9 @@
 	GrantClosed Number = 310
 	// BudgetShort: a router that holds an account's grant for all has no more to give.
 	BudgetShort Number = 311
+	// TokensGathered: a router that holds an account's grant for all asked another one for
+	// what the record leaves that one.
+	TokensGathered Number = 312
 )
 
 // Events of the configuration.
@@ -122,6 +125,7 @@
 	{LoanShort, slog.LevelDebug, "loan smaller than asked for"},
 	{GrantClosed, slog.LevelInfo, "grant of a dead router closed"},
 	{BudgetShort, slog.LevelInfo, "budget has no more to give"},
+	{TokensGathered, slog.LevelInfo, "tokens gathered from another router"},
 	{ConfigInForce, slog.LevelInfo, "configuration in force"},
 	{ConfigRejected, slog.LevelWarn, "configuration change rejected"},
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded"},
