--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -328,12 +328,28 @@
 	return Loan{Short: NotReached}
 }
 
-// gather carries out what a router ordered from others.
-func (w *world) gather(*rapid.T) {
-	r := w.router("router")
+// useUp is use at one router until all is granted, and what it gathers then from others.
+func (w *world) useUp(*rapid.T) {
+	r, account := w.router("router"), w.account()
 	r.keeper.o.Peers = worldPeers{w: w, own: r}
-	for _, g := range r.keeper.takeGatherings() {
-		r.keeper.gatherOne(context.Background(), g)
+	for range rapid.IntRange(1, 20).Draw(w.t, "requests") {
+		h := r.keeper.begin(account, rapid.Int64Range(1, 15_000).Draw(w.t, "tokens"), true, "")
+		for range 3 {
+			if changed, _ := r.keeper.await(h, true); changed != nil {
+				r.keeper.round(context.Background(), true)
+				for _, g := range r.keeper.takeGatherings() {
+					r.keeper.gatherOne(context.Background(), g)
+				}
+				r.keeper.stopWaiting(h)
+			}
+		}
+		if h.missing > 0 {
+			h.release()
+			w.steady += 300 * time.Millisecond
+			continue
+		}
+		w.consumed[account] += h.tokens
+		h.reservation().Settle(h.tokens)
 	}
 }
 
@@ -342,8 +358,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.IntRange(2, 4).Draw(t, "vms"))
 		t.Repeat(map[string]func(*rapid.T){
-			"work": w.work, "work more": w.work, "reserve": w.reserve, "settle": w.settle, "round": w.round, "round again": w.round,
-			"gather": w.gather, "gather more": w.gather, "lend": w.lend, "kill": w.kill, "lose power": w.losePower, "stop": w.stop, "tick": w.tick,
+			"use up": w.useUp, "use up more": w.useUp, "work": w.work, "reserve": w.reserve, "settle": w.settle, "round": w.round,
+			"kill": w.kill, "lose power": w.losePower, "stop": w.stop, "tick": w.tick,
 			"outage": w.outage, "fates": w.fates, "settle late": w.settleLate, "": w.check,
 		})
 	})
