Let a dead home's grant hold nobody up

The record lists a dead home until its successor closes what it held, so a gathering asked it once a second, and requests waited for that: 0.1 s each, then they asked up to twelve other routers and were told that budgets can't be reached. A router that gave no answer is left out for ten seconds, and a request whose patience ends while tokens are gathered is told that the rest is held. TestGrantOfADeadHomeHoldsNobodyUp fails without the second; the first is seen in its count of slow refusals only, not asserted.

--- a/internal/escrow/gather.go
+++ b/internal/escrow/gather.go
@@ -24,6 +24,9 @@
 	gatherAhead = 500 * time.Millisecond
 	// gatherPause is how long nobody is asked again after one that brought nothing.
 	gatherPause = time.Second
+	// unreachedFor is how long a router that didn't answer is left out: as a rule it is dead, and
+	// the record lists it until its successor closes what it held.
+	unreachedFor = 10 * time.Second
 )
 
 // gathering is a call for tokens to a router that the record leaves some to.
@@ -90,9 +93,10 @@
 // largestElsewhere is the VM, with its address, that the record leaves the most tokens to
 // beside this one; the address is empty if there is none that can be asked.
 func (k *Keeper) largestElsewhere(r Record) (vm, address string) {
-	most := int64(0)
+	most, now := int64(0), k.o.Clock().Steady
 	for name, incarnations := range r.Holders {
-		if name == k.o.VM || k.addresses[name] == "" {
+		at, unreached := k.unreached[name]
+		if name == k.o.VM || k.addresses[name] == "" || unreached && now-at < unreachedFor {
 			continue
 		}
 		left := int64(0)
@@ -116,7 +120,9 @@
 	k.mu.Lock()
 	p.borrowed += loan.Tokens
 	p.gathering = false
-	if loan.Tokens < g.tokens {
+	if loan.Short == NotReached {
+		k.unreached[g.vm] = k.o.Clock().Steady
+	} else if loan.Tokens < g.tokens {
 		p.gathered = k.o.Clock().Steady
 	}
 	if loan.Tokens > 0 || p.lackLog.due(k.o.Clock().Steady) {
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -54,6 +54,8 @@
 	asks    atomic.Int64 // calls of routers to others that are no holders
 	// unlisted are those that the others don't know any more.
 	unlisted sync.Map
+	// dead are those that answer nothing.
+	dead sync.Map
 }
 
 // fleetOf starts so many keepers, r0 to rN, of which the first six hold the account. The
@@ -109,6 +111,10 @@
 }
 
 func (p *memberPeers) BorrowFrom(_ context.Context, address, account string, tokens int64, waiter string) Loan {
+	if _, dead := p.members.dead.Load(address); dead {
+		time.Sleep(200 * time.Millisecond) // what opening a connection may take
+		return Loan{Short: NotReached}
+	}
 	time.Sleep(time.Millisecond)
 	return p.members.keepers[address].Lend(account, tokens, waiter)
 }
@@ -287,3 +293,22 @@
 		c.Assert(o.refused[ErrContended]*20 < o.served, qt.IsTrue, qt.Commentf("%d served, %v refused, %d tokens left", o.served, o.refused, left))
 	})
 }
+
+// Guards against slow refusals, and calls to all routers, where a dead home holds most of the budget.
+func TestGrantOfADeadHomeHoldsNobodyUp(t *testing.T) {
+	const paid = 2_000_000
+	play(t, 8, 0, paid, func(ctx context.Context, m *members) {
+		c := qt.New(t)
+		m.use(ctx, names(1, 8), 6*time.Second)
+		m.stores["r0"].refuses = true
+		m.unlist("r0")
+		m.dead.Store("r0", true)
+		time.Sleep(3 * time.Second)
+		m.use(ctx, names(1, 8), 6*time.Second)
+		later := m.use(ctx, names(1, 8), 5*time.Second)
+		c.Assert(later.refused[ErrContended] > 50, qt.IsTrue, qt.Commentf("%d served, %v", later.served, later.refused))
+		c.Assert(later.refused, qt.HasLen, 1)
+		c.Assert(later.longest < 200*time.Millisecond, qt.IsTrue, qt.Commentf("a refusal after %v", later.longest))
+		c.Assert(m.asks.Load(), qt.Equals, int64(0))
+	})
+}
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -94,6 +94,8 @@
 	holdersAway map[string]time.Duration
 	// addresses are those of the VMs that have a ledger, as of the last read.
 	addresses map[string]string
+	// unreached is when a VM that was asked for what it holds last gave no answer.
+	unreached map[string]time.Duration
 	// gatherings are ordered and not begun.
 	gatherings []gathering
 	gatherDue  chan struct{}
@@ -122,7 +124,7 @@
 
 // New makes a keeper without grants. Run fetches the first ones.
 func New(o Options) *Keeper {
-	return &Keeper{o: o, grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration), addresses: make(map[string]string), gatherDue: make(chan struct{}, 1), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
+	return &Keeper{o: o, grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration), addresses: make(map[string]string), unreached: make(map[string]time.Duration), gatherDue: make(chan struct{}, 1), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
 }
 
 // age is how old the last contact is; zero in contact, where the ceilings hold.
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -209,7 +209,7 @@
 		case <-ctx.Done():
 			err = ErrUnreachable
 		case <-patience.C:
-			err = ErrUnreachable
+			err = k.patienceOver(h)
 		case <-changed:
 		}
 		k.stopWaiting(h)
@@ -219,6 +219,17 @@
 	}
 }
 
+// patienceOver is what a reservation that has waited long enough ends with. While tokens are
+// gathered all is granted, and nothing more comes of asking further routers.
+func (k *Keeper) patienceOver(h *hold) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h.grant.gathering {
+		return ErrContended
+	}
+	return ErrUnreachable
+}
+
 // await fills the hold if it can, and returns nothing. Else it returns the channel
 // that closes after the next round with the store, or why waiting doesn't help.
 func (k *Keeper) await(h *hold, waited bool) (<-chan struct{}, error) {
