--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -55,7 +55,8 @@
 	// unlisted are those that the others don't know any more.
 	unlisted sync.Map
 	// dead are those that answer nothing.
-	dead sync.Map
+	dead     sync.Map
+	deadAsks atomic.Int64 // calls to those
 }
 
 // fleetOf starts so many keepers, r0 to rN, of which the first six hold the account. The
@@ -112,6 +113,7 @@
 
 func (p *memberPeers) BorrowFrom(_ context.Context, address, account string, tokens int64, waiter string) Loan {
 	if _, dead := p.members.dead.Load(address); dead {
+		p.members.deadAsks.Add(1)
 		time.Sleep(200 * time.Millisecond) // what opening a connection may take
 		return Loan{Short: NotReached}
 	}
@@ -308,6 +310,7 @@
 		later := m.use(ctx, names(1, 8), 5*time.Second)
 		c.Assert(later.refused[ErrContended] > 50, qt.IsTrue, qt.Commentf("%d served, %v", later.served, later.refused))
 		c.Assert(later.refused, qt.HasLen, 1)
+		c.Assert(m.deadAsks.Load() <= 3, qt.IsTrue, qt.Commentf("%d calls to a dead router", m.deadAsks.Load()))
 		c.Assert(later.longest < 200*time.Millisecond, qt.IsTrue, qt.Commentf("a refusal after %v", later.longest))
 		c.Assert(m.asks.Load(), qt.Equals, int64(0))
 	})
