--- a/internal/enginestub/ratelimit.go
+++ b/internal/enginestub/ratelimit.go
@@ -77,7 +77,7 @@
 	}
 }
 
-func (l *rateLimit) told() RateLimitReport {
+func (l *rateLimit) snapshot() RateLimitReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return RateLimitReport{Named: append([]NamedLimit(nil), l.report.Named...), Arrivals: append([]Arrival(nil), l.report.Arrivals...)}
@@ -99,6 +99,6 @@
 		return nil
 	})
 	h.app.Get(RateLimitPath, func(c *fiber.Ctx) error {
-		return c.JSON(h.limit.told())
+		return c.JSON(h.limit.snapshot())
 	})
 }
--- a/internal/escrow/keeper.go
+++ b/internal/escrow/keeper.go
@@ -124,7 +124,11 @@
 
 // New makes a keeper without grants. Run fetches the first ones.
 func New(o Options) *Keeper {
-	return &Keeper{o: o, grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration), addresses: make(map[string]string), unreached: make(map[string]time.Duration), gatherDue: make(chan struct{}, 1), changed: make(chan struct{}), wake: make(chan struct{}, 1), born: o.Clock()}
+	return &Keeper{
+		o: o, born: o.Clock(), grants: make(map[string]*grant), holdersAway: make(map[string]time.Duration),
+		addresses: make(map[string]string), unreached: make(map[string]time.Duration),
+		gatherDue: make(chan struct{}, 1), changed: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
 }
 
 // age is how old the last contact is; zero in contact, where the ceilings hold.
