Count servers that name limits apart in the schedule's test, and test the soak's own count

TestScheduleFollowsTheSeed expected 33 faults beside evacuations and got 36: the three limits of the new schedule, which has random numbers of its own. It holds the 33 others as before, and three limits. TestNamesOfThePlatformStayHere found a name of the platform in a test of peers.

--- a/internal/peers/pack_test.go
+++ b/internal/peers/pack_test.go
@@ -31,7 +31,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		fmt.Fprintf(&b, `{"name":"r-%x","host":"h%x.example","prefix":"/%x/","kind":"streaming","timeout_ms":8000,"goal_ms":800,"priority":0,"service":"s-%d","max_attempts":2}`,
+		fmt.Fprintf(&b, `{"name":"r-%x","host":"h%x.example","prefix":"/%x/","kind":"streaming","timeout_ms":8000,"answer_within_ms":800,"priority":0,"service":"s-%d","max_attempts":2}`,
 			random.Uint32(), random.Uint32(), random.Uint64(), random.IntN(5))
 	}
 	b.WriteString("]}")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,12 +59,16 @@
 	}
 	qt.Assert(t, names(7), qt.DeepEquals, names(7))
 	qt.Assert(t, names(7), qt.Not(qt.DeepEquals), names(8))
-	evacuations := 0
+	evacuations, limits := 0, 0
 	for _, name := range names(7) {
-		if strings.HasSuffix(name, " evacuated") {
+		switch {
+		case strings.HasSuffix(name, " evacuated"):
 			evacuations++
+		case strings.Contains(name, " names a limit of "):
+			limits++
 		}
 	}
 	qt.Assert(t, evacuations, qt.Equals, 5)
-	qt.Assert(t, len(names(7))-evacuations, qt.Equals, 33)
+	qt.Assert(t, limits, qt.Equals, 3)
+	qt.Assert(t, len(names(7))-evacuations-limits, qt.Equals, 33)
 }
