Tell in the record what was used once all of a budget is granted

Callers were told budget_held, with 0.8 s to come back, of budgets that were used up: a router tells its use in the record with its draws, and draws nothing any more once all is granted. So a home that took over saw tokens at the former one for ever.

Evidence: TestUseOfAFormerHomeIsKnown, on the code before: 210 of 210 refusals said held, with all 200,000 tokens used.

A holder now writes its use with the ledger that it writes anyway, when it has moved by 0.2% of the budget since the record was written. With the mend none of the 210 is told held.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -62,6 +62,7 @@
 		// moves the revision, after which the first one can't land any more.
 		// What a predecessor on this VM left is freed at once, whoever is home now.
 		wanted = wanted || p.record.Left(k.o.VM, k.o.Incarnation)
+		wanted = wanted || refresh && !k.away && p.isUntold(p.record.Figure(k.o.VM, k.o.Incarnation), budgets[account])
 		if (wanted || p.pendingAt != noWrite) && p.decided && len(d.grants) < txnAccounts {
 			k.add(&d, p, granted)
 			due = true
@@ -129,7 +130,7 @@
 // from now on, before it is stored; a larger one only once it is stored.
 func (k *Keeper) add(d *draw, p *grant, granted int64) {
 	p.seq++
-	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.spent + p.lent - p.borrowed}
+	figure := Figure{Seq: p.seq, Granted: granted, Spent: p.netSpent()}
 	next := p.record.With(k.o.VM, k.o.Incarnation, figure, k.mostSpent(d, p))
 	p.granted = min(p.granted, granted)
 	d.pendingAt = append(d.pendingAt, p.pendingAt)
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -26,6 +26,9 @@
 	// slowWrites is how many writes a ceiling reaches further: one that is under way and
 	// the one that follows it.
 	slowWrites = 2
+	// untoldMost is the part of a budget by which the use in a record may lag behind once all is
+	// granted: nobody draws any more then, and others take what was used for what is held.
+	untoldMost = 0.002
 	// refillBelow is the part of what is wanted below which a write of its own is due.
 	refillBelow = 0.5
 	// topUpBelow is that part where a write is sent in any case.
@@ -181,6 +184,18 @@
 	return p.granted, false
 }
 
+// netSpent is what the record should tell as spent.
+func (p *grant) netSpent() int64 {
+	return p.spent + p.lent - p.borrowed
+}
+
+// isUntold says whether the record lacks so much of this router's use that it has to be told, and no
+// draw will tell it.
+func (p *grant) isUntold(told Figure, prepaid int64) bool {
+	lag := math.Abs(float64(p.netSpent() - told.Spent))
+	return told.Seq > 0 && p.free(prepaid) == 0 && lag > untoldMost*float64(prepaid)
+}
+
 // raised returns the ceiling to ask for next, for the given grant, and whether
 // what is left below the present one is short.
 // roundTrip is what a write takes: the next ceiling counts only after it.
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -315,3 +315,18 @@
 		c.Assert(m.asks.Load(), qt.Equals, int64(0))
 	})
 }
+
+// Guards against callers who are sent back, again and again, for tokens that a former home has used up.
+func TestUseOfAFormerHomeIsKnown(t *testing.T) {
+	const paid = 200_000
+	play(t, 8, 0, paid, func(ctx context.Context, m *members) {
+		c := qt.New(t)
+		first := m.use(ctx, names(1, 8), 6*time.Second)
+		c.Assert(first.served, qt.Equals, paid/1000)
+		m.unlist("r0")
+		time.Sleep(3 * time.Second)
+		later := m.use(ctx, names(1, 8), 3*time.Second)
+		c.Assert(later.refused[ErrExhausted] > 100, qt.IsTrue, qt.Commentf("%v", later.refused))
+		c.Assert(later.refused[ErrContended], qt.Equals, 0)
+	})
+}
