Believe a holder's word of its use rather than its old figure

That stood for tokens left, and the account's holder asked that router for them once a second, in vain, and no other.

A holder that is asked now says what it has spent, and for three seconds that stands for its figure: in what a caller is told, and in who is asked next. What it lent in the last moments is left out, since some of that may come back. TestWordOfAHolderReplacesItsOldFigure fails without it (held for ever).

--- a/internal/escrow/gather.go
+++ b/internal/escrow/gather.go
@@ -24,11 +24,40 @@
 	gatherAhead = 500 * time.Millisecond
 	// gatherPause is how long nobody is asked again after one that brought nothing.
 	gatherPause = time.Second
+	// wordFor is how long a holder's word of what it has spent stands for its figure in the record,
+	// which lags behind until it draws again.
+	wordFor = 3 * time.Second
 	// unreachedFor is how long a router that didn't answer is left out: as a rule it is dead, and
 	// the record lists it until its successor closes what it held.
 	unreachedFor = 10 * time.Second
 )
 
+// word is what a holder said of an account when it was asked for tokens.
+type word struct {
+	spent int64
+	at    time.Duration
+}
+
+// spentAt is what a VM has spent of an account, as far as is known: by its word of late, else by the
+// record. The keeper is locked.
+func (k *Keeper) spentAt(p *grant, vm string) int64 {
+	if said, asked := p.words[vm]; asked && k.o.Clock().Steady-said.at < wordFor {
+		return said.spent
+	}
+	return p.record.SpentBy(vm)
+}
+
+// spentElsewhere is what was surely spent by all but this process. The keeper is locked.
+func (k *Keeper) spentElsewhere(p *grant) int64 {
+	sum := p.record.ClosedSpent + p.record.SpentBy(k.o.VM) - p.record.Figure(k.o.VM, k.o.Incarnation).Spent
+	for vm := range p.record.Holders {
+		if vm != k.o.VM {
+			sum += k.spentAt(p, vm)
+		}
+	}
+	return sum
+}
+
 // gathering is a call for tokens to a router that the record leaves some to.
 type gathering struct {
 	grant       *grant
@@ -46,7 +75,7 @@
 	if p.gathered > 0 && k.o.Clock().Steady-p.gathered < gatherPause {
 		return false
 	}
-	vm, address := k.largestElsewhere(p.record)
+	vm, address := k.largestElsewhere(p)
 	if address == "" {
 		return false
 	}
@@ -90,19 +119,16 @@
 	return due
 }
 
-// largestElsewhere is the VM, with its address, that the record leaves the most tokens to
-// beside this one; the address is empty if there is none that can be asked.
-func (k *Keeper) largestElsewhere(r Record) (vm, address string) {
+// largestElsewhere is the VM, with its address, that has the most tokens left beside this one, as far as
+// is known; the address is empty if there is none that can be asked.
+func (k *Keeper) largestElsewhere(p *grant) (vm, address string) {
 	most, now := int64(0), k.o.Clock().Steady
-	for name, incarnations := range r.Holders {
+	for name := range p.record.Holders {
 		at, unreached := k.unreached[name]
 		if name == k.o.VM || k.addresses[name] == "" || unreached && now-at < unreachedFor {
 			continue
 		}
-		left := int64(0)
-		for _, f := range incarnations {
-			left += f.Granted - f.Spent
-		}
+		left := p.record.GrantedTo(name) - k.spentAt(p, name)
 		if left > most {
 			most, vm, address = left, name, k.addresses[name]
 		}
@@ -120,14 +146,19 @@
 	k.mu.Lock()
 	p.borrowed += loan.Tokens
 	p.gathering = false
+	now := k.o.Clock().Steady
 	if loan.Short == NotReached {
-		k.unreached[g.vm] = k.o.Clock().Steady
-	} else if loan.Tokens < g.tokens {
-		p.gathered = k.o.Clock().Steady
+		k.unreached[g.vm] = now
+	} else {
+		p.words[g.vm] = word{spent: loan.Spent, at: now}
+		if loan.Tokens < g.tokens {
+			p.gathered = now
+		}
 	}
-	if loan.Tokens > 0 || p.lackLog.due(k.o.Clock().Steady) {
+	if loan.Tokens > 0 || p.gatherLog.due(now) {
 		k.o.Log.Emit(event.TokensGathered, slog.String(event.KeyBudget, p.account), slog.String(event.KeyRouter, g.vm),
-			slog.Int64("wanted", g.tokens), slog.Int64(event.KeyTokens, loan.Tokens))
+			slog.Int64("wanted", g.tokens), slog.Int64(event.KeyTokens, loan.Tokens), slog.Int64("spent", loan.Spent),
+			slog.Int("unlogged", p.gatherLog.take()))
 	}
 	k.mu.Unlock()
 	k.broadcast()
--- a/internal/escrow/gather_test.go
+++ b/internal/escrow/gather_test.go
@@ -1,7 +1,9 @@
 package escrow
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -25,13 +27,61 @@
 	r.Holders["vm-2"] = map[string]Figure{"p2": {Granted: 50_000, Spent: 45_000}}
 	r.Holders["vm-3"] = map[string]Figure{"p3": {Granted: 20_000, Spent: 1_000}}
 	r.Holders["vm-4"] = map[string]Figure{"p4": {Granted: 30_000}}
-	vm, address := k.largestElsewhere(r)
+	p := k.grant("boatyard")
+	p.record = r
+	vm, address := k.largestElsewhere(p)
 	qt.Assert(t, vm, qt.Equals, "vm-3")
 	qt.Assert(t, address, qt.Equals, "three")
 	k.unreached["vm-3"] = k.o.Clock().Steady
-	_, address = k.largestElsewhere(r)
+	_, address = k.largestElsewhere(p)
 	qt.Assert(t, address, qt.Equals, "two")
 	b.steady += unreachedFor
-	_, address = k.largestElsewhere(r)
+	_, address = k.largestElsewhere(p)
 	qt.Assert(t, address, qt.Equals, "three")
 }
+
+// usedUpPeers have nothing left, and say what they have spent.
+type usedUpPeers struct {
+	noPeers
+	spent int64
+}
+
+func (p usedUpPeers) BorrowFrom(context.Context, string, string, int64, string) Loan {
+	return Loan{Spent: p.spent}
+}
+
+// Guards against callers who are sent back, again and again, for tokens that a router had borrowed when it last wrote.
+func TestWordOfAHolderReplacesItsOldFigure(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(100_000)
+	b.steady = time.Minute
+	record := newRecord().With("vm-2", "p2", Figure{Seq: 1, Granted: 0, Spent: -17_000}, nil)
+	record.Closed, record.ClosedSpent = 100_000, 100_000
+	b.store.Put("budget/account/boatyard", record.Encode())
+	other := Ledger{Format: ledgerFormat, Incarnation: "p2", Address: "two", Allowances: map[string]Allowance{}}
+	b.store.Put("budget/router/vm-2", other.Encode())
+	k := b.keeper("p1", usedUpPeers{spent: 0})
+	k.round(context.Background(), true)
+
+	h := k.begin("boatyard", 8_000, true, "")
+	c.Assert(k.shortage(h), qt.Equals, ErrContended)
+	c.Assert(k.gather(h), qt.IsTrue)
+	for _, g := range k.takeGatherings() {
+		k.gatherOne(context.Background(), g)
+	}
+	c.Assert(k.shortage(h), qt.Equals, ErrExhausted)
+	vm, _ := k.largestElsewhere(h.grant)
+	c.Assert(vm, qt.Equals, "")
+	b.steady += wordFor
+	c.Assert(k.shortage(h), qt.Equals, ErrContended, qt.Commentf("the word is old"))
+}
+
+// Guards against a word that counts as spent what may come back in a moment.
+func TestWordLeavesOutWhatWasJustLent(t *testing.T) {
+	c := qt.New(t)
+	b, k, _ := startedBench()
+	c.Assert(k.Lend("boatyard", 2_000, noWaiter).Spent, qt.Equals, int64(2_000))
+	c.Assert(k.Lend("boatyard", 3_000, noWaiter).Spent, qt.Equals, int64(3_000))
+	b.steady += 2 * lentLately
+	c.Assert(k.Lend("boatyard", 0, noWaiter).Spent, qt.Equals, int64(5_000))
+}
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -88,13 +88,15 @@
 	// record says with it and without it.
 	pendingAt int64
 	lackLog   sparseLog
+	gatherLog sparseLog
+	words     map[string]word // by VM
 }
 
 // noWrite says that no write of a record is unanswered.
 const noWrite = -1
 
 func newGrant(account string) *grant {
-	return &grant{account: account, pendingAt: noWrite, record: newRecord()}
+	return &grant{account: account, pendingAt: noWrite, record: newRecord(), words: make(map[string]word)}
 }
 
 // learned takes the record as the store has it. Once its revision has passed what
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -216,8 +216,8 @@
 func (k *Keeper) shortage(h *hold) error {
 	p := h.grant
 	prepaid := k.o.Budgets()[p.account]
-	// What others drew themselves counts as far as the record tells; it lags behind.
-	used := p.used() - (h.tokens - h.missing) + p.record.SpentElsewhere(k.o.VM, k.o.Incarnation)
+	// What others drew themselves counts as far as they or the record tell.
+	used := p.used() - (h.tokens - h.missing) + k.spentElsewhere(p)
 	left := prepaid - used + p.lately.sum(k.o.Clock().Steady)
 	doubtful := p.record.Closed - p.record.ClosedSpent
 	why := ErrContended
--- a/internal/escrow/lend.go
+++ b/internal/escrow/lend.go
@@ -13,6 +13,9 @@
 	Tokens int64
 	// Used is the tokens that the lender has spent or reserved, without the loan.
 	Used int64
+	// Spent is what the lender has surely spent and lent, with the loan, without what it borrowed and
+	// what it lent to others in the last moments: some of that may come back.
+	Spent int64
 	// Short says why that is not all that was asked for.
 	Short Shortage
 }
@@ -38,6 +41,7 @@
 	h.grant.reserved -= loan.Tokens
 	loan.Used = h.grant.used()
 	h.grant.lent += loan.Tokens
+	loan.Spent = h.grant.netSpent() - h.grant.lately.sum(k.o.Clock().Steady)
 	h.grant.use += loan.Tokens
 	h.grant.lately.add(loan.Tokens, k.o.Clock().Steady)
 	return loan
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -93,9 +93,22 @@
 	return sum
 }
 
-// SpentElsewhere is what was surely spent by others than the given incarnation.
-func (r Record) SpentElsewhere(vm, incarnation string) int64 {
-	return r.SpentAtLeast() - r.Figure(vm, incarnation).Spent
+// SpentBy is what the incarnations of a VM have surely spent.
+func (r Record) SpentBy(vm string) int64 {
+	sum := int64(0)
+	for _, f := range r.Holders[vm] {
+		sum += f.Spent
+	}
+	return sum
+}
+
+// GrantedTo is what the incarnations of a VM were granted.
+func (r Record) GrantedTo(vm string) int64 {
+	sum := int64(0)
+	for _, f := range r.Holders[vm] {
+		sum += f.Granted
+	}
+	return sum
 }
 
 func (r Record) each(visit func(Figure)) {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return escrow.Loan{Short: escrow.NotReached}
 	}
-	return escrow.Loan{Tokens: loan.Tokens, Used: loan.Used, Short: loan.Short}
+	return escrow.Loan{Tokens: loan.Tokens, Used: loan.Used, Spent: loan.Spent, Short: loan.Short}
 }
 
 // noWaiter asks for what nobody waits for.
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -43,6 +43,8 @@
 	Tokens int64
 	// Used is the tokens that the peer has spent or reserved, without the loan.
 	Used int64
+	// Spent is what the peer has surely spent and lent, with the loan, without what it borrowed.
+	Spent int64
 	// Short says why the loan is not all that was asked for.
 	Short escrow.Shortage
 	Clock uint64
@@ -108,7 +110,7 @@
 		return nil // its borrower gave up on it
 	}
 	given := s.lender.Lend(request.Account, request.Tokens, request.Waiter)
-	loan.Tokens, loan.Used, loan.Short = given.Tokens, given.Used, given.Short
+	loan.Tokens, loan.Used, loan.Spent, loan.Short = given.Tokens, given.Used, given.Spent, given.Short
 	if !s.transfers.lent(request.ID, request.Account, loan.Tokens) {
 		s.lender.TakeBack(request.Account, loan.Tokens)
 		loan.Tokens = 0
