Let a large answer of the store come before it is asked for anew

A small router that came back from a cut in which the configuration had grown served by the old one for up to 17 s (CONFIG).

Cause: what is known got old, so the store was asked again each 0.15 to 0.8 s, each time for all of it over a new connection: 470 KB for 1,640 routes, over a link of 10 Mbit/s that callers use as well. Up to six such answers shared the link, none ended within its 2.4 s, and writes and the other followers' reads ran out of time too. 'check op failed: 46' in ten seconds of edge-smichov-26.

While parts of an answer keep coming (250 ms apart at the most, for 4 s), no other check starts, and a call is given up for silence, not for its length. The first part counts as the store's answer in what is concluded of its silences. Once an answer is known, the others that are on their way end.

--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,15 +22,34 @@
 	toStore bool
 	credit  float64 // watches that may follow by Pause alone
 	started time.Time
+	// transfer is the last call to the store; nil: none.
+	transfer *transfer
 }
 
 // checks are the reads beside the usual call.
 type checks struct {
 	next   time.Time
-	asked  time.Time            // when the last one started
-	serial int                  // of the time in which what is known is old; others' answers don't count
-	stops  []context.CancelFunc // of those that may be under way, oldest first
-	made   int                  // in this time
+	asked  time.Time   // when the last one started
+	serial int         // of the time in which what is known is old; others' answers don't count
+	calls  []*transfer // those that may be under way, oldest first
+	made   int         // in this time
+}
+
+// isArriving says whether an answer to one of them is on its way.
+func (c *checks) isArriving(now time.Time) bool {
+	return slices.ContainsFunc(c.calls, func(t *transfer) bool { return t.isArriving(now) })
+}
+
+// stopArrived ends those of whose answers a part has come, once another answer was there first. Of
+// the others it is still to be seen whether the store is silent.
+func (c *checks) stopArrived() {
+	c.calls = slices.DeleteFunc(c.calls, func(t *transfer) bool {
+		arrived := t.part.Load() != nil
+		if arrived {
+			t.stop()
+		}
+		return arrived
+	})
 }
 
 // Constants of the checks.
@@ -98,13 +118,18 @@
 		return
 	}
 	f.usual.busy, f.usual.started = true, now
-	f.call(ctx, calls, answer{kind: kind, started: now, after: f.at}, f.usualAsk(kind, now))
+	f.usual.transfer = f.call(ctx, calls, answer{kind: kind, started: now, after: f.at}, f.usualAsk(kind, now))
 }
 
 func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
 	if !f.late(now) || now.Before(f.checks.next) {
 		return
 	}
+	// Answers share the link: with another one asked for every moment, no large one ever ends.
+	if f.checks.isArriving(now) || f.usual.busy && f.usual.transfer != nil && f.usual.transfer.isArriving(now) {
+		f.checks.next = now.Add(gatePoll)
+		return
+	}
 	first := f.checks.made == 0
 	if first && f.Checked != nil {
 		f.Checked(now.Sub(f.asOf), f.relaying, f.failing)
@@ -118,13 +143,14 @@
 	}
 	f.checks.next, f.checks.asked = now.Add(gateFirst), now
 	f.checks.made++
-	if len(f.checks.stops) == checksMost {
-		f.checks.stops[0]()
-		f.checks.stops = f.checks.stops[1:]
+	if len(f.checks.calls) == checksMost {
+		f.checks.calls[0].stop()
+		f.checks.calls = f.checks.calls[1:]
 	}
 	a := answer{kind: checkStore, serial: f.checks.serial, probe: f.Gate.Probe(now), started: now, after: f.at}
 	ctx = WhenConnected(ctx, func() { f.Gate.ProbeConnected(a.probe, f.now()) })
-	f.checks.stops = append(f.checks.stops, f.call(ctx, calls, a, f.checkAsk()))
+	ctx = WhenPartCame(ctx, func() { f.Gate.ProbeAnswered(a.probe, f.now()) })
+	f.checks.calls = append(f.checks.calls, f.call(ctx, calls, a, f.checkAsk()))
 }
 
 // checkAsk is the next check, over a new connection, since the open ones may have fallen
@@ -139,7 +165,7 @@
 		}
 	}
 	return func(ctx context.Context) (*Snapshot, *Changes, error) {
-		ctx, cancel := context.WithTimeout(ctx, checkPatience)
+		ctx, cancel := patiently(ctx, checkPatience)
 		defer cancel()
 		snapshot, err := f.Store.ReadAnew(ctx, f.Prefix)
 		return &snapshot, nil, err
@@ -150,8 +176,13 @@
 type ask func(ctx context.Context) (*Snapshot, *Changes, error)
 
 // call makes a call in a goroutine of its own, whose answer comes to Run.
-func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask) context.CancelFunc {
+func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask) *transfer {
 	callCtx, stop := context.WithCancel(ctx)
+	t := &transfer{started: a.started, stop: stop}
+	callCtx = WhenPartCame(callCtx, func() {
+		now := f.now()
+		t.part.Store(&now)
+	})
 	calls.Go(func() {
 		defer stop()
 		if panics.Try(func() { a.snapshot, a.changes, a.err = ask(callCtx) }) != nil {
@@ -164,7 +195,7 @@
 		case <-ctx.Done():
 		}
 	})
-	return stop
+	return t
 }
 
 // usualAsk is the next usual call: of all, if nothing is known for sure, or of changes.
@@ -183,7 +214,7 @@
 		}
 	case !f.synced:
 		return func(ctx context.Context) (*Snapshot, *Changes, error) {
-			ctx, cancel := context.WithTimeout(ctx, f.Patience)
+			ctx, cancel := patiently(ctx, f.Patience)
 			defer cancel()
 			snapshot, err := f.Store.Read(ctx, f.Prefix)
 			return &snapshot, nil, err
@@ -206,7 +237,7 @@
 
 // watch asks the store for changes. An answer without any is of the end of the wait.
 func (f *Follower) watch(ctx context.Context, call watchCall, after Revision, wait, patience time.Duration) (*Snapshot, *Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+patience)
+	ctx, cancel := patiently(ctx, wait+patience)
 	defer cancel()
 	began := f.now()
 	changes, err := call(ctx, f.Prefix, after, wait)
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -68,13 +68,19 @@
 func (g *Gate) ProbeFailed(p *Probe, now time.Time, refused bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.gaveUp, p.refused = now, refused
+	if !p.isAnswered {
+		p.gaveUp, p.refused = now, refused
+	}
 }
 
-// ProbeAnswered notes the answer to a probe.
+// ProbeAnswered notes that a probe was answered. The first part of an answer counts.
 func (g *Gate) ProbeAnswered(p *Probe, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if p.isAnswered {
+		return
+	}
+	p.isAnswered = true
 	g.probes.answered(p, now)
 }
 
--- a/internal/store/learn.go
+++ b/internal/store/learn.go
@@ -100,6 +100,7 @@
 	if !f.late(now) {
 		f.checks.made = 0
 		f.checks.serial++
+		f.checks.stopArrived()
 	}
 	f.contact()
 	f.planNext(a.kind, now)
--- a/internal/store/probes.go
+++ b/internal/store/probes.go
@@ -26,6 +26,8 @@
 	// gaveUp is when the router gave the call up; zero: not yet. refused: the store ended it.
 	gaveUp  time.Time
 	refused bool
+	// isAnswered: a part of its answer came.
+	isAnswered bool
 }
 
 // sent is when the packet was sent that made the connection, of a probe that was answered. A
--- a/internal/store/probes_test.go
+++ b/internal/store/probes_test.go
@@ -101,3 +101,19 @@
 		}
 	}
 }
+
+// Guards against a store that is taken for away because a large answer of it took long.
+func TestAnswerOnItsWayIsNoSilence(t *testing.T) {
+	g, began := &Gate{}, time.Unix(1000, 0)
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	large := g.Probe(at(0))
+	g.ProbeConnected(large, at(5))
+	g.ProbeAnswered(large, at(10)) // its first part
+	small := g.Probe(at(1000))
+	g.ProbeConnected(small, at(1005))
+	g.ProbeAnswered(small, at(1010))
+	g.ProbeFailed(large, at(3000), false) // its connection fell silent then
+	g.ProbeAnswered(g.Probe(at(4000)), at(4010))
+	_, broken := g.Outage(began.Add(-time.Second))
+	qt.Assert(t, broken, qt.IsFalse)
+}
