Soak: kill engines, also while they name a limit

The stand-ins kept what they ran and what reached them in memory, so none could be killed. Random numbers of their own: the 33 other faults of a seed stay as they were (TestScheduleFollowsTheSeed).

--- a/cmd/chicory-engine/main.go
+++ b/cmd/chicory-engine/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/enginestub"
@@ -41,6 +42,7 @@
 	listen     string
 	kind       string
 	drainLimit time.Duration
+	evidence   string
 	engine     enginestub.Config
 	service    enginestub.ServiceConfig
 }
@@ -74,6 +76,7 @@
 	app.Flag("crash-point", "When a marked call crashes a service.").Default("before").EnumVar(&crashPoint, "before", "after")
 	app.Flag("delay", "Time that a service takes for a call.").Default("0s").DurationVar(&opts.service.Delay)
 	app.Flag("drain-limit", "Longest wait for running requests after SIGTERM.").Default("1m").DurationVar(&opts.drainLimit)
+	app.Flag("evidence", "File that an engine appends what it does to, as it happens.").StringVar(&opts.evidence)
 	kingpin.MustParse(app.Parse(args))
 	opts.service.ID = opts.engine.ID
 	opts.service.Slots = opts.engine.Slots
@@ -84,6 +87,14 @@
 
 // run serves until a signal.
 func run(opts options) error {
+	if opts.evidence != "" {
+		file, err := os.OpenFile(opts.evidence, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "evidence")
+		}
+		defer func() { _ = file.Close() }() // each line is written at once
+		opts.engine.Evidence = file
+	}
 	backendServer := newServer(opts)
 	defer backendServer.Close()
 	listener, err := net.Listen("tcp", opts.listen)
--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -9,6 +9,7 @@
 package enginestub
 
 import (
+	"io"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 	// CrashAfterTokens tokens, or all but the last. Empty: never.
 	CrashMarker      string
 	CrashAfterTokens int
+	// Evidence takes what the engine does, a line each as it happens; nil: nothing.
+	Evidence io.Writer
 	// OnCrash is called once after a crash has closed all connections. It must
 	// not call the Server.
 	OnCrash func()
@@ -64,8 +67,8 @@
 	if len(now) > 0 {
 		clock = now[0]
 	}
-	s := &Server{httpServer: newHTTPServer(cfg.ID), cfg: cfg}
-	s.scheduler = newScheduler(cfg, clock, s.crash)
+	s := &Server{httpServer: newHTTPServer(cfg.ID, cfg.Evidence), cfg: cfg}
+	s.scheduler = newScheduler(cfg, clock, s.evidence, s.crash)
 	s.routes()
 	s.tasks.Go(s.scheduler.loop)
 	return s
--- a/internal/enginestub/enginestub_test.go
+++ b/internal/enginestub/enginestub_test.go
@@ -22,7 +22,7 @@
 
 // idleScheduler is a scheduler whose loop doesn't run: the test steps it.
 func idleScheduler(cfg Config) *scheduler {
-	return newScheduler(cfg.withDefaults(), fixedClock, func() {})
+	return newScheduler(cfg.withDefaults(), fixedClock, &evidence{}, func() {})
 }
 
 func userRequest(content string, maxTokens, priority int) *request {
@@ -131,7 +131,7 @@
 			c := qt.New(t)
 			crashes := 0
 			cfg := Config{CrashMarker: "BOOM", CrashAfterTokens: 10}
-			e := newScheduler(cfg.withDefaults(), fixedClock, func() { crashes++ })
+			e := newScheduler(cfg.withDefaults(), fixedClock, &evidence{}, func() { crashes++ })
 			marked := submit(c, e, "1", userRequest(content, 0, 0))
 			other := submit(c, e, "2", userRequest("len=90", 0, 0))
 			for range 5 {
--- a/internal/enginestub/httpserver.go
+++ b/internal/enginestub/httpserver.go
@@ -1,6 +1,7 @@
 package enginestub
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -19,9 +20,10 @@
 // httpServer serves a fiber app on one listener and can break all its connections
 // at once, as the death of the process would.
 type httpServer struct {
-	id    string // of the backend server; empty: requests for any are taken
-	app   *fiber.App
-	limit rateLimit
+	id       string // of the backend server; empty: requests for any are taken
+	app      *fiber.App
+	limit    rateLimit
+	evidence *evidence
 
 	mu       sync.Mutex
 	closed   bool
@@ -29,7 +31,9 @@
 	conns    map[net.Conn]struct{}
 }
 
-func newHTTPServer(id string) *httpServer {
+func newHTTPServer(id string, written io.Writer) *httpServer {
+	noted := &evidence{out: written}
+	noted.note(evidenceLine{Deed: deedStarted, At: time.Now()})
 	h := &httpServer{
 		id: id,
 		app: fiber.New(fiber.Config{
@@ -38,8 +42,9 @@
 			IdleTimeout:           idleTimeout,
 			ErrorHandler:          answerError,
 		}),
-		conns: make(map[net.Conn]struct{}),
-		limit: rateLimit{now: time.Now},
+		conns:    make(map[net.Conn]struct{}),
+		limit:    rateLimit{now: time.Now, evidence: noted},
+		evidence: noted,
 	}
 	h.rateLimitRoutes()
 	return h
--- a/internal/enginestub/scheduler.go
+++ b/internal/enginestub/scheduler.go
@@ -18,11 +18,12 @@
 // scheduler runs the sequences with continuous batching: up to Slots at once,
 // a free slot goes to the best of the waiting at the next step.
 type scheduler struct {
-	cfg     Config
-	now     func() time.Time
-	onCrash func()
-	wake    chan struct{}
-	quit    chan struct{}
+	cfg      Config
+	now      func() time.Time
+	evidence *evidence
+	onCrash  func()
+	wake     chan struct{}
+	quit     chan struct{}
 
 	mu          sync.Mutex
 	waiting     waitingHeap
@@ -40,10 +41,11 @@
 	stopped     bool
 }
 
-func newScheduler(cfg Config, now func() time.Time, onCrash func()) *scheduler {
+func newScheduler(cfg Config, now func() time.Time, noted *evidence, onCrash func()) *scheduler {
 	e := &scheduler{
 		cfg:       cfg,
 		now:       now,
+		evidence:  noted,
 		onCrash:   onCrash,
 		wake:      make(chan struct{}, 1),
 		quit:      make(chan struct{}),
@@ -141,6 +143,7 @@
 		s := heap.Pop(&e.waiting).(*sequence)
 		e.starts++
 		s.run.Start = e.starts
+		e.evidence.note(evidenceLine{Deed: deedRunBegan, At: now, Request: s.requestID})
 		s.run.State = RunRunning
 		cached := e.cache.use(s.hashes) * blockTokens
 		s.run.CachedTokens = min(cached, s.run.PromptTokens)
--- a/internal/enginestub/service.go
+++ b/internal/enginestub/service.go
@@ -54,7 +54,7 @@
 func NewService(cfg ServiceConfig, now ...func() time.Time) *Service {
 	setDefault(&cfg.Slots, DefaultSlots)
 	s := &Service{
-		httpServer: newHTTPServer(cfg.ID),
+		httpServer: newHTTPServer(cfg.ID, nil),
 		cfg:        cfg,
 		now:        time.Now,
 		quit:       make(chan struct{}),
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -37,7 +37,6 @@
 	*process
 	callers, ready string
 	store          *proxy // its way to the store
-	restarting     bool   // a fault has ended it and starts it again
 }
 
 // fleet is all processes of one run.
@@ -48,6 +47,7 @@
 	platform *process
 	engines  []*process
 	engineAt []string // straight
+	evidence []string // files that the engines write
 	proxies  []*proxy // before the engines
 	service  *process
 	callsAt  string
@@ -80,16 +80,22 @@
 }
 
 func (f *fleet) startBackends(o Options) error {
-	for i := range engines {
+	ports, err := freePorts(engines)
+	if err != nil {
+		return err
+	}
+	for i, address := range ports {
 		name := fmt.Sprintf("engine-%d", i+1)
-		p := f.program(o, name, "chicory-engine", "--id", name, "--model", model, "--slots", "16", "--token-time", "3ms")
-		line, err := p.start(true)
-		if err != nil {
+		evidence := filepath.Join(f.dir, name+".evidence")
+		p := f.program(o, name, "chicory-engine", "--id", name, "--model", model, "--slots", "16", "--token-time", "3ms",
+			"--listen", address, "--evidence", evidence)
+		if _, err := p.start(true); err != nil {
 			return err
 		}
 		f.engines = append(f.engines, p)
-		f.engineAt = append(f.engineAt, strings.TrimSpace(line))
-		before, err := newProxy(strings.TrimSpace(line))
+		f.engineAt = append(f.engineAt, address)
+		f.evidence = append(f.evidence, evidence)
+		before, err := newProxy(address)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -70,35 +70,27 @@
 	}
 }
 
-// judgeLimits holds what each stand-in got against the limits that it named.
+// judgeLimits holds what each process of a stand-in got against the limits that it named.
 func (f *fleet) judgeLimits() ([]string, error) {
 	routerOf, err := f.routersOfRequests()
 	if err != nil {
 		return nil, err
 	}
 	var broken []string
-	for i, address := range f.engineAt {
-		report, err := limitReport(address)
+	for i := range f.engines {
+		evidence, err := f.evidenceOf(i)
 		if err != nil {
 			return nil, err
 		}
-		for _, over := range overruns(report, routerOf) {
-			broken = append(broken, f.engines[i].name+": "+over)
+		for _, report := range evidence.Limits {
+			for _, over := range overruns(report, routerOf) {
+				broken = append(broken, f.engines[i].name+": "+over)
+			}
 		}
 	}
 	return broken, nil
 }
 
-func limitReport(address string) (enginestub.RateLimitReport, error) {
-	report := enginestub.RateLimitReport{}
-	response, err := http.Get("http://" + address + enginestub.RateLimitPath)
-	if err != nil {
-		return report, errors.Wrap(err, "report of limits")
-	}
-	defer func() { _ = response.Body.Close() }() // read to its end
-	return report, errors.Wrap(json.NewDecoder(response.Body).Decode(&report), "report of limits")
-}
-
 // routersOfRequests reads from the routers' logs which process served each request.
 func (f *fleet) routersOfRequests() (map[string]string, error) {
 	routerOf := make(map[string]string)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"os"
 	"os/exec"
@@ -24,6 +25,8 @@
 	cmd   *exec.Cmd
 	ended chan struct{} // closed when cmd has ended
 	began time.Time
+	// restarting: a fault has ended it and starts it again.
+	restarting bool
 	// asked: its end was asked for by a signal.
 	asked bool
 	// faults are ends that nobody asked for, and planned ends that failed.
@@ -105,6 +108,42 @@
 	return p.began
 }
 
+// down ends the process by a signal and starts it again some time later. One that is down already
+// gets the signal all the same: series of signals overlap.
+func (p *process) down(ctx context.Context, gone time.Duration, s syscall.Signal, announced bool) {
+	p.signal(s, true)
+	if !p.claim() {
+		return // another fault starts it again
+	}
+	defer p.release()
+	p.wait()
+	sleep(ctx, gone)
+	if _, err := p.start(announced); err != nil {
+		p.fail(err)
+	}
+}
+
+// claim makes the caller the one who starts the process again.
+func (p *process) claim() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	free := !p.restarting
+	p.restarting = true
+	return free
+}
+
+func (p *process) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restarting = false
+}
+
+func (p *process) fail(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, err.Error())
+}
+
 // wait returns when the process has ended.
 func (p *process) wait() {
 	p.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -45,6 +45,7 @@
 	}
 	faults = append(faults, f.planEvacuations(seed, duration)...)
 	faults = append(faults, f.planLimits(seed, duration)...)
+	faults = append(faults, f.planEngineDeaths(seed, duration)...)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].at < faults[j].at })
 	return faults
 }
@@ -91,8 +92,8 @@
 	engine := random.IntN(len(f.engines))
 	harm := []mode{delayed, mute, deaf, silent}[random.IntN(4)]
 	kinds := []fault{
-		{name: r.name + " killed", do: func(ctx context.Context) { r.down(ctx, lasts, syscall.SIGKILL) }},
-		{name: r.name + " stopped as planned", do: func(ctx context.Context) { r.down(ctx, lasts, syscall.SIGTERM) }},
+		{name: r.name + " killed", do: func(ctx context.Context) { r.down(ctx, lasts/4, syscall.SIGKILL, false) }},
+		{name: r.name + " stopped as planned", do: func(ctx context.Context) { r.down(ctx, lasts/4, syscall.SIGTERM, false) }},
 		{name: r.name + " paused", do: func(ctx context.Context) { r.paused(ctx, lasts) }},
 		{name: r.name + " told to reload", do: func(ctx context.Context) { r.reload() }},
 		{name: "all routers killed", do: func(ctx context.Context) { f.allDown(ctx, lasts) }},
@@ -138,42 +139,6 @@
 	}
 }
 
-// down ends the router by a signal and starts it again some time later. A router that is
-// down already gets the signal all the same: series of signals overlap.
-func (r *router) down(ctx context.Context, lasts time.Duration, s syscall.Signal) {
-	r.signal(s, true)
-	if !r.claim() {
-		return // another fault starts it again
-	}
-	defer r.release()
-	r.wait()
-	sleep(ctx, lasts/4) // routers are back soon, as a rule
-	if _, err := r.start(false); err != nil {
-		r.fail(err)
-	}
-}
-
-// claim makes the caller the one who starts the router again.
-func (r *router) claim() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	free := !r.restarting
-	r.restarting = true
-	return free
-}
-
-func (r *router) release() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.restarting = false
-}
-
-func (r *router) fail(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = append(r.faults, err.Error())
-}
-
 func (r *router) paused(ctx context.Context, lasts time.Duration) {
 	pauseFor(ctx, r.process, lasts)
 }
@@ -204,7 +169,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			r.down(ctx, lasts, syscall.SIGKILL)
+			r.down(ctx, lasts/4, syscall.SIGKILL, false)
 		}()
 	}
 	all.Wait()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -206,10 +206,13 @@
 	if statuses[load.StatusOK] == 0 {
 		broken = append(broken, "nothing was served")
 	}
-	evidence, err := load.NewClient(nil).Gather(load.Sources{Engines: f.engineAt, Services: []string{f.callsAt}})
+	evidence, err := load.NewClient(nil).Gather(load.Sources{Services: []string{f.callsAt}})
 	if err != nil {
 		return nil, err
 	}
+	if evidence.EngineRuns, err = f.engineRuns(); err != nil {
+		return nil, err
+	}
 	result := load.Reconcile(outcomes, nil, evidence)
 	return append(broken, result.Examples...), nil
 }
@@ -254,6 +257,9 @@
 // ends gathers what the processes' ends and logs say.
 func (f *fleet) ends() []string {
 	var broken []string
+	for _, p := range f.engines {
+		broken = append(broken, p.takeFaults()...)
+	}
 	for _, r := range f.routers {
 		broken = append(broken, r.takeFaults()...)
 		log, err := os.ReadFile(r.log)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,16 +59,19 @@
 	}
 	qt.Assert(t, names(7), qt.DeepEquals, names(7))
 	qt.Assert(t, names(7), qt.Not(qt.DeepEquals), names(8))
-	evacuations, limits := 0, 0
+	evacuations, limits, deaths := 0, 0, 0
 	for _, name := range names(7) {
 		switch {
 		case strings.HasSuffix(name, " evacuated"):
 			evacuations++
 		case strings.Contains(name, " names a limit of "):
 			limits++
+		case strings.HasSuffix(name, " e1 killed"), strings.HasSuffix(name, " e2 killed"):
+			deaths++
 		}
 	}
 	qt.Assert(t, evacuations, qt.Equals, 5)
 	qt.Assert(t, limits, qt.Equals, 3)
-	qt.Assert(t, len(names(7))-evacuations-limits, qt.Equals, 33)
+	qt.Assert(t, deaths, qt.Equals, 4)
+	qt.Assert(t, len(names(7))-evacuations-limits-deaths, qt.Equals, 33)
 }
