--- a/internal/escrow/gather.go
+++ b/internal/escrow/gather.go
@@ -24,25 +24,25 @@
 	gatherAhead = 500 * time.Millisecond
 	// gatherPause is how long nobody is asked again after one that brought nothing.
 	gatherPause = time.Second
-	// wordFor is how long a holder's word of what it has spent stands for its figure in the record,
+	// reportFor is how long a holder's report of what it has spent replaces its figure in the record,
 	// which lags behind until it draws again.
-	wordFor = 3 * time.Second
+	reportFor = 3 * time.Second
 	// unreachedFor is how long a router that didn't answer is left out: as a rule it is dead, and
 	// the record lists it until its successor closes what it held.
 	unreachedFor = 10 * time.Second
 )
 
-// word is what a holder said of an account when it was asked for tokens.
-type word struct {
+// useReport is what a holder had spent of an account when it was asked for tokens.
+type useReport struct {
 	spent int64
 	at    time.Duration
 }
 
-// spentAt is what a VM has spent of an account, as far as is known: by its word of late, else by the
-// record. The keeper is locked.
+// spentAt is what a VM has spent of an account, as far as is known: by its report of late, else by
+// the record. The keeper is locked.
 func (k *Keeper) spentAt(p *grant, vm string) int64 {
-	if said, asked := p.words[vm]; asked && k.o.Clock().Steady-said.at < wordFor {
-		return said.spent
+	if report, known := p.reports[vm]; known && k.o.Clock().Steady-report.at < reportFor {
+		return report.spent
 	}
 	return p.record.SpentBy(vm)
 }
@@ -150,7 +150,7 @@
 	if loan.Short == NotReached {
 		k.unreached[g.vm] = now
 	} else {
-		p.words[g.vm] = word{spent: loan.Spent, at: now}
+		p.reports[g.vm] = useReport{spent: loan.Spent, at: now}
 		if loan.Tokens < g.tokens {
 			p.gathered = now
 		}
--- a/internal/escrow/gather_test.go
+++ b/internal/escrow/gather_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against callers who are sent back, again and again, for tokens that a router had borrowed when it last wrote.
-func TestWordOfAHolderReplacesItsOldFigure(t *testing.T) {
+func TestReportOfAHolderReplacesItsOldFigure(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(100_000)
 	b.steady = time.Minute
@@ -72,12 +72,12 @@
 	c.Assert(k.shortage(h), qt.Equals, ErrExhausted)
 	vm, _ := k.largestElsewhere(h.grant)
 	c.Assert(vm, qt.Equals, "")
-	b.steady += wordFor
-	c.Assert(k.shortage(h), qt.Equals, ErrContended, qt.Commentf("the word is old"))
+	b.steady += reportFor
+	c.Assert(k.shortage(h), qt.Equals, ErrContended, qt.Commentf("the report is old"))
 }
 
-// Guards against a word that counts as spent what may come back in a moment.
-func TestWordLeavesOutWhatWasJustLent(t *testing.T) {
+// Guards against a report that counts as spent what may come back in a moment.
+func TestReportLeavesOutWhatWasJustLent(t *testing.T) {
 	c := qt.New(t)
 	b, k, _ := startedBench()
 	c.Assert(k.Lend("boatyard", 2_000, noWaiter).Spent, qt.Equals, int64(2_000))
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -89,14 +89,14 @@
 	pendingAt int64
 	lackLog   sparseLog
 	gatherLog sparseLog
-	words     map[string]word // by VM
+	reports   map[string]useReport // by VM
 }
 
 // noWrite says that no write of a record is unanswered.
 const noWrite = -1
 
 func newGrant(account string) *grant {
-	return &grant{account: account, pendingAt: noWrite, record: newRecord(), words: make(map[string]word)}
+	return &grant{account: account, pendingAt: noWrite, record: newRecord(), reports: make(map[string]useReport)}
 }
 
 // learned takes the record as the store has it. Once its revision has passed what
