--- a/internal/enginestub/evidence.go
+++ b/internal/enginestub/evidence.go
@@ -10,24 +10,24 @@
 	"github.com/pkg/errors"
 )
 
-// deed is what a line of evidence tells of.
-type deed string
+// evidenceKind is what a line of evidence tells of.
+type evidenceKind string
 
-// Deeds of a stand-in.
+// Kinds of evidence.
 const (
-	deedStarted    deed = "started" // the process
-	deedLimitNamed deed = "limit_named"
-	deedArrived    deed = "arrived"  // a request
-	deedAnswered   deed = "answered" // the head of its answer was sent
-	deedRunBegan   deed = "run_began"
+	processStarted  evidenceKind = "started"
+	limitNamed      evidenceKind = "limit_named"
+	requestArrived  evidenceKind = "arrived"
+	requestAnswered evidenceKind = "answered" // the head of its answer was sent
+	runBegan        evidenceKind = "run_began"
 )
 
 // evidenceLine is one line of evidence.
 type evidenceLine struct {
-	Deed    deed      `json:"deed"`
-	At      time.Time `json:"at"`
-	Request string    `json:"request,omitempty"`
-	Limit   string    `json:"limit,omitempty"`
+	Kind    evidenceKind `json:"kind"`
+	At      time.Time    `json:"at"`
+	Request string       `json:"request,omitempty"`
+	Limit   string       `json:"limit,omitempty"`
 }
 
 // evidence writes down what a stand-in does as it happens: what is kept in memory is lost with
@@ -71,7 +71,7 @@
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
 			return Evidence{}, errors.Wrap(ErrEvidence, err.Error())
 		}
-		if line.Deed == deedStarted {
+		if line.Kind == processStarted {
 			found.Limits = append(found.Limits, RateLimitReport{})
 			continue
 		}
@@ -86,14 +86,14 @@
 // add takes a line of the newest process.
 func (e *Evidence) add(line evidenceLine) {
 	report := &e.Limits[len(e.Limits)-1]
-	switch line.Deed {
-	case deedLimitNamed:
+	switch line.Kind {
+	case limitNamed:
 		report.Named = append(report.Named, NamedLimit{At: line.At, Limit: line.Limit})
-	case deedArrived:
+	case requestArrived:
 		report.Arrivals = append(report.Arrivals, Arrival{Request: line.Request, At: line.At, Limit: line.Limit})
-	case deedAnswered:
+	case requestAnswered:
 		report.answered(line.Request, line.At)
-	case deedRunBegan:
+	case runBegan:
 		e.Runs[line.Request]++
 	}
 }
--- a/internal/enginestub/evidence_test.go
+++ b/internal/enginestub/evidence_test.go
@@ -50,7 +50,7 @@
 
 // Guards against a soak that takes spoiled evidence for none.
 func TestSpoiledEvidenceIsAnError(t *testing.T) {
-	for _, text := range []string{"not a line\n", `{"deed":"run_began","request":"r"}` + "\n"} {
+	for _, text := range []string{"not a line\n", `{"kind":"run_began","request":"r"}` + "\n"} {
 		_, err := ReadEvidence(strings.NewReader(text))
 		qt.Assert(t, err, qt.ErrorIs, ErrEvidence, qt.Commentf("%q", text))
 	}
--- a/internal/enginestub/httpserver.go
+++ b/internal/enginestub/httpserver.go
@@ -33,7 +33,7 @@
 
 func newHTTPServer(id string, written io.Writer) *httpServer {
 	noted := &evidence{out: written}
-	noted.note(evidenceLine{Deed: deedStarted, At: time.Now()})
+	noted.note(evidenceLine{Kind: processStarted, At: time.Now()})
 	h := &httpServer{
 		id: id,
 		app: fiber.New(fiber.Config{
--- a/internal/enginestub/ratelimit.go
+++ b/internal/enginestub/ratelimit.go
@@ -52,14 +52,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.limit = limit
-	l.evidence.note(evidenceLine{Deed: deedLimitNamed, At: l.now(), Limit: limit})
+	l.evidence.note(evidenceLine{Kind: limitNamed, At: l.now(), Limit: limit})
 }
 
 // arrived notes a request and returns the limit to name.
 func (l *rateLimit) arrived(request string) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.evidence.note(evidenceLine{Deed: deedArrived, At: l.now(), Request: request, Limit: l.limit})
+	l.evidence.note(evidenceLine{Kind: requestArrived, At: l.now(), Request: request, Limit: l.limit})
 	return l.limit
 }
 
@@ -68,7 +68,7 @@
 	if limit := l.arrived(request); limit != "" {
 		c.Set(native.HeaderRateLimit, limit)
 	}
-	defer func() { l.evidence.note(evidenceLine{Deed: deedAnswered, At: l.now(), Request: request}) }()
+	defer func() { l.evidence.note(evidenceLine{Kind: requestAnswered, At: l.now(), Request: request}) }()
 	return c.Next()
 }
 
--- a/internal/enginestub/scheduler.go
+++ b/internal/enginestub/scheduler.go
@@ -143,7 +143,7 @@
 		s := heap.Pop(&e.waiting).(*sequence)
 		e.starts++
 		s.run.Start = e.starts
-		e.evidence.note(evidenceLine{Deed: deedRunBegan, At: now, Request: s.requestID})
+		e.evidence.note(evidenceLine{Kind: runBegan, At: now, Request: s.requestID})
 		s.run.State = RunRunning
 		cached := e.cache.use(s.hashes) * blockTokens
 		s.run.CachedTokens = min(cached, s.run.PromptTokens)
