Let short changes come beside a large answer

Now one answer of each kind may be on its way, as long as its parts come (15 s at the most, not 4 s of hold and 10 s of the call).

TestChangesComeBesideALargeAnswer fails with the first form.

--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -35,11 +35,6 @@
 	made   int         // in this time
 }
 
-// isArriving says whether an answer to one of them is on its way.
-func (c *checks) isArriving(now time.Time) bool {
-	return slices.ContainsFunc(c.calls, func(t *transfer) bool { return t.isArriving(now) })
-}
-
 // stopArrived ends those of whose answers a part has come, once another answer was there first. Of
 // the others it is still to be seen whether the store is silent.
 func (c *checks) stopArrived() {
@@ -118,15 +113,15 @@
 		return
 	}
 	f.usual.busy, f.usual.started = true, now
-	f.usual.transfer = f.call(ctx, calls, answer{kind: kind, started: now, after: f.at}, f.usualAsk(kind, now))
+	f.usual.transfer = f.call(ctx, calls, answer{kind: kind, started: now, after: f.at}, f.usualAsk(kind, now), !f.synced)
 }
 
 func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
 	if !f.late(now) || now.Before(f.checks.next) {
 		return
 	}
-	// Answers share the link: with another one asked for every moment, no large one ever ends.
-	if f.checks.isArriving(now) || f.usual.busy && f.usual.transfer != nil && f.usual.transfer.isArriving(now) {
+	whole, due := f.nextCheck(now)
+	if !due {
 		f.checks.next = now.Add(gatePoll)
 		return
 	}
@@ -150,16 +145,33 @@
 	a := answer{kind: checkStore, serial: f.checks.serial, probe: f.Gate.Probe(now), started: now, after: f.at}
 	ctx = WhenConnected(ctx, func() { f.Gate.ProbeConnected(a.probe, f.now()) })
 	ctx = WhenPartCame(ctx, func() { f.Gate.ProbeAnswered(a.probe, f.now()) })
-	f.checks.calls = append(f.checks.calls, f.call(ctx, calls, a, f.checkAsk()))
+	f.checks.calls = append(f.checks.calls, f.call(ctx, calls, a, f.checkAsk(whole), whole))
+}
+
+// nextCheck says whether the next check is for everything or for the changes only. They take turns:
+// over a full link some 50 KB take too long, and a router that was back from an outage stayed without
+// an answer for five seconds. None is due while answers of both kinds are on their way: answers share
+// the link, and with another one asked for every moment no large one ever ends.
+func (f *Follower) nextCheck(now time.Time) (whole, due bool) {
+	whole = f.checks.made%2 == 0 || f.at == 0
+	if !f.isArriving(whole, now) {
+		return whole, true
+	}
+	return !whole, f.at > 0 && !f.isArriving(!whole, now)
+}
+
+// isArriving says whether an answer of the store is on its way that tells everything, or the changes
+// only.
+func (f *Follower) isArriving(whole bool, now time.Time) bool {
+	arriving := func(t *transfer) bool { return t.whole == whole && t.isArriving(now) }
+	usual := f.usual.busy && f.usual.transfer != nil && arriving(f.usual.transfer)
+	return usual || slices.ContainsFunc(f.checks.calls, arriving)
 }
 
-// checkAsk is the next check, over a new connection, since the open ones may have fallen
-// silent. The first reads everything. The next asks for the changes only: over a full link
-// some 50 KB take too long, and a router that was back from an outage stayed without an
-// answer for five seconds. And so on in turn.
-func (f *Follower) checkAsk() ask {
+// checkAsk is a check, over a new connection, since the open ones may have fallen silent.
+func (f *Follower) checkAsk(whole bool) ask {
 	after := f.at
-	if f.checks.made%2 == 0 && after > 0 {
+	if !whole {
 		return func(ctx context.Context) (*Snapshot, *Changes, error) {
 			return f.watch(ctx, f.Store.WatchAnew, after, watchLeast, checkPatience)
 		}
@@ -175,10 +187,11 @@
 // ask makes one call.
 type ask func(ctx context.Context) (*Snapshot, *Changes, error)
 
-// call makes a call in a goroutine of its own, whose answer comes to Run.
-func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask) *transfer {
+// call makes a call in a goroutine of its own, whose answer comes to Run. whole says that it asks for
+// everything.
+func (f *Follower) call(ctx context.Context, calls *conc.WaitGroup, a answer, ask ask, whole bool) *transfer {
 	callCtx, stop := context.WithCancel(ctx)
-	t := &transfer{started: a.started, stop: stop}
+	t := &transfer{whole: whole, stop: stop}
 	callCtx = WhenPartCame(callCtx, func() {
 		now := f.now()
 		t.part.Store(&now)
--- a/internal/store/parts.go
+++ b/internal/store/parts.go
@@ -27,11 +27,9 @@
 
 const (
 	// transferMost bounds a call of whose answer parts keep coming.
-	transferMost = 10 * time.Second
+	transferMost = 15 * time.Second
 	// partsApart is the longest pause between two parts of an answer that is on its way.
 	partsApart = 250 * time.Millisecond
-	// arrivingMost is how long an answer on its way holds up further checks.
-	arrivingMost = 4 * time.Second
 )
 
 // patiently returns a context that ends once no part of an answer has come for patience. A large
@@ -48,13 +46,13 @@
 
 // transfer is a call to the store whose answer may be on its way.
 type transfer struct {
-	started time.Time
-	stop    context.CancelFunc
-	part    atomic.Pointer[time.Time] // when the last part came; nil: none has
+	whole bool // everything is asked for, not the changes only
+	stop  context.CancelFunc
+	part  atomic.Pointer[time.Time] // when the last part came; nil: none has
 }
 
 // isArriving says whether parts of the answer keep coming.
 func (t *transfer) isArriving(now time.Time) bool {
 	part := t.part.Load()
-	return part != nil && now.Sub(*part) < partsApart && now.Sub(t.started) < arrivingMost
+	return part != nil && now.Sub(*part) < partsApart
 }
