escrow: ration a budget that is nearly used up

Cause, from a print of each grant each 50 ms: requests of all sizes take the rest of a budget in the order of arrival, so its last 3% last for less than a second, and a router's ceiling is above all of it. A death then strands all of it, and what is left after a return is gone in another second.

Change: below 3% a holder gives the rest out by priority, and within a priority it keeps for smaller requests what these are expected to ask for in the next 5 s. Requests of one size are served as before, to the last token. What is kept is refused at once (budget_low, 429). The rest is used slowly then, so a ceiling allows a tenth of it. Event 313 tells when it begins and ends; loans carry the request's priority.

The fakes of tests take the request of a loan as one value; no check changed.

--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -39,6 +39,7 @@
 	forward.BudgetExhausted:    http.StatusPaymentRequired,
 	forward.BudgetHeld:         http.StatusTooManyRequests,
 	forward.BudgetInDoubt:      http.StatusTooManyRequests,
+	forward.BudgetLow:          http.StatusTooManyRequests,
 	forward.BudgetUnreachable:  http.StatusServiceUnavailable,
 	forward.NoBackend:          http.StatusServiceUnavailable,
 	forward.BackendsEvacuated:  http.StatusServiceUnavailable,
--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -58,6 +58,7 @@
 	for _, account := range accounts {
 		g := m.grant(account)
 		g.updateRate(now.Steady)
+		m.updateLowBudget(g, budgets[account])
 		as := m.role(g)
 		granted, wanted := g.plan(budgets[account], as, threshold)
 		// An unanswered write must be followed by another write of the same record: it
--- a/internal/escrow/gather.go
+++ b/internal/escrow/gather.go
@@ -146,7 +146,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	g := req.grant
-	loan := m.opts.Peers.BorrowFrom(ctx, req.address, g.account, req.tokens, noWaiter)
+	loan := m.opts.Peers.BorrowFrom(ctx, req.address, LoanRequest{Account: g.account, Tokens: req.tokens, WaiterID: noWaiter})
 	m.mu.Lock()
 	g.borrowed += loan.Tokens
 	g.gathering = false
--- a/internal/escrow/gather_test.go
+++ b/internal/escrow/gather_test.go
@@ -47,7 +47,7 @@
 	spent int64
 }
 
-func (p exhaustedPeers) BorrowFrom(context.Context, string, string, int64, string) Loan {
+func (p exhaustedPeers) BorrowFrom(context.Context, string, LoanRequest) Loan {
 	return Loan{Spent: p.spent}
 }
 
@@ -82,8 +82,8 @@
 func TestSpentExcludesRecentLoans(t *testing.T) {
 	c := qt.New(t)
 	b, m, _ := startTestbed()
-	c.Assert(m.Lend("boatyard", 2_000, noWaiter).Spent, qt.Equals, int64(2_000))
-	c.Assert(m.Lend("boatyard", 3_000, noWaiter).Spent, qt.Equals, int64(3_000))
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 2_000, WaiterID: noWaiter}).Spent, qt.Equals, int64(2_000))
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 3_000, WaiterID: noWaiter}).Spent, qt.Equals, int64(3_000))
 	b.steady += 2 * recentLoanWindow
-	c.Assert(m.Lend("boatyard", 0, noWaiter).Spent, qt.Equals, int64(5_000))
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 0, WaiterID: noWaiter}).Spent, qt.Equals, int64(5_000))
 }
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -95,6 +95,7 @@
 	shortageLog     sparseLog
 	gatherLog       sparseLog
 	reports         map[string]usageReport // by VM
+	low             *lowBudget             // nil while much of the budget is left
 }
 
 // noPendingWrite means that no write of a record is unanswered.
@@ -132,6 +133,9 @@
 // nextOutageRate returns the outage rate for the next ledger: above the average rate of
 // use, to allow for bursts.
 func (g *grant) nextOutageRate(prepaid int64) int64 {
+	if g.isRationed() {
+		return int64(float64(g.remaining(prepaid)) / lowBudgetHorizon.Seconds())
+	}
 	return int64(outageRateFactor*g.rate + outageRateBudgetShare*float64(prepaid))
 }
 
@@ -211,7 +215,11 @@
 // little is left below the present one. roundTrip is the duration of a write: the next
 // ceiling takes effect only afterwards.
 func (g *grant) nextCeiling(granted, prepaid int64, as role, roundTrip time.Duration) (ceiling int64, short bool) {
-	headroom := max(g.headroom(g.ceilingHeadroom(prepaid)+writesInFlight*roundTrip, int64(initialCeilingShare*float64(g.remaining(prepaid))), as), g.waitingTokens)
+	headroom := g.headroom(g.ceilingHeadroom(prepaid)+writesInFlight*roundTrip, int64(initialCeilingShare*float64(g.remaining(prepaid))), as)
+	if g.isRationed() {
+		headroom = min(headroom, int64(lowCeilingShare*float64(g.remaining(prepaid))))
+	}
+	headroom = max(headroom, g.waitingTokens)
 	remaining := min(g.granted, g.allowance.Ceiling) - g.used()
 	ceiling = max(0, min(granted, g.used()+headroom))
 	short = ceiling > g.allowance.Ceiling && (remaining < g.waitingTokens || float64(remaining) < refillThreshold*float64(headroom))
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -62,6 +62,8 @@
 	InDoubt
 	// Exhausted: the budget does not cover the request even if all unspent tokens are returned.
 	Exhausted
+	// Rationed: little of the budget is left, and it is kept for more urgent or smaller requests.
+	Rationed
 )
 
 // err returns the error of a reservation that fails for this reason.
@@ -73,13 +75,15 @@
 		return ErrInDoubt
 	case Exhausted:
 		return ErrExhausted
+	case Rationed:
+		return ErrRationed
 	}
 	return ErrUnreachable
 }
 
 // canDraw reports whether the router could have drawn tokens if the budget had any left.
 func (s Shortage) canDraw() bool {
-	return s == DrawPending || s == HeldElsewhere || s == InDoubt || s == Exhausted
+	return s == DrawPending || s == HeldElsewhere || s == InDoubt || s == Exhausted || s == Rationed
 }
 
 // shortageOf returns the reason that a lender reports for an error.
@@ -146,7 +150,7 @@
 
 // borrowFrom borrows the missing tokens from one holder.
 func (m *GrantManager) borrowFrom(ctx context.Context, r *pendingReservation, address string) Shortage {
-	loan := m.opts.Peers.BorrowFrom(ctx, address, r.grant.account, r.missing, r.waiterID)
+	loan := m.opts.Peers.BorrowFrom(ctx, address, LoanRequest{Account: r.grant.account, Tokens: r.missing, WaiterID: r.waiterID, Priority: r.priority})
 	r.received(loan.Tokens)
 	// If the request was cancelled or timed out, the failure says nothing about the holder.
 	if ctx.Err() == nil && (loan.Short == PeerUnreachable || loan.Short == StoreUnreachable) {
--- a/internal/escrow/holders_test.go
+++ b/internal/escrow/holders_test.go
@@ -50,6 +50,9 @@
 // testFleet is a set of routers' grant managers that share a store and can reach each other, in
 // virtual time.
 type testFleet struct {
+	shared      *memstore.Store
+	began       time.Time
+	paid        int64
 	managers    map[string]*GrantManager
 	stores      map[string]*gatedStore
 	borrowCalls atomic.Int64 // loans requested by Peers.Borrow, not from holders
@@ -63,28 +66,37 @@
 // newTestFleet starts size routers named r0, r1 and so on. The first MaxHolders of them are the
 // account's holders. The first withoutStore of them can't reach the store.
 func newTestFleet(ctx context.Context, tasks *conc.WaitGroup, size, withoutStore int, paid int64) *testFleet {
-	f := &testFleet{managers: make(map[string]*GrantManager), stores: make(map[string]*gatedStore)}
-	began := time.Now()
-	sharedStore := memstore.New(time.Now)
-	for i := range size {
-		name := fmt.Sprintf("r%d", i)
-		f.stores[name] = &gatedStore{Store: sharedStore, unavailable: i < withoutStore}
-		manager := New(Options{
-			Store: f.stores[name], Prefix: "budget/", VM: name, Address: name, Incarnation: name,
-			Budgets: func() map[string]int64 { return map[string]int64{"boatyard": paid} }, Log: event.Discard(),
-			Clock: func() ClockReading {
-				return ClockReading{Boot: "boot", Steady: time.Minute + time.Since(began), Wall: time.Now()}
-			},
-			Home:    func(string) string { return f.holdersFor(name)[0] },
-			Holders: func(string) []string { return f.holdersFor(name) },
-			Peers:   &fleetPeers{fleet: f, self: name},
-		})
-		f.managers[name] = manager
-		tasks.Go(func() { manager.Run(ctx) })
+	f := &testFleet{shared: memstore.New(time.Now), began: time.Now(), paid: paid, managers: make(map[string]*GrantManager), stores: make(map[string]*gatedStore)}
+	for i, name := range routerNames(0, size) {
+		f.create(name, name)
+		f.stores[name].unavailable = i < withoutStore
 	}
+	f.run(ctx, tasks)
 	return f
 }
 
+// run runs all routers until ctx ends.
+func (f *testFleet) run(ctx context.Context, tasks *conc.WaitGroup) {
+	for _, manager := range f.managers {
+		tasks.Go(func() { manager.Run(ctx) })
+	}
+}
+
+// create creates a router process; an earlier one on the same VM must be dead.
+func (f *testFleet) create(name, incarnation string) {
+	f.stores[name] = &gatedStore{Store: f.shared}
+	f.managers[name] = New(Options{
+		Store: f.stores[name], Prefix: "budget/", VM: name, Address: name, Incarnation: incarnation,
+		Budgets: func() map[string]int64 { return map[string]int64{"boatyard": f.paid} }, Log: event.Discard(),
+		Clock: func() ClockReading {
+			return ClockReading{Boot: "boot", Steady: time.Minute + time.Since(f.began), Wall: time.Now()}
+		},
+		Home:    func(string) string { return f.holdersFor(name)[0] },
+		Holders: func(string) []string { return f.holdersFor(name) },
+		Peers:   &fleetPeers{fleet: f, self: name},
+	})
+}
+
 // holdersFor returns the addresses of the account's holders as one router sees them.
 func (f *testFleet) holdersFor(router string) []string {
 	var addresses []string
@@ -112,21 +124,21 @@
 	self  string
 }
 
-func (p *fleetPeers) BorrowFrom(_ context.Context, address, account string, tokens int64, waiter string) Loan {
+func (p *fleetPeers) BorrowFrom(_ context.Context, address string, request LoanRequest) Loan {
 	if _, dead := p.fleet.dead.Load(address); dead {
 		p.fleet.deadCalls.Add(1)
 		time.Sleep(200 * time.Millisecond) // time until the connection attempt fails
 		return Loan{Short: PeerUnreachable}
 	}
 	time.Sleep(time.Millisecond)
-	return p.fleet.managers[address].Lend(account, tokens, waiter)
+	return p.fleet.managers[address].Lend(request)
 }
 
 func (p *fleetPeers) Borrow(_ context.Context, account string, tokens int64) (got, used int64) {
 	for name, m := range p.fleet.managers {
 		if name != p.self && got < tokens {
 			p.fleet.borrowCalls.Add(1)
-			loan := m.Lend(account, tokens-got, "")
+			loan := m.Lend(LoanRequest{Account: account, Tokens: tokens - got})
 			got, used = got+loan.Tokens, used+loan.Used
 		}
 	}
@@ -172,7 +184,7 @@
 
 func (s *requestStats) request(ctx context.Context, m *GrantManager) {
 	began := time.Now()
-	reservation, err := m.Reserve(ctx, "boatyard", 1000)
+	reservation, err := m.Reserve(ctx, "boatyard", 1000, 0)
 	took := time.Since(began)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -252,7 +264,7 @@
 	m.syncStore(context.Background(), true)
 	m.recordsReadAt = b.steady
 	m.opts.Budgets = func() map[string]int64 { return nil }
-	c.Assert(m.Lend("harbour", 1_000, "waiter").Short, qt.Equals, StoreUnreachable)
+	c.Assert(m.Lend(LoanRequest{Account: "harbour", Tokens: 1_000, WaiterID: "waiter"}).Short, qt.Equals, StoreUnreachable)
 }
 
 // Guards against a draw for every request when no holder of the account can reach the store.
--- a/internal/escrow/lend.go
+++ b/internal/escrow/lend.go
@@ -8,6 +8,17 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 )
 
+// LoanRequest asks another router for tokens.
+type LoanRequest struct {
+	Account string
+	Tokens  int64
+	// WaiterID identifies the request that needs the tokens in the lender's queue; noWaiter if
+	// there is none.
+	WaiterID string
+	// Priority is that of the request that needs the tokens; 0 is the most urgent.
+	Priority int
+}
+
 // Loan is the result of a request to borrow tokens from another router.
 type Loan struct {
 	Tokens int64
@@ -25,15 +36,21 @@
 // waits for the answer.
 const lendDrawTimeout = 150 * time.Millisecond
 
-// Lend gives tokens to another router; they count as used from then on. A waiterID names a
+// Lend gives tokens to another router; they count as used from then on. A WaiterID names a
 // request that asks this router as a holder of the account: Lend draws tokens for it if needed,
-// and during an outage the request has a place in the account's queue. Without a waiterID, Lend
+// and during an outage the request has a place in the account's queue. Without a WaiterID, Lend
 // gives only tokens that no queued request waits for, and doesn't draw.
-func (m *GrantManager) Lend(account string, tokens int64, waiterID string) Loan {
-	r := m.newPendingReservation(account, tokens, waiterID != "", waiterID)
+func (m *GrantManager) Lend(request LoanRequest) Loan {
+	isHolder := request.WaiterID != noWaiter
+	if isHolder {
+		m.refreshStandby(request.Account)
+		if !m.admit(request.Account, request.Tokens, request.Priority) {
+			return Loan{Short: Rationed}
+		}
+	}
+	r := m.newPendingReservation(request.Account, request.Tokens, isHolder, request.WaiterID)
 	loan := Loan{}
-	if waiterID != "" {
-		m.refreshStandby(r.grant)
+	if isHolder {
 		loan.Short = m.drawForLoan(r)
 	}
 	m.mu.Lock()
@@ -50,10 +67,10 @@
 
 // refreshStandby makes this router a standby for the account for the next standbyTimeout, unless
 // it is the home.
-func (m *GrantManager) refreshStandby(g *grant) {
+func (m *GrantManager) refreshStandby(account string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	g.lastAskedAt = m.opts.Clock().Steady
+	m.grant(account).lastAskedAt = m.opts.Clock().Steady
 }
 
 // drawForLoan draws the missing tokens of a loan, and returns the reason if it can't.
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -25,6 +25,9 @@
 	// ErrInDoubt: the rest of the budget may have been spent by dead routers. Only a
 	// top-up helps, or the start of successors that have not started yet.
 	ErrInDoubt = errors.New("escrow: rest of the budget may be spent")
+	// ErrRationed: little of the budget is left, and it is kept for more urgent or smaller
+	// requests.
+	ErrRationed = errors.New("escrow: rest of the budget is rationed")
 	// ErrUnreachable: this router's grant is used up and the store is unreachable.
 	ErrUnreachable = errors.New("escrow: store unreachable")
 )
@@ -55,9 +58,8 @@
 
 // Peers gives access to the other routers.
 type Peers interface {
-	// BorrowFrom asks one router for tokens. waiterID identifies the request in that
-	// router's queue.
-	BorrowFrom(ctx context.Context, address, account string, tokens int64, waiterID string) Loan
+	// BorrowFrom asks one router for tokens.
+	BorrowFrom(ctx context.Context, address string, request LoanRequest) Loan
 	// Borrow asks routers one after the other. It returns how many tokens it got, and
 	// how many the routers that answered have used.
 	Borrow(ctx context.Context, account string, tokens int64) (got, used int64)
--- a/internal/escrow/manager_test.go
+++ b/internal/escrow/manager_test.go
@@ -56,7 +56,7 @@
 func TestFirstGrantPrecedesFirstRequest(t *testing.T) {
 	c := qt.New(t)
 	_, m, _ := startTestbed()
-	reservation, err := m.Reserve(context.Background(), "boatyard", 9_000)
+	reservation, err := m.Reserve(context.Background(), "boatyard", 9_000, 0)
 	c.Assert(err, qt.IsNil)
 	reservation.Settle(5_000)
 	reservation.Settle(9_000)
@@ -152,7 +152,7 @@
 func TestReturnGrantsReturnsUnspentTokens(t *testing.T) {
 	c := qt.New(t)
 	b, m, _ := startTestbed()
-	reservation, err := m.Reserve(context.Background(), "boatyard", 9_000)
+	reservation, err := m.Reserve(context.Background(), "boatyard", 9_000, 0)
 	c.Assert(err, qt.IsNil)
 	reservation.Settle(7_000)
 	c.Assert(m.ReturnGrants(context.Background()), qt.IsNil)
@@ -176,7 +176,7 @@
 func TestLoweredBudgetIsNotOverspent(t *testing.T) {
 	c := qt.New(t)
 	b, m, g := startTestbed()
-	first, err := m.Reserve(context.Background(), "boatyard", 5_000)
+	first, err := m.Reserve(context.Background(), "boatyard", 5_000, 0)
 	c.Assert(err, qt.IsNil)
 	first.Settle(5_000)
 	b.prepaid["boatyard"] = 6_000
--- a/internal/escrow/outage_test.go
+++ b/internal/escrow/outage_test.go
@@ -42,13 +42,13 @@
 	b.store.SetDown(true)
 	m := b.newManager("p1", lendingPeers{available: 10_000})
 	m.syncStore(context.Background(), true)
-	_, err := m.Reserve(context.Background(), "boatyard", 8_000)
+	_, err := m.Reserve(context.Background(), "boatyard", 8_000, 0)
 	c.Assert(err, qt.IsNil)
 
 	b.steady += time.Minute // nothing becomes available soon: waiting is useless
 	m = b.newManager("p2", noPeers{})
 	m.syncStore(context.Background(), true)
-	_, err = m.Reserve(context.Background(), "boatyard", 8_000)
+	_, err = m.Reserve(context.Background(), "boatyard", 8_000, 0)
 	c.Assert(err, qt.Equals, ErrUnreachable)
 }
 
@@ -64,7 +64,7 @@
 	m.grant("boatyard").spent = m.grant("boatyard").allowance.Ceiling
 	b.steady += 1200 * time.Millisecond
 	go func() {
-		_, err := m.Reserve(ctx, "boatyard", m.grant("boatyard").allowance.OutageRate)
+		_, err := m.Reserve(ctx, "boatyard", m.grant("boatyard").allowance.OutageRate, 0)
 		served <- err
 	}()
 	c.Assert(<-served, qt.IsNil)
@@ -81,12 +81,12 @@
 	m.syncStore(context.Background(), true)
 	for i := 0; i < isolationThreshold; i++ {
 		c.Assert(m.Isolated(), qt.IsFalse)
-		_, err := m.Reserve(context.Background(), "boatyard", 8_000)
+		_, err := m.Reserve(context.Background(), "boatyard", 8_000, 0)
 		c.Assert(err, qt.Equals, ErrUnreachable)
 	}
 	c.Assert(m.Isolated(), qt.IsTrue)
 	m.Accept(map[string]int64{"boatyard": 8_000})
-	_, err := m.Reserve(context.Background(), "boatyard", 8_000)
+	_, err := m.Reserve(context.Background(), "boatyard", 8_000, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(m.Isolated(), qt.IsFalse)
 }
@@ -114,7 +114,7 @@
 	g := m.grant("boatyard")
 	g.granted, g.allowance.Ceiling = 100_000, 100_000
 	g.record = newRecord().WithEntry("vm", "p3", GrantEntry{Seq: 1, Granted: 100_000}, nil)
-	c.Assert(m.Lend("boatyard", 95_000, "waiter").Short, qt.Equals, NoShortage)
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 95_000, WaiterID: "waiter"}).Short, qt.Equals, NoShortage)
 	c.Assert(reserveError(m), qt.Equals, ErrContended, qt.Commentf("lent a moment ago"))
 	b.steady += 3 * recentLoanWindow
 	m.recordsReadAt = b.steady
@@ -125,7 +125,7 @@
 // just read, so that the request doesn't wait for a round with the store.
 func reserveError(m *GrantManager) error {
 	m.recordsReadAt = m.opts.Clock().Steady
-	_, err := m.Reserve(context.Background(), "boatyard", 8_000)
+	_, err := m.Reserve(context.Background(), "boatyard", 8_000, 0)
 	return err
 }
 
@@ -138,7 +138,7 @@
 	g := m.grant("boatyard")
 	g.allowance, g.granted = Allowance{OutageRate: 10_000}, 100_000
 	lend := func(tokens int64, waiterID string) int64 {
-		return m.Lend("boatyard", tokens, waiterID).Tokens
+		return m.Lend(LoanRequest{Account: "boatyard", Tokens: tokens, WaiterID: waiterID}).Tokens
 	}
 	b.steady = outageGrace + 200*time.Millisecond // 2,000 tokens are available
 	c.Assert(lend(3_000, "first"), qt.Equals, int64(0))
@@ -161,11 +161,11 @@
 	b.store.Put("budget/account/boatyard", record.Encode())
 	m := b.newManager("p1", noPeers{})
 	m.syncStore(context.Background(), true)
-	c.Assert(m.Lend("boatyard", 500, "waiter").Short, qt.Equals, InDoubt)
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 500, WaiterID: "waiter"}).Short, qt.Equals, InDoubt)
 	record.ClosedSpent = 900
 	b.store.Put("budget/account/boatyard", record.Encode())
 	c.Assert(m.readRecords(context.Background()), qt.IsTrue)
-	c.Assert(m.Lend("boatyard", 500, "waiter").Short, qt.Equals, Exhausted)
+	c.Assert(m.Lend(LoanRequest{Account: "boatyard", Tokens: 500, WaiterID: "waiter"}).Short, qt.Equals, Exhausted)
 }
 
 // standbyPeers can't reach the home; the standby lends all that is asked for.
@@ -174,10 +174,10 @@
 	asked []string
 }
 
-func (p *standbyPeers) BorrowFrom(_ context.Context, address, _ string, tokens int64, _ string) Loan {
+func (p *standbyPeers) BorrowFrom(_ context.Context, address string, request LoanRequest) Loan {
 	p.asked = append(p.asked, address)
 	if address == "standby" {
-		return Loan{Tokens: tokens}
+		return Loan{Tokens: request.Tokens}
 	}
 	return Loan{Short: PeerUnreachable}
 }
@@ -191,7 +191,7 @@
 	m := b.newManager("p1", peers)
 	m.opts.Holders = func(string) []string { return []string{"home", "standby"} }
 	m.syncStore(context.Background(), true)
-	_, err := m.Reserve(context.Background(), "boatyard", 8_000)
+	_, err := m.Reserve(context.Background(), "boatyard", 8_000, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(peers.asked, qt.DeepEquals, []string{"home", "standby"})
 	c.Assert(m.grant("boatyard").granted, qt.Equals, int64(0))
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -10,9 +10,15 @@
 
 // Reserve sets tokens aside: from this router's own grant if it suffices, else borrowed from the
 // account's holders, else by a draw of its own. While no holder can reach the store, it borrows
-// from any other router that has unused tokens.
-func (m *GrantManager) Reserve(ctx context.Context, account string, tokens int64) (*Reservation, error) {
-	r := m.newPendingReservation(account, tokens, m.roleOf(account) == home, "")
+// from any other router that has unused tokens. Of a low budget the most urgent requests get
+// tokens first; 0 is the most urgent priority.
+func (m *GrantManager) Reserve(ctx context.Context, account string, tokens int64, priority int) (*Reservation, error) {
+	isHome := m.roleOf(account) == home
+	if isHome && !m.admit(account, tokens, priority) {
+		return nil, ErrRationed
+	}
+	r := m.newPendingReservation(account, tokens, isHome, "")
+	r.priority = priority
 	err := m.acquire(ctx, r)
 	for errors.Is(err, ErrUnreachable) && m.allowanceGrowsSoon() && sleep(ctx, outageRetryInterval) {
 		err = m.retry(ctx, r)
@@ -38,6 +44,9 @@
 		return short.err() // a holder that can draw got no more, so this router would not either
 	}
 	if m.mayDraw(r.grant) {
+		if m.roleOf(r.grant.account) == standby && !m.admit(r.grant.account, r.missing, r.priority) {
+			return ErrRationed
+		}
 		if err := m.awaitDraw(ctx, r); !errors.Is(err, ErrUnreachable) {
 			return err
 		}
@@ -122,6 +131,7 @@
 	// queued means that during an outage the reservation takes a place in the account's queue.
 	queued   bool
 	waiterID string // identifies it in the queue
+	priority int    // 0 is the most urgent
 }
 
 // newPendingReservation starts a reservation with what this router's own grant can give. It
--- a/internal/escrow/unavailable_test.go
+++ b/internal/escrow/unavailable_test.go
@@ -13,7 +13,7 @@
 // unreachablePeers don't answer.
 type unreachablePeers struct{ Peers }
 
-func (unreachablePeers) BorrowFrom(context.Context, string, string, int64, string) Loan {
+func (unreachablePeers) BorrowFrom(context.Context, string, LoanRequest) Loan {
 	return Loan{Short: PeerUnreachable}
 }
 
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -87,7 +87,7 @@
 // noPeers are unreachable. Schedules that use them lend in separate actions.
 type noPeers struct{}
 
-func (noPeers) BorrowFrom(context.Context, string, string, int64, string) Loan {
+func (noPeers) BorrowFrom(context.Context, string, LoanRequest) Loan {
 	return Loan{Short: PeerUnreachable}
 }
 func (noPeers) Borrow(context.Context, string, int64) (int64, int64)    { return 0, 0 }
@@ -179,7 +179,7 @@
 	if from == to || available <= 0 {
 		return
 	}
-	lent := from.manager.Lend(account, rapid.Int64Range(1, available).Draw(c.t, "tokens"), "").Tokens
+	lent := from.manager.Lend(LoanRequest{Account: account, Tokens: rapid.Int64Range(1, available).Draw(c.t, "tokens")}).Tokens
 	c.deliverLoan(from, to, account, lent)
 }
 
@@ -201,11 +201,11 @@
 	from.manager.mu.Lock()
 	available := from.manager.grant(account).available(from.manager.contactAge())
 	from.manager.mu.Unlock()
-	from.manager.refreshStandby(from.manager.grant(account))
+	from.manager.refreshStandby(account)
 	if from == to || available <= 0 {
 		return
 	}
-	lent := from.manager.Lend(account, rapid.Int64Range(1, available).Draw(c.t, "tokens"), "waiter").Tokens
+	lent := from.manager.Lend(LoanRequest{Account: account, Tokens: rapid.Int64Range(1, available).Draw(c.t, "tokens"), WaiterID: "waiter"}).Tokens
 	c.deliverLoan(from, to, account, lent)
 }
 
@@ -321,17 +321,17 @@
 	self    *simRouter
 }
 
-func (p clusterPeers) BorrowFrom(_ context.Context, address, account string, tokens int64, waiterID string) Loan {
+func (p clusterPeers) BorrowFrom(_ context.Context, address string, request LoanRequest) Loan {
 	for _, from := range p.cluster.routers {
 		if from.vm != address || from == p.self || !rapid.Bool().Draw(p.cluster.t, "reached") {
 			continue
 		}
-		loan := from.manager.Lend(account, tokens, waiterID)
+		loan := from.manager.Lend(request)
 		switch rapid.SampledFrom([]string{"arrives", "arrives", "voided", "lost"}).Draw(p.cluster.t, "loan") {
 		case "arrives":
 			return loan
 		case "voided":
-			from.manager.VoidLoan(account, loan.Tokens)
+			from.manager.VoidLoan(request.Account, loan.Tokens)
 		}
 	}
 	return Loan{Short: PeerUnreachable}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,9 @@
 	// TokensGathered: a router that holds an account's grant on behalf of all routers asked
 	// another router for tokens that had been granted to that router and were not spent.
 	TokensGathered Number = 312
+	// RationingChanged: a router that holds an account's grant on behalf of all routers started
+	// or ended the rationing of a budget that is nearly used up.
+	RationingChanged Number = 313
 )
 
 // Configuration events.
@@ -131,6 +134,7 @@
 	{GrantClosed, slog.LevelInfo, "grant of a dead router closed"},
 	{BudgetShortage, slog.LevelInfo, "budget has no more to give"},
 	{TokensGathered, slog.LevelInfo, "tokens gathered from another router"},
+	{RationingChanged, slog.LevelInfo, "rationing of a low budget changed"},
 	{ConfigApplied, slog.LevelInfo, "configuration in force"},
 	{ConfigRejected, slog.LevelWarn, "configuration change rejected"},
 	{SettingsReloaded, slog.LevelInfo, "settings reloaded"},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -49,7 +49,7 @@
 
 // Budget reserves tokens of client accounts.
 type Budget interface {
-	Reserve(ctx context.Context, account string, tokens int64) (*escrow.Reservation, error)
+	Reserve(ctx context.Context, account string, tokens int64, priority int) (*escrow.Reservation, error)
 }
 
 // Metrics records the outcomes of requests.
@@ -190,7 +190,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reservation, err := f.Budget.Reserve(ctx, r.Account.Name, r.MaxTokens())
+	reservation, err := f.Budget.Reserve(ctx, r.Account.Name, r.MaxTokens(), r.Priority())
 	switch {
 	case err == nil:
 		return reservation, ""
@@ -200,6 +200,8 @@
 		return nil, BudgetInDoubt
 	case errors.Is(err, escrow.ErrContended):
 		return nil, BudgetHeld
+	case errors.Is(err, escrow.ErrRationed):
+		return nil, BudgetLow
 	}
 	return nil, BudgetUnreachable
 }
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -24,6 +24,7 @@
 	BudgetExhausted    Cause = "budget_exhausted"          // the remaining tokens don't cover the request
 	BudgetHeld         Cause = "budget_held"               // the remaining tokens are granted to other routers
 	BudgetInDoubt      Cause = "budget_in_doubt"           // the remaining tokens may have been spent by routers that died
+	BudgetLow          Cause = "budget_low"                // the few remaining tokens are kept for more urgent or smaller requests
 	BudgetUnreachable  Cause = "budget_unreachable"        // this router's grant is used up and the store unreachable
 	NoBackend          Cause = "no_backend"                // no server to send the request to
 	BackendsEvacuated  Cause = "backends_evacuated"        // operators have ordered all servers evacuated
@@ -66,7 +67,7 @@
 	switch c {
 	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited:
 		return Refusal{Cause: c, RetryAfter: retryLater}
-	case BudgetInDoubt:
+	case BudgetInDoubt, BudgetLow:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
 	case BackendRejected, RouterStopping, OverdueUnsent:
 		return Refusal{Cause: c, RetryAfter: retrySoon}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		asked++
-		loan, err := c.lend(ctx, address, account, tokens-got, noWaiter)
+		loan, err := c.lend(ctx, address, escrow.LoanRequest{Account: account, Tokens: tokens - got, WaiterID: noWaiter})
 		if err != nil {
 			continue // the next peer is asked
 		}
@@ -87,13 +87,12 @@
 	return got, used
 }
 
-// BorrowFrom asks one holder of the account's budget for tokens. waiterID names the request in
-// the queue of that peer.
-func (c *Client) BorrowFrom(ctx context.Context, address, account string, tokens int64, waiterID string) escrow.Loan {
+// BorrowFrom asks one holder of the account's budget for tokens.
+func (c *Client) BorrowFrom(ctx context.Context, address string, request escrow.LoanRequest) escrow.Loan {
 	if c.inBackoff(address) {
 		return escrow.Loan{Short: escrow.PeerUnreachable}
 	}
-	loan, err := c.lend(ctx, address, account, tokens, waiterID)
+	loan, err := c.lend(ctx, address, request)
 	if err != nil {
 		return escrow.Loan{Short: escrow.PeerUnreachable}
 	}
@@ -105,16 +104,17 @@
 const noWaiter = ""
 
 // lend asks for a loan. A loan whose answer is lost is not used; it is voided later.
-func (c *Client) lend(ctx context.Context, address, account string, tokens int64, waiterID string) (Loan, error) {
-	request := LoanRequest{ID: c.nextID(), Account: account, Tokens: tokens, Waiter: waiterID, Clock: c.clock.Tick()}
+func (c *Client) lend(ctx context.Context, address string, request escrow.LoanRequest) (Loan, error) {
+	message := LoanRequest{ID: c.nextID(), Account: request.Account, Tokens: request.Tokens, Waiter: request.WaiterID,
+		Priority: request.Priority, Clock: c.clock.Tick()}
 	loan := Loan{}
-	err := c.call(ctx, address, "Lend", request, &loan)
+	err := c.call(ctx, address, "Lend", message, &loan)
 	if err == nil {
 		c.clock.Observe(loan.Clock)
 		return loan, nil
 	}
 	if !errors.Is(err, ErrNotSent) {
-		c.addPending(pendingTransfer{address: address, since: time.Now(), loanID: request.ID})
+		c.addPending(pendingTransfer{address: address, since: time.Now(), loanID: message.ID})
 	}
 	return Loan{}, err
 }
--- a/internal/peers/follow_test.go
+++ b/internal/peers/follow_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
@@ -38,6 +39,6 @@
 		_, err = c.Follow(context.Background(), address, FollowRequest{Prefix: prefix, Wait: time.Hour})
 		qt.Assert(t, err, qt.ErrorIs, store.ErrNoFeed)
 	}
-	got := c.BorrowFrom(context.Background(), address, "a", 5, noWaiter).Tokens
+	got := c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: noWaiter}).Tokens
 	qt.Assert(t, got, qt.Equals, int64(5))
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -20,10 +20,10 @@
 	stopping bool
 }
 
-func (l *fakeLender) Lend(_ string, tokens int64, _ string) escrow.Loan {
+func (l *fakeLender) Lend(request escrow.LoanRequest) escrow.Loan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	lent := min(tokens, l.tokens)
+	lent := min(request.Tokens, l.tokens)
 	l.tokens -= lent
 	return escrow.Loan{Tokens: lent, Used: 7}
 }
@@ -121,7 +121,7 @@
 	go func() { _ = Serve(listener, &fakeLender{tokens: 9}, emptyState{}, lenderLog) }() // returns when the listener is closed
 	borrowerLog.Observe(100)
 	c := NewClient("p1", func() []string { return nil }, borrowerLog)
-	got := c.BorrowFrom(context.Background(), listener.Addr().String(), "a", 5, "").Tokens
+	got := c.BorrowFrom(context.Background(), listener.Addr().String(), escrow.LoanRequest{Account: "a", Tokens: 5}).Tokens
 	qt.Assert(t, got, qt.Equals, int64(5))
 	answerTime := lenderLog.Tick() - 1
 	qt.Assert(t, answerTime > 101, qt.IsTrue)
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -34,7 +34,9 @@
 	// Waiter names the request in the account's queue. If it is empty, only tokens that no
 	// queued request waits for are lent.
 	Waiter string
-	Clock  uint64
+	// Priority is that of the request that needs the tokens; 0 is the most urgent.
+	Priority int
+	Clock    uint64
 }
 
 // Loan is the answer to a LoanRequest; its fields are those of escrow.Loan. The lender counts the
@@ -79,9 +81,9 @@
 
 // Lender lends granted tokens to other routers and takes tokens from them.
 type Lender interface {
-	// Lend lends up to the given number of tokens. A waiterID names the request that needs them;
-	// if it is not empty, Lend draws tokens if needed.
-	Lend(account string, tokens int64, waiterID string) escrow.Loan
+	// Lend lends up to the requested number of tokens. If a request waits for them, Lend draws
+	// tokens if needed.
+	Lend(request escrow.LoanRequest) escrow.Loan
 	// VoidLoan cancels a loan that the borrower did not receive.
 	VoidLoan(account string, tokens int64)
 	// Accept takes tokens that another router hands over. It returns false if it took none.
@@ -112,7 +114,7 @@
 	if s.transfers.isVoided(request.ID) {
 		return nil // the borrower has given up on it
 	}
-	result := s.lender.Lend(request.Account, request.Tokens, request.Waiter)
+	result := s.lender.Lend(escrow.LoanRequest{Account: request.Account, Tokens: request.Tokens, WaiterID: request.Waiter, Priority: request.Priority})
 	loan.Tokens, loan.Used, loan.Spent, loan.Short = result.Tokens, result.Used, result.Spent, result.Short
 	if !s.transfers.recordLoan(request.ID, request.Account, loan.Tokens) {
 		s.lender.VoidLoan(request.Account, loan.Tokens)
--- a/internal/peers/silence_test.go
+++ b/internal/peers/silence_test.go
@@ -19,12 +19,12 @@
 
 const blockedWaiter = "held"
 
-func (l *blockingLender) Lend(account string, tokens int64, waiterID string) escrow.Loan {
-	if waiterID == blockedWaiter {
+func (l *blockingLender) Lend(request escrow.LoanRequest) escrow.Loan {
+	if request.WaiterID == blockedWaiter {
 		l.entered <- struct{}{}
 		<-l.release
 	}
-	return l.fakeLender.Lend(account, tokens, waiterID)
+	return l.fakeLender.Lend(request)
 }
 
 func startBlockingPeer(t *testing.T) (*blockingLender, string) {
@@ -42,15 +42,19 @@
 	lender, address := startBlockingPeer(t)
 	c := NewClient("p1", func() []string { return nil }, event.Discard())
 	waiting := make(chan escrow.Loan)
-	go func() { waiting <- c.BorrowFrom(context.Background(), address, "a", 5, blockedWaiter) }()
+	go func() {
+		waiting <- c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: blockedWaiter})
+	}()
 	<-lender.entered
 	ctx, cancel := context.WithCancel(context.Background())
 	cancelled := make(chan escrow.Loan)
-	go func() { cancelled <- c.BorrowFrom(ctx, address, "a", 5, blockedWaiter) }()
+	go func() {
+		cancelled <- c.BorrowFrom(ctx, address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: blockedWaiter})
+	}()
 	<-lender.entered
 	cancel()
 	qt.Assert(t, (<-cancelled).Short, qt.Equals, escrow.PeerUnreachable)
-	qt.Assert(t, c.BorrowFrom(context.Background(), address, "a", 5, "next").Tokens, qt.Equals, int64(5))
+	qt.Assert(t, c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: "next"}).Tokens, qt.Equals, int64(5))
 	close(lender.release)
 	qt.Assert(t, (<-waiting).Tokens, qt.Equals, int64(5))
 }
@@ -61,12 +65,14 @@
 	defer close(lender.release)
 	c := NewClient("p1", func() []string { return nil }, event.Discard())
 	timedOut := make(chan escrow.Loan)
-	go func() { timedOut <- c.BorrowFrom(context.Background(), address, "a", 5, blockedWaiter) }()
+	go func() {
+		timedOut <- c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: blockedWaiter})
+	}()
 	<-lender.entered
-	qt.Assert(t, c.BorrowFrom(context.Background(), address, "a", 5, "other").Tokens, qt.Equals, int64(5))
+	qt.Assert(t, c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: "other"}).Tokens, qt.Equals, int64(5))
 	qt.Assert(t, (<-timedOut).Short, qt.Equals, escrow.PeerUnreachable)
 	qt.Assert(t, c.inBackoff(address), qt.IsFalse)
-	qt.Assert(t, c.BorrowFrom(context.Background(), address, "a", 5, "next").Tokens, qt.Equals, int64(5))
+	qt.Assert(t, c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: "next"}).Tokens, qt.Equals, int64(5))
 }
 
 // A peer that answers no call is put in backoff, so that requests ask other peers immediately.
@@ -75,6 +81,6 @@
 	defer close(lender.release)
 	c := NewClient("p1", func() []string { return nil }, event.Discard())
 	go func() { <-lender.entered }()
-	qt.Assert(t, c.BorrowFrom(context.Background(), address, "a", 5, blockedWaiter).Short, qt.Equals, escrow.PeerUnreachable)
+	qt.Assert(t, c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: blockedWaiter}).Short, qt.Equals, escrow.PeerUnreachable)
 	qt.Assert(t, c.inBackoff(address), qt.IsTrue)
 }
--- a/internal/peers/wire_test.go
+++ b/internal/peers/wire_test.go
@@ -26,6 +26,7 @@
 		{"held by others", int(escrow.HeldElsewhere)},
 		{"in doubt", int(escrow.InDoubt)},
 		{"used up", int(escrow.Exhausted)},
+		{"rationed", int(escrow.Rationed)},
 	} {
 		lines = append(lines, fmt.Sprintf("Short %d: %s", v.value, v.meaning))
 	}
