peers, upstream: let timeouts follow the delay of the VM's own link

A burst lets the link queue for more than 250 ms. From then on each call for tokens ends before its answer (250 ms), closes the connection and puts the holder in backoff for two seconds, and each dial ends before its handshake (400 ms). Every request is refused and sent again: callers' bytes rise to 1.19 MB/s and keep the link full. Ruled out: the router's own reads of the store (under 0.02 MB/s) and answers to other routers (none).

Change: linkdelay estimates the round trip over the VM's own link as the shortest recent exchange with any VM. Timeouts of dials and of calls between routers are twice that, up to about a second; on an idle link they stay. An answer that is late counts: it ends the backoff, and the connection stays.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -60,6 +60,12 @@
 		Help: "Backend servers that name a limit of requests a second."}, func() float64 { return float64(count()) }))
 }
 
+// registerLinkDelay registers a gauge of the delay of this VM's own link.
+func (m *Metrics) registerLinkDelay(delay func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_link_delay_seconds",
+		Help: "Round trip over this VM's own link: the shortest recent exchange with another VM."}, func() float64 { return delay().Seconds() }))
+}
+
 // Served implements forward.Metrics.
 func (m *Metrics) Served(firstByte, total time.Duration) {
 	m.firstByte.Observe(firstByte.Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/limit"
+	"chicorytiller.example/chicorytiller/internal/linkdelay"
 	"chicorytiller.example/chicorytiller/internal/pacing"
 	"chicorytiller.example/chicorytiller/internal/peers"
 	"chicorytiller.example/chicorytiller/internal/policy"
@@ -127,6 +128,7 @@
 	grants            *escrow.GrantManager
 	retries           *retry.Budget
 	quarantine        *retry.Quarantine
+	link              *linkdelay.Estimator
 	client            *upstream.Client
 	peers             *peers.Client
 	forward           *forward.Forwarder
@@ -158,8 +160,10 @@
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.quarantine = retry.NewQuarantine(nil)
-	n.client = upstream.NewClient(env.Codec, n.metrics.BackendDials)
-	n.peers = peers.NewClient(incarnation, n.peerAddresses, log)
+	n.link = linkdelay.New(env.Now)
+	n.metrics.registerLinkDelay(n.link.Delay)
+	n.client = upstream.NewClient(env.Codec, n.metrics.BackendDials, n.link)
+	n.peers = peers.NewClient(incarnation, n.peerAddresses, log, n.link)
 	n.grants = escrow.New(escrow.Options{
 		Store: env.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.PeerAddr, Incarnation: incarnation, Clock: env.Clock,
 		Budgets: n.budgets, Home: n.homeAddress, Holders: n.holderAddresses, Log: log, Peers: n.peers,
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -5,13 +5,16 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/linkdelay"
 )
 
 // ErrUnreachable: a peer did not answer in time, or its connection failed. It may have run the
@@ -25,6 +28,9 @@
 const (
 	dialTimeout = 200 * time.Millisecond
 	callTimeout = 250 * time.Millisecond
+	// maxDialTimeout and maxCallTimeout apply while this VM's link is full.
+	maxDialTimeout = 800 * time.Millisecond
+	maxCallTimeout = 900 * time.Millisecond
 	// peerBackoff is how long a peer that failed is not called again.
 	peerBackoff = 2 * time.Second
 	// maxLoanPeers bounds how many peers Borrow asks: each costs a round trip, and in a large
@@ -37,7 +43,9 @@
 	addresses   func() []string
 	incarnation string
 	clock       Clock
+	link        *linkdelay.Estimator
 	lastSerial  atomic.Uint64
+	lateAnswers conc.WaitGroup // waits for overdue answers
 
 	mu           sync.Mutex
 	connections  map[string]*rpc.Client // this and the next two by peer address
@@ -56,9 +64,9 @@
 }
 
 // NewClient returns a client for the process with the given incarnation. addresses returns the
-// current addresses of the other routers.
-func NewClient(incarnation string, addresses func() []string, clock Clock) *Client {
-	return &Client{incarnation: incarnation, addresses: addresses, clock: clock, connections: make(map[string]*rpc.Client), backoffUntil: make(map[string]time.Time),
+// current addresses of the other routers. The client reports to link how long calls took.
+func NewClient(incarnation string, addresses func() []string, clock Clock, link *linkdelay.Estimator) *Client {
+	return &Client{incarnation: incarnation, addresses: addresses, clock: clock, link: link, connections: make(map[string]*rpc.Client), backoffUntil: make(map[string]time.Time),
 		lastAnswer: make(map[string]time.Time)}
 }
 
@@ -139,6 +147,7 @@
 
 // Run settles transfers whose answers were lost. It returns when ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	defer c.lateAnswers.Wait()
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
 	for {
@@ -205,14 +214,21 @@
 }
 
 func (c *Client) call(ctx context.Context, address, method string, request, answer any) error {
-	return c.callWithTimeout(ctx, callTimeout, address, method, request, answer)
+	timeout := c.link.Timeout(callTimeout, maxCallTimeout)
+	started := time.Now()
+	err := c.callWithTimeout(ctx, timeout, address, method, request, answer)
+	if took := time.Since(started); err == nil || took >= timeout {
+		c.link.Observe(took)
+	}
+	return err
 }
 
 // callWithTimeout makes a call that may take up to timeout. If the call fails or the peer does not
 // answer in time, the peer is put in backoff and its connection is closed, which fails all other
-// calls on it. That is not done if ctx ended, or if the peer has answered another call since this
-// one began: a request whose caller disconnects, or that waits for tokens until its deadline,
-// would otherwise cut all other requests off from this peer for seconds.
+// calls on it; if it is only late, the connection stays and the backoff ends with its answer. That
+// is not done if ctx ended, or if the peer has answered another call since this one began: a
+// request whose caller disconnects, or that waits for tokens until its deadline, would otherwise
+// cut all other requests off from this peer for seconds.
 func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, address, method string, request, answer any) error {
 	client, err := c.connect(address)
 	if err != nil {
@@ -232,8 +248,8 @@
 		c.recordAnswer(address)
 		return nil
 	case <-timer.C:
-		if !c.answeredSince(address, started) {
-			c.recordFailure(address, client)
+		if !c.answeredSince(address, started) && c.startBackoff(address) {
+			c.lateAnswers.Go(func() { c.awaitLateAnswer(address, client, call, started) })
 		}
 		return ErrUnreachable
 	case <-ctx.Done():
@@ -241,6 +257,45 @@
 	}
 }
 
+// lateAnswerTimeout is how long an answer that is overdue is still waited for.
+const lateAnswerTimeout = time.Second
+
+// awaitLateAnswer ends the backoff of a peer once it answers an overdue call. On a full link
+// answers are late, and a backoff of seconds would cost all requests that need tokens.
+func (c *Client) awaitLateAnswer(address string, client *rpc.Client, call *rpc.Call, started time.Time) {
+	timer := time.NewTimer(lateAnswerTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		if call.Error == nil {
+			c.link.Observe(time.Since(started))
+			c.recordAnswer(address)
+			c.endBackoff(address)
+			return
+		}
+	case <-timer.C:
+	}
+	c.recordFailure(address, client)
+}
+
+// startBackoff puts a peer in backoff. It returns false if the peer is already in backoff.
+func (c *Client) startBackoff(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if now.Before(c.backoffUntil[address]) {
+		return false
+	}
+	c.backoffUntil[address] = now.Add(peerBackoff)
+	return true
+}
+
+func (c *Client) endBackoff(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.backoffUntil, address)
+}
+
 func (c *Client) recordAnswer(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -261,7 +316,11 @@
 	if client != nil {
 		return client, nil
 	}
-	connection, err := net.DialTimeout("tcp", address, dialTimeout)
+	started := time.Now()
+	connection, err := net.DialTimeout("tcp", address, c.link.Timeout(dialTimeout, maxDialTimeout))
+	if isTimeout := os.IsTimeout(err); err == nil || isTimeout {
+		c.link.Observe(time.Since(started))
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/peers/slowlink_test.go
@@ -0,0 +1,77 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/linkdelay"
+)
+
+// slowLink forwards connections to a peer and delays what the peer sends.
+func slowLink(t *testing.T, target string, delay time.Duration) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = near.Close() // the client sees a broken connection
+				continue
+			}
+			go func() { _, _ = io.Copy(far, near) }() // ends when either side closes
+			go forwardLate(near, far, delay)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// forwardLate copies from far to near, each part after the delay.
+func forwardLate(near io.WriteCloser, far io.Reader, delay time.Duration) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := far.Read(buf)
+		if err != nil {
+			_ = near.Close() // the client sees a broken connection
+			return
+		}
+		part := append([]byte(nil), buf[:n]...)
+		time.AfterFunc(delay, func() { _, _ = near.Write(part) }) // fails only once the client has left
+	}
+}
+
+// Guards against a router on a full link that gets no tokens for as long as the link is full,
+// because every answer comes after the usual timeout.
+func TestLoansSucceedOverFullLink(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	lender := &fakeLender{tokens: 1_000_000}
+	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	address := slowLink(t, listener.Addr().String(), callTimeout+100*time.Millisecond)
+
+	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
+	const enough = 3 // loans in a row, far from the first one
+	const patience = 6 * time.Second
+	got := 0
+	for began := time.Now(); got < enough && time.Since(began) < patience; {
+		loan := c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: "waiter"})
+		if loan.Tokens == 5 {
+			got++
+			continue
+		}
+		time.Sleep(20 * time.Millisecond) // until the next request asks
+	}
+	qt.Assert(t, got, qt.Equals, enough)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 	// dialTimeout is far above a round trip between failure domains (some ms). It is below the
 	// second after which a lost SYN is sent again: trying another server is faster.
 	dialTimeout = 400 * time.Millisecond
+	// maxDialTimeout is the dial timeout while this VM's link is full.
+	maxDialTimeout = time.Second
 	// unackedDataTimeout closes a connection whose peer acknowledges no data: a VM that lost
 	// power or its network sends no reset. It leaves time for three retransmissions.
 	unackedDataTimeout = 1200 * time.Millisecond
@@ -51,7 +53,6 @@
 }
 
 var dialer = net.Dialer{
-	Timeout: dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
 	},
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"chicorytiller.example/chicorytiller/internal/linkdelay"
 )
 
 // pool contains the idle connections to one backend server. The most recently used one is taken
@@ -69,14 +72,16 @@
 type Client struct {
 	codec Codec
 	dials prometheus.Counter
+	link  *linkdelay.Estimator
 
 	mu    sync.Mutex
 	pools map[string]*pool // by incarnation of the server
 }
 
-// NewClient returns a client that counts the connections that it opens in dials.
-func NewClient(codec Codec, dials prometheus.Counter) *Client {
-	return &Client{codec: codec, dials: dials, pools: make(map[string]*pool)}
+// NewClient returns a client that counts the connections that it opens in dials and reports to
+// link how long they took.
+func NewClient(codec Codec, dials prometheus.Counter, link *linkdelay.Estimator) *Client {
+	return &Client{codec: codec, dials: dials, link: link, pools: make(map[string]*pool)}
 }
 
 func (c *Client) pool(incarnation string) *pool {
@@ -122,10 +127,23 @@
 	if idle := c.pool(incarnation).take(time.Now()); idle != nil {
 		return idle, nil
 	}
-	c.dials.Inc()
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
+
+// dial opens a connection. Its duration is one round trip, whatever the server has to do.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	c.dials.Inc()
+	timeout := c.link.Timeout(dialTimeout, maxDialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	started := time.Now()
+	raw, err := dialer.DialContext(dialCtx, "tcp", address)
+	if err == nil || dialCtx.Err() != nil && ctx.Err() == nil {
+		c.link.Observe(time.Since(started))
+	}
+	return raw, err
+}
