forward: leave time for the VM's own link in a request's deadline

Cause: the route's time was counted from when the router had read the request and until it wrote the refusal. The link holds up both, and each plain request was kept for its whole 1.2 s while three dials in a row ran out: 514 refusals overdue_unsent after a second or more at two routers.

Change: the deadline is earlier by the link's delay, by half of the timeout at the most. A request that the delay leaves no time for is refused at once.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,6 +75,8 @@
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
 	PriorityGate *pacing.PriorityGate
 	Backend      Exchanger
+	// LinkDelay returns the time for a round trip over this VM's own link.
+	LinkDelay func() time.Duration
 	// Limits enforces the request limits of accounts' contracts.
 	Limits  *limit.Limiter
 	Log     *event.Log
@@ -214,6 +216,7 @@
 		slog.String(event.KeyCause, string(refusal.Cause)),
 		slog.Bool("not_run", refusal.Cause.NotRun()),
 		slog.Int64("ms", time.Since(r.Arrived).Milliseconds()),
+		slog.Int64("link_ms", f.LinkDelay().Milliseconds()),
 	}
 	if p != nil {
 		attrs = append(attrs, slog.Int64("config", p.Version))
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -63,12 +63,18 @@
 		timeout = r.Route.Timeout
 	}
 	if timeout > 0 {
-		t.deadline = r.Arrived.Add(timeout)
+		t.deadline = r.Arrived.Add(timeout - t.linkDelay(timeout))
 	}
 	t.lastEventID, t.hasLastEventID = r.ResumeAfter, r.HasResume
 	return t
 }
 
+// linkDelay returns how much earlier than the timeout the answer has to be ready. The caller's clock
+// began when it sent the request, and stops when it has the answer; a full link holds up both.
+func (t *task) linkDelay(timeout time.Duration) time.Duration {
+	return min(t.f.LinkDelay(), timeout/2)
+}
+
 // used returns the number of tokens charged to the client account: the prompt once, and the output
 // that was relayed. A request of whose answer nothing was relayed costs nothing even if it ran, so
 // that no one pays for a prompt twice because a server failed or the caller disconnected early.
@@ -99,6 +105,9 @@
 	if !t.deadline.IsZero() && time.Until(t.deadline) < minTimeLeft {
 		return t.giveUp(t.timeoutCause())
 	}
+	if !t.headSent && !t.deadline.IsZero() && time.Until(t.deadline) < t.f.LinkDelay() {
+		return t.giveUp(t.timeoutCause()) // no server's answer would come back in time
+	}
 	choice := t.f.Chooser.Choose(t.f.Servers(t.r.Service), t.r, t.excluded)
 	if choice.Server == nil {
 		return t.giveUp(t.failureCause(t.noBackendCause()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,7 @@
 		RateLimits:        n.limits,
 		PriorityGate:      &pacing.PriorityGate{Now: time.Now},
 		Backend:           n.client,
+		LinkDelay:         n.link.Delay,
 		Limits:            limit.New(n.routerCount, nil),
 		Log:               log,
 		Metrics:           n.metrics,
