store: don't take the VM's own full link for an outage of the store

Cause: the router had no answer of the store for 12 s, since its link was full.

Change: a silence in which the VM's own link was full is none of the store. If the store was away too, servers whose leases ran out are missing at this router until they are back, two seconds at the most.

Test: TestFullLinkIsNoOutageOfStore fails without it.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -43,7 +43,7 @@
 	backoff := &store.Backoff{}
 	for _, f := range followers {
 		f.Store, f.Backoff, f.Feed, f.Now = n.env.Store, backoff, n.feeds[f.Prefix], n.env.Now
-		f.Relay = r
+		f.Relay, f.LinkWasFull = r, n.link.WasFull
 		f.SourceChanged = n.logSourceChange(f.Prefix)
 		f.StaleCheckStarted = n.logStaleCheck(f.Prefix)
 	}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -52,6 +52,10 @@
 	Feed *Feed
 	Sink Sink
 
+	// LinkWasFull reports whether this VM's link has been full since a time, so that answers of
+	// the store may have been late or lost on it; nil: never.
+	LinkWasFull func(since time.Time) bool
+
 	// MaxWait is the longest time that a watch waits at the store.
 	MaxWait time.Duration
 	// Timeout is the time allowed for an answer beyond the wait of a watch. A call without
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -164,3 +164,24 @@
 }
 
 func (k *keySink) SetReachable(bool, error) {}
+
+// Guards against sending requests to servers that left long ago, because the store's answers were
+// late on this router's own full link and that was taken for an outage.
+func TestFullLinkIsNoOutageOfStore(t *testing.T) {
+	c := qt.New(t)
+	sink, now := &silenceSink{}, time.Unix(1000, 0)
+	fullAt := now.Add(5 * time.Second)
+	f := &Follower{Sink: sink, MaxWait: time.Hour, Timeout: time.Hour, Now: func() time.Time { return now },
+		LinkWasFull: func(since time.Time) bool { return fullAt.After(since) }}
+	f.setup()
+	answer := func(after, at Revision) {
+		f.handleResult(callResult{kind: askStore, probe: f.Backoff.StartProbe(now), started: now, after: after, snapshot: &Snapshot{At: at}})
+	}
+	answer(0, 5)
+	now = now.Add(12 * time.Second)
+	answer(5, 6)
+	c.Assert(sink.silence, qt.Equals, Silence{})
+	now = now.Add(12 * time.Second)
+	answer(6, 7)
+	c.Assert(sink.silence.Length, qt.Equals, 12*time.Second, qt.Commentf("the link was not full in the second silence"))
+}
--- a/internal/store/results.go
+++ b/internal/store/results.go
@@ -128,7 +128,8 @@
 // recordAnswer records an answer and returns the silence of the store before it. For an answer of
 // another router this is the silence seen by that router: if the store answered it all the time, no
 // entry has expired because of an outage. A router that started following meanwhile can't tell, and
-// the time since this router's last answer counts instead.
+// the time since this router's last answer counts instead, unless its own link was full: then the
+// store need not have been silent at all.
 func (f *Follower) recordAnswer(r callResult, now time.Time) Silence {
 	last := f.lastAnswer
 	f.lastAnswer = now
@@ -136,7 +137,7 @@
 		reported.Ago += now.Sub(r.started)
 		return reported
 	}
-	if last.IsZero() {
+	if last.IsZero() || f.LinkWasFull != nil && f.LinkWasFull(last) {
 		return Silence{}
 	}
 	silence := Silence{Length: now.Sub(last), Ago: now.Sub(r.started)}
