peers: use the tokens of a loan that arrives late

Cause: the home lent 3.8 million tokens in 3.5 s where requests used some 0.4 million (lines 312: spent 6,439,317 at 21.3 s, 10,287,264 at 24.8 s). A loan whose answer is late was dropped and voided later, over the same full link; the next request asked anew. When the routers die meanwhile the loans are lost. It was so before, but a holder that was late was not asked for two seconds then.

A loan without an answer is voided as before, a second later.

Test: TestLateLoanIsPassedOn fails without it (the loan is voided).

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -21,6 +21,9 @@
 // call.
 var ErrUnreachable = errors.New("peers: unreachable")
 
+// errOverdue: a peer did not answer in time, and the answer is still waited for.
+var errOverdue = errors.Wrap(ErrUnreachable, "answer overdue")
+
 // ErrNotSent: a peer could not be connected to; it has not run the call.
 var ErrNotSent = errors.New("peers: not sent")
 
@@ -46,6 +49,7 @@
 	link        *linkdelay.Estimator
 	lastSerial  atomic.Uint64
 	lateAnswers conc.WaitGroup // waits for overdue answers
+	acceptLate  func(tokens map[string]int64) bool
 
 	mu           sync.Mutex
 	connections  map[string]*rpc.Client // this and the next two by peer address
@@ -70,6 +74,12 @@
 		lastAnswer: make(map[string]time.Time)}
 }
 
+// OnLateLoan sets what takes the tokens, by account, of loans that arrive after BorrowFrom or Borrow
+// has given up on them; it returns false if it took none. It must be set before the first call.
+func (c *Client) OnLateLoan(accept func(tokens map[string]int64) bool) {
+	c.acceptLate = accept
+}
+
 // Borrow asks peers for tokens in random order until it has enough or ctx ends. It returns the
 // number of tokens that it got, which may be less than asked for or zero, and the number that
 // the peers that answered have used.
@@ -111,22 +121,42 @@
 // tokens that no queued request waits for.
 const noWaiter = ""
 
-// lend asks for a loan. A loan whose answer is lost is not used; it is voided later.
+// lend asks for a loan. A loan that arrives late is passed on to acceptLate. One whose answer is lost
+// is not used; it is voided later.
 func (c *Client) lend(ctx context.Context, address string, request escrow.LoanRequest) (Loan, error) {
 	message := LoanRequest{ID: c.nextID(), Account: request.Account, Tokens: request.Tokens, Waiter: request.WaiterID,
 		Priority: request.Priority, Clock: c.clock.Tick()}
 	loan := Loan{}
-	err := c.call(ctx, address, "Lend", message, &loan)
-	if err == nil {
+	void := func() {
+		c.addPending(pendingTransfer{address: address, since: time.Now(), loanID: message.ID})
+	}
+	late := func(answered bool) {
+		if !answered || !c.takeLateLoan(request.Account, loan) {
+			void()
+		}
+	}
+	err := c.call(ctx, address, "Lend", message, &loan, late)
+	switch {
+	case err == nil:
 		c.clock.Observe(loan.Clock)
 		return loan, nil
-	}
-	if !errors.Is(err, ErrNotSent) {
-		c.addPending(pendingTransfer{address: address, since: time.Now(), loanID: message.ID})
+	case !errors.Is(err, ErrNotSent) && !errors.Is(err, errOverdue):
+		void()
 	}
 	return Loan{}, err
 }
 
+// takeLateLoan passes on the tokens of a loan that was given up. It returns false if they must be
+// voided. Otherwise a router on a full link would take the tokens of many requests from the lender,
+// which gets them back only when the link lets the void through, or never if the router dies.
+func (c *Client) takeLateLoan(account string, loan Loan) bool {
+	c.clock.Observe(loan.Clock)
+	if loan.Tokens == 0 {
+		return true
+	}
+	return c.acceptLate != nil && c.acceptLate(map[string]int64{account: loan.Tokens})
+}
+
 func (c *Client) nextID() TransferID {
 	return TransferID{Incarnation: c.incarnation, Serial: c.lastSerial.Add(1)}
 }
@@ -177,9 +207,9 @@
 
 func (c *Client) settle(ctx context.Context, t pendingTransfer) error {
 	if t.gift != nil {
-		return c.call(ctx, t.address, "HandOver", *t.gift, &GiftAnswer{})
+		return c.call(ctx, t.address, "HandOver", *t.gift, &GiftAnswer{}, nil)
 	}
-	return c.call(ctx, t.address, "Void", t.loanID, &struct{}{})
+	return c.call(ctx, t.address, "Void", t.loanID, &struct{}{}, nil)
 }
 
 // HandOver gives tokens to a peer. It returns false only if the peer certainly got none of them:
@@ -190,7 +220,7 @@
 	}
 	gift := Gift{ID: c.nextID(), Tokens: tokens, Clock: c.clock.Tick()}
 	answer := GiftAnswer{}
-	err := c.call(ctx, address, "HandOver", gift, &answer)
+	err := c.call(ctx, address, "HandOver", gift, &answer, nil)
 	if errors.Is(err, ErrNotSent) || err == nil && answer.Refused {
 		return false
 	}
@@ -203,7 +233,7 @@
 // Known asks a peer for the state that a router needs to start.
 func (c *Client) Known(ctx context.Context, address string) (Known, error) {
 	known := Known{}
-	err := c.call(ctx, address, "Known", KnownRequest{}, &known)
+	err := c.call(ctx, address, "Known", KnownRequest{}, &known, nil)
 	return known, err
 }
 
@@ -213,10 +243,11 @@
 	return time.Now().Before(c.backoffUntil[address])
 }
 
-func (c *Client) call(ctx context.Context, address, method string, request, answer any) error {
+// call makes a call with the usual timeout; see callWithTimeout.
+func (c *Client) call(ctx context.Context, address, method string, request, answer any, late func(answered bool)) error {
 	timeout := c.link.Timeout(callTimeout, maxCallTimeout)
 	started := time.Now()
-	err := c.callWithTimeout(ctx, timeout, address, method, request, answer)
+	err := c.callWithTimeout(ctx, timeout, address, method, request, answer, late)
 	if took := time.Since(started); err == nil || took >= timeout {
 		c.link.Observe(took)
 	}
@@ -229,7 +260,10 @@
 // is not done if ctx ended, or if the peer has answered another call since this one began: a
 // request whose caller disconnects, or that waits for tokens until its deadline, would otherwise
 // cut all other requests off from this peer for seconds.
-func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, address, method string, request, answer any) error {
+//
+// If late is not nil and the call is given up without an outcome, the error is errOverdue, and late
+// is called once: when the answer has arrived, or when it is no longer waited for.
+func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, address, method string, request, answer any, late func(answered bool)) error {
 	client, err := c.connect(address)
 	if err != nil {
 		c.recordFailure(address, nil)
@@ -248,34 +282,55 @@
 		c.recordAnswer(address)
 		return nil
 	case <-timer.C:
-		if !c.answeredSince(address, started) && c.startBackoff(address) {
-			c.lateAnswers.Go(func() { c.awaitLateAnswer(address, client, call, started) })
-		}
-		return ErrUnreachable
+		suspected := !c.answeredSince(address, started) && c.startBackoff(address)
+		return c.giveUp(address, client, call, started, suspected, late)
 	case <-ctx.Done():
+		return c.giveUp(address, client, call, started, false, late)
+	}
+}
+
+// giveUp returns the error of a call without an outcome, and waits for the outcome in the background
+// if the peer is suspected to be dead or late is not nil.
+func (c *Client) giveUp(address string, client *rpc.Client, call *rpc.Call, started time.Time, suspected bool, late func(answered bool)) error {
+	if !suspected && late == nil {
+		return ErrUnreachable
+	}
+	c.lateAnswers.Go(func() {
+		answered := c.awaitLateAnswer(address, call, started)
+		if !answered && suspected {
+			c.recordFailure(address, client)
+		}
+		if late != nil {
+			late(answered)
+		}
+	})
+	if late == nil {
 		return ErrUnreachable
 	}
+	return errOverdue
 }
 
 // lateAnswerTimeout is how long an answer that is overdue is still waited for.
 const lateAnswerTimeout = time.Second
 
-// awaitLateAnswer ends the backoff of a peer once it answers an overdue call. On a full link
-// answers are late, and a backoff of seconds would cost all requests that need tokens.
-func (c *Client) awaitLateAnswer(address string, client *rpc.Client, call *rpc.Call, started time.Time) {
+// awaitLateAnswer reports whether an overdue call is answered after all. It ends the backoff of the
+// peer then: on a full link answers are late, and a backoff of seconds would cost all requests that
+// need tokens.
+func (c *Client) awaitLateAnswer(address string, call *rpc.Call, started time.Time) bool {
 	timer := time.NewTimer(lateAnswerTimeout)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
-		if call.Error == nil {
-			c.link.Observe(time.Since(started))
-			c.recordAnswer(address)
-			c.endBackoff(address)
-			return
-		}
 	case <-timer.C:
+		return false
 	}
-	c.recordFailure(address, client)
+	if call.Error != nil {
+		return false
+	}
+	c.link.Observe(time.Since(started))
+	c.recordAnswer(address)
+	c.endBackoff(address)
+	return true
 }
 
 // startBackoff puts a peer in backoff. It returns false if the peer is already in backoff.
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -78,7 +78,7 @@
 	}
 	answer := FollowAnswer{}
 	request.Unpacks = true
-	if err := c.callWithTimeout(ctx, callTimeout+request.Wait, address, "Follow", request, &answer); err != nil {
+	if err := c.callWithTimeout(ctx, callTimeout+request.Wait, address, "Follow", request, &answer, nil); err != nil {
 		return FollowAnswer{}, err
 	}
 	switch answer.Status {
--- a/internal/peers/slowlink_test.go
+++ b/internal/peers/slowlink_test.go
@@ -75,3 +75,33 @@
 	}
 	qt.Assert(t, got, qt.Equals, enough)
 }
+
+// Guards against tokens that a router on a full link takes from the lender and never uses, because
+// the loan arrived after its request had been refused.
+func TestLateLoanIsPassedOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	lender := &fakeLender{tokens: 100}
+	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	address := slowLink(t, listener.Addr().String(), callTimeout+100*time.Millisecond)
+
+	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
+	late := make(chan map[string]int64, 1)
+	c.OnLateLoan(func(tokens map[string]int64) bool {
+		late <- tokens
+		return true
+	})
+	loan := c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: "waiter"})
+	qt.Assert(t, loan.Short, qt.Equals, escrow.PeerUnreachable)
+	select {
+	case tokens := <-late:
+		qt.Assert(t, tokens, qt.DeepEquals, map[string]int64{"a": 5})
+	case <-time.After(5 * time.Second):
+		t.Fatal("the loan was not passed on")
+	}
+	c.settlePending(context.Background())
+	lender.mu.Lock()
+	defer lender.mu.Unlock()
+	qt.Assert(t, lender.tokens, qt.Equals, int64(95), qt.Commentf("the loan must not be voided as well"))
+}
