node: send nothing by an old list of servers while the VM's link is full

The bound on the age of what is known holds as long as the store's answers come through.

Change: while the link is full, or was within the last second, and the list of servers is older than three quarters of the drain time, requests are refused at once (backends_outdated, 503, not run). While the store is away and the link is not full, the list is used whatever its age, as before.

--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -45,6 +45,7 @@
 	forward.BackendsEvacuated:  http.StatusServiceUnavailable,
 	forward.BackendsCold:       http.StatusServiceUnavailable,
 	forward.BackendsLimited:    http.StatusServiceUnavailable,
+	forward.BackendsOutdated:   http.StatusServiceUnavailable,
 	forward.BackendRejected:    http.StatusServiceUnavailable,
 	forward.RouterStopping:     http.StatusServiceUnavailable,
 	forward.RequestQuarantined: http.StatusBadGateway,
--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -72,7 +72,8 @@
 			PriorityGate: &pacing.PriorityGate{Now: time.Now},
 			Retries:      retry.NewBudget(retry.Limits{}, 1, nil), Quarantine: retry.NewQuarantine(nil),
 			Backend: backend, Log: event.Discard(), Metrics: caller,
-			LinkDelay: func() time.Duration { return delay },
+			LinkDelay:       func() time.Duration { return delay },
+			ServersOutdated: func() bool { return false },
 		}
 		r := &request.Request{Arrived: time.Now(), Route: &policy.Route{Timeout: timeout, MaxAttempts: 2}}
 		newTask(f, policy.New(policy.Definition{}), r, caller).run(t.Context())
@@ -106,3 +107,21 @@
 	c.Assert(kept, qt.Equals, 1200*time.Millisecond, qt.Commentf("three servers, 400 ms each"))
 	c.Assert(dials, qt.Equals, 3)
 }
+
+// Guards against requests that reach servers long after these have left, because this router's
+// full link kept the news from it.
+func TestNothingIsSentWithOutdatedServers(t *testing.T) {
+	c := qt.New(t)
+	backend, caller := &unreachableBackend{}, &refusedCaller{}
+	f := &Forwarder{
+		Servers: func(string) []*fleet.Server { return []*fleet.Server{fleet.NewServer(fleet.Entry{ID: "a"})} },
+		Chooser: balance.NewChooser("here", unpaced{}, nil), Backend: backend, Log: event.Discard(), Metrics: caller,
+		LinkDelay:       func() time.Duration { return 0 },
+		ServersOutdated: func() bool { return true },
+	}
+	r := &request.Request{Arrived: time.Now(), Route: &policy.Route{Timeout: time.Second, MaxAttempts: 2}}
+	newTask(f, policy.New(policy.Definition{}), r, caller).run(t.Context())
+	c.Assert(caller.refusal.Cause, qt.Equals, BackendsOutdated)
+	c.Assert(caller.refusal.Cause.NotRun(), qt.IsTrue)
+	c.Assert(backend.dials, qt.Equals, 0)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,6 +75,9 @@
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
 	PriorityGate *pacing.PriorityGate
 	Backend      Exchanger
+	// ServersOutdated reports whether servers may have left without this router's knowledge,
+	// because its own link is full.
+	ServersOutdated func() bool
 	// LinkDelay returns the time for a round trip over this VM's own link.
 	LinkDelay func() time.Duration
 	// Limits enforces the request limits of accounts' contracts.
@@ -147,6 +150,9 @@
 // leave their capacity to more urgent requests, and nil otherwise. Serve calls it before it reserves
 // tokens, so that such a request does not wait for them.
 func (f *Forwarder) checkServers(r *request.Request) *Refusal {
+	if f.ServersOutdated() {
+		return &Refusal{Cause: BackendsOutdated, RetryAfter: retryLater}
+	}
 	availability := f.Chooser.Availability(f.Servers(r.Service))
 	switch availability.State {
 	case balance.Available:
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -30,6 +30,7 @@
 	BackendsEvacuated  Cause = "backends_evacuated"        // operators have ordered all servers evacuated
 	BackendsCold       Cause = "backends_cold"             // all servers have recently started and can handle only few requests
 	BackendsLimited    Cause = "backends_limited"          // all servers are cold or limit their request rate
+	BackendsOutdated   Cause = "backends_outdated"         // what is known of the servers is too old, since this VM's link is full
 	BackendRejected    Cause = "backend_rejected"          // the server answered that it did not run the request
 	RouterStopping     Cause = "router_stopping"           // this process is shutting down
 	RequestQuarantined Cause = "request_quarantined"       // the request crashes the servers that run it
@@ -65,7 +66,7 @@
 // NewRefusal returns the refusal for a cause with its usual RetryAfter.
 func NewRefusal(c Cause) Refusal {
 	switch c {
-	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited:
+	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited, BackendsOutdated:
 		return Refusal{Cause: c, RetryAfter: retryLater}
 	case BudgetInDoubt, BudgetLow:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -108,6 +108,9 @@
 	if !t.headSent && !t.deadline.IsZero() && time.Until(t.deadline) < t.f.LinkDelay() {
 		return t.giveUp(t.timeoutCause()) // no server's answer would come back in time
 	}
+	if !t.headSent && t.f.ServersOutdated() {
+		return t.giveUp(t.failureCause(BackendsOutdated))
+	}
 	choice := t.f.Chooser.Choose(t.f.Servers(t.r.Service), t.r, t.excluded)
 	if choice.Server == nil {
 		return t.giveUp(t.failureCause(t.noBackendCause()))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -59,10 +59,28 @@
 	drainTime := max(n.settings.DrainTime, minDrainTime)
 	scale := func(fraction float64) time.Duration { return time.Duration(fraction * float64(drainTime)) }
 	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry,
-		MaxWait: scale(serversMaxWaitFraction), Pause: scale(serversPauseFraction), CheckAfter: scale(serversCheckAfterFraction),
+		Confirmed: func(asOf time.Time) { n.serversAsOf.Store(&asOf) },
+		MaxWait:   scale(serversMaxWaitFraction), Pause: scale(serversPauseFraction), CheckAfter: scale(serversCheckAfterFraction),
 		Timeout: watchTimeout, Burst: serversBurst}
 }
 
+// recentlyFull is how recently the link must have been full to explain that the list of backend
+// servers is old. It covers the next check and its answer.
+const recentlyFull = time.Second
+
+// serversOutdated reports whether backend servers may have left without this router's knowledge,
+// because its own link is full. While the store is away and the link is not full, the list is used
+// whatever its age.
+func (n *Node) serversOutdated() bool {
+	asOf := n.serversAsOf.Load()
+	if asOf == nil {
+		return false
+	}
+	now := n.now()
+	maxAge := time.Duration(serversOutdatedFraction * float64(max(n.settings.DrainTime, minDrainTime)))
+	return now.Sub(*asOf) > maxAge && n.link.WasFull(now.Add(-recentlyFull))
+}
+
 func (n *Node) fleetFollower() *store.Follower {
 	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n}, Confirmed: n.membership.confirm,
 		MaxWait: fleetMaxWait, Pause: fleetPause, CheckAfter: fleetCheckAfter, Timeout: watchTimeout}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,10 @@
 	serversMaxWaitFraction    = 0.5
 	serversPauseFraction      = 0.1
 	serversCheckAfterFraction = 0.7
+	// serversOutdatedFraction is the age at which a router whose link is full sends no more
+	// requests: a server may have left meanwhile, and connecting takes time on such a link. Without
+	// a full link the age is bounded by the check, or the store is away for all.
+	serversOutdatedFraction = 0.75
 	// minDrainTime bounds the rate of calls if the configured drain time is shorter or zero.
 	minDrainTime = 500 * time.Millisecond
 	// serversBurst lets a router see at once that a few servers leave one after the other. If
@@ -119,6 +123,7 @@
 	configMu          sync.Mutex             // held while policy and configItem are set
 	feeds             map[string]*store.Feed // by prefix
 	registry          *fleet.Registry
+	serversAsOf       atomic.Pointer[time.Time] // when the list of backend servers was current
 	evacuations       *fleet.Evacuations
 	members           *fleet.Members
 	rankings          rankings[[]string]          // holders of accounts
@@ -183,6 +188,7 @@
 		RateLimits:        n.limits,
 		PriorityGate:      &pacing.PriorityGate{Now: time.Now},
 		Backend:           n.client,
+		ServersOutdated:   n.serversOutdated,
 		LinkDelay:         n.link.Delay,
 		Limits:            limit.New(n.routerCount, nil),
 		Log:               log,
