escrow: ration the last 3% again, and give a new holder time to see the demand

And TestLowBudgetOutlasts- LossOfPower failed in 3 of 20 runs with 3%: after the return the new holder has seen no demand, so the first large requests took the rest.

For half a second from its first request on, a holder gives one request at most a twentieth of the rest of a low budget.

--- a/internal/escrow/lowbudget.go
+++ b/internal/escrow/lowbudget.go
@@ -17,7 +17,7 @@
 
 const (
 	// lowBudgetShare is the fraction of a budget below which the rest is rationed.
-	lowBudgetShare = 0.02
+	lowBudgetShare = 0.03
 	// observedBudgetShare is the fraction of a budget below which demand is observed, so that it
 	// is known when rationing starts. Rationing ends above it, not above lowBudgetShare: the rest
 	// goes up and down with each reservation.
@@ -35,6 +35,11 @@
 	demandTimeConstant = 5 * time.Second
 	// minDemandPeriod is the shortest time over which demand is averaged.
 	minDemandPeriod = 100 * time.Millisecond
+	// unknownDemandPeriod is how long a holder that has just started, or has just become the holder,
+	// knows too little of the demand. A request may have at most unknownDemandShare of the rest
+	// then, or the first few large ones would take all of it.
+	unknownDemandPeriod = 500 * time.Millisecond
+	unknownDemandShare  = 0.05
 	// sizeClassesPerOctave is the resolution of the sizes of requests: classes are 19% apart.
 	sizeClassesPerOctave = 4
 	// sizeClasses covers requests of up to about a million tokens; larger ones count as the last
@@ -117,6 +122,9 @@
 	}
 	smaller := l.demands[priority].below(sizeClass(tokens)) / l.averagingPeriod(now).Seconds()
 	kept += smaller * lowBudgetHorizon.Seconds()
+	if now-l.startedAt < unknownDemandPeriod && float64(tokens) > unknownDemandShare*float64(rest) {
+		return false
+	}
 	return float64(tokens)+kept <= float64(rest)
 }
 
