peers: close the connection of a follower's answer that is late

Cause, from reading: since a call that is late keeps its connection. An answer to a follower may be large; it went on coming beside the next one that the follower had asked for.

Change: only small calls (loans, gifts, voids) keep it. Followers close it at once, as before.

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -207,9 +207,9 @@
 
 func (c *Client) settle(ctx context.Context, t pendingTransfer) error {
 	if t.gift != nil {
-		return c.call(ctx, t.address, "HandOver", *t.gift, &GiftAnswer{}, nil)
+		return c.call(ctx, t.address, "HandOver", *t.gift, &GiftAnswer{}, ignoreLate)
 	}
-	return c.call(ctx, t.address, "Void", t.loanID, &struct{}{}, nil)
+	return c.call(ctx, t.address, "Void", t.loanID, &struct{}{}, ignoreLate)
 }
 
 // HandOver gives tokens to a peer. It returns false only if the peer certainly got none of them:
@@ -220,7 +220,7 @@
 	}
 	gift := Gift{ID: c.nextID(), Tokens: tokens, Clock: c.clock.Tick()}
 	answer := GiftAnswer{}
-	err := c.call(ctx, address, "HandOver", gift, &answer, nil)
+	err := c.call(ctx, address, "HandOver", gift, &answer, ignoreLate)
 	if errors.Is(err, ErrNotSent) || err == nil && answer.Refused {
 		return false
 	}
@@ -243,6 +243,9 @@
 	return time.Now().Before(c.backoffUntil[address])
 }
 
+// ignoreLate is for small calls whose late answer only shows that the peer is alive.
+func ignoreLate(bool) {}
+
 // call makes a call with the usual timeout; see callWithTimeout.
 func (c *Client) call(ctx context.Context, address, method string, request, answer any, late func(answered bool)) error {
 	timeout := c.link.Timeout(callTimeout, maxCallTimeout)
@@ -262,7 +265,8 @@
 // cut all other requests off from this peer for seconds.
 //
 // If late is not nil and the call is given up without an outcome, the error is errOverdue, and late
-// is called once: when the answer has arrived, or when it is no longer waited for.
+// is called once: when the answer has arrived, or when it is no longer waited for. If late is nil,
+// the peer's connection is closed at once.
 func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, address, method string, request, answer any, late func(answered bool)) error {
 	client, err := c.connect(address)
 	if err != nil {
@@ -282,17 +286,29 @@
 		c.recordAnswer(address)
 		return nil
 	case <-timer.C:
-		suspected := !c.answeredSince(address, started) && c.startBackoff(address)
-		return c.giveUp(address, client, call, started, suspected, late)
+		return c.giveUpSilent(address, client, call, started, late)
 	case <-ctx.Done():
 		return c.giveUp(address, client, call, started, false, late)
 	}
 }
 
-// giveUp returns the error of a call without an outcome, and waits for the outcome in the background
-// if the peer is suspected to be dead or late is not nil.
+// giveUpSilent gives up a call that was not answered in time. A follower's answer may be large:
+// its connection is closed, or the rest of it would come beside the next answer.
+func (c *Client) giveUpSilent(address string, client *rpc.Client, call *rpc.Call, started time.Time, late func(answered bool)) error {
+	if c.answeredSince(address, started) {
+		return c.giveUp(address, client, call, started, false, late)
+	}
+	if late == nil {
+		c.recordFailure(address, client)
+		return ErrUnreachable
+	}
+	return c.giveUp(address, client, call, started, c.startBackoff(address), late)
+}
+
+// giveUp returns the error of a call without an outcome. If late is not nil, the outcome is waited for
+// in the background; suspected means that the peer is taken for dead if there is none.
 func (c *Client) giveUp(address string, client *rpc.Client, call *rpc.Call, started time.Time, suspected bool, late func(answered bool)) error {
-	if !suspected && late == nil {
+	if late == nil {
 		return ErrUnreachable
 	}
 	c.lateAnswers.Go(func() {
@@ -300,13 +316,8 @@
 		if !answered && suspected {
 			c.recordFailure(address, client)
 		}
-		if late != nil {
-			late(answered)
-		}
+		late(answered)
 	})
-	if late == nil {
-		return ErrUnreachable
-	}
 	return errOverdue
 }
 
