--- a/internal/peers/slowlink_test.go
+++ b/internal/peers/slowlink_test.go
@@ -105,3 +105,20 @@
 	defer lender.mu.Unlock()
 	qt.Assert(t, lender.tokens, qt.Equals, int64(95), qt.Commentf("the loan must not be voided as well"))
 }
+
+// Guards against large answers to a follower that go on coming, beside the next one, after the
+// follower has given up on them.
+func TestLateAnswerToFollowerIsCutOff(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })                                        // a failed close does not matter here
+	go func() { _ = Serve(listener, &fakeLender{}, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	address := slowLink(t, listener.Addr().String(), time.Minute)
+
+	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
+	err = c.callWithTimeout(context.Background(), 10*time.Millisecond, address, "Follow", FollowRequest{}, &FollowAnswer{}, nil)
+	qt.Assert(t, err, qt.ErrorIs, ErrUnreachable)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	qt.Assert(t, c.connections[address], qt.IsNil)
+}
