escrow: order requests of a low budget by their whole size

Cause: a router asks for what a request lacks, and the lender took that for its size. Tokens left over at routers made some requests look small, and for their sake the others were refused.

Change: a loan tells the whole size of its request, in escrow.LoanRequest and on the wire; order and demand go by it, what is covered by what is missing.

--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -150,7 +150,7 @@
 
 // borrowFrom borrows the missing tokens from one holder.
 func (m *GrantManager) borrowFrom(ctx context.Context, r *pendingReservation, address string) Shortage {
-	loan := m.opts.Peers.BorrowFrom(ctx, address, LoanRequest{Account: r.grant.account, Tokens: r.missing, WaiterID: r.waiterID, Priority: r.priority})
+	loan := m.opts.Peers.BorrowFrom(ctx, address, LoanRequest{Account: r.grant.account, Tokens: r.missing, Size: r.tokens, WaiterID: r.waiterID, Priority: r.priority})
 	r.received(loan.Tokens)
 	// If the request was cancelled or timed out, the failure says nothing about the holder.
 	if ctx.Err() == nil && (loan.Short == PeerUnreachable || loan.Short == StoreUnreachable) {
--- a/internal/escrow/lend.go
+++ b/internal/escrow/lend.go
@@ -12,6 +12,8 @@
 type LoanRequest struct {
 	Account string
 	Tokens  int64
+	// Size is how many tokens the request needs in all. Some of them may be there already.
+	Size int64
 	// WaiterID identifies the request that needs the tokens in the lender's queue; noWaiter if
 	// there is none.
 	WaiterID string
@@ -44,7 +46,7 @@
 	isHolder := request.WaiterID != noWaiter
 	if isHolder {
 		m.refreshStandby(request.Account)
-		if !m.admit(request.Account, request.Tokens, request.Priority) {
+		if !m.admit(request.Account, request.Tokens, max(request.Size, request.Tokens), request.Priority) {
 			return Loan{Short: Rationed}
 		}
 	}
--- a/internal/escrow/lowbudget.go
+++ b/internal/escrow/lowbudget.go
@@ -108,7 +108,7 @@
 // admits reports whether a request that was observed may have its tokens out of the rest: if the
 // rest also covers what is kept for more urgent requests, in proportion to their demand, and what
 // smaller requests of the same priority need within lowBudgetHorizon.
-func (l *lowBudget) admits(priority int, tokens, rest int64, now time.Duration) bool {
+func (l *lowBudget) admits(priority int, tokens, size, rest int64, now time.Duration) bool {
 	total, urgent := 0.0, 0.0
 	for p, d := range l.demands {
 		total += d.total()
@@ -120,7 +120,7 @@
 	if urgent > 0 {
 		kept = float64(rest) * urgent / total
 	}
-	smaller := l.demands[priority].below(sizeClass(tokens)) / l.averagingPeriod(now).Seconds()
+	smaller := l.demands[priority].below(sizeClass(size)) / l.averagingPeriod(now).Seconds()
 	kept += smaller * lowBudgetHorizon.Seconds()
 	if now-l.startedAt < unknownDemandPeriod && float64(tokens) > unknownDemandShare*float64(rest) {
 		return false
@@ -137,7 +137,7 @@
 
 // admit reports whether a request may have its tokens as far as the rationing of a low budget is
 // concerned. It is asked of the router that gives out the tokens.
-func (m *GrantManager) admit(account string, tokens int64, priority int) bool {
+func (m *GrantManager) admit(account string, tokens, size int64, priority int) bool {
 	prepaid, known := m.opts.Budgets()[account]
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -150,12 +150,12 @@
 		return true
 	}
 	now := m.opts.Clock().Steady
-	g.low.observe(priority, tokens, now)
+	g.low.observe(priority, size, now)
 	rest := g.remaining(prepaid)
 	if !g.low.rationed || tokens > rest {
 		return true // a request that the rest doesn't cover is refused for a better reason later
 	}
-	return g.low.admits(priority, tokens, rest, now)
+	return g.low.admits(priority, tokens, size, rest, now)
 }
 
 // updateLowBudget starts or ends the rationing of a budget at a holder; other routers see neither
--- a/internal/escrow/lowbudget_test.go
+++ b/internal/escrow/lowbudget_test.go
@@ -47,12 +47,12 @@
 		}
 		demanded = max(demanded, smaller)
 		fits := demanded*int64(lowBudgetHorizon.Seconds())+size <= rest
-		if l.admits(0, size, rest, now) {
+		if l.admits(0, size, size, rest, now) {
 			qt.Check(t, fits, qt.IsTrue, qt.Commentf("%d tokens are admitted, smaller requests ask for %d a second", size, smaller))
 		}
 	}
-	qt.Check(t, l.admits(0, 100, rest, now), qt.IsTrue)
-	qt.Check(t, l.admits(0, 13_000, rest, now), qt.IsFalse)
+	qt.Check(t, l.admits(0, 100, 100, rest, now), qt.IsTrue)
+	qt.Check(t, l.admits(0, 13_000, 13_000, rest, now), qt.IsFalse)
 }
 
 // Guards against refusing requests for the sake of others that are not smaller: an account whose
@@ -62,7 +62,7 @@
 	for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
 		l.observe(3, 9_000, now)
 	}
-	qt.Assert(t, l.admits(3, 9_000, 9_000, time.Second), qt.IsTrue)
+	qt.Assert(t, l.admits(3, 9_000, 9_000, 9_000, time.Second), qt.IsTrue)
 }
 
 // Guards against refusing a large request because of small ones that came long ago.
@@ -70,10 +70,10 @@
 	l := newLowBudget(0)
 	now := observeMixedDemand(l, 0, 0)
 	l.observe(0, 12_000, now)
-	qt.Assert(t, l.admits(0, 12_000, 40_000, now), qt.IsFalse)
+	qt.Assert(t, l.admits(0, 12_000, 12_000, 40_000, now), qt.IsFalse)
 	now += time.Minute
 	l.observe(0, 12_000, now)
-	qt.Assert(t, l.admits(0, 12_000, 40_000, now), qt.IsTrue)
+	qt.Assert(t, l.admits(0, 12_000, 12_000, 40_000, now), qt.IsTrue)
 }
 
 // Guards against less urgent requests that use up what more urgent ones need.
@@ -84,9 +84,9 @@
 		l.observe(0, 9_000, now)
 		l.observe(2, 1_000, now)
 	}
-	qt.Assert(t, l.admits(0, 9_000, 9_500, now), qt.IsTrue)
-	qt.Assert(t, l.admits(2, 1_000, 9_500, now), qt.IsFalse)
-	qt.Assert(t, l.admits(2, 1_000, 11_000, now), qt.IsTrue)
+	qt.Assert(t, l.admits(0, 9_000, 9_000, 9_500, now), qt.IsTrue)
+	qt.Assert(t, l.admits(2, 1_000, 1_000, 9_500, now), qt.IsFalse)
+	qt.Assert(t, l.admits(2, 1_000, 1_000, 11_000, now), qt.IsTrue)
 }
 
 // Guards against rationing a budget of which another router holds a large part that can be
@@ -111,7 +111,7 @@
 	g.rate, g.rateWeight, g.waitingTokens = 100_000, 1, 1_000_000-g.used()-15_000
 	m.syncStore(context.Background(), true)
 	g.spent, g.waitingTokens = 985_000-1, 0
-	c.Assert(m.admit("boatyard", 100, 0), qt.IsTrue)
+	c.Assert(m.admit("boatyard", 100, 100, 0), qt.IsTrue)
 	b.steady += ledgerInterval
 	m.syncStore(context.Background(), true)
 
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -14,7 +14,7 @@
 // tokens first; 0 is the most urgent priority.
 func (m *GrantManager) Reserve(ctx context.Context, account string, tokens int64, priority int) (*Reservation, error) {
 	isHome := m.roleOf(account) == home
-	if isHome && !m.admit(account, tokens, priority) {
+	if isHome && !m.admit(account, tokens, tokens, priority) {
 		return nil, ErrRationed
 	}
 	r := m.newPendingReservation(account, tokens, isHome, "")
@@ -44,7 +44,7 @@
 		return short.err() // a holder that can draw got no more, so this router would not either
 	}
 	if m.mayDraw(r.grant) {
-		if m.roleOf(r.grant.account) == standby && !m.admit(r.grant.account, r.missing, r.priority) {
+		if m.roleOf(r.grant.account) == standby && !m.admit(r.grant.account, r.missing, r.tokens, r.priority) {
 			return ErrRationed
 		}
 		if err := m.awaitDraw(ctx, r); !errors.Is(err, ErrUnreachable) {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -124,7 +124,7 @@
 // lend asks for a loan. A loan that arrives late is passed on to acceptLate. One whose answer is lost
 // is not used; it is voided later.
 func (c *Client) lend(ctx context.Context, address string, request escrow.LoanRequest) (Loan, error) {
-	message := LoanRequest{ID: c.nextID(), Account: request.Account, Tokens: request.Tokens, Waiter: request.WaiterID,
+	message := LoanRequest{ID: c.nextID(), Account: request.Account, Tokens: request.Tokens, Size: request.Size, Waiter: request.WaiterID,
 		Priority: request.Priority, Clock: c.clock.Tick()}
 	loan := Loan{}
 	void := func() {
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -31,6 +31,8 @@
 	ID      TransferID
 	Account string
 	Tokens  int64
+	// Size is how many tokens the request needs in all. Some of them may be there already.
+	Size int64
 	// Waiter names the request in the account's queue. If it is empty, only tokens that no
 	// queued request waits for are lent.
 	Waiter string
@@ -114,7 +116,7 @@
 	if s.transfers.isVoided(request.ID) {
 		return nil // the borrower has given up on it
 	}
-	result := s.lender.Lend(escrow.LoanRequest{Account: request.Account, Tokens: request.Tokens, WaiterID: request.Waiter, Priority: request.Priority})
+	result := s.lender.Lend(escrow.LoanRequest{Account: request.Account, Tokens: request.Tokens, Size: request.Size, WaiterID: request.Waiter, Priority: request.Priority})
 	loan.Tokens, loan.Used, loan.Spent, loan.Short = result.Tokens, result.Used, result.Spent, result.Short
 	if !s.transfers.recordLoan(request.ID, request.Account, loan.Tokens) {
 		s.lender.VoidLoan(request.Account, loan.Tokens)
