forward: name the content of an attempt that failed

Cause: lines 203 didn't tell whether attempts that broke at several routers were repetitions of one request, so counts per router and lost reports look alike. Change: line 203 has content, the hash that the quarantine counts by.

--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -84,5 +84,5 @@
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
-		slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+		slog.Uint64("content", t.contentHash), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
 }
