quarantine: count the crashes that all routers saw

Callers' repetitions of a request that crashes servers came to another router each time, and each router counted alone: seven servers ended (BUDGET) before one router had seen two. A crash is dismissed if its server is still listed six seconds later, or if the content is answered whole. A request that waited for tokens is checked again before it is sent. Why it works: a record is with each router 2.6 s after it is written (fleetCheckAfter), so two of any three crashes are known to all in three seconds; records outlive their router, so a restart forgets nothing. The old key form, chicory/broken/<content>, is no longer read or written: routers of both versions in one fleet count by themselves, as before.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,9 @@
 	// ClaimLeftOpen: the outcome of a request could not be stored in the claim of its
 	// idempotency key.
 	ClaimLeftOpen Number = 211
+	// QuarantineEnded: a content is no longer refused, because the servers that seemed to crash
+	// from it still run.
+	QuarantineEnded Number = 212
 )
 
 // Budget events.
@@ -94,10 +97,13 @@
 	StoreUnreachable Number = 710
 	StoreReachable   Number = 711
 	LeaseLost        Number = 712
-	ReportDropped    Number = 713
-	Bootstrapped     Number = 714
-	SourceChanged    Number = 715
-	StoreCalls       Number = 716
+	// CrashesRecorded: the requests that may have crashed backend servers were stored for the
+	// other routers; CrashesNotRecorded: they could not be stored yet.
+	CrashesRecorded    Number = 723
+	CrashesNotRecorded Number = 724
+	Bootstrapped       Number = 714
+	SourceChanged      Number = 715
+	StoreCalls         Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -122,8 +128,9 @@
 	{RequestReplayed, slog.LevelInfo, "request answered from an earlier run"},
 	{RequestServed, slog.LevelInfo, "request answered"},
 	{ResponseAborted, slog.LevelWarn, "answer cut off"},
-	{RequestQuarantined, slog.LevelWarn, "request refused: it broke the backend servers that ran it"},
+	{RequestQuarantined, slog.LevelWarn, "request content quarantined: it broke the backend servers that ran it"},
 	{ClaimLeftOpen, slog.LevelWarn, "claim of an idempotency key left open"},
+	{QuarantineEnded, slog.LevelInfo, "request content no longer quarantined"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{DrawOutcomeUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
@@ -150,7 +157,6 @@
 	{StoreUnreachable, slog.LevelWarn, "store unreachable"},
 	{StoreReachable, slog.LevelInfo, "store reachable"},
 	{LeaseLost, slog.LevelWarn, "lease of this router's entry lost"},
-	{ReportDropped, slog.LevelWarn, "report of a request that breaks servers dropped"},
 	{Bootstrapped, slog.LevelInfo, "started on another router's knowledge"},
 	{SourceChanged, slog.LevelInfo, "source of knowledge changed"},
 	{StoreCalls, slog.LevelInfo, "calls to the store"},
@@ -160,6 +166,8 @@
 	{BackendUnlimited, slog.LevelInfo, "backend server limits its requests no more"},
 	{LimitRecorded, slog.LevelInfo, "limit of a backend server recorded"},
 	{LimitNotRecorded, slog.LevelWarn, "limit of a backend server not recorded"},
+	{CrashesRecorded, slog.LevelInfo, "requests that broke backend servers recorded"},
+	{CrashesNotRecorded, slog.LevelWarn, "requests that broke backend servers not recorded"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -268,3 +268,30 @@
 	m.Apply([]store.Event{{Item: memberItem("a"), Deleted: true}}, normalSilence)
 	qt.Assert(t, m.List(), qt.DeepEquals, []Member{{Name: "b"}})
 }
+
+// Guards against a crash that is taken for a network fault because the server's entry outlives it.
+func TestServerOutlivesCrashOnlyIfListedLongAfter(t *testing.T) {
+	r, c := newRegistry()
+	r.Reset([]store.Item{entryItem("a", 1, false)}, store.Silence{})
+	incarnation := r.View().ByService["engines"][0].Incarnation
+	crash := c.now()
+	answerAfter := func(d time.Duration, events ...store.Event) {
+		c.advance(d)
+		r.Apply(events, normalSilence)
+	}
+	answerAfter(maxEntryAge - time.Millisecond)
+	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse, qt.Commentf("the entry may not have expired yet"))
+	c.advance(time.Second)
+	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse, qt.Commentf("nothing was heard since"))
+	answerAfter(0)
+	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsTrue)
+
+	r.SetReachable(false, errors.New("no answer"))
+	answerAfter(maxEntryAge)
+	qt.Assert(t, r.Outlived(incarnation, c.now().Add(-maxEntryAge)), qt.IsFalse, qt.Commentf("entries may be kept in an outage"))
+	answerAfter(maxEntryAge)
+	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsTrue)
+
+	answerAfter(0, deletion("a", 9))
+	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse)
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -39,7 +39,9 @@
 	// lastAnswer is when the last answer came from the store, or from the router that reads
 	// the store on behalf of this one.
 	lastAnswer time.Time
-	view       atomic.Pointer[View]
+	// answeringSince is when the store answered again after the last failed call.
+	answeringSince time.Time
+	view           atomic.Pointer[View]
 	// graceEnd is when the missing entries are to be dropped; nil if none is missing. It holds a
 	// time.Time rather than a Unix time for its monotonic reading: with a wall clock that jumped
 	// back, a server that left would stay in use for longer.
@@ -121,7 +123,11 @@
 
 // recordAnswer notes that an answer of the store has been applied, and publishes the new view.
 func (r *Registry) recordAnswer() {
-	r.lastAnswer, r.reachable = r.now(), true
+	now := r.now()
+	if !r.reachable {
+		r.answeringSince = now
+	}
+	r.lastAnswer, r.reachable = now, true
 	r.publish()
 }
 
@@ -164,6 +170,30 @@
 	return false
 }
 
+// maxEntryAge is how long a server may stay listed here after its end: its entry is removed after three
+// heartbeats that did not come, and another router may relay the list.
+const maxEntryAge = 6 * time.Second
+
+// Outlived reports whether a server was still registered so long after the given time that it can't
+// have crashed then. A time at which the store did not answer doesn't count, since entries may be
+// kept meanwhile.
+func (r *Registry) Outlived(incarnation string, since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeringSince.After(since) {
+		since = r.answeringSince
+	}
+	if !r.reachable || r.lastAnswer.Sub(since) < maxEntryAge {
+		return false
+	}
+	for _, known := range r.servers {
+		if known.server.Incarnation == incarnation {
+			return !known.expired
+		}
+	}
+	return false
+}
+
 // Items returns the last stored entries, to send to another router.
 func (r *Registry) Items() []store.Item {
 	r.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,7 +13,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/policy"
-	"chicorytiller.example/chicorytiller/internal/retry"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
@@ -98,17 +98,17 @@
 	server.RecordFailure(time.Now())
 	t.logFailure(server, "broken", err)
 	if !t.pastDeadline() && !upstream.IsTimeout(err) {
-		t.recordCrash()
+		t.recordCrash(server)
 	}
 	return broken
 }
 
-// recordCrash counts the failure of a server while it ran the request. Some requests crash every
-// server that begins to run them, and callers send them again.
-func (t *task) recordCrash() {
-	if retry.StartsQuarantine(t.f.Quarantine.RecordCrash(t.contentHash)) {
-		t.f.Log.Emit(event.RequestQuarantined, slog.String(event.KeyRequest, t.r.ID), slog.Uint64("content", t.contentHash))
-		t.f.ReportQuarantined(t.contentHash)
+// recordCrash records that a server may have crashed because of the request. Some requests crash
+// every server that begins to run them, and callers send them again.
+func (t *task) recordCrash(server *fleet.Server) {
+	if t.f.Quarantine.RecordCrash(quarantine.Crash{Content: t.contentHash, Server: server.Incarnation}) {
+		t.f.Log.Emit(event.RequestQuarantined, slog.String(event.KeyRequest, t.r.ID), slog.String("content", quarantine.FormatContent(t.contentHash)),
+			slog.Any("servers", t.f.Quarantine.Servers(t.contentHash)), slog.String("by", "answer"))
 	}
 }
 
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -2,10 +2,12 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 )
 
 // noBackendCause returns why there is no server to send the request to.
@@ -55,6 +57,9 @@
 }
 
 func (t *task) recordServed(server *fleet.Server, status int) {
+	if status == http.StatusOK {
+		t.f.Quarantine.RecordSuccess(t.contentHash)
+	}
 	total := time.Since(t.r.Arrived)
 	firstByte := t.firstByteAt.Sub(t.r.Arrived)
 	t.f.Metrics.Served(firstByte, total)
@@ -84,5 +89,5 @@
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
-		slog.Uint64("content", t.contentHash), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+		slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 	"chicorytiller.example/chicorytiller/internal/limit"
 	"chicorytiller.example/chicorytiller/internal/pacing"
 	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
 	"chicorytiller.example/chicorytiller/internal/upstream"
@@ -65,11 +66,8 @@
 	Servers    func(service string) []*fleet.Server
 	Budget     Budget
 	Retries    *retry.Budget
-	Quarantine *retry.Quarantine
-	// ReportQuarantined tells the other routers the content hash of a request that crashes
-	// servers.
-	ReportQuarantined func(contentHash uint64)
-	Chooser           *balance.Chooser
+	Quarantine *quarantine.Quarantine
+	Chooser    *balance.Chooser
 	// RateLimits records the rate limits that servers announce with their answers.
 	RateLimits *pacing.Limits
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -111,6 +111,9 @@
 	if !t.headSent && t.f.ServersOutdated() {
 		return t.giveUp(t.failureCause(BackendsOutdated))
 	}
+	if t.sends == 0 && t.f.Quarantine.Contains(t.contentHash) {
+		return t.giveUp(RequestQuarantined) // since it was admitted
+	}
 	choice := t.f.Chooser.Choose(t.f.Servers(t.r.Service), t.r, t.excluded)
 	if choice.Server == nil {
 		return t.giveUp(t.failureCause(t.noBackendCause()))
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -104,60 +102,3 @@
 		n.log.Emit(event.LeaseLost, slog.Int64("lease", int64(lease)), slog.Any(event.KeyCause, err))
 	}
 }
-
-// Reports of quarantined requests, which crash the servers that run them.
-const (
-	// maxPendingReports bounds the queue of reports to write to the store.
-	maxPendingReports = 64
-	// quarantineReportTTL is how long a report stays in the store. It equals the time for which
-	// a router keeps a request in its own quarantine.
-	quarantineReportTTL = 5 * time.Minute
-)
-
-// reportQuarantined queues a report to the other routers that requests with this content hash
-// crash servers. It never blocks: if the queue is full the report is dropped, and each router
-// has to detect the request by itself.
-func (n *Node) reportQuarantined(hash uint64) {
-	select {
-	case n.quarantineReports <- hash:
-	default:
-		n.log.Emit(event.ReportDropped, slog.Uint64("content", hash))
-	}
-}
-
-func (n *Node) publishQuarantineReports(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case hash := <-n.quarantineReports:
-			n.publishQuarantineReport(ctx, hash)
-		}
-	}
-}
-
-func (n *Node) publishQuarantineReport(ctx context.Context, hash uint64) {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	lease, err := n.env.Store.GrantLease(ctx, quarantineReportTTL)
-	if err == nil {
-		key := quarantinePrefix + strconv.FormatUint(hash, 16)
-		_, err = n.env.Store.Commit(ctx, store.Txn{Puts: []store.Put{{Key: key, Value: []byte(n.settings.VM), Lease: lease}}})
-	}
-	if err != nil {
-		n.log.Emit(event.ReportDropped, slog.Uint64("content", hash), slog.Any(event.KeyCause, err))
-	}
-}
-
-// applyQuarantineReport quarantines the request of another router's report. It returns whether
-// the key is that of a report.
-func (n *Node) applyQuarantineReport(key string) bool {
-	hexHash, found := strings.CutPrefix(key, quarantinePrefix)
-	if !found {
-		return false
-	}
-	if hash, err := strconv.ParseUint(hexHash, 16, 64); err == nil {
-		n.quarantine.Insert(hash)
-	}
-	return true
-}
--- /dev/null
+++ b/internal/node/crashes.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
+	"chicorytiller.example/chicorytiller/internal/store"
+)
+
+// Publication of the crashes of backend servers that this router saw.
+const (
+	// crashWriteInterval is the time between two writes, and the wait after a failed one. It is
+	// short, so that soon after an outage of the store all routers know what each saw meanwhile.
+	crashWriteInterval = 500 * time.Millisecond
+	// crashWriteTimeout bounds a write and the call for its lease. It is long enough for a slow
+	// store: a write that is given up each time would never tell the other routers.
+	crashWriteTimeout = 2 * time.Second
+	// crashLeaseTTL is the lifetime of the lease under which a record is kept. What remains of it
+	// after crashLeaseReuseTime is the time for which a content is suspect.
+	crashLeaseTTL       = 7 * time.Minute
+	crashLeaseReuseTime = 2 * time.Minute
+	// survivalCheckInterval is how often suspected crashes are compared with the list of servers.
+	survivalCheckInterval = time.Second
+)
+
+// publishCrashes tells the other routers which requests may have crashed backend servers.
+func (n *Node) publishCrashes(ctx context.Context) {
+	w := crashWriter{node: n, writer: leasedWriter{store: n.env.Store, ttl: crashLeaseTTL, reuseTime: crashLeaseReuseTime}}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.quarantine.Changed():
+		}
+		for w.isDue() {
+			w.write(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(crashWriteInterval):
+			}
+		}
+	}
+}
+
+// crashWriter writes this router's record of crashes.
+type crashWriter struct {
+	node    *Node
+	writer  leasedWriter
+	written uint64 // version of the list of crashes that the store holds
+	failing bool   // the last write failed
+}
+
+func (w *crashWriter) isDue() bool {
+	_, version := w.node.quarantine.OwnCrashes()
+	return version != w.written
+}
+
+// write writes the record. If that fails, it remains due.
+func (w *crashWriter) write(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
+	defer cancel()
+	crashes, version := w.node.quarantine.OwnCrashes()
+	record := quarantine.NewRecord(w.node.settings.VM, crashes)
+	err := w.writer.put(ctx, quarantine.RecordKey(w.node.incarnation), record.Encode())
+	if err != nil && !w.failing {
+		w.node.log.Emit(event.CrashesNotRecorded, slog.Int("crashes", len(crashes)), slog.Any(event.KeyCause, err))
+	}
+	w.failing = err != nil
+	if err == nil {
+		w.written = version
+		w.node.log.Emit(event.CrashesRecorded, slog.Int("crashes", len(crashes)))
+	}
+}
+
+// applyCrashRecord counts the crashes of another router's record. It reports whether the item's key
+// is that of such a record; an invalid record is logged.
+func (n *Node) applyCrashRecord(item store.Item) bool {
+	if !quarantine.IsRecord(item.Key) {
+		return false
+	}
+	vm, crashes, err := quarantine.DecodeRecord(item)
+	if err != nil {
+		n.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
+		return true
+	}
+	for _, content := range n.quarantine.Merge(crashes) {
+		n.log.Emit(event.RequestQuarantined, slog.String("content", quarantine.FormatContent(content)),
+			slog.Any("servers", n.quarantine.Servers(content)), slog.String("by", "record"), slog.String(event.KeyRouter, vm),
+			slog.Int64("revision", int64(item.Revision)))
+	}
+	return true
+}
+
+// dismissSurvivedCrashes dismisses, at intervals, the suspected crashes of servers that still run:
+// there the network failed.
+func (n *Node) dismissSurvivedCrashes(ctx context.Context) {
+	ticker := time.NewTicker(survivalCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, content := range n.quarantine.DismissSurvived(n.registry.Outlived) {
+			n.log.Emit(event.QuarantineEnded, slog.String("content", quarantine.FormatContent(content)), slog.String(event.KeyCause, "servers still run"))
+		}
+	}
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -24,7 +24,8 @@
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.bootstrap(ctx) })
 	tasks.Go(func() { n.maintainEntry(ctx) })
-	tasks.Go(func() { n.publishQuarantineReports(ctx) })
+	tasks.Go(func() { n.publishCrashes(ctx) })
+	tasks.Go(func() { n.dismissSurvivedCrashes(ctx) })
 	tasks.Go(func() { n.publishLimits(ctx) })
 }
 
@@ -152,8 +153,8 @@
 	n.log.Emit(event.ConfigApplied, slog.Int64("config", p.Version), slog.Int64("revision", int64(item.Revision)))
 }
 
-// fleetSink applies the records that routers write for each other: their entries, reports of
-// quarantined requests and rate limits of backend servers.
+// fleetSink applies the records that routers write for each other: their entries, the requests that
+// crashed backend servers, and rate limits of backend servers.
 type fleetSink struct {
 	node *Node
 }
@@ -165,7 +166,7 @@
 func (s *fleetSink) Reset(items []store.Item, silence store.Silence) {
 	var members []store.Item
 	for _, item := range items {
-		if !s.node.applyQuarantineReport(item.Key) && !s.node.limits.ApplyRecord(item) {
+		if !s.node.applyCrashRecord(item) && !s.node.limits.ApplyRecord(item) {
 			members = append(members, item)
 		}
 	}
@@ -177,7 +178,7 @@
 func (s *fleetSink) Apply(events []store.Event, silence store.Silence) {
 	var members []store.Event
 	for _, e := range events {
-		if e.Deleted || !s.node.applyQuarantineReport(e.Key) && !s.node.limits.ApplyRecord(e.Item) {
+		if e.Deleted || !s.node.applyCrashRecord(e.Item) && !s.node.limits.ApplyRecord(e.Item) {
 			members = append(members, e)
 		}
 	}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -5,12 +5,9 @@
 	"log/slog"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/pacing"
-	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 const (
@@ -25,15 +22,14 @@
 
 // limitWriter writes to the store the rate limits that backend servers announced.
 type limitWriter struct {
-	node      *Node
-	lease     store.LeaseID
-	grantedAt time.Time
+	node   *Node
+	writer leasedWriter
 }
 
 // publishLimits publishes to the other routers the rate limits that backend servers announced to
 // this one.
 func (n *Node) publishLimits(ctx context.Context) {
-	w := limitWriter{node: n}
+	w := limitWriter{node: n, writer: leasedWriter{store: n.env.Store, ttl: limitLeaseTTL, reuseTime: limitLeaseReuseTime}}
 	prune := time.NewTicker(limitPruneInterval)
 	defer prune.Stop()
 	for {
@@ -63,9 +59,6 @@
 	defer cancel()
 	record.Router = w.node.settings.VM
 	err := w.commit(ctx, record)
-	if errors.Is(err, store.ErrLeaseGone) {
-		w.lease = 0
-	}
 	attrs := []slog.Attr{slog.String(event.KeyBackend, fleet.ServerID(record.Incarnation)), slog.Float64("per_second", record.PerSecond),
 		slog.Bool("over", record.Ended)}
 	if err != nil {
@@ -76,18 +69,9 @@
 }
 
 func (w *limitWriter) commit(ctx context.Context, record pacing.Record) error {
-	if w.lease == 0 || time.Since(w.grantedAt) > limitLeaseReuseTime {
-		lease, err := w.node.env.Store.GrantLease(ctx, limitLeaseTTL)
-		if err != nil {
-			return err
-		}
-		w.lease, w.grantedAt = lease, time.Now()
-	}
 	value, err := record.Encode()
 	if err != nil {
 		return err
 	}
-	put := store.Put{Key: record.Key(), Value: value, Lease: w.lease}
-	_, err = w.node.env.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
-	return err
+	return w.writer.put(ctx, record.Key(), value)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -60,6 +60,12 @@
 		Help: "Backend servers that name a limit of requests a second."}, func() float64 { return float64(count()) }))
 }
 
+// registerQuarantined registers a gauge of the contents that are refused because they crash servers.
+func (m *Metrics) registerQuarantined(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_quarantined_contents",
+		Help: "Contents of requests that are refused because they crashed backend servers."}, func() float64 { return float64(count()) }))
+}
+
 // registerLinkDelay registers a gauge of the delay of this VM's own link.
 func (m *Metrics) registerLinkDelay(delay func() time.Duration) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_link_delay_seconds",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"chicorytiller.example/chicorytiller/internal/pacing"
 	"chicorytiller.example/chicorytiller/internal/peers"
 	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
 	"chicorytiller.example/chicorytiller/internal/store"
@@ -35,9 +36,8 @@
 // Prefixes of the keys that routers write.
 const (
 	// MemberPrefix holds the routers' entries, each under the name of its VM.
-	MemberPrefix     = "chicory/router/"
-	quarantinePrefix = "chicory/broken/" // reports of quarantined requests, by content hash
-	fleetPrefix      = "chicory/"        // all records that fleetSink applies
+	MemberPrefix = "chicory/router/"
+	fleetPrefix  = "chicory/" // all records that fleetSink applies
 	// BudgetPrefix holds the records of package escrow.
 	BudgetPrefix = "chicory-budget/"
 )
@@ -72,7 +72,7 @@
 	// registers again, and one paid call per registration would be expensive.
 	fleetMaxWait = 2000 * time.Millisecond
 	fleetPause   = 300 * time.Millisecond
-	// fleetCheckAfter lets a report of a request that crashes servers reach each router within
+	// fleetCheckAfter lets a record of a request that crashes servers reach each router within
 	// three seconds, after which no router may send the request any more. The removal of routers
 	// is less urgent: callers leave a router that does not answer by themselves.
 	fleetCheckAfter = 2600 * time.Millisecond
@@ -119,25 +119,24 @@
 
 	policy atomic.Pointer[policy.Policy]
 	// configItem is the item that policy was decoded from.
-	configItem        atomic.Pointer[store.Item]
-	configMu          sync.Mutex             // held while policy and configItem are set
-	feeds             map[string]*store.Feed // by prefix
-	registry          *fleet.Registry
-	serversAsOf       atomic.Pointer[time.Time] // when the list of backend servers was current
-	evacuations       *fleet.Evacuations
-	members           *fleet.Members
-	rankings          rankings[[]string]          // holders of accounts
-	serverRanks       rankings[pacing.SenderRank] // of this router, by incarnation of a backend server
-	limits            *pacing.Limits
-	membership        membership
-	grants            *escrow.GrantManager
-	retries           *retry.Budget
-	quarantine        *retry.Quarantine
-	link              *linkdelay.Estimator
-	client            *upstream.Client
-	peers             *peers.Client
-	forward           *forward.Forwarder
-	quarantineReports chan uint64
+	configItem  atomic.Pointer[store.Item]
+	configMu    sync.Mutex             // held while policy and configItem are set
+	feeds       map[string]*store.Feed // by prefix
+	registry    *fleet.Registry
+	serversAsOf atomic.Pointer[time.Time] // when the list of backend servers was current
+	evacuations *fleet.Evacuations
+	members     *fleet.Members
+	rankings    rankings[[]string]          // holders of accounts
+	serverRanks rankings[pacing.SenderRank] // of this router, by incarnation of a backend server
+	limits      *pacing.Limits
+	membership  membership
+	grants      *escrow.GrantManager
+	retries     *retry.Budget
+	quarantine  *quarantine.Quarantine
+	link        *linkdelay.Estimator
+	client      *upstream.Client
+	peers       *peers.Client
+	forward     *forward.Forwarder
 
 	listeners    []*listener
 	peerListener net.Listener
@@ -152,7 +151,7 @@
 
 // New returns a node. incarnation must be unique among all processes ever started.
 func New(s *Settings, env Environment, log *event.Log, incarnation string) *Node {
-	n := &Node{settings: s, env: env, log: log, incarnation: incarnation, metrics: NewMetrics(), quarantineReports: make(chan uint64, maxPendingReports),
+	n := &Node{settings: s, env: env, log: log, incarnation: incarnation, metrics: NewMetrics(),
 		stopSignal: make(chan struct{}), createdAt: time.Now()}
 	env.Store = store.CountingStore{Store: env.Store, Count: n.metrics.CountStoreCall}
 	n.env.Store = env.Store
@@ -164,7 +163,8 @@
 		env.ConfigPrefix: {Now: env.Now}, fleetPrefix: {Now: env.Now}, env.ServersPrefix: {Now: env.Now, Equivalent: n.registry.Same},
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
-	n.quarantine = retry.NewQuarantine(nil)
+	n.quarantine = quarantine.New(nil)
+	n.metrics.registerQuarantined(n.quarantine.Count)
 	n.link = linkdelay.New(env.Now)
 	n.metrics.registerLinkDelay(n.link.Delay)
 	n.client = upstream.NewClient(env.Codec, n.metrics.BackendDials, n.link)
@@ -178,21 +178,20 @@
 	n.metrics.registerLimitedBackends(n.limits.Count)
 	pacer := &pacing.Limiter{ColdRate: n.coldRate, SenderRank: n.rankFor, Limits: n.limits, Now: time.Now}
 	n.forward = &forward.Forwarder{
-		Policy:            n.policy.Load,
-		Servers:           func(service string) []*fleet.Server { return n.registry.View().ByService[service] },
-		Budget:            n.grants,
-		Retries:           n.retries,
-		Quarantine:        n.quarantine,
-		ReportQuarantined: n.reportQuarantined,
-		Chooser:           balance.NewChooser(s.FailureDomain, pacer, nil),
-		RateLimits:        n.limits,
-		PriorityGate:      &pacing.PriorityGate{Now: time.Now},
-		Backend:           n.client,
-		ServersOutdated:   n.serversOutdated,
-		LinkDelay:         n.link.Delay,
-		Limits:            limit.New(n.routerCount, nil),
-		Log:               log,
-		Metrics:           n.metrics,
+		Policy:          n.policy.Load,
+		Servers:         func(service string) []*fleet.Server { return n.registry.View().ByService[service] },
+		Budget:          n.grants,
+		Retries:         n.retries,
+		Quarantine:      n.quarantine,
+		Chooser:         balance.NewChooser(s.FailureDomain, pacer, nil),
+		RateLimits:      n.limits,
+		PriorityGate:    &pacing.PriorityGate{Now: time.Now},
+		Backend:         n.client,
+		ServersOutdated: n.serversOutdated,
+		LinkDelay:       n.link.Delay,
+		Limits:          limit.New(n.routerCount, nil),
+		Log:             log,
+		Metrics:         n.metrics,
 	}
 	return n
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,4 +1,4 @@
-// Package retry limits retries and quarantines requests that crash backend servers.
+// Package retry limits retries.
 package retry
 
 import (
