forward: count a server that crashes late in a long answer

Cause: an answer of 256 KiB or more that broke off was logged and given up, but not counted as a crash, so a request that crashes servers there was never held back. Change: the unbuffered path takes the same way as the others.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -19,7 +19,7 @@
 		return t.handleBroken(watch, server, err)
 	}
 	if len(body) == maxBufferedAnswer {
-		return t.relayUnbuffered(server, reply, body)
+		return t.relayUnbuffered(watch, server, reply, body)
 	}
 	serverError := reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
 	if serverError && t.r.Route.Retryable() && t.acquireRetry("failed") {
@@ -51,7 +51,7 @@
 
 // relayUnbuffered relays an answer that is too long to be buffered; buffered is the part already
 // read.
-func (t *task) relayUnbuffered(server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
+func (t *task) relayUnbuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
 	t.headSent, t.firstByteAt = true, time.Now()
 	t.setOutput(reply.OutputTokens)
 	t.caller.Begin(reply.Status, reply.Header, reply.Length)
@@ -76,7 +76,9 @@
 			t.recordServed(server, reply.Status)
 			return finished
 		}
-		t.logFailure(server, "broken", err)
+		if t.handleBroken(watch, server, err) == callerGone {
+			return callerGone
+		}
 		t.giveUp(BackendFailed)
 		return finished
 	}
