tunnel: reach servers through another router while the own path is cut

Change: where a server refuses or doesn't answer a dial, the connection is opened through another router that reaches it. The carrier looks the server up by itself, passes bytes on in frames that tell how the server's connection ended, and refuses at once what it doesn't reach itself; nothing is carried twice. Admission, tokens, retries and deadlines stay where they are. A server that doesn't answer keeps its path marked down: requests take the way through a carrier at once, a probe beside them each 0.5 s finds the direct one again. Carriers that failed lately are asked last, near ones first, otherwise at random. A dial that times out is no longer taken for a full link of the own VM: that had refused requests of cut routers as overdue_unsent. The time to connect to a carrier tells the two apart.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -101,9 +101,13 @@
 	// other routers; CrashesNotRecorded: they could not be stored yet.
 	CrashesRecorded    Number = 723
 	CrashesNotRecorded Number = 724
-	Bootstrapped       Number = 714
-	SourceChanged      Number = 715
-	StoreCalls         Number = 716
+	// PathLost: a backend server does not answer this router, which reaches it through another
+	// one, if at all; PathRestored: it answers again.
+	PathLost      Number = 725
+	PathRestored  Number = 726
+	Bootstrapped  Number = 714
+	SourceChanged Number = 715
+	StoreCalls    Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -168,6 +172,8 @@
 	{LimitNotRecorded, slog.LevelWarn, "limit of a backend server not recorded"},
 	{CrashesRecorded, slog.LevelInfo, "requests that broke backend servers recorded"},
 	{CrashesNotRecorded, slog.LevelWarn, "requests that broke backend servers not recorded"},
+	{PathLost, slog.LevelWarn, "path to a backend server lost"},
+	{PathRestored, slog.LevelInfo, "path to a backend server restored"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -194,6 +194,18 @@
 	return false
 }
 
+// Find returns the server with the ID and start time, or nil if none is registered.
+func (r *Registry) Find(id string, startUnixMilli int64) *Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.servers {
+		if known.server.ID == id && known.server.StartUnixMilli == startUnixMilli {
+			return known.server
+		}
+	}
+	return nil
+}
+
 // Items returns the last stored entries, to send to another router.
 func (r *Registry) Items() []store.Item {
 	r.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,6 +43,7 @@
 	watch := t.watch(parent)
 	defer watch.stop()
 	reply, err := t.f.Backend.Do(watch.ctx, a)
+	t.via = a.Via
 	server.EndPrefill(choice.UncachedTokens)
 	if err != nil {
 		return t.handleSendError(watch, server, err)
@@ -95,6 +96,10 @@
 	if watch.parent.Err() != nil && !t.pastDeadline() {
 		return callerGone
 	}
+	if upstream.IsCarrierFailure(err) {
+		t.logFailure(server, "carrier lost", err)
+		return broken
+	}
 	server.RecordFailure(time.Now())
 	t.logFailure(server, "broken", err)
 	if !t.pastDeadline() && !upstream.IsTimeout(err) {
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -66,7 +66,7 @@
 	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", status),
 		slog.Int64("first_ms", firstByte.Milliseconds()), slog.Int64("reserved_ms", t.reserveTime.Milliseconds()),
 		slog.Int64("server_ms", t.firstByteAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.maxGap.Milliseconds()),
-		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events))...)
+		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via))...)
 }
 
 func (t *task) attrs() []slog.Attr {
@@ -89,5 +89,5 @@
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
-		slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+		slog.String("via", t.via), slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -39,6 +39,7 @@
 	dialFailures int             // attempts that could not connect
 	mayHaveRun   bool
 	lastFailure  string
+	via          string // the router that carried the last attempt; empty if it was direct
 
 	// Timings and sizes for the log.
 	reserveTime time.Duration // time to reserve its tokens
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,7 @@
 	storeCalls   *prometheus.CounterVec
 	relayed      *prometheus.GaugeVec
 	stale        *prometheus.CounterVec
+	tunnels      *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -49,8 +50,10 @@
 		Help: "1: what lies under the prefix is learned from another router; 0: from the store."}, []string{"prefix"})
 	m.stale = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_knowledge_old_total",
 		Help: "Times that what lies under the prefix was not confirmed in time."}, []string{"prefix"})
+	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_carried_total",
+		Help: "Connections to backend servers that other routers asked for, by outcome."}, []string{"outcome"})
 	m.recent = make(map[string]int)
-	m.registry.MustRegister(m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.stale)
+	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.stale)
 	return m
 }
 
@@ -66,6 +69,29 @@
 		Help: "Contents of requests that are refused because they crashed backend servers."}, func() float64 { return float64(count()) }))
 }
 
+// registerLostPaths registers a gauge of the backend servers that don't answer this router.
+func (m *Metrics) registerLostPaths(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_lost_paths",
+		Help: "Backend servers that do not answer this router."}, func() float64 { return float64(count()) }))
+}
+
+// registerCarried registers a gauge of the connections that this router carries for others.
+func (m *Metrics) registerCarried(active func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_carried_connections",
+		Help: "Open connections to backend servers that this router carries for others."}, func() float64 { return float64(active()) }))
+}
+
+// Values of the label "outcome" of tunnels.
+const (
+	tunnelOpened      = "opened"
+	tunnelUnreachable = "unreachable"
+	tunnelUnknown     = "unknown"
+)
+
+func (m *Metrics) countTunnel(outcome string) {
+	m.tunnels.WithLabelValues(outcome).Inc()
+}
+
 // registerLinkDelay registers a gauge of the delay of this VM's own link.
 func (m *Metrics) registerLinkDelay(delay func() time.Duration) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_link_delay_seconds",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/retry"
 	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/tunnel"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
@@ -135,6 +136,7 @@
 	quarantine  *quarantine.Quarantine
 	link        *linkdelay.Estimator
 	client      *upstream.Client
+	carrier     *tunnel.Carrier // of connections for other routers
 	peers       *peers.Client
 	forward     *forward.Forwarder
 
@@ -167,7 +169,11 @@
 	n.metrics.registerQuarantined(n.quarantine.Count)
 	n.link = linkdelay.New(env.Now)
 	n.metrics.registerLinkDelay(n.link.Delay)
-	n.client = upstream.NewClient(env.Codec, n.metrics.BackendDials, n.link)
+	carriers := tunnel.NewClient(s.FailureDomain, n.otherRouters, n.link, env.Now)
+	n.client = upstream.NewClient(upstream.Options{Codec: env.Codec, Dials: n.metrics.BackendDials, Link: n.link, Carriers: carriers, Log: log})
+	n.metrics.registerLostPaths(n.client.LostPaths)
+	n.carrier = tunnel.NewCarrier(n.dialForCarrier)
+	n.metrics.registerCarried(n.carrier.Active)
 	n.peers = peers.NewClient(incarnation, n.peerAddresses, log, n.link)
 	n.grants = escrow.New(escrow.Options{
 		Store: env.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.PeerAddr, Incarnation: incarnation, Clock: env.Clock,
@@ -262,12 +268,10 @@
 
 // peerAddresses returns the peer addresses of the other routers.
 func (n *Node) peerAddresses() []string {
-	members := n.members.List()
-	addresses := make([]string, 0, len(members))
-	for _, m := range members {
-		if m.Name != n.settings.VM && m.PeerAddress != "" {
-			addresses = append(addresses, m.PeerAddress)
-		}
+	others := n.otherRouters()
+	addresses := make([]string, 0, len(others))
+	for _, m := range others {
+		addresses = append(addresses, m.PeerAddress)
 	}
 	return addresses
 }
@@ -362,7 +366,7 @@
 }
 
 func (n *Node) servePeers() {
-	if err := peers.Serve(n.peerListener, n.grants, n, n.log); !errors.Is(err, net.ErrClosed) {
+	if err := peers.Serve(n.peerListener, n.grants, n, n.log, n.carrier); !errors.Is(err, net.ErrClosed) {
 		n.log.Emit(event.ListenerFailed, slog.String("address", n.settings.PeerAddr), slog.Any(event.KeyCause, err))
 	}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -24,11 +24,12 @@
 	n.stopStartedAt.Store(start.UnixMilli())
 	n.stopping.Store(true)
 	n.grants.StopAccepting()
+	n.carrier.Stop()
 	close(n.stopSignal)
 	n.log.Emit(event.DrainStarted, slog.Int64("in_hand", n.inFlight.Load()))
 	deadline := start.Add(n.settings.GracePeriod - grantReturnTime)
 	for time.Now().Before(deadline) {
-		if time.Since(start) > minAcceptTime && n.inFlight.Load() == 0 {
+		if time.Since(start) > minAcceptTime && n.inFlight.Load() == 0 && n.carrier.Active() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
--- a/internal/peers/follow_test.go
+++ b/internal/peers/follow_test.go
@@ -32,8 +32,10 @@
 func TestFollowWithoutFeed(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })                                                                   // a failed close does not matter here
-	go func() { _ = Serve(listener, &fakeLender{tokens: 5}, feedState{feed: &store.Feed{}}, event.Discard()) }() // returns when the listener is closed
+	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	go func() {
+		_ = Serve(listener, &fakeLender{tokens: 5}, feedState{feed: &store.Feed{}}, event.Discard(), nil)
+	}() // returns when the listener is closed
 	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
 	address := listener.Addr().String()
 	for _, prefix := range []string{"a/", "b/"} {
--- a/internal/peers/pack_test.go
+++ b/internal/peers/pack_test.go
@@ -76,8 +76,8 @@
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	listener := &countingListener{Listener: raw}
-	defer func() { _ = listener.Close() }()                                                    // a failed close does not matter here
-	go func() { _ = Serve(listener, &fakeLender{}, feedState{feed: feed}, event.Discard()) }() // returns when the listener is closed
+	defer func() { _ = listener.Close() }()                                                         // a failed close does not matter here
+	go func() { _ = Serve(listener, &fakeLender{}, feedState{feed: feed}, event.Discard(), nil) }() // returns when the listener is closed
 	client := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
 	var answer FollowAnswer
 	for answer.Snapshot.At == 0 {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -53,7 +53,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
 	l := &fakeLender{tokens: tokens}
-	go func() { _ = Serve(listener, l, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	go func() { _ = Serve(listener, l, emptyState{}, event.Discard(), nil) }() // returns when the listener is closed
 	return l, listener.Addr().String()
 }
 
@@ -119,7 +119,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
 	lenderLog, borrowerLog := event.Discard(), event.Discard()
-	go func() { _ = Serve(listener, &fakeLender{tokens: 9}, emptyState{}, lenderLog) }() // returns when the listener is closed
+	go func() { _ = Serve(listener, &fakeLender{tokens: 9}, emptyState{}, lenderLog, nil) }() // returns when the listener is closed
 	borrowerLog.Observe(100)
 	c := NewClient("p1", func() []string { return nil }, borrowerLog, linkdelay.New(nil))
 	got := c.BorrowFrom(context.Background(), listener.Addr().String(), escrow.LoanRequest{Account: "a", Tokens: 5}).Tokens
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -4,11 +4,13 @@
 package peers
 
 import (
+	"bufio"
 	"net"
 	"net/rpc"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
 
 const serviceName = "Router"
@@ -149,8 +151,13 @@
 	return nil
 }
 
+// TunnelServer serves connections that begin with tunnel.Prefix. r holds what was read of conn.
+type TunnelServer interface {
+	ServeConn(conn net.Conn, r *bufio.Reader)
+}
+
 // Serve answers peers until the listener is closed, and returns the listener's error.
-func Serve(l net.Listener, lender Lender, state StateSource, clock Clock) error {
+func Serve(l net.Listener, lender Lender, state StateSource, clock Clock, tunnels TunnelServer) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, &Service{lender: lender, state: state, clock: clock, transfers: newTransfers()}); err != nil {
 		return err
@@ -160,6 +167,31 @@
 		if err != nil {
 			return err
 		}
-		go server.ServeConn(conn) // returns when the peer disconnects
+		go serveConn(conn, server, tunnels) // returns when the peer disconnects
+	}
+}
+
+// bufferedConn is a connection of which a part was read before.
+type bufferedConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (c bufferedConn) Read(p []byte) (int, error) {
+	return c.reader.Read(p)
+}
+
+// serveConn serves calls, or a tunnel if the connection begins as one does.
+func serveConn(conn net.Conn, calls *rpc.Server, tunnels TunnelServer) {
+	r := bufio.NewReader(conn)
+	head, err := r.Peek(len(tunnel.Prefix))
+	if err != nil {
+		_ = conn.Close() // the peer closed it before it asked for anything
+		return
+	}
+	if string(head) == tunnel.Prefix {
+		tunnels.ServeConn(conn, r)
+		return
 	}
+	calls.ServeConn(bufferedConn{Conn: conn, reader: r})
 }
--- a/internal/peers/silence_test.go
+++ b/internal/peers/silence_test.go
@@ -33,7 +33,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
 	l := &blockingLender{fakeLender: fakeLender{tokens: 1000}, entered: make(chan struct{}, 1), release: make(chan struct{})}
-	go func() { _ = Serve(listener, l, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	go func() { _ = Serve(listener, l, emptyState{}, event.Discard(), nil) }() // returns when the listener is closed
 	return l, listener.Addr().String()
 }
 
--- a/internal/peers/slowlink_test.go
+++ b/internal/peers/slowlink_test.go
@@ -58,7 +58,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
 	lender := &fakeLender{tokens: 1_000_000}
-	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard(), nil) }() // returns when the listener is closed
 	address := slowLink(t, listener.Addr().String(), callTimeout+100*time.Millisecond)
 
 	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
@@ -83,7 +83,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
 	lender := &fakeLender{tokens: 100}
-	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	go func() { _ = Serve(listener, lender, emptyState{}, event.Discard(), nil) }() // returns when the listener is closed
 	address := slowLink(t, listener.Addr().String(), callTimeout+100*time.Millisecond)
 
 	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
@@ -111,8 +111,8 @@
 func TestLateAnswerToFollowerIsCutOff(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })                                        // a failed close does not matter here
-	go func() { _ = Serve(listener, &fakeLender{}, emptyState{}, event.Discard()) }() // returns when the listener is closed
+	t.Cleanup(func() { _ = listener.Close() })                                             // a failed close does not matter here
+	go func() { _ = Serve(listener, &fakeLender{}, emptyState{}, event.Discard(), nil) }() // returns when the listener is closed
 	address := slowLink(t, listener.Addr().String(), time.Minute)
 
 	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
--- /dev/null
+++ b/internal/tcpconn/tcpconn.go
@@ -0,0 +1,51 @@
+// Package tcpconn holds the socket options of connections on which requests travel: a peer that lost
+// power or its network sends no reset, and must be noticed all the same.
+package tcpconn
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// unackedDataTimeout closes a connection whose peer acknowledges no data. It leaves time for
+	// three retransmissions.
+	unackedDataTimeout = 1200 * time.Millisecond
+	// userTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
+	userTimeout = 18
+)
+
+// keepAlive detects such a peer while no data is unacknowledged.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
+// Dialer opens connections with these options. It has no timeout of its own.
+var Dialer = net.Dialer{
+	KeepAliveConfig: keepAlive,
+	Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+}
+
+// SetOptions sets the options of a connection that was accepted.
+func SetOptions(conn *net.TCPConn) error {
+	if err := conn.SetKeepAliveConfig(keepAlive); err != nil {
+		return errors.Wrap(err, "set keep-alive")
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "socket")
+	}
+	return setUserTimeout(raw)
+}
+
+func setUserTimeout(raw syscall.RawConn) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(unackedDataTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return errors.Wrap(err, "socket")
+	}
+	return errors.Wrap(sockErr, "set TCP_USER_TIMEOUT")
+}
--- /dev/null
+++ b/internal/tunnel/client.go
@@ -0,0 +1,164 @@
+package tunnel
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/linkdelay"
+	"chicorytiller.example/chicorytiller/internal/tcpconn"
+)
+
+const (
+	// carrierDialTimeout is how long a carrier tries to connect to the server.
+	carrierDialTimeout = 150 * time.Millisecond
+	// carrierTimeout is how long a carrier may take to open a tunnel, or to say that it can't.
+	carrierTimeout = 200 * time.Millisecond
+	// maxCarrierTimeout applies while this VM's link is full.
+	maxCarrierTimeout = 500 * time.Millisecond
+	// openTimeout bounds the search for a carrier. It lets two of them not answer at all.
+	openTimeout = 420 * time.Millisecond
+	// maxCandidates bounds the routers that are considered as carriers for one connection.
+	maxCandidates = 32
+	// failureMemory is how long a router that opened no tunnel is asked after the others.
+	failureMemory = time.Second
+)
+
+var (
+	// ErrNoCarrier: no other router opened a tunnel.
+	ErrNoCarrier = errors.New("tunnel: no carrier")
+	// ErrAlone: there is no other router.
+	ErrAlone = errors.New("tunnel: no other router")
+)
+
+// Client opens tunnels through other routers. It is safe for concurrent use.
+type Client struct {
+	domain  string // failure domain of this router
+	members func() []fleet.Member
+	link    *linkdelay.Estimator
+	now     func() time.Time
+
+	mu       sync.Mutex
+	failedAt map[string]time.Time // by peer address: when a router last opened no tunnel
+}
+
+// NewClient returns a client for a router in the given failure domain. members returns the other
+// routers. The client reports to link how long carriers took. A nil now means time.Now.
+func NewClient(domain string, members func() []fleet.Member, link *linkdelay.Estimator, now func() time.Time) *Client {
+	if now == nil {
+		now = time.Now
+	}
+	return &Client{domain: domain, members: members, link: link, now: now, failedAt: make(map[string]time.Time)}
+}
+
+// Open connects to a server through another router and returns that router's name.
+func (c *Client) Open(ctx context.Context, server *fleet.Server) (conn net.Conn, via string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	candidates := c.candidates(server.Domain)
+	if len(candidates) == 0 {
+		return nil, "", ErrAlone
+	}
+	for _, carrier := range candidates {
+		if ctx.Err() != nil {
+			break
+		}
+		conn, err = c.openThrough(ctx, carrier.PeerAddress, Target{ID: server.ID, StartUnixMilli: server.StartUnixMilli})
+		c.record(carrier.PeerAddress, err)
+		if err == nil {
+			return conn, carrier.Name, nil
+		}
+	}
+	if err == nil {
+		err = ctx.Err()
+	}
+	return nil, "", errors.Wrap(ErrNoCarrier, err.Error())
+}
+
+// candidates returns the routers to ask, in order: those that have not failed lately, then those that
+// need the fewest transfers between failure domains, and otherwise at random, so that the load is
+// spread.
+func (c *Client) candidates(serverDomain string) []fleet.Member {
+	members := c.members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	members = members[:min(len(members), maxCandidates)]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	rank := func(m fleet.Member) int {
+		r := 0
+		if m.Domain != c.domain && m.Domain != serverDomain {
+			r++
+		}
+		if failedAt, failed := c.failedAt[m.PeerAddress]; failed && now.Sub(failedAt) < failureMemory {
+			r += 2
+		}
+		return r
+	}
+	slices.SortStableFunc(members, func(a, b fleet.Member) int { return rank(a) - rank(b) })
+	return members
+}
+
+// openThrough asks one router for a tunnel.
+func (c *Client) openThrough(ctx context.Context, address string, target Target) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.link.Timeout(carrierTimeout, maxCarrierTimeout))
+	defer cancel()
+	started := time.Now()
+	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", address)
+	if err == nil || os.IsTimeout(err) {
+		c.link.Observe(time.Since(started))
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to carrier")
+	}
+	conn, err := handshake(ctx, raw, target)
+	if err != nil {
+		_ = raw.Close() // the handshake's error is the one to report
+		return nil, err
+	}
+	return conn, nil
+}
+
+// handshake asks for the tunnel on an open connection to the carrier.
+func handshake(ctx context.Context, raw net.Conn, target Target) (net.Conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() }) // closing twice is harmless
+	if _, err := raw.Write([]byte(target.encode())); err != nil {
+		return nil, errors.Wrap(err, "ask carrier")
+	}
+	conn := newConn(raw)
+	answer, err := conn.reader.ReadByte()
+	if !stop() {
+		return nil, errors.Wrap(ctx.Err(), "carrier did not answer")
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "answer of carrier")
+	}
+	if err := status(answer).err(); err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// record remembers whether a router opened a tunnel.
+func (c *Client) record(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.failedAt, address)
+		return
+	}
+	now := c.now()
+	for known, failedAt := range c.failedAt {
+		if now.Sub(failedAt) >= failureMemory {
+			delete(c.failedAt, known)
+		}
+	}
+	c.failedAt[address] = now
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,29 +11,10 @@
 	"net"
 	"syscall"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
-// Socket settings.
-const (
-	// dialTimeout is far above a round trip between failure domains (some ms). It is below the
-	// second after which a lost SYN is sent again: trying another server is faster.
-	dialTimeout = 400 * time.Millisecond
-	// maxDialTimeout is the dial timeout while this VM's link is full.
-	maxDialTimeout = time.Second
-	// unackedDataTimeout closes a connection whose peer acknowledges no data: a VM that lost
-	// power or its network sends no reset. It leaves time for three retransmissions.
-	unackedDataTimeout = 1200 * time.Millisecond
-	// TCP keep-alive probes detect such a peer while no data is unacknowledged.
-	tcpKeepAliveIdle     = 1 * time.Second
-	tcpKeepAliveInterval = 500 * time.Millisecond
-	tcpKeepAliveCount    = 2
-	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-	tcpUserTimeout = 18
-	// readBufferSize fits a response head and the start of the body.
-	readBufferSize = 4096
-)
+// readBufferSize fits a response head and the start of the body.
+const readBufferSize = 4096
 
 // Idle times of pooled connections.
 const (
@@ -50,22 +31,8 @@
 	net.Conn
 	reader    *bufio.Reader
 	expiresAt time.Time
-}
-
-var dialer = net.Dialer{
-	KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: tcpKeepAliveIdle, Interval: tcpKeepAliveInterval, Count: tcpKeepAliveCount,
-	},
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedDataTimeout.Milliseconds()))
-		})
-		if err != nil {
-			return errors.Wrap(err, "socket")
-		}
-		return errors.Wrap(sockErr, "set TCP_USER_TIMEOUT")
-	},
+	// via is the router that carries the connection; empty if it is direct.
+	via string
 }
 
 // isQuiet reports whether the connection is open and has no unread bytes. Bytes that arrive before
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
 
 // Attempt is one sending of a request to one backend server.
@@ -22,6 +23,9 @@
 	// ResumeAfter is the ID of the last event that the caller has, if Resume is set.
 	ResumeAfter int64
 	Resume      bool
+
+	// Via is set by Do: the router that carried the connection; empty if it was direct.
+	Via string
 }
 
 // Meta contains the values of a response's headers that concern the router. Headers that are
@@ -91,14 +95,14 @@
 	// Length is the length of the body, or -1 if the response doesn't state it.
 	Length int64
 
-	client      *Client
-	incarnation string
-	conn        *conn
-	response    *http.Response
-	stop        func() bool  // keeps the end of ctx from closing the connection; false: ctx has ended
-	written     <-chan error // receives the result of writing the request
-	bodyRead    bool         // the body was read to its proper end
-	unusable    bool         // the connection carried a response to another request
+	client   *Client
+	server   *fleet.Server
+	conn     *conn
+	response *http.Response
+	stop     func() bool  // keeps the end of ctx from closing the connection; false: ctx has ended
+	written  <-chan error // receives the result of writing the request
+	bodyRead bool         // the body was read to its proper end
+	unusable bool         // the connection carried a response to another request
 }
 
 const (
@@ -115,10 +119,11 @@
 // Do sends an attempt and waits for the response head. When ctx ends, the connection is closed,
 // which makes the server drop the request. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, a *Attempt) (*Reply, error) {
-	connection, err := c.connect(ctx, a.Server.Incarnation, a.Server.Address)
+	connection, err := c.connect(ctx, a.Server)
 	if err != nil {
 		return nil, &Error{Kind: ErrNotSent, Cause: err}
 	}
+	a.Via = connection.via
 	if a.Server.Ineligible() {
 		// Connecting takes time, in which the server may have been marked as leaving or its
 		// failure domain as evacuated. It must get no request after that.
@@ -130,6 +135,7 @@
 	if err != nil {
 		stop()
 		_ = connection.Close() // the exchange's error is the one to report
+		c.observeFailure(a.Server, connection, err)
 		return nil, &Error{Kind: ErrBroken, Cause: err}
 	}
 	reply.stop = stop
@@ -151,7 +157,7 @@
 			written <- err
 		}()
 	}
-	reply := &Reply{client: c, incarnation: a.Server.Incarnation, conn: connection, written: written}
+	reply := &Reply{client: c, server: a.Server, conn: connection, written: written}
 	if err := reply.readHead(a); err != nil {
 		return nil, err
 	}
@@ -203,6 +209,8 @@
 	n, err := r.response.Body.Read(p)
 	if err == io.EOF {
 		r.bodyRead = true
+	} else if err != nil {
+		r.client.observeFailure(r.server, r.conn, err)
 	}
 	return n, err
 }
@@ -219,15 +227,15 @@
 		idle = r.KeepAlive - idleMargin
 	}
 	r.conn.expiresAt = time.Now().Add(idle)
-	r.client.pool(r.incarnation).put(r.conn)
+	r.client.pool(r.server.Incarnation).put(r.conn)
 }
 
 // reusable reports whether the exchange has ended on both sides, so that the connection can carry
-// another request. (Bytes that arrive later are noticed when it is taken from the pool.) The
+// another request. One that another router carries is not used again: that router may stop. (Bytes that arrive later are noticed when it is taken from the pool.) The
 // request must have been written whole: a server may respond before it has read a long body, and
 // would take the next request for the rest of that body.
 func (r *Reply) reusable() bool {
-	if !r.bodyRead || r.unusable || r.response.Close {
+	if !r.bodyRead || r.unusable || r.response.Close || r.conn.via != "" {
 		return false
 	}
 	select {
@@ -238,6 +246,20 @@
 	}
 }
 
+// observeFailure draws conclusions from a direct connection that failed: the path is down if not even
+// the server's kernel acknowledged data.
+func (c *Client) observeFailure(server *fleet.Server, connection *conn, err error) {
+	if connection.via == "" && IsTimeout(err) && !c.link.WasFull(time.Now().Add(-linkFullRecently)) {
+		c.pathLost(server, err)
+	}
+}
+
+// IsCarrierFailure reports whether an exchange broke off because the router that carried it failed,
+// which says nothing of the server.
+func IsCarrierFailure(err error) bool {
+	return errors.Is(err, tunnel.ErrCarrierLost)
+}
+
 // IsTimeout reports whether err is a network timeout: the server did not even acknowledge data, for
 // example because its VM lost power or its network.
 func IsTimeout(err error) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,14 +1,14 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
 
+	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
 )
 
@@ -51,6 +51,16 @@
 	p.idle = append(p.idle, c)
 }
 
+// closeAll closes all connections.
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close() // no request is under way on it
+	}
+	p.idle = nil
+}
+
 // expire closes expired connections and reports whether any connection is left.
 func (p *pool) expire(now time.Time) bool {
 	p.mu.Lock()
@@ -70,18 +80,33 @@
 // Client sends requests to backend servers and pools its connections to them. It is safe for
 // concurrent use.
 type Client struct {
-	codec Codec
-	dials prometheus.Counter
-	link  *linkdelay.Estimator
+	codec    Codec
+	dials    prometheus.Counter
+	link     *linkdelay.Estimator
+	carriers Carriers
+	paths    *paths
+	probes   conc.WaitGroup
+	log      *event.Log
 
 	mu    sync.Mutex
 	pools map[string]*pool // by incarnation of the server
 }
 
-// NewClient returns a client that counts the connections that it opens in dials and reports to
-// link how long they took.
-func NewClient(codec Codec, dials prometheus.Counter, link *linkdelay.Estimator) *Client {
-	return &Client{codec: codec, dials: dials, link: link, pools: make(map[string]*pool)}
+// Options are the parts that a Client works with.
+type Options struct {
+	Codec Codec
+	// Dials counts the direct connections that the client opens.
+	Dials prometheus.Counter
+	// Link is told how long connecting took.
+	Link *linkdelay.Estimator
+	// Carriers connect to servers that don't answer this router.
+	Carriers Carriers
+	Log      *event.Log
+}
+
+// NewClient returns a client without connections.
+func NewClient(o Options) *Client {
+	return &Client{codec: o.Codec, dials: o.Dials, link: o.Link, carriers: o.Carriers, log: o.Log, paths: newPaths(time.Now), pools: make(map[string]*pool)}
 }
 
 func (c *Client) pool(incarnation string) *pool {
@@ -100,6 +125,7 @@
 
 // Run closes expired idle connections. It returns when ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	defer c.probes.Wait()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -108,6 +134,7 @@
 			return
 		case now := <-ticker.C:
 			c.sweep(now)
+			c.paths.expire()
 		}
 	}
 }
@@ -121,29 +148,3 @@
 		}
 	}
 }
-
-// connect returns an idle connection or a new one.
-func (c *Client) connect(ctx context.Context, incarnation, address string) (*conn, error) {
-	if idle := c.pool(incarnation).take(time.Now()); idle != nil {
-		return idle, nil
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
-}
-
-// dial opens a connection. Its duration is one round trip, whatever the server has to do.
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	c.dials.Inc()
-	timeout := c.link.Timeout(dialTimeout, maxDialTimeout)
-	dialCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	started := time.Now()
-	raw, err := dialer.DialContext(dialCtx, "tcp", address)
-	if err == nil || dialCtx.Err() != nil && ctx.Err() == nil {
-		c.link.Observe(time.Since(started))
-	}
-	return raw, err
-}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,10 +14,12 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
 
 var codec = HeaderCodec{Names: HeaderNames{RequestID: "X-Id", ServerID: "X-Server", TimeLeft: "X-Left", LastEventID: "Last-Event-Id",
@@ -74,8 +76,20 @@
 	}
 }
 
+// noCarriers stands for a router without others.
+type noCarriers struct{}
+
+func (noCarriers) Open(context.Context, *fleet.Server) (net.Conn, string, error) {
+	return nil, "", tunnel.ErrNoCarrier
+}
+
+func newTestClient(codec Codec, carriers Carriers) *Client {
+	return NewClient(Options{Codec: codec, Dials: prometheus.NewCounter(prometheus.CounterOpts{Name: "dials"}), Link: linkdelay.New(nil),
+		Carriers: carriers, Log: event.Discard()})
+}
+
 func newClient() *Client {
-	return NewClient(codec, prometheus.NewCounter(prometheus.CounterOpts{Name: "dials"}), linkdelay.New(nil))
+	return newTestClient(codec, noCarriers{})
 }
 
 // do sends a request with the given ID and returns the body of the response.
@@ -185,7 +199,7 @@
 func TestNothingIsSentToLeavingServer(t *testing.T) {
 	b := startBackend(t)
 	b.server.MarkLeaving()
-	c := NewClient(codec, prometheus.NewCounter(prometheus.CounterOpts{}), linkdelay.New(nil))
+	c := newTestClient(codec, noCarriers{})
 	_, err := c.Do(context.Background(), &Attempt{Request: &request.Request{ID: "r1", Method: http.MethodGet, Route: &policy.Route{}}, Server: b.server})
 	qt.Assert(t, err, qt.ErrorIs, ErrNotSent)
 }
