upstream: tell a cut path from a full link and from a server that is gone

Cause: the way through other routers took each dial that timed out for a cut path and no longer for a sign of a full link. Change: dials that time out count for the link's delay again, as before. Carriers are asked unless exchanges that were completed show that the link is full: those can't come from a cut. A path counts as cut only when a carrier has reached the server. Where nobody reaches it, requests turn away from it at once, and a probe beside them looks for a way, directly and through carriers.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -101,8 +101,8 @@
 	// other routers; CrashesNotRecorded: they could not be stored yet.
 	CrashesRecorded    Number = 723
 	CrashesNotRecorded Number = 724
-	// PathLost: a backend server does not answer this router, which reaches it through another
-	// one, if at all; PathRestored: it answers again.
+	// PathLost: a backend server answers other routers but not this one, which reaches it through
+	// them; PathRestored: it answers this router again.
 	PathLost      Number = 725
 	PathRestored  Number = 726
 	Bootstrapped  Number = 714
--- a/internal/linkdelay/linkdelay.go
+++ b/internal/linkdelay/linkdelay.go
@@ -27,6 +27,7 @@
 	current     sample // shortest exchange of the present window
 	previous    sample // shortest exchange of the window before
 	lastFull    time.Time
+	lastSlow    time.Time
 }
 
 // sample is the shortest exchange of a window.
@@ -49,16 +50,32 @@
 	return &Estimator{now: now}
 }
 
-// Observe records how long an exchange took that waits for nothing but the link, or after which
-// time it was given up.
+// Observe records how long an exchange took that waits for nothing but the link.
 func (e *Estimator) Observe(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.add(d) {
+		e.lastSlow = e.now()
+	}
+}
+
+// ObserveTimeout records after which time such an exchange was given up. The other VM may be gone, or
+// the path to it cut.
+func (e *Estimator) ObserveTimeout(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.add(d)
+}
+
+// add adds an observation and reports whether the link counts as full. The caller holds e.mu.
+func (e *Estimator) add(d time.Duration) bool {
 	e.rotate()
 	e.current.add(d)
-	if e.delay() >= fullDelay {
+	full := e.delay() >= fullDelay
+	if full {
 		e.lastFull = e.now()
 	}
+	return full
 }
 
 // Delay returns the estimated time for a round trip over the link, and 0 without recent
@@ -86,6 +103,14 @@
 	return e.lastFull.After(since)
 }
 
+// WasSlow is like WasFull, but exchanges that were given up don't count: they may have failed for
+// another reason than the link.
+func (e *Estimator) WasSlow(since time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastSlow.After(since)
+}
+
 // rotate begins a new window if the present one has ended. The caller holds e.mu.
 func (e *Estimator) rotate() {
 	now := e.now()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -69,10 +69,10 @@
 		Help: "Contents of requests that are refused because they crashed backend servers."}, func() float64 { return float64(count()) }))
 }
 
-// registerLostPaths registers a gauge of the backend servers that don't answer this router.
-func (m *Metrics) registerLostPaths(count func() int) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_lost_paths",
-		Help: "Backend servers that do not answer this router."}, func() float64 { return float64(count()) }))
+// registerCutPaths registers a gauge of the backend servers that answer other routers but not this one.
+func (m *Metrics) registerCutPaths(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_cut_paths",
+		Help: "Backend servers that answer other routers but not this one."}, func() float64 { return float64(count()) }))
 }
 
 // registerCarried registers a gauge of the connections that this router carries for others.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,7 +171,7 @@
 	n.metrics.registerLinkDelay(n.link.Delay)
 	carriers := tunnel.NewClient(s.FailureDomain, n.otherRouters, n.link, env.Now)
 	n.client = upstream.NewClient(upstream.Options{Codec: env.Codec, Dials: n.metrics.BackendDials, Link: n.link, Carriers: carriers, Log: log})
-	n.metrics.registerLostPaths(n.client.LostPaths)
+	n.metrics.registerCutPaths(n.client.CutPaths)
 	n.carrier = tunnel.NewCarrier(n.dialForCarrier)
 	n.metrics.registerCarried(n.carrier.Active)
 	n.peers = peers.NewClient(incarnation, n.peerAddresses, log, n.link)
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -251,10 +250,18 @@
 	timeout := c.link.Timeout(callTimeout, maxCallTimeout)
 	started := time.Now()
 	err := c.callWithTimeout(ctx, timeout, address, method, request, answer, late)
-	if took := time.Since(started); err == nil || took >= timeout {
+	c.observe(time.Since(started), err == nil, timeout)
+	return err
+}
+
+// observe tells the estimator of the link's delay how long an exchange took that had the given time.
+func (c *Client) observe(took time.Duration, answered bool, timeout time.Duration) {
+	switch {
+	case answered:
 		c.link.Observe(took)
+	case took >= timeout:
+		c.link.ObserveTimeout(took)
 	}
-	return err
 }
 
 // callWithTimeout makes a call that may take up to timeout. If the call fails or the peer does not
@@ -383,10 +390,9 @@
 		return client, nil
 	}
 	started := time.Now()
-	connection, err := net.DialTimeout("tcp", address, c.link.Timeout(dialTimeout, maxDialTimeout))
-	if isTimeout := os.IsTimeout(err); err == nil || isTimeout {
-		c.link.Observe(time.Since(started))
-	}
+	timeout := c.link.Timeout(dialTimeout, maxDialTimeout)
+	connection, err := net.DialTimeout("tcp", address, timeout)
+	c.observe(time.Since(started), err == nil, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -31,12 +31,8 @@
 	failureMemory = time.Second
 )
 
-var (
-	// ErrNoCarrier: no other router opened a tunnel.
-	ErrNoCarrier = errors.New("tunnel: no carrier")
-	// ErrAlone: there is no other router.
-	ErrAlone = errors.New("tunnel: no other router")
-)
+// ErrNoCarrier: no other router opened a tunnel.
+var ErrNoCarrier = errors.New("tunnel: no carrier")
 
 // Client opens tunnels through other routers. It is safe for concurrent use.
 type Client struct {
@@ -62,11 +58,8 @@
 func (c *Client) Open(ctx context.Context, server *fleet.Server) (conn net.Conn, via string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	candidates := c.candidates(server.Domain)
-	if len(candidates) == 0 {
-		return nil, "", ErrAlone
-	}
-	for _, carrier := range candidates {
+	err = ErrNoCarrier
+	for _, carrier := range c.candidates(server.Domain) {
 		if ctx.Err() != nil {
 			break
 		}
@@ -76,9 +69,6 @@
 			return conn, carrier.Name, nil
 		}
 	}
-	if err == nil {
-		err = ctx.Err()
-	}
 	return nil, "", errors.Wrap(ErrNoCarrier, err.Error())
 }
 
@@ -112,12 +102,13 @@
 	defer cancel()
 	started := time.Now()
 	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", address)
-	if err == nil || os.IsTimeout(err) {
-		c.link.Observe(time.Since(started))
+	if os.IsTimeout(err) {
+		c.link.ObserveTimeout(time.Since(started))
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to carrier")
 	}
+	c.link.Observe(time.Since(started))
 	conn, err := handshake(ctx, raw, target)
 	if err != nil {
 		_ = raw.Close() // the handshake's error is the one to report
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -13,7 +13,6 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/tcpconn"
-	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
 
 // Timeouts of connecting.
@@ -23,9 +22,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxDialTimeout is the dial timeout while this VM's link is full.
 	maxDialTimeout = time.Second
-	// linkFullRecently is how recently the link must have been full to explain that a server does
-	// not answer. A way through another router would lead over the same link.
-	linkFullRecently = time.Second
+	// linkSlowRecently is how recently the link must have been full to explain that a server does
+	// not answer.
+	linkSlowRecently = time.Second
 )
 
 // Carriers connect to servers through other routers.
@@ -34,7 +33,7 @@
 	Open(ctx context.Context, server *fleet.Server) (conn net.Conn, via string, err error)
 }
 
-// errUnreachable: neither this router nor any other could connect to the server a moment ago.
+// errUnreachable: nobody who tried a moment ago could connect to the server.
 var errUnreachable = errors.New("no path to the server")
 
 // connect returns an idle connection or a new one. If the server doesn't answer this router, the
@@ -43,36 +42,39 @@
 	if idle := c.pool(server.Incarnation).take(time.Now()); idle != nil {
 		return idle, nil
 	}
-	down, unreachable := c.paths.isDown(server.Incarnation)
+	cut, unreachable := c.paths.lookup(server.Incarnation)
+	if cut || unreachable {
+		c.probe(server)
+	}
 	switch {
 	case unreachable:
-		c.probe(server)
 		return nil, errUnreachable
-	case down:
-		c.probe(server)
+	case cut:
 		return c.connectThroughCarrier(ctx, server)
 	}
-	timeout := c.link.Timeout(dialTimeout, maxDialTimeout)
-	raw, err := c.dial(ctx, server.Address, timeout)
+	raw, err := c.dial(ctx, server.Address, c.link.Timeout(dialTimeout, maxDialTimeout))
 	if err == nil {
 		return newConn(raw), nil
 	}
-	if ctx.Err() != nil || c.link.WasFull(time.Now().Add(-linkFullRecently)) {
+	if ctx.Err() != nil || c.isLinkSlow() {
 		return nil, err
 	}
-	if os.IsTimeout(err) {
-		c.pathLost(server, err)
-	}
 	carried, carrierErr := c.connectThroughCarrier(ctx, server)
-	if errors.Is(carrierErr, tunnel.ErrAlone) && os.IsTimeout(err) {
-		c.link.Observe(timeout) // there is nothing else to tell a full link by
-	}
 	if carrierErr != nil {
 		return nil, errors.Wrap(err, carrierErr.Error())
 	}
+	if os.IsTimeout(err) {
+		c.pathLost(server, err)
+	}
 	return carried, nil
 }
 
+// isLinkSlow reports whether this VM's link is full, which explains that a server doesn't answer. A
+// way through another router would lead over the same link.
+func (c *Client) isLinkSlow() bool {
+	return c.link.WasSlow(time.Now().Add(-linkSlowRecently))
+}
+
 func newConn(raw net.Conn) *conn {
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
 }
@@ -89,47 +91,51 @@
 	return carried, nil
 }
 
-// dial opens a direct connection. Its duration is one round trip, whatever the server has to do. A
-// timeout says nothing of this VM's link: the path to the server may be cut.
+// dial opens a direct connection. Its duration is one round trip, whatever the server has to do.
 func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	c.dials.Inc()
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := time.Now()
 	raw, err := tcpconn.Dialer.DialContext(dialCtx, "tcp", address)
-	if err == nil {
+	switch {
+	case err == nil:
 		c.link.Observe(time.Since(started))
+	case dialCtx.Err() != nil && ctx.Err() == nil:
+		c.link.ObserveTimeout(time.Since(started))
 	}
 	return raw, err
 }
 
 // DialForCarrier opens a direct connection to a server for another router. It fails at once if the
-// server doesn't answer this router either.
+// server did not answer this router either a moment ago.
 func (c *Client) DialForCarrier(ctx context.Context, server *fleet.Server) (net.Conn, error) {
-	if down, _ := c.paths.isDown(server.Incarnation); down {
+	cut, unreachable := c.paths.lookup(server.Incarnation)
+	if cut || unreachable {
 		c.probe(server)
 		return nil, errUnreachable
 	}
 	c.dials.Inc()
 	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", server.Address)
-	if err != nil && os.IsTimeout(err) && !c.link.WasFull(time.Now().Add(-linkFullRecently)) {
-		c.pathLost(server, err)
+	if os.IsTimeout(err) {
+		c.paths.markUnreachable(server.Incarnation)
 	}
 	return raw, err
 }
 
-// probe tries, in the background, to connect directly to a server whose path is down.
+// probe tries, in the background, to connect to a server whose path is cut or that nobody reached.
 func (c *Client) probe(server *fleet.Server) {
 	if !c.paths.startProbe(server.Incarnation) {
 		return
 	}
 	c.probes.Go(func() {
-		raw, err := c.dial(context.Background(), server.Address, dialTimeout)
+		raw, err := c.dial(context.Background(), server.Address, c.link.Timeout(dialTimeout, maxDialTimeout))
 		if err != nil {
-			return // the next probe follows if the server is still used
+			c.probeCarriers(server, err)
+			return
 		}
-		if downFor, changed := c.paths.markUp(server.Incarnation); changed {
-			c.log.Emit(event.PathRestored, slog.String(event.KeyBackend, server.ID), slog.Int64("down_ms", downFor.Milliseconds()))
+		if cutFor, changed := c.paths.markConnected(server.Incarnation); changed {
+			c.log.Emit(event.PathRestored, slog.String(event.KeyBackend, server.ID), slog.Int64("down_ms", cutFor.Milliseconds()))
 		}
 		connection := newConn(raw)
 		connection.expiresAt = time.Now().Add(defaultIdleTimeout)
@@ -137,17 +143,30 @@
 	})
 }
 
-// pathLost records that a server doesn't answer. Idle connections to it are closed: a request sent on
-// one would wait for the same answer.
+// probeCarriers looks for a way through other routers to a server that nobody reached before.
+func (c *Client) probeCarriers(server *fleet.Server, cause error) {
+	if cut, _ := c.paths.lookup(server.Incarnation); cut || c.isLinkSlow() {
+		return
+	}
+	carried, err := c.connectThroughCarrier(context.Background(), server)
+	if err != nil {
+		return // the next probe follows if the server is still used
+	}
+	_ = carried.Close() // nothing was sent on it
+	c.pathLost(server, cause)
+}
+
+// pathLost records that a server answers other routers but not this one. Idle connections to it are
+// closed: a request sent on one would get no answer either.
 func (c *Client) pathLost(server *fleet.Server, cause error) {
-	if !c.paths.markDown(server.Incarnation) {
+	if !c.paths.markCut(server.Incarnation) {
 		return
 	}
 	c.pool(server.Incarnation).closeAll()
 	c.log.Emit(event.PathLost, slog.String(event.KeyBackend, server.ID), slog.String("address", server.Address), slog.Any(event.KeyCause, cause))
 }
 
-// LostPaths returns the number of servers that don't answer this router.
-func (c *Client) LostPaths() int {
-	return c.paths.count()
+// CutPaths returns the number of servers that answer other routers but not this one.
+func (c *Client) CutPaths() int {
+	return c.paths.countCut()
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -246,11 +246,11 @@
 	}
 }
 
-// observeFailure draws conclusions from a direct connection that failed: the path is down if not even
-// the server's kernel acknowledged data.
+// observeFailure closes the idle connections to a server if not even its kernel acknowledged what was
+// sent on another one: they would fail as late.
 func (c *Client) observeFailure(server *fleet.Server, connection *conn, err error) {
-	if connection.via == "" && IsTimeout(err) && !c.link.WasFull(time.Now().Add(-linkFullRecently)) {
-		c.pathLost(server, err)
+	if connection.via == "" && IsTimeout(err) && !c.isLinkSlow() {
+		c.pool(server.Incarnation).closeAll()
 	}
 }
 
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -6,93 +6,104 @@
 )
 
 const (
-	// probeInterval is the time between two attempts to connect directly to a server whose path is
-	// down. They are made beside requests, not in their time.
+	// probeInterval is the time between two attempts to connect to a server whose path is cut or that
+	// nobody reached. They are made beside requests, not in their time.
 	probeInterval = 500 * time.Millisecond
-	// unreachableTime is how long a server is taken for unreachable after neither this router nor any
-	// other one could connect to it.
-	unreachableTime = 300 * time.Millisecond
 	// pathTTL is how long the state of a path is kept without use.
 	pathTTL = 30 * time.Second
 )
 
-// paths tracks which servers this router can't connect to directly, by incarnation. It is safe for
+// paths tracks the servers that this router can't connect to directly, by incarnation. It is safe for
 // concurrent use.
 type paths struct {
 	now func() time.Time
 
-	mu   sync.Mutex
-	down map[string]*downPath
+	mu     sync.Mutex
+	states map[string]*pathState
 }
 
-// downPath is a server that does not answer this router's attempts to connect.
-type downPath struct {
-	since            time.Time
-	lastUse          time.Time
-	lastProbe        time.Time
-	unreachableUntil time.Time
+// pathState is what is known of the path to one server.
+type pathState struct {
+	// cut is set if the server answers other routers but not this one.
+	cut      bool
+	cutSince time.Time
+	// unreachable is set if nobody who tried could connect.
+	unreachable bool
+	lastProbe   time.Time
+	lastUse     time.Time
 }
 
 func newPaths(now func() time.Time) *paths {
-	return &paths{now: now, down: make(map[string]*downPath)}
+	return &paths{now: now, states: make(map[string]*pathState)}
 }
 
-// isDown reports whether the path to a server is down, and whether nothing else reaches it either.
-func (p *paths) isDown(incarnation string) (down, unreachable bool) {
+// lookup reports whether the path to a server is cut, and whether nothing reaches it.
+func (p *paths) lookup(incarnation string) (cut, unreachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.down[incarnation]
-	if d == nil {
+	s := p.states[incarnation]
+	if s == nil {
 		return false, false
 	}
-	now := p.now()
-	d.lastUse = now
-	return true, now.Before(d.unreachableUntil)
+	s.lastUse = p.now()
+	return s.cut, s.unreachable
+}
+
+// state returns the state of a path, which is new if there was none. p.mu must be held.
+func (p *paths) state(incarnation string) *pathState {
+	s := p.states[incarnation]
+	if s == nil {
+		s = &pathState{}
+		p.states[incarnation] = s
+	}
+	s.lastUse = p.now()
+	return s
 }
 
-// markDown records that a server did not answer. It reports whether that is new.
-func (p *paths) markDown(incarnation string) bool {
+// markCut records that a server answers other routers but not this one. It reports whether that is
+// new.
+func (p *paths) markCut(incarnation string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.down[incarnation] != nil {
+	s := p.state(incarnation)
+	s.unreachable = false
+	if s.cut {
 		return false
 	}
 	now := p.now()
-	p.down[incarnation] = &downPath{since: now, lastUse: now, lastProbe: now}
+	s.cut, s.cutSince, s.lastProbe = true, now, now
 	return true
 }
 
-// markUnreachable records that no other router could connect to the server either.
+// markUnreachable records that nobody could connect to a server.
 func (p *paths) markUnreachable(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if d := p.down[incarnation]; d != nil {
-		d.unreachableUntil = p.now().Add(unreachableTime)
-	}
+	p.state(incarnation).unreachable = true
 }
 
-// markUp records that the server answered. It returns for how long the path was down, and false if it
-// was not.
-func (p *paths) markUp(incarnation string) (time.Duration, bool) {
+// markConnected records that a server answered this router. It returns for how long the path was cut,
+// and false if it was not.
+func (p *paths) markConnected(incarnation string) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.down[incarnation]
-	if d == nil {
+	s := p.states[incarnation]
+	if s == nil {
 		return 0, false
 	}
-	delete(p.down, incarnation)
-	return p.now().Sub(d.since), true
+	delete(p.states, incarnation)
+	return p.now().Sub(s.cutSince), s.cut
 }
 
-// startProbe reports whether a direct attempt is due, and counts it as made.
+// startProbe reports whether an attempt beside requests is due, and counts it as made.
 func (p *paths) startProbe(incarnation string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.down[incarnation]
-	if d == nil || p.now().Sub(d.lastProbe) < probeInterval {
+	s := p.states[incarnation]
+	if s == nil || p.now().Sub(s.lastProbe) < probeInterval {
 		return false
 	}
-	d.lastProbe = p.now()
+	s.lastProbe = p.now()
 	return true
 }
 
@@ -101,16 +112,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	for incarnation, d := range p.down {
-		if now.Sub(d.lastUse) >= pathTTL {
-			delete(p.down, incarnation)
+	for incarnation, s := range p.states {
+		if now.Sub(s.lastUse) >= pathTTL {
+			delete(p.states, incarnation)
 		}
 	}
 }
 
-// count returns the number of servers whose path is down.
-func (p *paths) count() int {
+// countCut returns the number of servers whose path is cut.
+func (p *paths) countCut() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.down)
+	count := 0
+	for _, s := range p.states {
+		if s.cut {
+			count++
+		}
+	}
+	return count
 }
