tunnel: ask few routers for a server that ended

Cause: a router asked up to 32 others, one after the other, for a server that refused its connection. Change: three routers that don't reach the server end the search; those that opened a connection lately are asked first, so that a router that is cut finds its way back to them; a carrier that could not connect says so without a dial until its probe finds the server.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -27,8 +28,13 @@
 	openTimeout = 420 * time.Millisecond
 	// maxCandidates bounds the routers that are considered as carriers for one connection.
 	maxCandidates = 32
-	// failureMemory is how long a router that opened no tunnel is asked after the others.
+	// maxRefusals is how many routers may say, for one connection, that they don't reach the server.
+	// Otherwise a server that ended would be asked for at every router by every other one.
+	maxRefusals = 3
+	// failureMemory is how long a router that opened no tunnel is asked after the others, and
+	// successMemory how long one that did is asked before them.
 	failureMemory = time.Second
+	successMemory = 5 * time.Second
 )
 
 // ErrNoCarrier: no other router opened a tunnel.
@@ -42,7 +48,21 @@
 	now     func() time.Time
 
 	mu       sync.Mutex
-	failedAt map[string]time.Time // by peer address: when a router last opened no tunnel
+	outcomes map[string]outcome // by peer address
+}
+
+// outcome is the result of the last request to a router for a tunnel.
+type outcome struct {
+	at     time.Time
+	opened bool
+}
+
+// isRecent reports whether the outcome still says something of the router.
+func (o outcome) isRecent(now time.Time) bool {
+	if o.opened {
+		return now.Sub(o.at) < successMemory
+	}
+	return now.Sub(o.at) < failureMemory
 }
 
 // NewClient returns a client for a router in the given failure domain. members returns the other
@@ -51,7 +71,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Client{domain: domain, members: members, link: link, now: now, failedAt: make(map[string]time.Time)}
+	return &Client{domain: domain, members: members, link: link, now: now, outcomes: make(map[string]outcome)}
 }
 
 // Open connects to a server through another router and returns that router's name.
@@ -59,8 +79,9 @@
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	err = ErrNoCarrier
+	refusals := 0
 	for _, carrier := range c.candidates(server.Domain) {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || refusals == maxRefusals {
 			break
 		}
 		conn, err = c.openThrough(ctx, carrier.PeerAddress, Target{ID: server.ID, StartUnixMilli: server.StartUnixMilli})
@@ -68,13 +89,16 @@
 		if err == nil {
 			return conn, carrier.Name, nil
 		}
+		if errors.Is(err, ErrUnreachable) {
+			refusals++
+		}
 	}
 	return nil, "", errors.Wrap(ErrNoCarrier, err.Error())
 }
 
-// candidates returns the routers to ask, in order: those that have not failed lately, then those that
-// need the fewest transfers between failure domains, and otherwise at random, so that the load is
-// spread.
+// candidates returns the routers to ask, in order: first those that opened a tunnel lately, last those
+// that did not; then those that need the fewest transfers between failure domains; and otherwise at
+// random, so that the load is spread.
 func (c *Client) candidates(serverDomain string) []fleet.Member {
 	members := c.members()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
@@ -82,20 +106,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	rank := func(m fleet.Member) int {
-		r := 0
-		if m.Domain != c.domain && m.Domain != serverDomain {
-			r++
-		}
-		if failedAt, failed := c.failedAt[m.PeerAddress]; failed && now.Sub(failedAt) < failureMemory {
-			r += 2
-		}
-		return r
-	}
+	rank := func(m fleet.Member) int { return c.rank(m, serverDomain, now) }
 	slices.SortStableFunc(members, func(a, b fleet.Member) int { return rank(a) - rank(b) })
 	return members
 }
 
+// rank returns a router's place as a carrier to a server; the lowest comes first. c.mu must be held.
+func (c *Client) rank(m fleet.Member, serverDomain string, now time.Time) int {
+	const outcomeWeight = 2 // an outcome counts more than the distance
+	rank := outcomeWeight
+	if m.Domain != c.domain && m.Domain != serverDomain {
+		rank++
+	}
+	last, known := c.outcomes[m.PeerAddress]
+	switch {
+	case !known || !last.isRecent(now):
+	case last.opened:
+		rank -= outcomeWeight
+	default:
+		rank += outcomeWeight
+	}
+	return rank
+}
+
 // openThrough asks one router for a tunnel.
 func (c *Client) openThrough(ctx context.Context, address string, target Target) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.link.Timeout(carrierTimeout, maxCarrierTimeout))
@@ -141,15 +174,7 @@
 func (c *Client) record(address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil {
-		delete(c.failedAt, address)
-		return
-	}
 	now := c.now()
-	for known, failedAt := range c.failedAt {
-		if now.Sub(failedAt) >= failureMemory {
-			delete(c.failedAt, known)
-		}
-	}
-	c.failedAt[address] = now
+	maps.DeleteFunc(c.outcomes, func(_ string, o outcome) bool { return !o.isRecent(now) })
+	c.outcomes[address] = outcome{at: now, opened: err == nil}
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,6 +190,25 @@
 	qt.Assert(t, last(), qt.Equals, "near", qt.Commentf("one that failed comes last"))
 	c.record("n", nil)
 	qt.Assert(t, last(), qt.Equals, "far")
+	qt.Assert(t, c.candidates("there")[0].Name, qt.Equals, "near", qt.Commentf("one that opened a tunnel comes first"))
+	c.record("f", nil)
+	qt.Assert(t, last(), qt.Equals, "there")
+}
+
+// Guards against a server that ended and is asked for at every router by every other one.
+func TestFewRoutersAreAskedForServerThatEnded(t *testing.T) {
+	var asked atomic.Int64
+	var carriers []string
+	for range 3 * maxRefusals {
+		_, address := testCarrier(t, func(context.Context, Target) (net.Conn, error) {
+			asked.Add(1)
+			return nil, ErrUnreachable
+		})
+		carriers = append(carriers, address)
+	}
+	_, _, err := testClient(carriers...).Open(context.Background(), server)
+	qt.Assert(t, err, qt.ErrorIs, ErrNoCarrier)
+	qt.Assert(t, asked.Load(), qt.Equals, int64(maxRefusals))
 }
 
 // Guards against a crash or a wait without end on bytes that no router sends.
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -117,7 +117,7 @@
 	}
 	c.dials.Inc()
 	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", server.Address)
-	if os.IsTimeout(err) {
+	if err != nil {
 		c.paths.markUnreachable(server.Incarnation)
 	}
 	return raw, err
