upstream: keep asking carriers while a path is cut

Cause: found by reading. One failed search for a carrier made a server count as unreachable even if its path was known to be cut, and the probe then tried only the direct path: the router served nobody until the cut ended. A caller that left during the search had the same effect. Change: while a path is cut each connection asks the carriers itself; a search ended by the caller tells nothing; routers that opened a connection lately are always among those asked. Idle connections stay when a path counts as cut: on a link that loses packets they are sound, in a cut keep-alive and acknowledgements end them.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -102,15 +102,27 @@
 func (c *Client) candidates(serverDomain string) []fleet.Member {
 	members := c.members()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	members = members[:min(len(members), maxCandidates)]
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
+	c.putOpenersFirst(members, now)
+	members = members[:min(len(members), maxCandidates)]
 	rank := func(m fleet.Member) int { return c.rank(m, serverDomain, now) }
 	slices.SortStableFunc(members, func(a, b fleet.Member) int { return rank(a) - rank(b) })
 	return members
 }
 
+// putOpenersFirst moves the routers that opened a tunnel lately to the front. c.mu must be held.
+func (c *Client) putOpenersFirst(members []fleet.Member, now time.Time) {
+	front := 0
+	for i, m := range members {
+		if last := c.outcomes[m.PeerAddress]; last.opened && last.isRecent(now) {
+			members[front], members[i] = members[i], members[front]
+			front++
+		}
+	}
+}
+
 // rank returns a router's place as a carrier to a server; the lowest comes first. c.mu must be held.
 func (c *Client) rank(m fleet.Member, serverDomain string, now time.Time) int {
 	const outcomeWeight = 2 // an outcome counts more than the distance
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -195,6 +197,21 @@
 	qt.Assert(t, last(), qt.Equals, "there")
 }
 
+// Guards against a router of a large fleet that loses the few others which reach the servers.
+func TestRouterThatOpenedTunnelIsAskedAgainInLargeFleet(t *testing.T) {
+	var members []fleet.Member
+	for i := range 10 * maxCandidates {
+		members = append(members, fleet.Member{Name: fmt.Sprint(i), PeerAddress: fmt.Sprint(i), Domain: "here"})
+	}
+	c := NewClient("here", func() []fleet.Member { return slices.Clone(members) }, linkdelay.New(nil), nil)
+	c.record("17", nil)
+	for range 20 {
+		candidates := c.candidates("here")
+		qt.Assert(t, candidates, qt.HasLen, maxCandidates)
+		qt.Assert(t, candidates[0].Name, qt.Equals, "17")
+	}
+}
+
 // Guards against a server that ended and is asked for at every router by every other one.
 func TestFewRoutersAreAskedForServerThatEnded(t *testing.T) {
 	var asked atomic.Int64
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -61,6 +61,9 @@
 	}
 	carried, carrierErr := c.connectThroughCarrier(ctx, server)
 	if carrierErr != nil {
+		if ctx.Err() == nil {
+			c.paths.markUnreachable(server.Incarnation)
+		}
 		return nil, errors.Wrap(err, carrierErr.Error())
 	}
 	if os.IsTimeout(err) {
@@ -83,7 +86,6 @@
 func (c *Client) connectThroughCarrier(ctx context.Context, server *fleet.Server) (*conn, error) {
 	raw, via, err := c.carriers.Open(ctx, server)
 	if err != nil {
-		c.paths.markUnreachable(server.Incarnation)
 		return nil, err
 	}
 	carried := newConn(raw)
@@ -145,8 +147,8 @@
 
 // probeCarriers looks for a way through other routers to a server that nobody reached before.
 func (c *Client) probeCarriers(server *fleet.Server, cause error) {
-	if cut, _ := c.paths.lookup(server.Incarnation); cut || c.isLinkSlow() {
-		return
+	if _, unreachable := c.paths.lookup(server.Incarnation); !unreachable || c.isLinkSlow() {
+		return // requests find the way through carriers themselves, or it would not help
 	}
 	carried, err := c.connectThroughCarrier(context.Background(), server)
 	if err != nil {
@@ -156,13 +158,11 @@
 	c.pathLost(server, cause)
 }
 
-// pathLost records that a server answers other routers but not this one. Idle connections to it are
-// closed: a request sent on one would get no answer either.
+// pathLost records that a server answers other routers but not this one.
 func (c *Client) pathLost(server *fleet.Server, cause error) {
 	if !c.paths.markCut(server.Incarnation) {
 		return
 	}
-	c.pool(server.Incarnation).closeAll()
 	c.log.Emit(event.PathLost, slog.String(event.KeyBackend, server.ID), slog.String("address", server.Address), slog.Any(event.KeyCause, cause))
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +84,19 @@
 	return nil, "", tunnel.ErrNoCarrier
 }
 
+// switchedCarriers connect directly while they are on.
+type switchedCarriers struct {
+	on atomic.Bool
+}
+
+func (s *switchedCarriers) Open(ctx context.Context, server *fleet.Server) (net.Conn, string, error) {
+	if !s.on.Load() {
+		return nil, "", tunnel.ErrNoCarrier
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", server.Address)
+	return conn, "vm-2", err
+}
+
 func newTestClient(codec Codec, carriers Carriers) *Client {
 	return NewClient(Options{Codec: codec, Dials: prometheus.NewCounter(prometheus.CounterOpts{Name: "dials"}), Link: linkdelay.New(nil),
 		Carriers: carriers, Log: event.Discard()})
