quarantine: ask for a server's fate only until it is known

Cause: found by reading. Each suspected crash was compared with the list of all servers each second for five minutes, also after the server was known to have ended: after a fault that ends a thousand of 3,000 servers that is up to 4,096 times 3,000 comparisons a second. Change: a crash whose server has ended is confirmed and not asked for again. Result: TestFateOfServerIsAskedUntilItIsKnown; tests of the packages pass.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -270,7 +270,7 @@
 }
 
 // Guards against a crash that is taken for a network fault because the server's entry outlives it.
-func TestServerOutlivesCrashOnlyIfListedLongAfter(t *testing.T) {
+func TestServerSurvivedCrashOnlyIfListedLongAfter(t *testing.T) {
 	r, c := newRegistry()
 	r.Reset([]store.Item{entryItem("a", 1, false)}, store.Silence{})
 	incarnation := r.View().ByService["engines"][0].Incarnation
@@ -280,18 +280,18 @@
 		r.Apply(events, normalSilence)
 	}
 	answerAfter(maxEntryAge - time.Millisecond)
-	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse, qt.Commentf("the entry may not have expired yet"))
+	qt.Assert(t, r.FateOf(incarnation, crash), qt.Equals, FateUnknown, qt.Commentf("the entry may not have expired yet"))
 	c.advance(time.Second)
-	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse, qt.Commentf("nothing was heard since"))
+	qt.Assert(t, r.FateOf(incarnation, crash), qt.Equals, FateUnknown, qt.Commentf("nothing was heard since"))
 	answerAfter(0)
-	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsTrue)
+	qt.Assert(t, r.FateOf(incarnation, crash), qt.Equals, FateSurvived)
 
 	r.SetReachable(false, errors.New("no answer"))
 	answerAfter(maxEntryAge)
-	qt.Assert(t, r.Outlived(incarnation, c.now().Add(-maxEntryAge)), qt.IsFalse, qt.Commentf("entries may be kept in an outage"))
+	qt.Assert(t, r.FateOf(incarnation, c.now().Add(-maxEntryAge)), qt.Equals, FateUnknown, qt.Commentf("entries may be kept in an outage"))
 	answerAfter(maxEntryAge)
-	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsTrue)
+	qt.Assert(t, r.FateOf(incarnation, crash), qt.Equals, FateSurvived)
 
 	answerAfter(0, deletion("a", 9))
-	qt.Assert(t, r.Outlived(incarnation, crash), qt.IsFalse)
+	qt.Assert(t, r.FateOf(incarnation, crash), qt.Equals, FateEnded)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -174,24 +174,38 @@
 // heartbeats that did not come, and another router may relay the list.
 const maxEntryAge = 6 * time.Second
 
-// Outlived reports whether a server was still registered so long after the given time that it can't
-// have crashed then. A time at which the store did not answer doesn't count, since entries may be
-// kept meanwhile.
-func (r *Registry) Outlived(incarnation string, since time.Time) bool {
+// Fate is what became of a server after some moment.
+type Fate int
+
+// Fates of a server.
+const (
+	FateUnknown Fate = iota
+	FateEnded
+	FateSurvived
+)
+
+// FateOf tells whether a server is still registered so long after the given time that it can't have
+// crashed then. A time at which the store did not answer doesn't count, since entries may be kept
+// meanwhile.
+func (r *Registry) FateOf(incarnation string, since time.Time) Fate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.answeringSince.After(since) {
 		since = r.answeringSince
 	}
 	if !r.reachable || r.lastAnswer.Sub(since) < maxEntryAge {
-		return false
+		return FateUnknown
 	}
 	for _, known := range r.servers {
-		if known.server.Incarnation == incarnation {
-			return !known.expired
+		switch {
+		case known.server.Incarnation != incarnation:
+		case known.expired:
+			return FateUnknown
+		default:
+			return FateSurvived
 		}
 	}
-	return false
+	return FateEnded
 }
 
 // Find returns the server with the ID and start time, or nil if none is registered.
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -106,7 +106,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, content := range n.quarantine.DismissSurvived(n.registry.Outlived) {
+		for _, content := range n.quarantine.DismissSurvived(n.registry.FateOf) {
 			n.log.Emit(event.QuarantineEnded, slog.String("content", quarantine.FormatContent(content)), slog.String(event.KeyCause, "servers still run"))
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
 )
 
 const (
@@ -58,6 +60,8 @@
 	// dismissed is set if the request did not crash the server. The evidence is kept so that
 	// another router's report of it doesn't count.
 	dismissed bool
+	// confirmed is set if the server has ended.
+	confirmed bool
 }
 
 // New returns an empty quarantine. A nil now means time.Now.
@@ -181,18 +185,15 @@
 }
 
 // DismissSurvived dismisses the crashes of servers that did not end, and returns the contents that
-// are no longer quarantined. survived reports whether a server still ran some time after the given
-// time.
-func (q *Quarantine) DismissSurvived(survived func(server string, after time.Time) bool) []uint64 {
+// are no longer quarantined. fateOf tells what became of a server after the given time.
+func (q *Quarantine) DismissSurvived(fateOf func(server string, after time.Time) fleet.Fate) []uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var released []uint64
 	for content, s := range q.suspects {
 		before := q.contains(content)
 		for server, found := range s.crashes {
-			if !found.dismissed && survived(server, found.learned) {
-				q.dismiss(found)
-			}
+			q.judge(found, server, fateOf)
 		}
 		if before && !q.contains(content) {
 			released = append(released, content)
@@ -201,6 +202,19 @@
 	return released
 }
 
+// judge confirms or dismisses the evidence of a crash once the server's fate is known.
+func (q *Quarantine) judge(found *evidence, server string, fateOf func(string, time.Time) fleet.Fate) {
+	if found.dismissed || found.confirmed {
+		return
+	}
+	switch fateOf(server, found.learned) {
+	case fleet.FateSurvived:
+		q.dismiss(found)
+	case fleet.FateEnded:
+		found.confirmed = true
+	}
+}
+
 func (q *Quarantine) dismiss(found *evidence) {
 	if found.dismissed {
 		return
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
@@ -55,8 +56,13 @@
 	q.RecordCrash(Crash{7, "a"})
 	q.Merge([]Crash{{7, "b"}})
 	_, before := q.OwnCrashes()
-	survived := func(server string, _ time.Time) bool { return server == "a" }
-	qt.Assert(t, q.DismissSurvived(survived), qt.DeepEquals, []uint64{7})
+	fateOf := func(server string, _ time.Time) fleet.Fate {
+		if server == "a" {
+			return fleet.FateSurvived
+		}
+		return fleet.FateUnknown
+	}
+	qt.Assert(t, q.DismissSurvived(fateOf), qt.DeepEquals, []uint64{7})
 	qt.Assert(t, q.Contains(7), qt.IsFalse)
 	own, after := q.OwnCrashes()
 	qt.Assert(t, own, qt.HasLen, 0)
@@ -65,6 +71,28 @@
 	qt.Assert(t, q.Merge([]Crash{{7, "c"}}), qt.DeepEquals, []uint64{7})
 }
 
+// Guards against a check of all crashes against all servers each second, long after a fault that
+// ended many servers.
+func TestFateOfServerIsAskedUntilItIsKnown(t *testing.T) {
+	q, _ := testQuarantine()
+	q.RecordCrash(Crash{7, "a"})
+	q.RecordCrash(Crash{7, "b"})
+	asked := 0
+	fate := fleet.FateUnknown
+	fateOf := func(string, time.Time) fleet.Fate {
+		asked++
+		return fate
+	}
+	q.DismissSurvived(fateOf)
+	qt.Assert(t, asked, qt.Equals, 2)
+	fate = fleet.FateEnded
+	qt.Assert(t, q.DismissSurvived(fateOf), qt.HasLen, 0)
+	qt.Assert(t, asked, qt.Equals, 4)
+	q.DismissSurvived(fateOf)
+	qt.Assert(t, asked, qt.Equals, 4)
+	qt.Assert(t, q.Contains(7), qt.IsTrue)
+}
+
 // Guards against a sound request that is refused since it ran on servers that another one crashed.
 func TestSuccessClearsContent(t *testing.T) {
 	q, _ := testQuarantine()
