linkdelay: test that exchanges given up show no slow link

Change: an exchange that was given up makes the link full but not slow, one that was late does both.

--- a/internal/linkdelay/linkdelay_test.go
+++ b/internal/linkdelay/linkdelay_test.go
@@ -51,3 +51,16 @@
 	c.at = c.at.Add(2 * window)
 	qt.Assert(t, e.Delay(), qt.Equals, time.Duration(0))
 }
+
+// Guards against a full link that is not seen because exchanges are given up, and against a cut path
+// that is taken for one.
+func TestExchangesGivenUpDoNotShowSlowLink(t *testing.T) {
+	c, e := newTestEstimator()
+	start := c.at
+	c.at = c.at.Add(time.Second)
+	e.ObserveTimeout(400 * time.Millisecond)
+	qt.Assert(t, e.WasFull(start), qt.IsTrue)
+	qt.Assert(t, e.WasSlow(start), qt.IsFalse)
+	e.Observe(300 * time.Millisecond)
+	qt.Assert(t, e.WasSlow(start), qt.IsTrue)
+}
