Log versions of servers' software and the streams that requests resume

Now 705, 203 and 208 carry version; 201, 206, 208 and 210 carry resumes (the attempt that began the stream) and after (the last event). Tests of the touched packages pass.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -272,7 +272,7 @@
 	server.SetEvacuated(r.evacuated[entry.Domain])
 	server.MarkCold(r.now(), entry.Cold)
 	r.servers[item.Key] = &tracked{server: server, revision: item.Revision, item: item}
-	r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address),
+	r.log.Emit(event.BackendFound, slog.String(event.KeyBackend, entry.ID), slog.String("address", entry.Address), slog.String("version", entry.Version),
 		slog.Int64("born", entry.StartUnixMilli), slog.Int64("revision", int64(item.Revision)), slog.Bool("draining", entry.Draining),
 		slog.Int64("cold_ms", entry.Cold.Milliseconds()))
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -19,6 +19,8 @@
 	Service        string
 	Address        string // IP:port
 	Domain         string // failure domain
+	// Version is the version of the server's software; empty if it states none.
+	Version string
 	// Draining is set if the server takes no new requests.
 	Draining bool
 	// Cold is the remaining time in which the server, recently started, can handle only few
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -8,6 +8,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/quarantine"
+	"chicorytiller.example/chicorytiller/internal/request"
 )
 
 // noBackendCause returns why there is no server to send the request to.
@@ -66,7 +67,7 @@
 	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", status),
 		slog.Int64("first_ms", firstByte.Milliseconds()), slog.Int64("reserved_ms", t.reserveTime.Milliseconds()),
 		slog.Int64("server_ms", t.firstByteAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.maxGap.Milliseconds()),
-		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via))...)
+		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version))...)
 }
 
 func (t *task) attrs() []slog.Attr {
@@ -80,14 +81,22 @@
 	if t.r.Account != nil {
 		attrs = append(attrs, slog.String(event.KeyAccount, t.r.Account.Name), slog.Int64(event.KeyTokens, t.used()))
 	}
-	return attrs
+	return append(attrs, resumeAttrs(t.r)...)
+}
+
+// resumeAttrs returns the attributes of a request that resumes a stream.
+func resumeAttrs(r *request.Request) []slog.Attr {
+	if !r.HasResume {
+		return nil
+	}
+	return []slog.Attr{slog.String("resumes", r.Resumes), slog.Int64("after", r.ResumeAfter)}
 }
 
 func (t *task) logFailure(server *fleet.Server, kind string, err error) {
 	t.lastFailure = kind
 	status := server.Status(time.Now())
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
-		slog.String("address", server.Address), slog.String("how", kind), slog.Any(event.KeyCause, err),
+		slog.String("address", server.Address), slog.String("version", server.Version), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
 		slog.String("via", t.via), slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -231,6 +231,7 @@
 	if r.Account != nil {
 		attrs = append(attrs, slog.String(event.KeyAccount, r.Account.Name))
 	}
+	attrs = append(attrs, resumeAttrs(r)...)
 	if t != nil {
 		attrs = append(attrs, slog.Int("sends", t.sends), slog.String("last", t.lastFailure))
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -45,6 +45,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received, if HasResume is set.
 	ResumeAfter int64
 	HasResume   bool
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream to be
+	// resumed; empty if the caller doesn't name it.
+	Resumes string
 
 	// Idempotency is set if all requests of the account with the same idempotency key should have
 	// one run and one answer.
