Streams go on only at the version of the servers' software that began them

Cause: the version of a server was read and dropped, Resumes wasn't read, and any server was as good as another.

A request's stream is bound to the version of the server whose first event is relayed. For a stream that is taken up, another router has to know it:

- rollout: the admitted versions of each service are a record in the store.
A router begins streams at a new version 3.2 s after it saw the record change; one that knows the records as of the last 3 s therefore knows of all versions at which a stream can have begun.
If there is one, nobody is asked and nothing is sent.
A version is retired 10 minutes after its last server.
- streams: otherwise the router that relays the first event gives a record to three routers, found by rendezvous hashing in different failure domains; one that is asked to resume it asks six.
A stop hands records over; records of streams in progress are given away when the need begins.
- Without a record, or without a server of its version, a stream is refused at once (stream_version_unknown, stream_version_gone: not run).
It is never guessed, so a lost record costs the stream, not its content.

A stream that is resumed also stays at its service where a route is split.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -34,6 +34,9 @@
 	// QuarantineEnded: a content is no longer refused, because the servers that seemed to crash
 	// from it still run.
 	QuarantineEnded Number = 212
+	// StreamResumed: a request resumes a stream; the version of the servers' software at which the
+	// stream began was searched.
+	StreamResumed Number = 213
 )
 
 // Budget events.
@@ -103,11 +106,15 @@
 	CrashesNotRecorded Number = 724
 	// PathLost: a backend server answers other routers but not this one, which reaches it through
 	// them; PathRestored: it answers this router again.
-	PathLost      Number = 725
-	PathRestored  Number = 726
-	Bootstrapped  Number = 714
-	SourceChanged Number = 715
-	StoreCalls    Number = 716
+	PathLost     Number = 725
+	PathRestored Number = 726
+	// VersionsAdmitted: the versions of a service's servers at which streams may begin have changed;
+	// VersionsNotRecorded: a change could not be stored yet.
+	VersionsAdmitted    Number = 727
+	VersionsNotRecorded Number = 728
+	Bootstrapped        Number = 714
+	SourceChanged       Number = 715
+	StoreCalls          Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -135,6 +142,7 @@
 	{RequestQuarantined, slog.LevelWarn, "request content quarantined: it broke the backend servers that ran it"},
 	{ClaimLeftOpen, slog.LevelWarn, "claim of an idempotency key left open"},
 	{QuarantineEnded, slog.LevelInfo, "request content no longer quarantined"},
+	{StreamResumed, slog.LevelInfo, "stream to be resumed"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{DrawOutcomeUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
@@ -174,6 +182,8 @@
 	{CrashesNotRecorded, slog.LevelWarn, "requests that broke backend servers not recorded"},
 	{PathLost, slog.LevelWarn, "path to a backend server lost"},
 	{PathRestored, slog.LevelInfo, "path to a backend server restored"},
+	{VersionsAdmitted, slog.LevelInfo, "admitted versions of backend servers changed"},
+	{VersionsNotRecorded, slog.LevelWarn, "admitted versions of backend servers not recorded"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -64,7 +64,9 @@
 // View is an immutable list of the servers of each service, in order of their IDs.
 type View struct {
 	ByService map[string][]*Server
-	Total     int
+	// Versions holds the versions of each service's servers.
+	Versions map[string][]string
+	Total    int
 }
 
 // NewRegistry returns an empty registry. A nil now means time.Now.
@@ -387,7 +389,7 @@
 }
 
 func (r *Registry) publish() {
-	view := &View{ByService: make(map[string][]*Server)}
+	view := &View{ByService: make(map[string][]*Server), Versions: make(map[string][]string)}
 	var due *time.Time
 	for key, known := range r.servers {
 		if known.expired && r.reachable {
@@ -403,8 +405,14 @@
 		}
 		service := known.server.Service
 		view.ByService[service] = append(view.ByService[service], known.server)
+		if !slices.Contains(view.Versions[service], known.server.Version) {
+			view.Versions[service] = append(view.Versions[service], known.server.Version)
+		}
 		view.Total++
 	}
+	for _, versions := range view.Versions {
+		slices.Sort(versions)
+	}
 	for _, servers := range view.ByService {
 		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -99,7 +99,7 @@
 // Restarted reports whether e, an entry with the same ID, is of another process of the server, or
 // of another server that took over the ID.
 func (s *Server) Restarted(e Entry) bool {
-	return e.StartUnixMilli != s.StartUnixMilli || e.Address != s.Address || e.Service != s.Service
+	return e.StartUnixMilli != s.StartUnixMilli || e.Address != s.Address || e.Service != s.Service || e.Version != s.Version
 }
 
 // Leaving reports whether the server is draining or gone and must get no new requests.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -35,13 +35,16 @@
 		if e.HasID && t.hasLastEventID && e.ID != t.lastEventID+1 {
 			return t.handleBroken(watch, server, errors.Errorf("event %d follows event %d", e.ID, t.lastEventID))
 		}
-		if err := t.relayEvent(reply, e); err != nil {
+		if err := t.relayEvent(server, reply, e); err != nil {
 			return callerGone
 		}
 	}
 }
 
-func (t *task) relayEvent(reply *upstream.Reply, e eventstream.Event) error {
+func (t *task) relayEvent(server *fleet.Server, reply *upstream.Reply, e eventstream.Event) error {
+	if !t.headSent {
+		t.recordVersion(server)
+	}
 	t.sendHead(reply)
 	t.recordGap(time.Now())
 	if e.HasID {
@@ -77,6 +80,9 @@
 	}
 	t.sendHead(reply)
 	server.RecordSuccess()
+	if t.r.Route.IsResumableStream() {
+		t.f.Streams.Finished(t.r)
+	}
 	t.recordServed(server, reply.Status)
 	return finished
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -68,6 +68,7 @@
 	Retries    *retry.Budget
 	Quarantine *quarantine.Quarantine
 	Chooser    *balance.Chooser
+	Streams    StreamVersions
 	// RateLimits records the rate limits that servers announce with their answers.
 	RateLimits *pacing.Limits
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
@@ -99,6 +100,10 @@
 	}
 	defer done()
 	f.Retries.RecordRequest(r.Service)
+	if refusal := f.findStreamVersion(ctx, r); refusal != nil {
+		f.refuse(r, caller, *refusal, p, nil)
+		return
+	}
 	if refusal := f.checkServers(r); refusal != nil {
 		f.refuse(r, caller, *refusal, p, nil)
 		return
@@ -139,11 +144,20 @@
 	if f.Quarantine.Contains(hashContent(r)) {
 		return RequestQuarantined
 	}
-	fraction := float64(xxhash.Sum64String(r.ID)>>11) / (1 << 53)
-	r.Service = r.Route.PickService(fraction)
+	r.Service = r.Route.PickService(serviceFraction(r))
 	return ""
 }
 
+// serviceFraction returns the number in [0, 1) that picks a request's service. Where the weights stay
+// the same, a stream that is resumed goes to the service at which it began.
+func serviceFraction(r *request.Request) float64 {
+	id := r.StreamID()
+	if id == "" {
+		id = r.ID
+	}
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
 // checkServers returns a refusal if none of the service's servers can take the request or if it must
 // leave their capacity to more urgent requests, and nil otherwise. Serve calls it before it reserves
 // tokens, so that such a request does not wait for them.
@@ -151,14 +165,14 @@
 	if f.ServersOutdated() {
 		return &Refusal{Cause: BackendsOutdated, RetryAfter: retryLater}
 	}
-	availability := f.Chooser.Availability(f.Servers(r.Service))
+	availability := f.Chooser.Availability(f.servers(r))
 	switch availability.State {
 	case balance.Available:
 		if availability.PacedOnly && f.PriorityGate.ShouldYield(r.Service, r.Priority()) {
 			return &Refusal{Cause: BackendsLimited, RetryAfter: retryLater}
 		}
 	case balance.NoServers:
-		return &Refusal{Cause: NoBackend, RetryAfter: retryLater}
+		return f.refuseWithoutServer(r)
 	case balance.AllEvacuated:
 		return &Refusal{Cause: BackendsEvacuated, RetryAfter: retryLater}
 	case balance.AllCold:
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -10,33 +10,39 @@
 // Causes. Those up to OverdueUnsent, except KeyInUse, guarantee that the request has not run and
 // never will.
 const (
-	NotReady           Cause = "no_configuration" // no configuration known yet
-	Malformed          Cause = "bad_request"      // the request can't be decoded or is invalid
-	UnknownRoute       Cause = "unknown_route"    // no route matches host and path
-	UnknownKey         Cause = "unknown_key"      // no client account has the key
-	NotInContract      Cause = "not_in_contract"  // the account may not use the service
-	BodyTooLarge       Cause = "body_too_large"   // larger than the configured limit
-	OverLimit          Cause = "over_limit"       // too many concurrent requests or requests per second of the account
-	KeyRequired        Cause = "idempotency_key_required"
-	KeyReused          Cause = "idempotency_key_reused"    // used before with a different request
-	KeyInUse           Cause = "idempotency_key_in_use"    // the first request with it is running, or its answer was not kept
-	KeyUnclaimed       Cause = "idempotency_key_unclaimed" // the store is unreachable
-	BudgetExhausted    Cause = "budget_exhausted"          // the remaining tokens don't cover the request
-	BudgetHeld         Cause = "budget_held"               // the remaining tokens are granted to other routers
-	BudgetInDoubt      Cause = "budget_in_doubt"           // the remaining tokens may have been spent by routers that died
-	BudgetLow          Cause = "budget_low"                // the few remaining tokens are kept for more urgent or smaller requests
-	BudgetUnreachable  Cause = "budget_unreachable"        // this router's grant is used up and the store unreachable
-	NoBackend          Cause = "no_backend"                // no server to send the request to
-	BackendsEvacuated  Cause = "backends_evacuated"        // operators have ordered all servers evacuated
-	BackendsCold       Cause = "backends_cold"             // all servers have recently started and can handle only few requests
-	BackendsLimited    Cause = "backends_limited"          // all servers are cold or limit their request rate
-	BackendsOutdated   Cause = "backends_outdated"         // what is known of the servers is too old, since this VM's link is full
-	BackendRejected    Cause = "backend_rejected"          // the server answered that it did not run the request
-	RouterStopping     Cause = "router_stopping"           // this process is shutting down
-	RequestQuarantined Cause = "request_quarantined"       // the request crashes the servers that run it
-	OverdueUnsent      Cause = "overdue_unsent"            // deadline exceeded before the request was sent
-	TimedOut           Cause = "timed_out"                 // sent, no answer before the deadline
-	BackendFailed      Cause = "backend_failed"            // sent, the exchange broke off
+	NotReady          Cause = "no_configuration" // no configuration known yet
+	Malformed         Cause = "bad_request"      // the request can't be decoded or is invalid
+	UnknownRoute      Cause = "unknown_route"    // no route matches host and path
+	UnknownKey        Cause = "unknown_key"      // no client account has the key
+	NotInContract     Cause = "not_in_contract"  // the account may not use the service
+	BodyTooLarge      Cause = "body_too_large"   // larger than the configured limit
+	OverLimit         Cause = "over_limit"       // too many concurrent requests or requests per second of the account
+	KeyRequired       Cause = "idempotency_key_required"
+	KeyReused         Cause = "idempotency_key_reused"    // used before with a different request
+	KeyInUse          Cause = "idempotency_key_in_use"    // the first request with it is running, or its answer was not kept
+	KeyUnclaimed      Cause = "idempotency_key_unclaimed" // the store is unreachable
+	BudgetExhausted   Cause = "budget_exhausted"          // the remaining tokens don't cover the request
+	BudgetHeld        Cause = "budget_held"               // the remaining tokens are granted to other routers
+	BudgetInDoubt     Cause = "budget_in_doubt"           // the remaining tokens may have been spent by routers that died
+	BudgetLow         Cause = "budget_low"                // the few remaining tokens are kept for more urgent or smaller requests
+	BudgetUnreachable Cause = "budget_unreachable"        // this router's grant is used up and the store unreachable
+	NoBackend         Cause = "no_backend"                // no server to send the request to
+	BackendsEvacuated Cause = "backends_evacuated"        // operators have ordered all servers evacuated
+	BackendsCold      Cause = "backends_cold"             // all servers have recently started and can handle only few requests
+	BackendsLimited   Cause = "backends_limited"          // all servers are cold or limit their request rate
+	BackendsOutdated  Cause = "backends_outdated"         // what is known of the servers is too old, since this VM's link is full
+	// StreamVersionUnknown: at which version of the servers' software the stream began is unknown.
+	StreamVersionUnknown Cause = "stream_version_unknown"
+	// StreamVersionGone: no server of the version at which the stream began is left.
+	StreamVersionGone Cause = "stream_version_gone"
+	// VersionNotAdmitted: new streams may not begin yet at the version of any server.
+	VersionNotAdmitted Cause = "version_not_admitted"
+	BackendRejected    Cause = "backend_rejected"    // the server answered that it did not run the request
+	RouterStopping     Cause = "router_stopping"     // this process is shutting down
+	RequestQuarantined Cause = "request_quarantined" // the request crashes the servers that run it
+	OverdueUnsent      Cause = "overdue_unsent"      // deadline exceeded before the request was sent
+	TimedOut           Cause = "timed_out"           // sent, no answer before the deadline
+	BackendFailed      Cause = "backend_failed"      // sent, the exchange broke off
 )
 
 // NotRun reports whether the cause guarantees that the request has not run and never will.
@@ -66,11 +72,11 @@
 // NewRefusal returns the refusal for a cause with its usual RetryAfter.
 func NewRefusal(c Cause) Refusal {
 	switch c {
-	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited, BackendsOutdated:
+	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited, BackendsOutdated, VersionNotAdmitted:
 		return Refusal{Cause: c, RetryAfter: retryLater}
-	case BudgetInDoubt, BudgetLow:
+	case BudgetInDoubt, BudgetLow, StreamVersionGone:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
-	case BackendRejected, RouterStopping, OverdueUnsent:
+	case BackendRejected, RouterStopping, OverdueUnsent, StreamVersionUnknown:
 		return Refusal{Cause: c, RetryAfter: retrySoon}
 	}
 	return Refusal{Cause: c}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -115,7 +115,7 @@
 	if t.sends == 0 && t.f.Quarantine.Contains(t.contentHash) {
 		return t.giveUp(RequestQuarantined) // since it was admitted
 	}
-	choice := t.f.Chooser.Choose(t.f.Servers(t.r.Service), t.r, t.excluded)
+	choice := t.f.Chooser.Choose(t.f.servers(t.r), t.r, t.excluded)
 	if choice.Server == nil {
 		return t.giveUp(t.failureCause(t.noBackendCause()))
 	}
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -49,6 +49,9 @@
 	(&configSink{node: n}).Reset(known.Config, store.Silence{})
 	n.registry.Seed(known.Servers)
 	n.members.Seed(known.Members)
+	for _, item := range known.Versions {
+		n.applyVersions(item)
+	}
 	for _, item := range known.Limits {
 		n.limits.ApplyRecord(item)
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -27,6 +27,8 @@
 	tasks.Go(func() { n.publishCrashes(ctx) })
 	tasks.Go(func() { n.dismissSurvivedCrashes(ctx) })
 	tasks.Go(func() { n.publishLimits(ctx) })
+	tasks.Go(func() { n.streams.run(ctx) })
+	tasks.Go(func() { n.maintainVersions(ctx) })
 }
 
 // startFollowers starts the followers of the configuration, the backend servers and the fleet.
@@ -83,10 +85,16 @@
 }
 
 func (n *Node) fleetFollower() *store.Follower {
-	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n}, Confirmed: n.membership.confirm,
+	return &store.Follower{Prefix: fleetPrefix, Sink: &fleetSink{node: n}, Confirmed: n.confirmFleet,
 		MaxWait: fleetMaxWait, Pause: fleetPause, CheckAfter: fleetCheckAfter, Timeout: watchTimeout}
 }
 
+// confirmFleet records that all changes of the routers' records up to asOf are known.
+func (n *Node) confirmFleet(asOf time.Time) {
+	n.membership.confirm(asOf)
+	n.streams.rollout.Confirm(asOf)
+}
+
 // logSourceChange returns a store.Follower.SourceChanged callback that logs whether the follower
 // of prefix now reads from another router or from the store.
 func (n *Node) logSourceChange(prefix string) func(relayed bool) {
@@ -154,11 +162,16 @@
 }
 
 // fleetSink applies the records that routers write for each other: their entries, the requests that
-// crashed backend servers, and rate limits of backend servers.
+// crashed backend servers, rate limits of backend servers and the admitted versions of services.
 type fleetSink struct {
 	node *Node
 }
 
+// applyRecord applies a record that is not a router's entry. It reports whether the item is one.
+func (n *Node) applyRecord(item store.Item) bool {
+	return n.applyCrashRecord(item) || n.limits.ApplyRecord(item) || n.applyVersions(item)
+}
+
 func (s *fleetSink) SetReachable(reachable bool, cause error) {
 	s.node.members.SetReachable(reachable, cause)
 }
@@ -166,7 +179,7 @@
 func (s *fleetSink) Reset(items []store.Item, silence store.Silence) {
 	var members []store.Item
 	for _, item := range items {
-		if !s.node.applyCrashRecord(item) && !s.node.limits.ApplyRecord(item) {
+		if !s.node.applyRecord(item) {
 			members = append(members, item)
 		}
 	}
@@ -178,7 +191,7 @@
 func (s *fleetSink) Apply(events []store.Event, silence store.Silence) {
 	var members []store.Event
 	for _, e := range events {
-		if e.Deleted || !s.node.applyCrashRecord(e.Item) && !s.node.limits.ApplyRecord(e.Item) {
+		if e.Deleted || !s.node.applyRecord(e.Item) {
 			members = append(members, e)
 		}
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,16 +18,18 @@
 
 // Metrics holds the Prometheus metrics of one router. It implements forward.Metrics.
 type Metrics struct {
-	registry     *prometheus.Registry
-	firstByte    prometheus.Histogram
-	total        prometheus.Histogram
-	refused      *prometheus.CounterVec
-	retried      *prometheus.CounterVec
-	BackendDials prometheus.Counter
-	storeCalls   *prometheus.CounterVec
-	relayed      *prometheus.GaugeVec
-	stale        *prometheus.CounterVec
-	tunnels      *prometheus.CounterVec
+	registry      *prometheus.Registry
+	firstByte     prometheus.Histogram
+	total         prometheus.Histogram
+	refused       *prometheus.CounterVec
+	retried       *prometheus.CounterVec
+	BackendDials  prometheus.Counter
+	storeCalls    *prometheus.CounterVec
+	relayed       *prometheus.GaugeVec
+	stale         *prometheus.CounterVec
+	tunnels       *prometheus.CounterVec
+	resumed       *prometheus.CounterVec
+	streamRecords *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -52,6 +54,11 @@
 		Help: "Times that what lies under the prefix was not confirmed in time."}, []string{"prefix"})
 	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_carried_total",
 		Help: "Connections to backend servers that other routers asked for, by outcome."}, []string{"outcome"})
+	m.resumed = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_resumed_streams_total",
+		Help: "Requests that resume a stream, by how the version at which it began is known."}, []string{"by"})
+	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_stream_records_total",
+		Help: "Records of streams for other routers, by outcome."}, []string{"outcome"})
+	m.registry.MustRegister(m.resumed, m.streamRecords)
 	m.recent = make(map[string]int)
 	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.stale)
 	return m
@@ -92,6 +99,30 @@
 	m.tunnels.WithLabelValues(outcome).Inc()
 }
 
+// Outcomes of records of streams.
+const (
+	recordsSent    = "sent"
+	recordsNotSent = "not sent" // to one of the holders
+	recordsDropped = "dropped"
+)
+
+// registerStreamRecords registers gauges of the records of streams that this router keeps.
+func (m *Metrics) registerStreamRecords(own, held func() int) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_own_streams", Help: "Streams that this router relays, or did until their callers left."},
+			func() float64 { return float64(own()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_held_streams", Help: "Records of streams kept for other routers."},
+			func() float64 { return float64(held()) }))
+}
+
+func (m *Metrics) countResumed(by string) {
+	m.resumed.WithLabelValues(by).Inc()
+}
+
+func (m *Metrics) countStreamRecords(outcome string, records int) {
+	m.streamRecords.WithLabelValues(outcome).Add(float64(records))
+}
+
 // registerLinkDelay registers a gauge of the delay of this VM's own link.
 func (m *Metrics) registerLinkDelay(delay func() time.Duration) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_link_delay_seconds",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,7 @@
 	grants      *escrow.GrantManager
 	retries     *retry.Budget
 	quarantine  *quarantine.Quarantine
+	streams     *streamVersions
 	link        *linkdelay.Estimator
 	client      *upstream.Client
 	carrier     *tunnel.Carrier // of connections for other routers
@@ -166,6 +167,8 @@
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.quarantine = quarantine.New(nil)
+	n.streams = newStreamVersions(n)
+	n.metrics.registerStreamRecords(n.streams.own.Len, n.streams.held.Len)
 	n.metrics.registerQuarantined(n.quarantine.Count)
 	n.link = linkdelay.New(env.Now)
 	n.metrics.registerLinkDelay(n.link.Delay)
@@ -192,6 +195,7 @@
 		Chooser:         balance.NewChooser(s.FailureDomain, pacer, nil),
 		RateLimits:      n.limits,
 		PriorityGate:    &pacing.PriorityGate{Now: time.Now},
+		Streams:         n.streams,
 		Backend:         n.client,
 		ServersOutdated: n.serversOutdated,
 		LinkDelay:       n.link.Delay,
@@ -258,7 +262,7 @@
 
 // Ready reports whether this router is ready for callers.
 func (n *Node) Ready() bool {
-	return n.hasRoutingData() && n.membershipKnown() && !n.stopping.Load()
+	return n.hasRoutingData() && n.membershipKnown() && n.versionsKnown() && !n.stopping.Load()
 }
 
 func (n *Node) self() fleet.Member {
@@ -379,7 +383,8 @@
 // Known implements peers.StateSource. It returns the state that another router needs if it starts
 // while the store is unreachable.
 func (n *Node) Known() peers.Known {
-	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items(), Limits: n.limits.Items()}
+	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items(), Limits: n.limits.Items(),
+		Versions: n.streams.rollout.Items()}
 	if item := n.configItem.Load(); item != nil {
 		known.Config = append([]store.Item{*item}, n.evacuations.Items()...)
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -26,6 +26,7 @@
 	n.grants.StopAccepting()
 	n.carrier.Stop()
 	close(n.stopSignal)
+	n.streams.handOver()
 	n.log.Emit(event.DrainStarted, slog.Int64("in_hand", n.inFlight.Load()))
 	deadline := start.Add(n.settings.GracePeriod - grantReturnTime)
 	for time.Now().Before(deadline) {
@@ -35,6 +36,7 @@
 		time.Sleep(stopPollInterval)
 	}
 	n.refuseNewRequests(deadline)
+	n.streams.handOver() // also records that arrived meanwhile
 	ctx, cancel := context.WithTimeout(context.Background(), grantReturnTime/2)
 	defer cancel()
 	if err := n.grants.ReturnGrants(ctx); err != nil {
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -26,6 +26,9 @@
 // ErrNotSent: a peer could not be connected to; it has not run the call.
 var ErrNotSent = errors.New("peers: not sent")
 
+// ErrNotServed: a peer answered that it can't serve the call, as routers of an older version do.
+var ErrNotServed = errors.New("peers: not served")
+
 // Time limits of calls to peers. They are short because the caller of a request waits meanwhile.
 const (
 	dialTimeout = 200 * time.Millisecond
@@ -286,6 +289,10 @@
 	call := client.Go(serviceName+"."+method, request, answer, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if errors.As(call.Error, new(rpc.ServerError)) {
+			c.recordAnswer(address)
+			return errors.Wrap(ErrNotServed, call.Error.Error())
+		}
 		if call.Error != nil {
 			c.recordFailure(address, client)
 			return errors.Wrap(ErrUnreachable, call.Error.Error())
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
 	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/streams"
 )
 
 // fakeLender has tokens of one account.
@@ -47,6 +48,9 @@
 func (emptyState) Known() Known            { return Known{} }
 func (emptyState) Feed(string) *store.Feed { return nil }
 
+func (emptyState) KeepStreams([]streams.Record)          {}
+func (emptyState) FindStream(streams.Key) (string, bool) { return "", false }
+
 // startPeer serves a fakeLender with the given tokens and returns it with its address.
 func startPeer(t *testing.T, tokens int64) (*fakeLender, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -10,6 +10,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/streams"
 	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
 
@@ -77,10 +78,12 @@
 // Known contains items of the store as the peer last read them.
 type Known struct {
 	// Limits are the records of rate limits that backend servers set.
-	Limits  []store.Item
-	Config  []store.Item
-	Servers []store.Item
-	Members []store.Item
+	Limits []store.Item
+	// Versions are the records of the services' admitted versions.
+	Versions []store.Item
+	Config   []store.Item
+	Servers  []store.Item
+	Members  []store.Item
 }
 
 // Lender lends granted tokens to other routers and takes tokens from them.
@@ -100,6 +103,10 @@
 	Known() Known
 	// Feed returns the feed of the store's items under a prefix, or nil if this router has none.
 	Feed(prefix string) *store.Feed
+	// KeepStreams keeps records of streams that other routers relay.
+	KeepStreams(records []streams.Record)
+	// FindStream returns the version at which a stream began, if this router knows it.
+	FindStream(key streams.Key) (version string, found bool)
 }
 
 // Service is the RPC service that peers call.
@@ -151,6 +158,34 @@
 	return nil
 }
 
+// StreamRecords tells at which versions of servers' software streams began.
+type StreamRecords struct {
+	Records []streams.Record
+}
+
+// KeepStreams keeps the peer's records.
+func (s *Service) KeepStreams(request StreamRecords, _ *struct{}) error {
+	s.state.KeepStreams(request.Records)
+	return nil
+}
+
+// StreamQuery asks where a stream began.
+type StreamQuery struct {
+	Key streams.Key
+}
+
+// StreamAnswer is the answer to a StreamQuery.
+type StreamAnswer struct {
+	Found   bool
+	Version string
+}
+
+// FindStream tells at which version a stream began.
+func (s *Service) FindStream(query StreamQuery, answer *StreamAnswer) error {
+	answer.Version, answer.Found = s.state.FindStream(query.Key)
+	return nil
+}
+
 // TunnelServer serves connections that begin with tunnel.Prefix. r holds what was read of conn.
 type TunnelServer interface {
 	ServeConn(conn net.Conn, r *bufio.Reader)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -47,9 +47,14 @@
 	Resumable bool
 }
 
+// IsResumableStream reports whether the route's answers are streams that another server may continue.
+func (r *Route) IsResumableStream() bool {
+	return r.Kind == Streaming && r.Resumable
+}
+
 // Retryable reports whether a request of the route may run a second time.
 func (r *Route) Retryable() bool {
-	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+	return r.Kind == Idempotent || r.IsResumableStream()
 }
 
 // PickService returns a service chosen by weight. fraction must be uniformly distributed in [0, 1).
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -57,6 +57,25 @@
 	Account *policy.Account
 	Route   *policy.Route
 	Service string
+	// StreamVersion is the version of the servers' software at which the stream began, set by the
+	// router once HasStreamVersion is true: when it has found the stream that the request resumes, or
+	// when it relays the first event of a new one.
+	StreamVersion    string
+	HasStreamVersion bool
+}
+
+// SetStreamVersion binds the stream to a version.
+func (r *Request) SetStreamVersion(version string) {
+	r.StreamVersion, r.HasStreamVersion = version, true
+}
+
+// StreamID returns the ID of the attempt that brought the stream's first event, or "" if the caller
+// resumes a stream and doesn't name it.
+func (r *Request) StreamID() string {
+	if r.HasResume || r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
 }
 
 // Idempotency identifies the repeats of a request.
