chicoryctl: versions of backend servers; the own interface takes them too

Operators could not see which versions of the servers' software serve, nor which are admitted for new streams; servers of the own interface could not state one, so that the binding of streams to versions had no effect there. backend list has the version, backend versions counts servers by version. The stored entry gains an optional field.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -44,6 +44,9 @@
 	Models        []id.Model       `json:"models"`  // engines only
 	Service       id.Service       `json:"service"` // service instances only
 	Leaving       bool             `json:"leaving"` // gets no new requests
+	// Version is that of the server's software. A stream goes on only at servers of the version at
+	// which it began.
+	Version string `json:"version,omitempty"`
 }
 
 // Service is a plain HTTP service.
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -175,6 +175,7 @@
 
 func (a *app) backendCommands(parent *kingpin.CmdClause) {
 	a.setAction(parent.Command("list", "Lists backend servers by model or service."), a.listBackends)
+	a.setAction(parent.Command("versions", "Lists the versions of the servers' software by model or service."), a.listVersions)
 	put := parent.Command("put", "Registers a backend server, or changes it.")
 	putFile := put.Arg("file", "JSON file; - is standard input.").Required().String()
 	a.setAction(put, func(ctx context.Context, s store.Store) error {
@@ -205,13 +206,25 @@
 	if err != nil {
 		return err
 	}
-	t := table{{"BACKEND", "SERVES", "ADDRESS", "FAILURE DOMAIN", "LEAVING"}}
+	t := table{{"BACKEND", "SERVES", "ADDRESS", "FAILURE DOMAIN", "VERSION", "LEAVING"}}
 	for _, e := range entries {
-		t = append(t, []string{e.ID, e.Service, e.Address, e.FailureDomain, strconv.FormatBool(e.Leaving)})
+		t = append(t, []string{e.ID, e.Service, e.Address, e.FailureDomain, e.Version, strconv.FormatBool(e.Leaving)})
 	}
 	return a.print(entries, t)
 }
 
+func (a *app) listVersions(ctx context.Context, s store.Store) error {
+	versions, err := operate.Versions(ctx, s)
+	if err != nil {
+		return err
+	}
+	t := table{{"SERVES", "VERSION", "SERVERS", "LEAVING", "ADMITTED"}}
+	for _, v := range versions {
+		t = append(t, []string{v.Service, v.Version, strconv.Itoa(v.Servers), strconv.Itoa(v.Leaving), strconv.FormatBool(v.Admitted)})
+	}
+	return a.print(versions, t)
+}
+
 func (a *app) listRouters(ctx context.Context, s store.Store) error {
 	routers, err := operate.Routers(ctx, s)
 	if err != nil {
--- a/internal/native/backends.go
+++ b/internal/native/backends.go
@@ -51,6 +51,7 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure_domain"`
 	Leaving       bool   `json:"leaving"`
+	Version       string `json:"version,omitempty"` // of the server's software
 }
 
 // Encode returns the entry as JSON.
@@ -74,7 +75,8 @@
 	}
 	entries := make(map[string][]byte, len(services))
 	for _, service := range services {
-		entry := BackendEntry{ID: string(b.ID), Service: service, Address: b.Address, FailureDomain: string(b.FailureDomain), Leaving: b.Leaving}
+		entry := BackendEntry{ID: string(b.ID), Service: service, Address: b.Address, FailureDomain: string(b.FailureDomain), Leaving: b.Leaving,
+			Version: b.Version}
 		entries[BackendsPrefix+entry.ID+"/"+service] = entry.Encode()
 	}
 	return entries
@@ -98,5 +100,5 @@
 	if err != nil {
 		return fleet.Entry{}, err
 	}
-	return fleet.Entry{ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.FailureDomain, Draining: e.Leaving}, nil
+	return fleet.Entry{ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.FailureDomain, Draining: e.Leaving, Version: e.Version}, nil
 }
--- a/internal/peers/pack_test.go
+++ b/internal/peers/pack_test.go
@@ -39,20 +39,26 @@
 	return []byte(b.String())
 }
 
-// countingListener counts the bytes that its connections send.
+// countingListener counts the bytes that its connections send and receive.
 type countingListener struct {
 	net.Listener
-	sent atomic.Int64
+	sent, received atomic.Int64
 }
 
 func (l *countingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return &countingConn{Conn: c, sent: &l.sent}, err
+	return &countingConn{Conn: c, sent: &l.sent, received: &l.received}, err
 }
 
 type countingConn struct {
 	net.Conn
-	sent *atomic.Int64
+	sent, received *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 func (c *countingConn) Write(p []byte) (int, error) {
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -45,7 +45,8 @@
 	return strings.HasPrefix(key, RecordPrefix)
 }
 
-func decodeRecord(item store.Item) (Record, error) {
+// DecodeRecord decodes and checks a stored record.
+func DecodeRecord(item store.Item) (Record, error) {
 	record := Record{}
 	if err := json.Unmarshal(item.Value, &record); err != nil {
 		return Record{}, errors.Wrap(err, "decode record of versions")
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -86,7 +86,7 @@
 // Apply applies a record that was read from the store or learned from another router. It returns the
 // record and whether it is newer than the known one, or an error if it is invalid.
 func (t *Tracker) Apply(item store.Item) (record Record, changed bool, err error) {
-	record, err = decodeRecord(item)
+	record, err = DecodeRecord(item)
 	if err != nil {
 		return Record{}, false, err
 	}
