soak: tell the requests of killed routers apart in the check of limits

The check took the router of a request from the routers' logs; a killed router leaves no line of the requests that it had in hand, and all these counted as one router's. Trace: engine-1 is paused, all routers are killed twice; when it goes on it runs 14 requests without a line, of several processes, of which the first "told" one had been another process 2 s before. The rule counts only routers that were told.

Routers of the own interface now name their process in X-Chicory-Router, the engines' evidence has it, and the check goes by it: each request counts for the process that sent it, with or without a line.

A missing folder of programs is now an error of the settings, not a broken promise.

--- a/cmd/chicory-soak/main.go
+++ b/cmd/chicory-soak/main.go
@@ -29,6 +29,7 @@
 	app.Flag("rate", "Requests a second.").Default("40").Float64Var(&o.Rate)
 	dir := app.Flag("dir", "Directory for settings and logs, which are kept for broken seeds.").Default(os.TempDir()).String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	app.FatalIfError(o.Validate(), "settings")
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	os.Exit(runSeeds(ctx, o, *seeds, *dir))
--- a/internal/enginestub/activitylog.go
+++ b/internal/enginestub/activitylog.go
@@ -26,7 +26,8 @@
 	Kind    activityKind `json:"kind"`
 	At      time.Time    `json:"at"`
 	Request string       `json:"request,omitempty"`
-	Limit   string       `json:"limit,omitempty"` // advertised rate limit
+	Limit   string       `json:"limit,omitempty"`  // advertised rate limit
+	Router  string       `json:"router,omitempty"` // process that sent the request
 }
 
 // activityLogger writes each activity when it happens: records in memory would be lost if the
@@ -91,7 +92,7 @@
 	case rateLimitChanged:
 		process.RateLimits = append(process.RateLimits, RateLimitChange{At: record.At, Limit: record.Limit})
 	case requestArrived:
-		process.Arrivals = append(process.Arrivals, Arrival{Request: record.Request, At: record.At, Limit: record.Limit})
+		process.Arrivals = append(process.Arrivals, Arrival{Request: record.Request, Router: record.Router, At: record.At, Limit: record.Limit})
 	case requestAnswered:
 		process.markAnswered(record.Request, record.At)
 	case runStarted:
--- a/internal/enginestub/ratelimit.go
+++ b/internal/enginestub/ratelimit.go
@@ -31,6 +31,7 @@
 // Arrival is a received request.
 type Arrival struct {
 	Request string // request ID
+	Router  string // process of the router that sent it; empty if it didn't say
 	At      time.Time
 	// Answered is the time just before the response header was sent; zero: never.
 	Answered time.Time
@@ -56,17 +57,17 @@
 }
 
 // recordArrival logs a request and returns the limit to advertise in its response.
-func (l *advertisedLimit) recordArrival(requestID string) string {
+func (l *advertisedLimit) recordArrival(requestID, router string) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.activity.log(activityRecord{Kind: requestArrived, At: l.now(), Request: requestID, Limit: l.limit})
+	l.activity.log(activityRecord{Kind: requestArrived, At: l.now(), Request: requestID, Router: router, Limit: l.limit})
 	return l.limit
 }
 
 // handle is a middleware that sets the rate limit header and logs the request's arrival and
 // answer.
 func (l *advertisedLimit) handle(c *fiber.Ctx, requestID string) error {
-	if limit := l.recordArrival(requestID); limit != "" {
+	if limit := l.recordArrival(requestID, strings.Clone(c.Get(native.HeaderRouter))); limit != "" {
 		c.Set(native.HeaderRateLimit, limit)
 	}
 	defer func() { l.activity.log(activityRecord{Kind: requestAnswered, At: l.now(), Request: requestID}) }()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,11 @@
 	return &Log{process: process, logger: slog.New(slog.NewJSONHandler(w, options))}
 }
 
+// Process returns the name of the process, which each line carries.
+func (l *Log) Process() string {
+	return l.process
+}
+
 // Discard returns a Log that writes nothing.
 func Discard() *Log {
 	return &Log{logger: slog.New(slog.DiscardHandler)}
--- a/internal/native/backends.go
+++ b/internal/native/backends.go
@@ -22,6 +22,7 @@
 	HeaderNotExecuted = "X-Chicory-Not-Executed" // in answers: the request did not run
 	HeaderLoad        = "X-Chicory-Load"         // in answers: running,waiting,slots
 	HeaderRateLimit   = "X-Chicory-Rate-Limit"   // in answers: requests per second that the server accepts from all routers together
+	HeaderRouter      = "X-Chicory-Router"       // process of the router that sends the request, as in its log
 	HeaderOutput      = "X-Chicory-Output"       // in buffered answers: number of output tokens
 	HeaderLastEvent   = "Last-Event-Id"
 )
@@ -30,7 +31,7 @@
 var Codec = upstream.HeaderCodec{Names: upstream.HeaderNames{
 	RequestID: HeaderRequestID, ServerID: HeaderBackend, TimeLeft: HeaderTimeLeft, LastEventID: HeaderLastEvent,
 	Account: HeaderAccount, Priority: HeaderUrgency, NotExecuted: HeaderNotExecuted, Load: HeaderLoad, OutputTokens: HeaderOutput,
-	RateLimit: HeaderRateLimit,
+	RateLimit: HeaderRateLimit, Router: HeaderRouter,
 }}
 
 // Latency goals of routes to engines. The forwarder's watchdog derives its timeouts from them.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,7 +173,7 @@
 	n.link = linkdelay.New(env.Now)
 	n.metrics.registerLinkDelay(n.link.Delay)
 	carriers := tunnel.NewClient(s.FailureDomain, n.otherRouters, n.link, env.Now)
-	n.client = upstream.NewClient(upstream.Options{Codec: env.Codec, Dials: n.metrics.BackendDials, Link: n.link, Carriers: carriers, Log: log})
+	n.client = upstream.NewClient(upstream.Options{Codec: env.Codec, Router: log.Process(), Dials: n.metrics.BackendDials, Link: n.link, Carriers: carriers, Log: log})
 	n.metrics.registerCutPaths(n.client.CutPaths)
 	n.carrier = tunnel.NewCarrier(n.dialForCarrier)
 	n.metrics.registerCarried(n.carrier.Active)
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -1,20 +1,14 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"chicorytiller.example/chicorytiller/internal/enginestub"
 )
 
@@ -76,10 +70,6 @@
 // checkLimits compares the requests that each engine process received with the rate limits
 // that it reported, and returns the violations.
 func (f *fleet) checkLimits() ([]string, error) {
-	routerByRequest, err := f.routersByRequest()
-	if err != nil {
-		return nil, err
-	}
 	var violations []string
 	for i := range f.engines {
 		activity, err := f.activityLog(i)
@@ -87,7 +77,7 @@
 			return nil, err
 		}
 		for _, process := range activity.Processes {
-			for _, violation := range limitViolations(process, routerByRequest) {
+			for _, violation := range limitViolations(process) {
 				violations = append(violations, f.engines[i].name+": "+violation)
 			}
 		}
@@ -95,32 +85,9 @@
 	return violations, nil
 }
 
-// routersByRequest returns which router process served each request, from the routers' logs.
-func (f *fleet) routersByRequest() (map[string]string, error) {
-	routerByRequest := make(map[string]string)
-	for _, r := range f.routers {
-		log, err := os.ReadFile(r.logPath)
-		if err != nil {
-			return nil, errors.Wrap(err, r.name)
-		}
-		lines := bufio.NewScanner(bytes.NewReader(log))
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			line := struct{ Request, Process string }{}
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Request != "" {
-				routerByRequest[line.Request] = line.Process
-			}
-		}
-		if lines.Err() != nil {
-			return nil, errors.Wrap(lines.Err(), r.name)
-		}
-	}
-	return routerByRequest, nil
-}
-
 // limitViolations returns the reported limits that were exceeded by the router processes that
 // had received them. Requests of other router processes don't count.
-func limitViolations(activity enginestub.ProcessActivity, routerByRequest map[string]string) []string {
+func limitViolations(activity enginestub.ProcessActivity) []string {
 	var violations []string
 	for i, change := range activity.RateLimits {
 		perSecond, err := strconv.ParseFloat(change.Limit, 64)
@@ -131,7 +98,7 @@
 		if i+1 < len(activity.RateLimits) {
 			end = activity.RateLimits[i+1].At
 		}
-		count := maxWindowCount(arrivalsBetween(activity.Arrivals, change.At, end), routerByRequest, change.At.Add(limitCheckDelay))
+		count := maxWindowCount(arrivalsBetween(activity.Arrivals, change.At, end), change.At.Add(limitCheckDelay))
 		if allowed := limitTolerance*perSecond*limitWindow.Seconds() + limitSlack; float64(count) > allowed {
 			violations = append(violations, fmt.Sprintf("limit %s reported at %v: %d requests in %v, %.1f allowed",
 				change.Limit, change.At.Format(time.StampMilli), count, limitWindow, allowed))
@@ -154,17 +121,16 @@
 // maxWindowCount returns the largest number of requests in any window of limitWindow that ends
 // at or after checkFrom. It counts the requests of a router process from routerGracePeriod
 // after the first response to that process.
-func maxWindowCount(arrivals []enginestub.Arrival, routerByRequest map[string]string, checkFrom time.Time) int {
+func maxWindowCount(arrivals []enginestub.Arrival, checkFrom time.Time) int {
 	respondedAt := make(map[string]time.Time)
 	for _, a := range arrivals {
-		router := routerByRequest[a.Request]
-		if at, known := respondedAt[router]; !a.Answered.IsZero() && (!known || a.Answered.Before(at)) {
-			respondedAt[router] = a.Answered
+		if at, known := respondedAt[a.Router]; !a.Answered.IsZero() && (!known || a.Answered.Before(at)) {
+			respondedAt[a.Router] = a.Answered
 		}
 	}
 	var counted []time.Time
 	for _, a := range arrivals {
-		if at, known := respondedAt[routerByRequest[a.Request]]; known && a.At.Sub(at) >= routerGracePeriod {
+		if at, known := respondedAt[a.Router]; known && a.At.Sub(at) >= routerGracePeriod {
 			counted = append(counted, a.At)
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,23 @@
 	Out       io.Writer // receives a line for each injected fault
 }
 
+// ErrInvalidOptions is returned for options with which no run can be carried out.
+var ErrInvalidOptions = errors.New("soak: invalid options")
+
+// programs are the names of the programs that a run starts.
+var programs = []string{"chicory-platform", "chicory-engine", "chicory-router"}
+
+// Validate checks that the programs are there.
+func (o Options) Validate() error {
+	for _, program := range programs {
+		path := filepath.Join(o.ProgramDir, program)
+		if info, err := os.Stat(path); err != nil || info.IsDir() {
+			return errors.Wrapf(ErrInvalidOptions, "programs: no program %s", path)
+		}
+	}
+	return nil
+}
+
 const (
 	// recoveryTimeout bounds the wait until all routers are ready, at the start and after the
 	// last fault.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,21 +22,22 @@
 }{
 	{1, 6 * time.Second},
 	{30007, 10 * time.Second}, // SIGHUP ended a router that had just started and had no handler yet
+	{3015, 12 * time.Second},  // requests of killed routers, whose logs lack them, counted as those of one router that a server had told
 }
 
 // Guards against violations of the guarantees during some seconds of random faults in the real programs.
 func TestShortSoak(t *testing.T) {
 	c := qt.New(t)
-	programs := t.TempDir()
-	for _, program := range []string{"chicory-platform", "chicory-engine", "chicory-router"} {
-		build := exec.Command("go", "build", "-race", "-o", programs, "../../cmd/"+program)
+	dir := t.TempDir()
+	for _, program := range programs {
+		build := exec.Command("go", "build", "-race", "-o", dir, "../../cmd/"+program)
 		out, err := build.CombinedOutput()
 		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	}
 	for _, test := range testSeeds {
 		var out bytes.Buffer
 		violations, err := Run(context.Background(), Options{
-			ProgramDir: programs, Dir: t.TempDir(), Seed: test.seed, Duration: test.duration, Rate: 30, Out: &out,
+			ProgramDir: dir, Dir: t.TempDir(), Seed: test.seed, Duration: test.duration, Rate: 30, Out: &out,
 			OpenStore: func(address string) store.Store { return platform.NewStore(address) },
 		})
 		c.Assert(err, qt.IsNil)
@@ -44,6 +45,11 @@
 	}
 }
 
+// Guards against a missing program that is reported as a violation of the guarantees.
+func TestMissingProgramsAreInvalidOptions(t *testing.T) {
+	qt.Assert(t, Options{ProgramDir: t.TempDir()}.Validate(), qt.ErrorIs, ErrInvalidOptions)
+}
+
 // Guards against schedules that a seed doesn't reproduce, and against missing kinds of faults.
 func TestScheduleIsDeterminedBySeed(t *testing.T) {
 	schedule := func(seed uint64) []string {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,6 +24,8 @@
 	ResumeAfter int64
 	Resume      bool
 
+	// Router is set by Do: the name of this router's process.
+	Router string
 	// Via is set by Do: the router that carried the connection; empty if it was direct.
 	Via string
 }
@@ -123,7 +125,7 @@
 	if err != nil {
 		return nil, &Error{Kind: ErrNotSent, Cause: err}
 	}
-	a.Via = connection.via
+	a.Via, a.Router = connection.via, c.router
 	if a.Server.Ineligible() {
 		// Connecting takes time, in which the server may have been marked as leaving or its
 		// failure domain as evacuated. It must get no request after that.
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -23,6 +23,7 @@
 	Load         string // of responses: numbers of running and waiting requests and of slots
 	Cold         string // of responses: how much longer the server will be cold, in ms
 	RateLimit    string // of responses: requests per second that the server accepts from all routers together
+	Router       string // of requests: the process of the router that sends it; empty if the dialect has no such header
 	OutputTokens string // of responses that are not streams: the number of output tokens
 }
 
@@ -58,6 +59,9 @@
 	if a.Resume {
 		buf = appendField(buf, c.Names.LastEventID, strconv.FormatInt(a.ResumeAfter, 10))
 	}
+	if c.Names.Router != "" {
+		buf = appendField(buf, c.Names.Router, a.Router)
+	}
 	if r.Account != nil {
 		buf = appendField(buf, c.Names.Account, r.Account.Name)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -81,6 +81,7 @@
 // concurrent use.
 type Client struct {
 	codec    Codec
+	router   string
 	dials    prometheus.Counter
 	link     *linkdelay.Estimator
 	carriers Carriers
@@ -95,6 +96,8 @@
 // Options are the parts that a Client works with.
 type Options struct {
 	Codec Codec
+	// Router is the name of this router's process, which servers may be told.
+	Router string
 	// Dials counts the direct connections that the client opens.
 	Dials prometheus.Counter
 	// Link is told how long connecting took.
@@ -106,7 +109,7 @@
 
 // NewClient returns a client without connections.
 func NewClient(o Options) *Client {
-	return &Client{codec: o.Codec, dials: o.Dials, link: o.Link, carriers: o.Carriers, log: o.Log, paths: newPaths(time.Now), pools: make(map[string]*pool)}
+	return &Client{codec: o.Codec, router: o.Router, dials: o.Dials, link: o.Link, carriers: o.Carriers, log: o.Log, paths: newPaths(time.Now), pools: make(map[string]*pool)}
 }
 
 func (c *Client) pool(incarnation string) *pool {
