soak: engines of two versions, whose answers differ

Engines of the soak are now v1, v1 and v2; answers of two versions have the same length and different tokens, and an answer has to be one of them whole.

--- a/cmd/chicory-engine/main.go
+++ b/cmd/chicory-engine/main.go
@@ -65,6 +65,7 @@
 	app.Flag("id", "Name of the backend server; requests that are meant for another one are rejected.").StringVar(&opts.engine.ID)
 	app.Flag("kind", "Kind of backend server.").Default(kindEngine).EnumVar(&opts.kind, kindEngine, kindService)
 	app.Flag("model", "Model that is loaded (repeatable); none: any.").StringsVar(&opts.engine.Models)
+	app.Flag("software-version", "Version of the server's software, on which its answers depend.").StringVar(&opts.engine.Version)
 	app.Flag("slots", "Requests that run at once.").Default("64").IntVar(&opts.engine.Slots)
 	app.Flag("max-waiting", "Requests that may wait.").Default("10000").IntVar(&opts.engine.MaxWaiting)
 	app.Flag("token-time", "Time per output token; 0: full speed.").Default("0s").DurationVar(&opts.engine.TokenTime)
--- a/internal/enginestub/answer.go
+++ b/internal/enginestub/answer.go
@@ -56,12 +56,18 @@
 // the messages. If maxTokens is positive, it truncates the answer. For an invalid body there
 // are no tokens.
 func Answer(model string, body []byte, maxTokens int) (tokens []string, finishReason string) {
+	return VersionAnswer("", model, body, maxTokens)
+}
+
+// VersionAnswer is Answer for servers of a version of their software. Answers of two versions have the
+// same length and different tokens, so that an answer joined from both is noticed.
+func VersionAnswer(version, model string, body []byte, maxTokens int) (tokens []string, finishReason string) {
 	req, err := parseRequest(body)
 	if err != nil {
 		return nil, ""
 	}
 	req.model = model
-	indexes, finishReason := req.answer(maxTokens)
+	indexes, finishReason := req.answer(version, maxTokens)
 	tokens = make([]string, len(indexes))
 	for i, index := range indexes {
 		tokens[i] = vocabulary[index]
@@ -69,8 +75,8 @@
 	return tokens, finishReason
 }
 
-// answer returns the answer's tokens as indexes into the vocabulary.
-func (r *request) answer(maxTokens int) (indexes []uint8, finishReason string) {
+// answer returns the tokens of a version's answer as indexes into the vocabulary.
+func (r *request) answer(version string, maxTokens int) (indexes []uint8, finishReason string) {
 	seed := xxhash.Sum64String(r.model + "\x00" + r.prompt)
 	rng := rand.New(rand.NewPCG(seed, ^seed))
 	length := minAnswerTokens + rng.IntN(maxAnswerTokens-minAnswerTokens)
@@ -83,6 +89,10 @@
 		length = maxTokens
 		finishReason = FinishLength
 	}
+	if version != "" {
+		seed = xxhash.Sum64String(version + "\x00" + r.model + "\x00" + r.prompt)
+		rng = rand.New(rand.NewPCG(seed, ^seed))
+	}
 	indexes = make([]uint8, length)
 	for i := range indexes {
 		indexes[i] = uint8(rng.IntN(len(vocabulary)))
--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -29,6 +29,7 @@
 	// ID is the name of the backend server. Requests for another one are rejected. Empty:
 	// all requests are accepted.
 	ID              string
+	Version         string        // of the server's software; answers depend on it
 	Models          []string      // loaded models; empty: any model is served
 	Slots           int           // maximum number of running sequences
 	MaxWaiting      int           // maximum number of waiting sequences; more are rejected with 429
--- a/internal/enginestub/submit.go
+++ b/internal/enginestub/submit.go
@@ -45,7 +45,7 @@
 		blockHashes: prefixHashes(req.model, req.prompt, s.cfg.BytesPerToken),
 		heapIndex:   -1,
 	}
-	seq.answer, seq.finishReason = req.answer(req.maxTokens)
+	seq.answer, seq.finishReason = req.answer(s.cfg.Version, req.maxTokens)
 	seq.crashTokens = s.crashTokenCount(seq)
 	seq.run = &AttemptRun{
 		Attempt:      attemptID,
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -135,8 +135,8 @@
 	if req.Kind == KindConfirm {
 		return checkConfirm(body, req.Key)
 	}
-	checker := answerChecker{want: req.Want}
-	if err := out.readJSON(body, &checker); err != nil {
+	checker := newAnswerChecker(req.Want)
+	if err := out.readJSON(body, checker); err != nil {
 		return err
 	}
 	return out.checkUsage(req.Want)
@@ -145,8 +145,8 @@
 func (c *Client) readStream(body io.Reader, req *Request, out *tryResult) error {
 	reader := c.streams.Get().(*streamReader)
 	defer c.streams.Put(reader)
-	checker := answerChecker{want: req.Want}
-	if err := reader.read(body, &checker, out); err != nil {
+	checker := newAnswerChecker(req.Want)
+	if err := reader.read(body, checker, out); err != nil {
 		return err
 	}
 	return out.checkUsage(req.Want)
--- a/internal/load/sse_test.go
+++ b/internal/load/sse_test.go
@@ -47,10 +47,10 @@
 	f.Add([]byte("data: {\"choices\":[{\"delta\":7}],\"usage\":[]}\ndata: [DONE]\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		reader := &streamReader{events: newEventReader()}
-		checker := answerChecker{want: testExpected()}
+		checker := newAnswerChecker(testExpected())
 		var out tryResult
-		err := reader.read(bytes.NewReader(stream), &checker, &out)
-		if err == nil && (checker.offset != len(checker.want.Text) || out.finishReason != "stop") {
+		err := reader.read(bytes.NewReader(stream), checker, &out)
+		if err == nil && (checker.offset != len(testExpected().Text) || out.finishReason != "stop") {
 			t.Fatalf("a stream passed at byte %d with finish reason %q", checker.offset, out.finishReason)
 		}
 	})
@@ -69,9 +69,9 @@
 	reader := &streamReader{events: newEventReader()}
 	b.ReportAllocs()
 	for b.Loop() {
-		checker := answerChecker{want: want}
+		checker := newAnswerChecker(want)
 		var out tryResult
-		if err := reader.read(bytes.NewReader(stream), &checker, &out); err != nil {
+		if err := reader.read(bytes.NewReader(stream), checker, &out); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -43,6 +43,8 @@
 	// 0..1. Routers treat each try of such a completion as a separate request.
 	UnkeyedShare float64
 	Answer       AnswerFunc
+	// OtherAnswers are those of engines of other versions of their software.
+	OtherAnswers []AnswerFunc
 }
 
 // Request is a logical request. All its tries have the same key and body.
@@ -59,7 +61,10 @@
 
 // Expected is the correct answer to a completion request.
 type Expected struct {
-	Text         string
+	Text string
+	// OtherTexts are the answers of other versions of the engines' software. An answer is one of the
+	// texts, whole.
+	OtherTexts   []string
 	FinishReason string
 	Tokens       int
 }
@@ -137,6 +142,10 @@
 	req.Body = mustMarshal(body)
 	tokens, finishReason := w.cfg.Answer(w.cfg.Model, req.Body, outputTokens)
 	req.Want = Expected{Text: strings.Join(tokens, ""), FinishReason: finishReason, Tokens: len(tokens)}
+	for _, answer := range w.cfg.OtherAnswers {
+		tokens, _ := answer(w.cfg.Model, req.Body, outputTokens)
+		req.Want.OtherTexts = append(req.Want.OtherTexts, strings.Join(tokens, ""))
+	}
 }
 
 // confirmBody is the body of a confirm call. The answer repeats its id, which is the
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -79,6 +79,10 @@
 	return err
 }
 
+// engineVersions are the versions of the engines' software. Streams of the first can go on at another
+// engine.
+var engineVersions = [engineCount]string{"v1", "v1", "v2"}
+
 func (f *fleet) startBackends(o Options) error {
 	addresses, err := freeAddresses(engineCount)
 	if err != nil {
@@ -88,7 +92,7 @@
 		name := fmt.Sprintf("engine-%d", i+1)
 		activityLogPath := filepath.Join(f.dir, name+".evidence")
 		p := f.newProcess(o, name, "chicory-engine", "--id", name, "--model", model, "--slots", "16", "--token-time", "3ms",
-			"--listen", address, "--evidence", activityLogPath)
+			"--listen", address, "--evidence", activityLogPath, "--software-version", engineVersions[i])
 		if _, err := p.start(true); err != nil {
 			return err
 		}
@@ -133,7 +137,7 @@
 	}
 	for i, p := range f.engineProxies {
 		b := contract.BackendServer{ID: id.Backend(f.engines[i].name), Kind: contract.KindEngine, Address: p.address(),
-			FailureDomain: domain(i), Models: []id.Model{model}}
+			FailureDomain: domain(i), Models: []id.Model{model}, Version: engineVersions[i]}
 		if err := operate.Register(ctx, f.store, b); err != nil {
 			return err
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -103,6 +103,13 @@
 	return append(violations, f.checkProcesses()...), nil
 }
 
+// answerOf returns the answers of engines of a version.
+func answerOf(version string) load.AnswerFunc {
+	return func(model string, body []byte, maxTokens int) ([]string, string) {
+		return enginestub.VersionAnswer(version, model, body, maxTokens)
+	}
+}
+
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
@@ -140,7 +147,7 @@
 	workload, err := load.NewWorkload(load.WorkloadConfig{
 		Seed: seed, RunID: fmt.Sprintf("soak-%d-%d", seed, time.Now().UnixNano()), Accounts: accountCount, Model: model,
 		PromptBytes: 200, MinOutputTokens: 5, MaxOutputTokens: 120, Stream: true, Service: service, ServiceShare: 0.2,
-		UnkeyedShare: 0.5, Answer: enginestub.Answer,
+		UnkeyedShare: 0.5, Answer: answerOf(engineVersions[0]), OtherAnswers: []load.AnswerFunc{answerOf(engineVersions[2])},
 	})
 	if err != nil {
 		return nil, err
