--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,6 +38,7 @@
 		a.Timeout = time.Until(t.deadline)
 	}
 	t.sentAt, t.prefill = time.Now(), choice.UncachedTokens
+	t.beganAt, t.received = time.Time{}, 0
 	server.BeginRequest(choice.UncachedTokens)
 	defer server.EndRequest()
 	watch := t.watch(parent)
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -98,5 +98,14 @@
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("version", server.Version), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
-		slog.String("via", t.via), slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+		slog.String("via", t.via), slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Any("parts", t.r.SharedPartIDs()),
+		slog.Int("events", t.received), slog.Int64("began_ms", t.sinceBegan().Milliseconds()), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
+}
+
+// sinceBegan returns the time since the first whole event of the last attempt, or zero if it has none.
+func (t *task) sinceBegan() time.Duration {
+	if t.beganAt.IsZero() {
+		return 0
+	}
+	return time.Since(t.beganAt)
 }
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -29,6 +29,7 @@
 			return t.handleBroken(watch, server, err)
 		}
 		watch.progress()
+		t.recordReceived()
 		if e.HasID && t.hasLastEventID && e.ID <= t.lastEventID {
 			continue // already relayed from an earlier attempt
 		}
@@ -41,6 +42,14 @@
 	}
 }
 
+// recordReceived counts a whole event of the present attempt.
+func (t *task) recordReceived() {
+	if t.received == 0 {
+		t.beganAt = time.Now()
+	}
+	t.received++
+}
+
 func (t *task) relayEvent(server *fleet.Server, reply *upstream.Reply, e eventstream.Event) error {
 	if !t.headSent {
 		t.recordVersion(server)
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -44,6 +44,8 @@
 	// Timings and sizes for the log.
 	reserveTime time.Duration // time to reserve its tokens
 	sentAt      time.Time     // start of the last attempt
+	beganAt     time.Time     // first whole event of the last attempt; zero if it has none
+	received    int           // whole events of the last attempt
 	prefill     float64       // prompt tokens that the server was expected to process
 	lastEventAt time.Time     // time of the last event relayed
 	maxGap      time.Duration // longest time between two events
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -99,6 +99,15 @@
 	return sum
 }
 
+// SharedPartIDs returns the IDs of the prompt parts that other requests may share.
+func (r *Request) SharedPartIDs() []string {
+	var ids []string
+	for i := 0; i < len(r.PromptParts)-1; i++ {
+		ids = append(ids, r.PromptParts[i].ID)
+	}
+	return ids
+}
+
 // LastSharedPartID returns the ID of the last part that other requests may share, or "" if there
 // is none.
 func (r *Request) LastSharedPartID() string {
