--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,8 +31,8 @@
 	// ClaimLeftOpen: the outcome of a request could not be stored in the claim of its
 	// idempotency key.
 	ClaimLeftOpen Number = 211
-	// QuarantineEnded: a content is no longer refused, because the servers that seemed to crash
-	// from it still run.
+	// QuarantineEnded: requests with a feature are no longer refused, because the servers still run,
+	// other requests with the feature were answered, or the crashes have another cause.
 	QuarantineEnded Number = 212
 	// StreamResumed: a request resumes a stream; the version of the servers' software at which the
 	// stream began was searched.
@@ -139,9 +139,9 @@
 	{RequestReplayed, slog.LevelInfo, "request answered from an earlier run"},
 	{RequestServed, slog.LevelInfo, "request answered"},
 	{ResponseAborted, slog.LevelWarn, "answer cut off"},
-	{RequestQuarantined, slog.LevelWarn, "request content quarantined: it broke the backend servers that ran it"},
+	{RequestQuarantined, slog.LevelWarn, "requests held back: they crash the backend servers that run them"},
 	{ClaimLeftOpen, slog.LevelWarn, "claim of an idempotency key left open"},
-	{QuarantineEnded, slog.LevelInfo, "request content no longer quarantined"},
+	{QuarantineEnded, slog.LevelInfo, "requests no longer held back"},
 	{StreamResumed, slog.LevelInfo, "stream to be resumed"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -35,7 +35,7 @@
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
 		return callerGone
 	}
-	t.recordServed(server, reply.Status)
+	t.recordServed(server, reply)
 	return finished
 }
 
@@ -73,7 +73,7 @@
 		}
 		if err == io.EOF {
 			server.RecordSuccess()
-			t.recordServed(server, reply.Status)
+			t.recordServed(server, reply)
 			return finished
 		}
 		if t.handleBroken(watch, server, err) == callerGone {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/balance"
-	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/policy"
-	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
@@ -27,6 +24,7 @@
 	broken                      // the exchange broke off
 	retryGranted                // a retry has been allowed and counted
 	callerGone                  // the caller disconnected
+	heldBack                    // the request crashes servers, as became known meanwhile
 )
 
 // attempt sends the request to one server and relays its answer.
@@ -38,11 +36,12 @@
 		a.Timeout = time.Until(t.deadline)
 	}
 	t.sentAt, t.prefill = time.Now(), choice.UncachedTokens
-	t.beganAt, t.received = time.Time{}, 0
+	t.beganAt, t.received, t.survived = time.Time{}, 0, false
 	server.BeginRequest(choice.UncachedTokens)
 	defer server.EndRequest()
 	watch := t.watch(parent)
 	defer watch.stop()
+	watch.holdOn(t.f.Quarantine, t.checked)
 	reply, err := t.f.Backend.Do(watch.ctx, a)
 	t.via = a.Via
 	server.EndPrefill(choice.UncachedTokens)
@@ -59,6 +58,7 @@
 	if reply.NotExecuted || reply.Status == http.StatusMisdirectedRequest {
 		return t.handleRejection(server, reply)
 	}
+	t.f.Quarantine.RecordAlive(server.Incarnation, t.sentAt)
 	t.mayHaveRun = true
 	t.f.Chooser.RecordSent(server, t.r)
 	if t.r.Route.Kind == policy.Streaming && reply.Status == http.StatusOK {
@@ -73,11 +73,15 @@
 // handleSendError determines the outcome of an attempt without an answer.
 func (t *task) handleSendError(watch *watchdog, server *fleet.Server, err error) outcome {
 	if errors.Is(err, upstream.ErrNotSent) {
+		if watch.isHeldBack() {
+			return heldBack
+		}
 		if watch.parent.Err() != nil && !t.pastDeadline() {
 			return callerGone
 		}
 		if !server.Ineligible() {
 			server.RecordFailure(time.Now())
+			t.recordUnreachable(server, err)
 		}
 		t.logFailure(server, "unreachable", err)
 		return unreachable
@@ -89,6 +93,10 @@
 
 // handleBroken determines the outcome of an exchange that broke off after the request was sent.
 func (t *task) handleBroken(watch *watchdog, server *fleet.Server, err error) outcome {
+	if watch.isHeldBack() {
+		t.logFailure(server, "held back", err)
+		return heldBack
+	}
 	if watch.hasExpired() {
 		server.RecordFailure(time.Now())
 		t.logFailure(server, "stalled", err)
@@ -104,17 +112,15 @@
 	server.RecordFailure(time.Now())
 	t.logFailure(server, "broken", err)
 	if !t.pastDeadline() && !upstream.IsTimeout(err) {
-		t.recordCrash(server)
+		t.f.Quarantine.RecordCrash(t.exchange(server))
 	}
 	return broken
 }
 
-// recordCrash records that a server may have crashed because of the request. Some requests crash
-// every server that begins to run them, and callers send them again.
-func (t *task) recordCrash(server *fleet.Server) {
-	if t.f.Quarantine.RecordCrash(quarantine.Crash{Content: t.contentHash, Server: server.Incarnation}) {
-		t.f.Log.Emit(event.RequestQuarantined, slog.String(event.KeyRequest, t.r.ID), slog.String("content", quarantine.FormatContent(t.contentHash)),
-			slog.Any("servers", t.f.Quarantine.Servers(t.contentHash)), slog.String("by", "answer"))
+// recordUnreachable records that a server refuses connections, which tells how its last answers ended.
+func (t *task) recordUnreachable(server *fleet.Server, err error) {
+	if !upstream.IsTimeout(err) {
+		t.f.Quarantine.RecordUnreachable(server.Incarnation)
 	}
 }
 
--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -71,7 +71,7 @@
 			Servers:      func(string) []*fleet.Server { return servers },
 			Chooser:      balance.NewChooser("here", unpaced{}, nil),
 			PriorityGate: &pacing.PriorityGate{Now: time.Now},
-			Retries:      retry.NewBudget(retry.Limits{}, 1, nil), Quarantine: quarantine.New(nil),
+			Retries:      retry.NewBudget(retry.Limits{}, 1, nil), Quarantine: quarantine.New(nil, nil),
 			Backend: backend, Log: event.Discard(), Metrics: caller,
 			LinkDelay:       func() time.Duration { return delay },
 			ServersOutdated: func() bool { return false },
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -7,8 +7,8 @@
 
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
-	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/request"
+	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
 // noBackendCause returns why there is no server to send the request to.
@@ -57,14 +57,14 @@
 	return true
 }
 
-func (t *task) recordServed(server *fleet.Server, status int) {
-	if status == http.StatusOK {
-		t.f.Quarantine.RecordSuccess(t.contentHash)
+func (t *task) recordServed(server *fleet.Server, reply *upstream.Reply) {
+	if reply.Status == http.StatusOK {
+		t.recordWhole(server, reply)
 	}
 	total := time.Since(t.r.Arrived)
 	firstByte := t.firstByteAt.Sub(t.r.Arrived)
 	t.f.Metrics.Served(firstByte, total)
-	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", status),
+	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", reply.Status),
 		slog.Int64("first_ms", firstByte.Milliseconds()), slog.Int64("reserved_ms", t.reserveTime.Milliseconds()),
 		slog.Int64("server_ms", t.firstByteAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.maxGap.Milliseconds()),
 		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version))...)
@@ -98,14 +98,6 @@
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("version", server.Version), slog.String("how", kind), slog.Any(event.KeyCause, err),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
-		slog.String("via", t.via), slog.String("content", quarantine.FormatContent(t.contentHash)), slog.Any("parts", t.r.SharedPartIDs()),
+		slog.String("via", t.via), t.featureAttr(), slog.Any("parts", t.r.SharedPartIDs()),
 		slog.Int("events", t.received), slog.Int64("began_ms", t.sinceBegan().Milliseconds()), slog.Int64("ms", time.Since(t.r.Arrived).Milliseconds()))
 }
-
-// sinceBegan returns the time since the first whole event of the last attempt, or zero if it has none.
-func (t *task) sinceBegan() time.Duration {
-	if t.beganAt.IsZero() {
-		return 0
-	}
-	return time.Since(t.beganAt)
-}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -29,7 +29,7 @@
 			return t.handleBroken(watch, server, err)
 		}
 		watch.progress()
-		t.recordReceived()
+		t.recordReceived(watch)
 		if e.HasID && t.hasLastEventID && e.ID <= t.lastEventID {
 			continue // already relayed from an earlier attempt
 		}
@@ -42,14 +42,6 @@
 	}
 }
 
-// recordReceived counts a whole event of the present attempt.
-func (t *task) recordReceived() {
-	if t.received == 0 {
-		t.beganAt = time.Now()
-	}
-	t.received++
-}
-
 func (t *task) relayEvent(server *fleet.Server, reply *upstream.Reply, e eventstream.Event) error {
 	if !t.headSent {
 		t.recordVersion(server)
@@ -87,11 +79,14 @@
 	if watch.parent.Err() != nil && !t.pastDeadline() {
 		return callerGone
 	}
+	if reply.Unframed && t.received == 0 {
+		return t.handleBroken(watch, server, errors.New("stream ended with its connection before its first event"))
+	}
 	t.sendHead(reply)
 	server.RecordSuccess()
 	if t.r.Route.IsResumableStream() {
 		t.f.Streams.Finished(t.r)
 	}
-	t.recordServed(server, reply.Status)
+	t.recordServed(server, reply)
 	return finished
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -67,8 +67,11 @@
 	Budget     Budget
 	Retries    *retry.Budget
 	Quarantine *quarantine.Quarantine
-	Chooser    *balance.Chooser
-	Streams    StreamVersions
+	// TryAgain reports whether a request with a feature that is held back should be sent all the same,
+	// to find out whether the feature was blamed wrongly.
+	TryAgain func(quarantine.Feature) bool
+	Chooser  *balance.Chooser
+	Streams  StreamVersions
 	// RateLimits records the rate limits that servers announce with their answers.
 	RateLimits *pacing.Limits
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
@@ -93,6 +96,12 @@
 		f.refuse(r, caller, NewRefusal(cause), p, nil)
 		return
 	}
+	features := featuresOf(r)
+	checked, refused := f.checkQuarantine(features)
+	if refused != nil {
+		f.refuse(r, caller, *refused, p, nil)
+		return
+	}
 	done, refused := f.checkLimits(r)
 	if refused != nil {
 		f.refuse(r, caller, *refused, p, nil)
@@ -115,6 +124,7 @@
 		return
 	}
 	t := newTask(f, p, r, caller)
+	t.features, t.checked = features, checked
 	t.reserveTime = time.Since(start)
 	t.run(ctx)
 	reservation.Settle(t.used())
@@ -141,9 +151,6 @@
 	if p.Limits.MaxBodyBytes > 0 && int64(len(r.Body)) > p.Limits.MaxBodyBytes {
 		return BodyTooLarge
 	}
-	if f.Quarantine.Contains(hashContent(r)) {
-		return RequestQuarantined
-	}
 	r.Service = r.Route.PickService(serviceFraction(r))
 	return ""
 }
@@ -245,20 +252,12 @@
 	if r.Account != nil {
 		attrs = append(attrs, slog.String(event.KeyAccount, r.Account.Name))
 	}
+	if refusal.Detail != "" {
+		attrs = append(attrs, slog.String("detail", refusal.Detail))
+	}
 	attrs = append(attrs, resumeAttrs(r)...)
 	if t != nil {
 		attrs = append(attrs, slog.Int("sends", t.sends), slog.String("last", t.lastFailure))
 	}
 	f.Log.Emit(event.RequestRefused, attrs...)
 }
-
-// hashContent returns a hash that is the same for each repetition of a request by the same caller.
-func hashContent(r *request.Request) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.RequestURI, r.APIKey} {
-		_, _ = h.WriteString(part) // never fails
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.Body)
-	return h.Sum64()
-}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -6,6 +6,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/request"
 )
 
@@ -26,11 +27,12 @@
 
 // task is one admitted request and the state of its attempts at backend servers.
 type task struct {
-	f           *Forwarder
-	policy      *policy.Policy
-	r           *request.Request
-	caller      Caller
-	contentHash uint64
+	f      *Forwarder
+	policy *policy.Policy
+	r      *request.Request
+	caller Caller
+	// features may be held back because they crash servers; checked are those that still count.
+	features, checked []quarantine.Feature
 	// deadline is when the caller's or the route's timeout ends; zero if there is none.
 	deadline time.Time
 
@@ -46,6 +48,7 @@
 	sentAt      time.Time     // start of the last attempt
 	beganAt     time.Time     // first whole event of the last attempt; zero if it has none
 	received    int           // whole events of the last attempt
+	survived    bool          // the server of the last attempt sent events for survivalTime
 	prefill     float64       // prompt tokens that the server was expected to process
 	lastEventAt time.Time     // time of the last event relayed
 	maxGap      time.Duration // longest time between two events
@@ -60,7 +63,7 @@
 }
 
 func newTask(f *Forwarder, p *policy.Policy, r *request.Request, caller Caller) *task {
-	t := &task{f: f, policy: p, r: r, caller: caller, contentHash: hashContent(r), tried: make(map[string]bool)}
+	t := &task{f: f, policy: p, r: r, caller: caller, tried: make(map[string]bool)}
 	timeout := r.Timeout
 	if r.Route.Timeout > 0 && (timeout == 0 || r.Route.Timeout < timeout) {
 		timeout = r.Route.Timeout
@@ -114,8 +117,8 @@
 	if !t.headSent && t.f.ServersOutdated() {
 		return t.giveUp(t.failureCause(BackendsOutdated))
 	}
-	if t.sends == 0 && t.f.Quarantine.Contains(t.contentHash) {
-		return t.giveUp(RequestQuarantined) // since it was admitted
+	if t.isHeldBack() {
+		return t.giveUp(t.failureCause(RequestQuarantined))
 	}
 	choice := t.f.Chooser.Choose(t.f.servers(t.r), t.r, t.excluded)
 	if choice.Server == nil {
@@ -126,6 +129,8 @@
 		return true
 	case callerGone:
 		return t.abandon()
+	case heldBack:
+		return t.giveUp(t.failureCause(RequestQuarantined))
 	case unreachable:
 		t.dialFailures++
 		if t.dialFailures >= maxDialFailures {
@@ -152,7 +157,7 @@
 
 // acquireRetry reports whether the request may be sent once more and, if so, counts the retry.
 func (t *task) acquireRetry(reason string) bool {
-	if t.sends >= t.r.Route.MaxAttempts || t.f.Quarantine.Contains(t.contentHash) {
+	if t.sends >= t.r.Route.MaxAttempts || t.isHeldBack() {
 		return false
 	}
 	if !t.f.Retries.TryAcquire(t.r.Service) {
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"chicorytiller.example/chicorytiller/internal/quarantine"
 )
 
 // Timeouts of a silent server, after which the request is sent to another one.
@@ -30,11 +32,14 @@
 	timer      *time.Timer // nil if the request can't be retried
 	gapTimeout time.Duration
 	expired    atomic.Bool
+	heldBack   atomic.Bool
+	// stopHolding ends the effect of holdOn.
+	stopHolding func()
 }
 
 // watch starts a watchdog for the next attempt.
 func (t *task) watch(parent context.Context) *watchdog {
-	w := &watchdog{parent: parent}
+	w := &watchdog{parent: parent, stopHolding: func() {}}
 	w.ctx, w.cancel = context.WithCancel(parent)
 	route := t.r.Route
 	if !route.Retryable() || t.sends+1 >= route.MaxAttempts {
@@ -67,7 +72,22 @@
 	return w.expired.Load()
 }
 
+// holdOn cancels the attempt once one of its features is known to crash servers: until its server begins
+// to answer, a crash can be averted.
+func (w *watchdog) holdOn(q *quarantine.Quarantine, features []quarantine.Feature) {
+	w.stopHolding = q.Watch(features, func() {
+		w.heldBack.Store(true)
+		w.cancel()
+	})
+}
+
+// isHeldBack reports whether holdOn cancelled the attempt.
+func (w *watchdog) isHeldBack() bool {
+	return w.heldBack.Load()
+}
+
 func (w *watchdog) stop() {
+	w.stopHolding()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
@@ -55,7 +57,7 @@
 }
 
 func (w *crashWriter) isDue() bool {
-	_, version := w.node.quarantine.OwnCrashes()
+	_, version := w.node.quarantine.Report()
 	return version != w.written
 }
 
@@ -63,38 +65,58 @@
 func (w *crashWriter) write(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
 	defer cancel()
-	crashes, version := w.node.quarantine.OwnCrashes()
-	record := quarantine.NewRecord(w.node.settings.VM, crashes)
+	report, version := w.node.quarantine.Report()
+	record := quarantine.NewRecord(w.node.settings.VM, report)
 	err := w.writer.put(ctx, quarantine.RecordKey(w.node.incarnation), record.Encode())
 	if err != nil && !w.failing {
-		w.node.log.Emit(event.CrashesNotRecorded, slog.Int("crashes", len(crashes)), slog.Any(event.KeyCause, err))
+		w.node.log.Emit(event.CrashesNotRecorded, slog.Int("crashes", len(report.Exchanges)), slog.Any(event.KeyCause, err))
 	}
 	w.failing = err != nil
 	if err == nil {
 		w.written = version
-		w.node.log.Emit(event.CrashesRecorded, slog.Int("crashes", len(crashes)))
+		w.node.log.Emit(event.CrashesRecorded, slog.Int("crashes", len(report.Exchanges)), slog.Int("cleared", len(report.Cleared)),
+			slog.Int("survivors", len(report.Survivors)))
 	}
 }
 
-// applyCrashRecord counts the crashes of another router's record. It reports whether the item's key
+// applyCrashRecord takes over what another router reports. Judge has to be called afterwards. It reports whether the item's key
 // is that of such a record; an invalid record is logged.
 func (n *Node) applyCrashRecord(item store.Item) bool {
 	if !quarantine.IsRecord(item.Key) {
 		return false
 	}
-	vm, crashes, err := quarantine.DecodeRecord(item)
+	if item.Key == quarantine.RecordKey(n.incarnation) {
+		return true
+	}
+	_, report, err := quarantine.DecodeRecord(item)
 	if err != nil {
 		n.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
 		return true
 	}
-	for _, content := range n.quarantine.Merge(crashes) {
-		n.log.Emit(event.RequestQuarantined, slog.String("content", quarantine.FormatContent(content)),
-			slog.Any("servers", n.quarantine.Servers(content)), slog.String("by", "record"), slog.String(event.KeyRouter, vm),
-			slog.Int64("revision", int64(item.Revision)))
-	}
+	n.quarantine.Merge(item.Key, report)
 	return true
 }
 
+// logQuarantine logs what is held back and released.
+func (n *Node) logQuarantine(change quarantine.Change) {
+	for _, blame := range change.Held {
+		n.log.Emit(event.RequestQuarantined, slog.String("feature", blame.Feature.String()), slog.Any("servers", blame.Servers))
+	}
+	for _, feature := range change.Released {
+		n.log.Emit(event.QuarantineEnded, slog.String("feature", feature.String()))
+	}
+}
+
+// tryAgain reports whether this router should send a request with a feature that is held back. One
+// router of the fleet may.
+func (n *Node) tryAgain(feature quarantine.Feature) bool {
+	return n.quarantine.TryAgain(feature, func() bool {
+		key := "try again " + feature.String()
+		rank := n.self().Rank(key)
+		return !slices.ContainsFunc(n.otherRouters(), func(m fleet.Member) bool { return m.Rank(key) < rank })
+	})
+}
+
 // dismissSurvivedCrashes dismisses, at intervals, the suspected crashes of servers that still run:
 // there the network failed.
 func (n *Node) dismissSurvivedCrashes(ctx context.Context) {
@@ -105,9 +127,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		for _, content := range n.quarantine.DismissSurvived(n.registry.FateOf) {
-			n.log.Emit(event.QuarantineEnded, slog.String("content", quarantine.FormatContent(content)), slog.String(event.KeyCause, "servers still run"))
+			n.quarantine.DismissSurvived(n.registry.FateOf)
 		}
 	}
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -183,6 +183,7 @@
 			members = append(members, item)
 		}
 	}
+	s.node.quarantine.Judge()
 	s.node.members.Reset(members, silence)
 	s.node.updateMembership()
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.retryShares())
@@ -195,6 +196,7 @@
 			members = append(members, e)
 		}
 	}
+	s.node.quarantine.Judge()
 	s.node.members.Apply(members, silence)
 	s.node.updateMembership()
 	s.node.retries.Set(retryLimits(s.node.settings), s.node.retryShares())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,7 @@
 		env.ConfigPrefix: {Now: env.Now}, fleetPrefix: {Now: env.Now}, env.ServersPrefix: {Now: env.Now, Equivalent: n.registry.Same},
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
-	n.quarantine = quarantine.New(nil)
+	n.quarantine = quarantine.New(nil, n.logQuarantine)
 	n.streams = newStreamVersions(n)
 	n.metrics.registerStreamRecords(n.streams.own.Len, n.streams.held.Len)
 	n.metrics.registerQuarantined(n.quarantine.Count)
@@ -192,6 +192,7 @@
 		Budget:          n.grants,
 		Retries:         n.retries,
 		Quarantine:      n.quarantine,
+		TryAgain:        n.tryAgain,
 		Chooser:         balance.NewChooser(s.FailureDomain, pacer, nil),
 		RateLimits:      n.limits,
 		PriorityGate:    &pacing.PriorityGate{Now: time.Now},
--- /dev/null
+++ b/internal/quarantine/clear.go
@@ -0,0 +1,215 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+// successes holds the features of recent answers.
+type successes struct {
+	begun, whole map[Feature]time.Time
+}
+
+func newSuccesses() successes {
+	return successes{begun: make(map[Feature]time.Time), whole: make(map[Feature]time.Time)}
+}
+
+// record notes an answer to a request with the features.
+func (s successes) record(features []Feature, whole bool, now time.Time) {
+	for _, feature := range features {
+		s.begun[feature] = now
+		if whole {
+			s.whole[feature] = now
+		}
+	}
+	if len(s.begun) > maxSuccesses {
+		s.expire(now)
+	}
+}
+
+// expire drops answers that count no more, and all if those are too few.
+func (s successes) expire(now time.Time) {
+	for _, times := range []map[Feature]time.Time{s.begun, s.whole} {
+		for feature, at := range times {
+			if now.Sub(at) > successWindow {
+				delete(times, feature)
+			}
+		}
+		if len(times) > maxSuccesses/2 {
+			clear(times)
+		}
+	}
+}
+
+// RecordBegun records that a server has answered a request for a while, so that it did not crash when
+// it began.
+func (q *Quarantine) RecordBegun(features []Feature) {
+	q.recordSuccess(features, false)
+}
+
+// RecordWhole records a complete answer.
+func (q *Quarantine) RecordWhole(features []Feature) {
+	q.recordSuccess(features, true)
+}
+
+func (q *Quarantine) recordSuccess(features []Feature, whole bool) {
+	q.mu.Lock()
+	defer q.unlock()
+	q.successes.record(features, whole, q.now())
+	if !q.watchful.Load() {
+		return
+	}
+	relevant := false
+	for _, feature := range features {
+		if q.clearKnown(feature, whole) && q.known[feature] > 1 {
+			relevant = true
+		}
+	}
+	if relevant {
+		q.evidenceChanged()
+	}
+}
+
+// clearKnown clears a feature of all crashes known so far. It reports whether that is news.
+func (q *Quarantine) clearKnown(feature Feature, whole bool) bool {
+	if q.known[feature] == 0 {
+		return false
+	}
+	news := false
+	q.eachSighting(func(s *sighting) {
+		if (whole || !s.Late) && slices.Contains(s.Features, feature) && !q.clearances[feature].covers(s.Server, s.Late) {
+			q.clear(feature, s.Server, whole)
+			news = true
+		}
+	})
+	return news
+}
+
+// clearBySuccesses clears the features of a new sighting that were in recent answers.
+func (q *Quarantine) clearBySuccesses(s *sighting) {
+	now := q.now()
+	for _, feature := range s.Features {
+		if at, found := q.successes.whole[feature]; found && now.Sub(at) <= successWindow {
+			q.clear(feature, s.Server, true)
+		} else if at, found := q.successes.begun[feature]; found && now.Sub(at) <= successWindow && !s.Late {
+			q.clear(feature, s.Server, false)
+		}
+	}
+}
+
+// clear clears a feature of one crash.
+func (q *Quarantine) clear(feature Feature, server string, whole bool) {
+	if q.clearances[feature] == nil {
+		if len(q.clearances) >= maxClearances {
+			clear(q.clearances)
+		}
+		q.clearances[feature] = make(clearances)
+	}
+	q.clearances[feature].add(server, whole, q.now())
+}
+
+// RecordAlive records that a server answered a request that was sent at the given time. Exchanges with
+// it that broke off shortly before were cut by something else than a crash.
+func (q *Quarantine) RecordAlive(server string, sentAt time.Time) {
+	if !q.watchful.Load() {
+		return
+	}
+	q.mu.Lock()
+	defer q.unlock()
+	q.confirmEnds(server, sentAt)
+	now := q.now()
+	isBefore := func(s *sighting) bool {
+		return s.Server == server && s.at.Before(sentAt) && now.Sub(s.at) < minRestartTime && !q.hasSurvived(s)
+	}
+	if slices.ContainsFunc(q.own, isBefore) {
+		q.survivors[server] = sentAt
+		q.evidenceChanged()
+	}
+}
+
+// maxEnds bounds the answers whose end is not understood yet.
+const maxEnds = 256
+
+// RecordUnframedEnd records that an answer ended with its connection, which tells a whole answer from
+// one that a crash cut off only if more becomes known of its server.
+func (q *Quarantine) RecordUnframedEnd(e Exchange) {
+	q.mu.Lock()
+	defer q.unlock()
+	end := &sighting{Exchange: e, at: q.now()}
+	justBroken := func(s *sighting) bool {
+		return s.Server == e.Server && end.at.Sub(s.at) < minRestartTime
+	}
+	if slices.ContainsFunc(q.own, justBroken) {
+		q.addOwn(end)
+		q.evidenceChanged()
+		return
+	}
+	q.ends = append(q.ends, end)
+	q.ends = q.ends[max(0, len(q.ends)-maxEnds):]
+	q.watchful.Store(true)
+}
+
+// RecordUnreachable records that a server refuses connections. Answers that ended with their connection
+// shortly before were cut off.
+func (q *Quarantine) RecordUnreachable(server string) {
+	if !q.watchful.Load() {
+		return
+	}
+	q.mu.Lock()
+	defer q.unlock()
+	if q.adoptEnds(server) {
+		q.evidenceChanged()
+	}
+}
+
+// adoptEnds counts answers that ended at a server shortly before as cut off by its crash. It reports
+// whether there were any.
+func (q *Quarantine) adoptEnds(server string) bool {
+	now, found := q.now(), false
+	q.ends = slices.DeleteFunc(q.ends, func(end *sighting) bool {
+		if end.Server != server || now.Sub(end.at) >= minRestartTime {
+			return false
+		}
+		found = true
+		q.addOwn(end)
+		return true
+	})
+	return found
+}
+
+// confirmEnds counts answers as whole that ended before a server took another request.
+func (q *Quarantine) confirmEnds(server string, sentAt time.Time) {
+	q.ends = slices.DeleteFunc(q.ends, func(end *sighting) bool {
+		if end.Server != server || !end.at.Before(sentAt) {
+			return false
+		}
+		q.confirmEnd(end)
+		return true
+	})
+}
+
+func (q *Quarantine) confirmEnd(end *sighting) {
+	q.successes.record(end.Features, true, end.at)
+	for _, feature := range end.Features {
+		if q.clearKnown(feature, true) {
+			q.isDue = true
+		}
+	}
+}
+
+// judgeEnds decides on answers that ended with their connection by what became of their servers.
+func (q *Quarantine) judgeEnds(fateOf func(server string, after time.Time) fleet.Fate) {
+	q.ends = slices.DeleteFunc(q.ends, func(end *sighting) bool {
+		switch fateOf(end.Server, end.at) {
+		case fleet.FateSurvived:
+			q.confirmEnd(end)
+			return true
+		case fleet.FateEnded:
+			// The server may have ended any time since, so this counts for nothing.
+			return true
+		}
+		return false
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,276 +1,427 @@
-// Package quarantine finds requests that crash the backend servers which run them, and holds back
-// their repetitions. A caller may send each repetition to another router, so a router counts the
-// crashes that all routers saw.
+// Package quarantine finds out which requests crash the backend servers that run them, and holds them
+// back. What crashes a server may be a whole content, which a caller sends again and again, or a part
+// of prompts that are never alike. The requests come at any router, so a router judges by what all
+// routers saw.
+//
+// When a server crashes, all of its exchanges break off. A feature of requests is blamed if several
+// servers crashed while they began to answer requests with it, and cleared of the crashes known so far
+// by an answer to another such request.
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
 )
 
 const (
-	// crashThreshold is the number of servers that must have crashed while they ran the same
-	// content. A single broken exchange may be a network fault; a second one, at another server,
-	// seldom is.
-	crashThreshold = 2
-	// suspectTTL is how long a content is suspect after its last crash: longer than callers wait
-	// between attempts.
+	// suspectTTL is how long the evidence of a crash counts: longer than callers wait between
+	// attempts.
 	suspectTTL = 5 * time.Minute
-	// maxSuspects bounds the memory used. If many connections break at once, it fills with
-	// harmless requests, of which the oldest are evicted first.
-	maxSuspects = 4096
-	// maxPublished bounds the crashes that a router tells the others, and so the bytes that each
-	// router gets when a fault breaks many exchanges everywhere.
-	maxPublished = 16
+	// successWindow is how long an answer clears its features of crashes that become known later:
+	// other routers report crashes with a delay.
+	successWindow = 1500 * time.Millisecond
+	// minRestartTime is less than a server takes to restart. An answer within this time after an
+	// exchange broke off comes from the same process.
+	minRestartTime = time.Second
+	// maxOwn bounds the exchanges of this router that are kept, maxSuccesses the features with a recent
+	// answer, and maxClearances the features cleared of crashes. The oldest are dropped first.
+	maxOwn        = 256
+	maxSuccesses  = 4096
+	maxClearances = 4096
+	// maxAtOnce is the number of exchanges up to which each change is judged at once. With more
+	// evidence, changes within judgeInterval are judged together.
+	maxAtOnce     = 256
+	judgeInterval = 100 * time.Millisecond
+	// expiryInterval is how often evidence is checked for its age.
+	expiryInterval = time.Second
 )
 
-// Crash is the end of an exchange with a server that may have crashed because of it.
-type Crash struct {
-	// Content is the hash of the request's content, the same for each repetition.
-	Content uint64
-	// Server is the incarnation of the server.
-	Server string
+// Change is a change of what is held back.
+type Change struct {
+	Held     []Blame
+	Released []Feature
 }
 
-// Quarantine counts crashes by content. It is safe for concurrent use.
+// Quarantine counts crashes by feature. It is safe for concurrent use.
 type Quarantine struct {
 	now func() time.Time
+	// onChange is called without locks held when features are held back or released.
+	onChange func(Change)
 
-	mu       sync.Mutex
-	suspects map[uint64]*suspect
-	// published changes whenever the result of OwnCrashes may have changed.
-	published uint64
-	changed   chan struct{}
+	// watchful is set while there is evidence, so that answers are checked against it.
+	watchful atomic.Bool
+
+	mu         sync.Mutex
+	own        []*sighting            // oldest first
+	others     map[string]*testimony  // by key of the record
+	successes  successes              // recent answers
+	clearances map[Feature]clearances // crashes that answers to other requests cleared features of
+	survivors  map[string]time.Time   // servers that did not crash, and since when that is known
+	ends       []*sighting            // answers that may have been cut off by a crash
+	held       map[Feature]Blame
+	known      map[Feature]int // number of servers in the evidence against a feature, cleared or not
+	judgedAt   time.Time
+	isDue      bool // the evidence has changed since
+	trials     map[Feature]time.Time
+	watches    map[*watch]struct{}
+	changes    []Change
+	cancelled  []*watch
+
+	report  Report // of this router
+	version uint64 // of report
+	changed chan struct{}
+}
+
+// sighting is an exchange that broke off, with when this router learned of it.
+type sighting struct {
+	Exchange
+	at time.Time
+	// fateKnown is set once it is known whether the server ended.
+	fateKnown bool
+}
+
+// testimony is what another router reports.
+type testimony struct {
+	sightings []*sighting
+	cleared   []Clearance
+	survivors []string
+	at        time.Time
+}
+
+// Clearance says that requests with a feature did not crash servers.
+type Clearance struct {
+	Feature Feature
+	Servers []string
+	// Whole: answers came to their end. Otherwise they were seen to begin, which says nothing of
+	// crashes late in an answer.
+	Whole bool
+}
+
+// clearing says how a feature was cleared of a crash.
+type clearing struct {
+	whole bool // see Clearance.Whole
+	at    time.Time
 }
 
-// suspect is a content of which at least one crash was seen or reported.
-type suspect struct {
-	crashes   map[string]*evidence // by incarnation of the server
-	lastCrash time.Time
+// clearances are the crashes that one feature is cleared of, by server.
+type clearances map[string]clearing
+
+func (c clearances) add(server string, whole bool, at time.Time) {
+	c[server] = clearing{c[server].whole || whole, at}
 }
 
-// evidence is what is known of one crash.
-type evidence struct {
-	learned time.Time
-	// own is set if this router saw the crash itself.
-	own bool
-	// dismissed is set if the request did not crash the server. The evidence is kept so that
-	// another router's report of it doesn't count.
-	dismissed bool
-	// confirmed is set if the server has ended.
-	confirmed bool
+// covers reports whether a crash is cleared.
+func (c clearances) covers(server string, late bool) bool {
+	cleared, found := c[server]
+	return found && (cleared.whole || !late)
 }
 
-// New returns an empty quarantine. A nil now means time.Now.
-func New(now func() time.Time) *Quarantine {
+// New returns an empty quarantine. onChange may be nil; a nil now means time.Now.
+func New(now func() time.Time, onChange func(Change)) *Quarantine {
 	if now == nil {
 		now = time.Now
 	}
-	return &Quarantine{now: now, suspects: make(map[uint64]*suspect), changed: make(chan struct{}, 1)}
+	if onChange == nil {
+		onChange = func(Change) {}
+	}
+	return &Quarantine{now: now, onChange: onChange, others: make(map[string]*testimony), successes: newSuccesses(),
+		clearances: make(map[Feature]clearances), survivors: make(map[string]time.Time), trials: make(map[Feature]time.Time),
+		watches: make(map[*watch]struct{}), changed: make(chan struct{}, 1)}
 }
 
-// RecordCrash records that this router's exchange with a server broke off. It reports whether that
-// quarantines the content.
-func (q *Quarantine) RecordCrash(crash Crash) bool {
+// unlock releases the lock and tells the changes made while it was held.
+func (q *Quarantine) unlock() {
+	changes, cancelled := q.changes, q.cancelled
+	q.changes, q.cancelled = nil, nil
+	q.mu.Unlock()
+	for _, w := range cancelled {
+		w.cancel()
+	}
+	for _, change := range changes {
+		q.onChange(change)
+	}
+}
+
+// RecordCrash records that this router's exchange with a server broke off.
+func (q *Quarantine) RecordCrash(e Exchange) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	before := q.contains(crash.Content)
-	found := q.add(crash)
-	if !found.own {
-		found.own = true
-		q.notify()
+	defer q.unlock()
+	q.addOwn(&sighting{Exchange: e, at: q.now()})
+	q.adoptEnds(e.Server)
+	q.evidenceChanged()
+}
+
+func (q *Quarantine) addOwn(s *sighting) {
+	same := func(other *sighting) bool {
+		return other.Server == s.Server && other.Late == s.Late && slices.Equal(other.Features, s.Features)
 	}
-	return !before && q.contains(crash.Content)
+	if slices.ContainsFunc(q.own, same) {
+		return
+	}
+	q.clearBySuccesses(s)
+	q.own = append(q.own, s)
+	q.own = q.own[max(0, len(q.own)-maxOwn):]
+	q.watchful.Store(true)
 }
 
-// Merge adds the crashes that another router reports, and returns the contents which they
-// quarantine.
-func (q *Quarantine) Merge(crashes []Crash) []uint64 {
+// Merge replaces what another router reported before. key identifies that router. Judge must be called
+// after the last of several calls.
+func (q *Quarantine) Merge(key string, r Report) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	var quarantined []uint64
-	for _, crash := range crashes {
-		before := q.contains(crash.Content)
-		q.add(crash)
-		if !before && q.contains(crash.Content) {
-			quarantined = append(quarantined, crash.Content)
+	defer q.unlock()
+	before := q.others[key]
+	t := &testimony{cleared: r.Cleared, survivors: r.Survivors, at: q.now()}
+	for _, e := range r.Exchanges {
+		s := &sighting{Exchange: e, at: t.at}
+		if known := before.find(e); known != nil {
+			s = known
+		} else {
+			q.clearBySuccesses(s)
 		}
+		t.sightings = append(t.sightings, s)
 	}
-	return quarantined
+	for _, server := range r.Survivors {
+		if before == nil || !slices.Contains(before.survivors, server) {
+			q.survivors[server] = t.at
+		}
+	}
+	q.others[key] = t
+	q.watchful.Store(true)
+	q.isDue = true
 }
 
-// add returns the evidence of a crash, which is new unless it was known before.
-func (q *Quarantine) add(crash Crash) *evidence {
-	now := q.now()
-	s := q.suspects[crash.Content]
-	if s != nil && now.Sub(s.lastCrash) >= suspectTTL {
-		s = nil
-	}
-	if s == nil {
-		q.evictOldest(now)
-		s = &suspect{crashes: make(map[string]*evidence)}
-		q.suspects[crash.Content] = s
+// find returns the known sighting of an exchange, or nil.
+func (t *testimony) find(e Exchange) *sighting {
+	if t == nil {
+		return nil
 	}
-	found := s.crashes[crash.Server]
-	if found == nil {
-		found = &evidence{learned: now}
-		s.crashes[crash.Server] = found
-		s.lastCrash = now
+	for _, s := range t.sightings {
+		if s.Server == e.Server && s.Late == e.Late && len(s.Features) > 0 && len(e.Features) > 0 &&
+			s.Features[len(s.Features)-1] == e.Features[len(e.Features)-1] {
+			s.Features = e.Features // some may have been cleared
+			return s
+		}
 	}
-	return found
+	return nil
 }
 
-// Contains reports whether the content is quarantined and must not be sent to a server.
-func (q *Quarantine) Contains(content uint64) bool {
+// Judge judges the evidence if it has changed.
+func (q *Quarantine) Judge() {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.contains(content)
+	defer q.unlock()
+	if q.isDue {
+		q.judge()
+	}
 }
 
-// contains is Contains with q.mu held.
-func (q *Quarantine) contains(content uint64) bool {
-	s := q.suspects[content]
-	return s != nil && len(s.servers()) >= crashThreshold && q.now().Sub(s.lastCrash) < suspectTTL
+// evidenceChanged judges the evidence, unless there is so much that changes have to be judged together.
+func (q *Quarantine) evidenceChanged() {
+	q.isDue = true
+	if q.size() <= maxAtOnce || q.now().Sub(q.judgedAt) >= judgeInterval {
+		q.judge()
+	}
 }
 
-// Servers returns the incarnations of the servers that crashed while they ran the content, sorted.
-func (q *Quarantine) Servers(content uint64) []string {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	s := q.suspects[content]
-	if s == nil {
-		return nil
+// size returns the number of sightings.
+func (q *Quarantine) size() int {
+	size := len(q.own)
+	for _, t := range q.others {
+		size += len(t.sightings)
 	}
-	return s.servers()
+	return size
 }
 
-// Count returns the number of quarantined contents.
-func (q *Quarantine) Count() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	count := 0
-	for content := range q.suspects {
-		if q.contains(content) {
-			count++
+// judge finds out which features are to blame, and what to tell the other routers.
+func (q *Quarantine) judge() {
+	q.isDue, q.judgedAt = false, q.now()
+	q.expire()
+	before := q.held
+	q.held = make(map[Feature]Blame)
+	change := Change{}
+	for _, blame := range findBlame(q.openExchanges()) {
+		q.held[blame.Feature] = blame
+		if _, known := before[blame.Feature]; !known {
+			change.Held = append(change.Held, blame)
 		}
 	}
-	return count
+	for feature := range before {
+		if _, still := q.held[feature]; !still {
+			change.Released = append(change.Released, feature)
+		}
+	}
+	if len(change.Held)+len(change.Released) > 0 {
+		q.changes = append(q.changes, change)
+		q.cancelHeld()
+	}
+	q.updateReport()
 }
 
-func (s *suspect) servers() []string {
-	servers := make([]string, 0, len(s.crashes))
-	for server, found := range s.crashes {
-		if !found.dismissed {
-			servers = append(servers, server)
+// openExchanges returns the exchanges that count, each with the features that are not cleared.
+func (q *Quarantine) openExchanges() []Exchange {
+	cleared := q.allClearances()
+	servers := make(map[Feature]map[string]bool)
+	var open []Exchange
+	q.eachSighting(func(s *sighting) {
+		if q.hasSurvived(s) {
+			return
 		}
+		e := Exchange{Server: s.Server, Late: s.Late}
+		for _, feature := range s.Features {
+			if servers[feature] == nil {
+				servers[feature] = make(map[string]bool)
+			}
+			servers[feature][s.Server] = true
+			if !cleared[feature].covers(s.Server, s.Late) {
+				e.Features = append(e.Features, feature)
+			}
+		}
+		open = append(open, e)
+	})
+	q.known = make(map[Feature]int, len(servers))
+	for feature, crashed := range servers {
+		q.known[feature] = len(crashed)
 	}
-	slices.Sort(servers)
-	return servers
+	q.pruneClearances(servers)
+	return open
 }
 
-// RecordSuccess records a complete answer, which clears the content of all crashes known so far.
-func (q *Quarantine) RecordSuccess(content uint64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	s := q.suspects[content]
-	if s == nil {
-		return
-	}
-	for _, found := range s.crashes {
-		q.dismiss(found)
-	}
+// hasSurvived reports whether the server did not crash when the exchange broke off.
+func (q *Quarantine) hasSurvived(s *sighting) bool {
+	at, found := q.survivors[s.Server]
+	return found && !s.at.After(at)
 }
 
-// DismissSurvived dismisses the crashes of servers that did not end, and returns the contents that
-// are no longer quarantined. fateOf tells what became of a server after the given time.
-func (q *Quarantine) DismissSurvived(fateOf func(server string, after time.Time) fleet.Fate) []uint64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var released []uint64
-	for content, s := range q.suspects {
-		before := q.contains(content)
-		for server, found := range s.crashes {
-			q.judge(found, server, fateOf)
+// pruneClearances drops the clearances of crashes that are not in the evidence, which is given as the
+// servers by feature.
+func (q *Quarantine) pruneClearances(evidence map[Feature]map[string]bool) {
+	for feature, crashes := range q.clearances {
+		maps.DeleteFunc(crashes, func(server string, _ clearing) bool { return !evidence[feature][server] })
+		if len(crashes) == 0 {
+			delete(q.clearances, feature)
 		}
-		if before && !q.contains(content) {
-			released = append(released, content)
+	}
+}
+
+// allClearances returns the clearances of this and all other routers.
+func (q *Quarantine) allClearances() map[Feature]clearances {
+	all := make(map[Feature]clearances)
+	for feature, crashes := range q.clearances {
+		all[feature] = maps.Clone(crashes)
+	}
+	for _, t := range q.others {
+		for _, c := range t.cleared {
+			if all[c.Feature] == nil {
+				all[c.Feature] = make(clearances)
+			}
+			for _, server := range c.Servers {
+				all[c.Feature].add(server, c.Whole, t.at)
+			}
 		}
 	}
-	return released
+	return all
 }
 
-// judge confirms or dismisses the evidence of a crash once the server's fate is known.
-func (q *Quarantine) judge(found *evidence, server string, fateOf func(string, time.Time) fleet.Fate) {
-	if found.dismissed || found.confirmed {
-		return
+func (q *Quarantine) eachSighting(do func(*sighting)) {
+	for _, s := range q.own {
+		do(s)
 	}
-	switch fateOf(server, found.learned) {
-	case fleet.FateSurvived:
-		q.dismiss(found)
-	case fleet.FateEnded:
-		found.confirmed = true
+	for _, t := range q.others {
+		for _, s := range t.sightings {
+			do(s)
+		}
 	}
 }
 
-func (q *Quarantine) dismiss(found *evidence) {
-	if found.dismissed {
-		return
+// expire drops the evidence that is too old.
+func (q *Quarantine) expire() {
+	now := q.now()
+	isOld := func(s *sighting) bool { return now.Sub(s.at) >= suspectTTL }
+	q.own = slices.DeleteFunc(q.own, isOld)
+	for key, t := range q.others {
+		t.sightings = slices.DeleteFunc(t.sightings, isOld)
+		if len(t.sightings) == 0 && now.Sub(t.at) >= suspectTTL {
+			delete(q.others, key)
+		}
 	}
-	found.dismissed = true
-	if found.own {
-		q.notify()
+	for server, at := range q.survivors {
+		if now.Sub(at) >= suspectTTL {
+			delete(q.survivors, server)
+		}
+	}
+	if len(q.own) == 0 && len(q.others) == 0 {
+		clear(q.trials)
+		q.watchful.Store(len(q.ends) > 0)
 	}
 }
 
-// OwnCrashes returns the latest crashes that this router saw itself, and the version of that list.
-func (q *Quarantine) OwnCrashes() ([]Crash, uint64) {
+// Held returns the first of the features that is held back, so that requests with it must not be sent
+// to a server.
+func (q *Quarantine) Held(features []Feature) (held Feature, found bool) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	var crashes []Crash
-	learned := make(map[Crash]time.Time)
-	now := q.now()
-	for content, s := range q.suspects {
-		for server, found := range s.crashes {
-			if !found.own || found.dismissed || now.Sub(found.learned) >= suspectTTL {
-				continue
-			}
-			crash := Crash{Content: content, Server: server}
-			crashes = append(crashes, crash)
-			learned[crash] = found.learned
+	defer q.unlock()
+	if q.isDue && q.now().Sub(q.judgedAt) >= judgeInterval {
+		q.judge()
+	}
+	if len(q.held) > 0 && q.now().Sub(q.judgedAt) >= expiryInterval {
+		q.judge()
+	}
+	for _, feature := range features {
+		if _, found = q.held[feature]; found {
+			return feature, true
 		}
 	}
-	slices.SortFunc(crashes, func(a, b Crash) int { return learned[b].Compare(learned[a]) })
-	return crashes[:min(len(crashes), maxPublished)], q.published
+	return Feature{}, false
 }
 
-// Changed returns a channel that receives a value when OwnCrashes may have a new result.
-func (q *Quarantine) Changed() <-chan struct{} {
-	return q.changed
+// lastCrash returns when the last crash of a feature became known.
+func (q *Quarantine) lastCrash(blame Blame) time.Time {
+	last := time.Time{}
+	q.eachSighting(func(s *sighting) {
+		if s.at.After(last) && slices.Contains(s.Features, blame.Feature) {
+			last = s.at
+		}
+	})
+	return last
 }
 
-func (q *Quarantine) notify() {
-	q.published++
-	select {
-	case q.changed <- struct{}{}:
-	default: // a value is already pending
-	}
+// Servers returns the incarnations of the servers whose crashes blame a feature, sorted.
+func (q *Quarantine) Servers(feature Feature) []string {
+	q.mu.Lock()
+	defer q.unlock()
+	return q.held[feature].Servers
 }
 
-// evictOldest makes room for another suspect: it removes the one with the oldest crash if there are
-// maxSuspects.
-func (q *Quarantine) evictOldest(now time.Time) {
-	if len(q.suspects) < maxSuspects {
-		return
-	}
-	var oldest uint64
-	earliest := now
-	for content, s := range q.suspects {
-		if !s.lastCrash.After(earliest) {
-			oldest, earliest = content, s.lastCrash
+// Count returns the number of features that are held back.
+func (q *Quarantine) Count() int {
+	q.mu.Lock()
+	defer q.unlock()
+	return len(q.held)
+}
+
+// DismissSurvived dismisses the crashes of servers that did not end. fateOf tells what became of a
+// server after the given time.
+func (q *Quarantine) DismissSurvived(fateOf func(server string, after time.Time) fleet.Fate) {
+	q.mu.Lock()
+	defer q.unlock()
+	q.judgeEnds(fateOf)
+	q.eachSighting(func(s *sighting) {
+		if s.fateKnown {
+			return
+		}
+		switch fateOf(s.Server, s.at) {
+		case fleet.FateSurvived:
+			q.survivors[s.Server], s.fateKnown = q.now(), true
+			q.isDue = true
+		case fleet.FateEnded:
+			s.fateKnown = true
 		}
+	})
+	if q.isDue {
+		q.judge()
 	}
-	delete(q.suspects, oldest)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -14,69 +14,226 @@
 // testQuarantine returns a quarantine and the clock that it reads.
 func testQuarantine() (*Quarantine, *time.Time) {
 	now := time.Unix(1000, 0)
-	return New(func() time.Time { return now }), &now
+	return New(func() time.Time { return now }, nil), &now
+}
+
+// content returns an exchange of a request without prompt parts.
+func content(hash uint64, server string) Exchange {
+	return Exchange{Server: server, Features: []Feature{Content(hash)}}
+}
+
+// prompt returns an exchange of a request with the prompt parts and a content of its own.
+func prompt(server string, parts ...string) Exchange {
+	return Exchange{Server: server, Features: promptFeatures(server, parts...)}
+}
+
+func promptFeatures(own string, parts ...string) []Feature {
+	var features []Feature
+	for _, part := range parts {
+		features = append(features, Part(part))
+	}
+	return append(features, Content(Part(own).Hash))
+}
+
+func (q *Quarantine) isHeld(f Feature) bool {
+	_, held := q.Held([]Feature{f})
+	return held
+}
+
+// report merges what another router saw.
+func (q *Quarantine) hear(router string, exchanges ...Exchange) {
+	q.Merge(router, Report{Exchanges: exchanges})
+	q.Judge()
 }
 
 // Guards against a request that crashes one server after another.
 func TestCrashingContentIsQuarantined(t *testing.T) {
 	q, now := testQuarantine()
-	qt.Assert(t, q.RecordCrash(Crash{7, "a"}), qt.IsFalse)
-	qt.Assert(t, q.Contains(7), qt.IsFalse, qt.Commentf("a single crash may be a network fault"))
-	qt.Assert(t, q.RecordCrash(Crash{7, "b"}), qt.IsTrue)
-	qt.Assert(t, q.Contains(7), qt.IsTrue)
-	qt.Assert(t, q.Servers(7), qt.DeepEquals, []string{"a", "b"})
-	qt.Assert(t, q.Contains(8), qt.IsFalse)
+	q.RecordCrash(content(7, "a"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("a single crash may be a network fault"))
+	q.RecordCrash(content(7, "b"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+	qt.Assert(t, q.Servers(Content(7)), qt.DeepEquals, []string{"a", "b"})
+	qt.Assert(t, q.isHeld(Content(8)), qt.IsFalse)
 	*now = now.Add(suspectTTL)
-	qt.Assert(t, q.Contains(7), qt.IsFalse)
-	qt.Assert(t, q.RecordCrash(Crash{7, "c"}), qt.IsFalse, qt.Commentf("the earlier crashes are out of date"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
+	q.RecordCrash(content(7, "c"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("the earlier crashes are out of date"))
+}
+
+// Guards against a part of prompts that crashes one server after another, since no two requests with it
+// are alike.
+func TestCrashingPartIsQuarantined(t *testing.T) {
+	q, now := testQuarantine()
+	q.RecordCrash(prompt("a", "t", "bad"))
+	q.RecordCrash(prompt("b", "t", "bad"))
+	q.RecordBegun(promptFeatures("sound", "t", "thing"))
+	qt.Assert(t, q.Count(), qt.Equals, 0)
+	*now = now.Add(2 * successWindow)
+	q.RecordCrash(prompt("c", "t", "bad"))
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+	qt.Assert(t, q.Count(), qt.Equals, 1, qt.Commentf("the template is sound"))
+}
+
+// Guards against sound requests that are held back since a crash breaks all exchanges of a server, not
+// only the one that caused it.
+func TestCrashIsExplainedOnce(t *testing.T) {
+	q, _ := testQuarantine()
+	for i, server := range []string{"a", "b", "c", "d"} {
+		q.RecordCrash(prompt(server, "bad"))
+		if i < 3 {
+			q.RecordCrash(Exchange{Server: server, Features: []Feature{Part("rare"), Content(5)}})
+		}
+	}
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+	qt.Assert(t, q.Count(), qt.Equals, 1)
+}
+
+// Guards against streams that are held back since they were long in progress when servers crashed.
+func TestLateCrashesCountLess(t *testing.T) {
+	q, _ := testQuarantine()
+	for _, server := range []string{"a", "b"} {
+		q.RecordCrash(Exchange{Server: server, Features: []Feature{Content(7)}, Late: true})
+	}
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
+	q.RecordCrash(Exchange{Server: "c", Features: []Feature{Content(7)}, Late: true})
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+}
+
+// Guards against a part that crashes servers late in their answers, which nobody counts.
+func TestPartThatCrashesServersLateIsQuarantined(t *testing.T) {
+	q, _ := testQuarantine()
+	for i := range rules[KindPart].lateServers {
+		qt.Assert(t, q.isHeld(Part("bad")), qt.IsFalse)
+		e := prompt(fmt.Sprint("s", i), "bad")
+		e.Late = true
+		q.RecordBegun(e.Features)
+		q.RecordCrash(e)
+	}
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
 }
 
 // Guards against a sound request that is refused since one server's connections broke twice.
 func TestOneServerCrashesOnce(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	qt.Assert(t, q.RecordCrash(Crash{7, "a"}), qt.IsFalse)
-	qt.Assert(t, q.Merge([]Crash{{7, "a"}}), qt.HasLen, 0)
-	qt.Assert(t, q.Contains(7), qt.IsFalse)
+	q.RecordCrash(content(7, "a"))
+	q.RecordCrash(content(7, "a"))
+	q.hear("other", content(7, "a"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
 }
 
 // Guards against crashes at different routers that nobody adds up.
 func TestCrashesOfAllRoutersCount(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	qt.Assert(t, q.Merge([]Crash{{8, "b"}, {7, "b"}}), qt.DeepEquals, []uint64{7})
-	qt.Assert(t, q.Merge([]Crash{{8, "b"}, {7, "b"}}), qt.HasLen, 0, qt.Commentf("a record read again is no news"))
-	own, _ := q.OwnCrashes()
-	qt.Assert(t, own, qt.DeepEquals, []Crash{{7, "a"}}, qt.Commentf("a router reports only what it saw"))
+	q.RecordCrash(content(7, "a"))
+	q.hear("other", content(8, "b"), content(7, "b"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+	own, _ := q.Report()
+	qt.Assert(t, own.Exchanges, qt.DeepEquals, []Exchange{content(7, "a")}, qt.Commentf("a router reports only what it saw"))
+}
+
+// Guards against a sound part that one router holds back, though others had answers to requests with it.
+func TestAnswerAtAnotherRouterClears(t *testing.T) {
+	one, _ := testQuarantine()
+	two, now := testQuarantine()
+	crashes := []Exchange{prompt("a", "t"), prompt("b", "t"), prompt("c", "t")}
+	for _, e := range crashes {
+		one.RecordCrash(e)
+	}
+	qt.Assert(t, one.isHeld(Part("t")), qt.IsTrue)
+	report, _ := one.Report()
+	two.Merge("one", report)
+	two.Judge()
+	qt.Assert(t, two.isHeld(Part("t")), qt.IsTrue)
+	*now = now.Add(time.Minute)
+	two.RecordBegun(promptFeatures("sound", "t"))
+	qt.Assert(t, two.isHeld(Part("t")), qt.IsFalse)
+	report, _ = two.Report()
+	one.Merge("two", report)
+	one.Judge()
+	qt.Assert(t, one.isHeld(Part("t")), qt.IsFalse)
+}
+
+// Guards against a sound part that is held back by a crash which becomes known later than an answer.
+func TestAnswerClearsCrashReportedLater(t *testing.T) {
+	q, now := testQuarantine()
+	q.RecordBegun(promptFeatures("sound", "t"))
+	*now = now.Add(successWindow / 2)
+	q.hear("one", prompt("a", "t"), prompt("b", "t"), prompt("c", "t"))
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsFalse)
+	*now = now.Add(successWindow)
+	q.hear("two", prompt("d", "t"), prompt("e", "t"), prompt("f", "t"))
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsTrue)
+}
+
+// Guards against a report that still counts after its router took it back.
+func TestReportIsReplaced(t *testing.T) {
+	q, _ := testQuarantine()
+	q.hear("other", content(7, "a"), content(7, "b"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+	q.hear("other", content(7, "a"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
 }
 
 // Guards against a sound request that stays refused after a network fault broke its exchanges.
 func TestCrashOfServerThatSurvivedIsDismissed(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	q.Merge([]Crash{{7, "b"}})
-	_, before := q.OwnCrashes()
-	fateOf := func(server string, _ time.Time) fleet.Fate {
+	q.RecordCrash(content(7, "a"))
+	q.hear("other", content(7, "b"))
+	_, before := q.Report()
+	q.DismissSurvived(func(server string, _ time.Time) fleet.Fate {
 		if server == "a" {
 			return fleet.FateSurvived
 		}
 		return fleet.FateUnknown
-	}
-	qt.Assert(t, q.DismissSurvived(fateOf), qt.DeepEquals, []uint64{7})
-	qt.Assert(t, q.Contains(7), qt.IsFalse)
-	own, after := q.OwnCrashes()
-	qt.Assert(t, own, qt.HasLen, 0)
+	})
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
+	own, after := q.Report()
+	qt.Assert(t, own.Exchanges, qt.HasLen, 0)
+	qt.Assert(t, own.Survivors, qt.DeepEquals, []string{"a"})
 	qt.Assert(t, after != before, qt.IsTrue, qt.Commentf("the record has to be written again"))
-	qt.Assert(t, q.Merge([]Crash{{7, "a"}}), qt.HasLen, 0, qt.Commentf("another router's old report"))
-	qt.Assert(t, q.Merge([]Crash{{7, "c"}}), qt.DeepEquals, []uint64{7})
+	q.hear("third", content(7, "a"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("another router's old report"))
+	q.hear("third", content(7, "c"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+}
+
+// Guards against sound requests that are held back for seconds after connections were reset, though the
+// servers go on answering.
+func TestServerThatAnswersAgainDidNotCrash(t *testing.T) {
+	q, now := testQuarantine()
+	other, _ := testQuarantine()
+	q.RecordCrash(content(7, "a"))
+	q.RecordCrash(content(7, "b"))
+	other.hear("one", content(7, "a"), content(7, "b"))
+	brokenAt := *now
+	*now = now.Add(minRestartTime / 2)
+	q.RecordAlive("a", brokenAt.Add(-time.Millisecond))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue, qt.Commentf("the request was sent before the crash"))
+	q.RecordAlive("a", brokenAt.Add(time.Millisecond))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
+	report, _ := q.Report()
+	other.Merge("two", report)
+	other.Judge()
+	qt.Assert(t, other.isHeld(Content(7)), qt.IsFalse)
+}
+
+// Guards against an answer of a restarted server that is taken for proof that it did not crash.
+func TestAnswerAfterRestartIsNoProof(t *testing.T) {
+	q, now := testQuarantine()
+	q.RecordCrash(content(7, "a"))
+	q.RecordCrash(content(7, "b"))
+	*now = now.Add(minRestartTime)
+	q.RecordAlive("a", *now)
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
 }
 
 // Guards against a check of all crashes against all servers each second, long after a fault that
 // ended many servers.
 func TestFateOfServerIsAskedUntilItIsKnown(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	q.RecordCrash(Crash{7, "b"})
+	q.RecordCrash(content(7, "a"))
+	q.RecordCrash(content(7, "b"))
 	asked := 0
 	fate := fleet.FateUnknown
 	fateOf := func(string, time.Time) fleet.Fate {
@@ -86,47 +243,111 @@
 	q.DismissSurvived(fateOf)
 	qt.Assert(t, asked, qt.Equals, 2)
 	fate = fleet.FateEnded
-	qt.Assert(t, q.DismissSurvived(fateOf), qt.HasLen, 0)
+	q.DismissSurvived(fateOf)
 	qt.Assert(t, asked, qt.Equals, 4)
 	q.DismissSurvived(fateOf)
 	qt.Assert(t, asked, qt.Equals, 4)
-	qt.Assert(t, q.Contains(7), qt.IsTrue)
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
 }
 
 // Guards against a sound request that is refused since it ran on servers that another one crashed.
 func TestSuccessClearsContent(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	q.RecordSuccess(7)
-	qt.Assert(t, q.RecordCrash(Crash{7, "b"}), qt.IsFalse)
-	qt.Assert(t, q.Merge([]Crash{{7, "a"}}), qt.HasLen, 0)
+	q.RecordCrash(content(7, "a"))
+	q.RecordWhole([]Feature{Content(7)})
+	q.RecordCrash(content(7, "b"))
+	q.hear("other", content(7, "a"))
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
+}
+
+// Guards against an answer without a length that a crash cut off between two events and that counts as
+// whole, so that the crash clears the request which caused it.
+func TestAnswerThatEndedWithItsServerIsNoSuccess(t *testing.T) {
+	q, now := testQuarantine()
+	for _, server := range []string{"a", "b", "c"} {
+		q.RecordUnframedEnd(prompt(server, "bad"))
+		*now = now.Add(minRestartTime / 2)
+		q.RecordUnreachable(server)
+		*now = now.Add(time.Minute)
+	}
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+}
+
+// Guards against answers without a length that never clear a sound part.
+func TestAnswerThatEndedBeforeAnotherBeganIsWhole(t *testing.T) {
+	q, now := testQuarantine()
+	q.hear("other", prompt("a", "t"), prompt("b", "t"), prompt("c", "t"))
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsTrue)
+	q.RecordUnframedEnd(prompt("d", "t"))
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsTrue)
+	q.RecordAlive("d", now.Add(time.Millisecond))
+	q.Judge()
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsFalse)
+}
+
+// Guards against a request with a guilty part that goes on to crash the server at which it waits.
+func TestWaitingRequestIsCancelled(t *testing.T) {
+	q, _ := testQuarantine()
+	cancelled := make(map[string]bool)
+	watch := func(name string, features ...Feature) (stop func()) {
+		return q.Watch(features, func() { cancelled[name] = true })
+	}
+	watch("bad", Part("t"), Part("bad"))
+	watch("sound", Part("t"))
+	watch("begun", Part("bad"))()
+	q.hear("other", prompt("a", "bad"), prompt("b", "bad"), prompt("c", "bad"))
+	qt.Assert(t, cancelled, qt.DeepEquals, map[string]bool{"bad": true})
+}
+
+// Guards against a part that was blamed wrongly and stays held back, since no request with it is sent that
+// could clear it.
+func TestHeldPartIsTriedAgain(t *testing.T) {
+	q, now := testQuarantine()
+	elected := func() bool { return true }
+	q.hear("other", prompt("a", "t"), prompt("b", "t"), prompt("c", "t"))
+	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsFalse)
+	*now = now.Add(trialDelay)
+	qt.Assert(t, q.TryAgain(Part("t"), func() bool { return false }), qt.IsFalse)
+	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsTrue)
+	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsFalse, qt.Commentf("one at a time"))
+	q.RecordCrash(prompt("d", "t"))
+	*now = now.Add(trialDelay)
+	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsFalse, qt.Commentf("each further crash makes trials rarer"))
+	*now = now.Add((trialFactor - 1) * trialDelay)
+	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsTrue)
+	q.RecordBegun(promptFeatures("trial", "t"))
+	qt.Assert(t, q.isHeld(Part("t")), qt.IsFalse)
 }
 
 // Guards against unbounded memory and records when many connections break at once and many harmless
 // requests become suspects.
 func TestSuspectsAreBounded(t *testing.T) {
 	q, now := testQuarantine()
-	for content := range uint64(2 * maxSuspects) {
+	for hash := range uint64(4 * maxOwn) {
 		*now = now.Add(time.Millisecond)
-		q.RecordCrash(Crash{content, "a"})
+		q.RecordCrash(content(hash, "a"))
+		q.RecordBegun([]Feature{Content(hash + 1<<20)})
 	}
-	qt.Assert(t, len(q.suspects) <= maxSuspects, qt.IsTrue)
-	own, _ := q.OwnCrashes()
-	qt.Assert(t, own, qt.HasLen, maxPublished)
-	qt.Assert(t, own[0].Content, qt.Equals, uint64(2*maxSuspects-1), qt.Commentf("the latest come first"))
+	qt.Assert(t, len(q.own) <= maxOwn, qt.IsTrue)
+	qt.Assert(t, len(q.successes.begun) <= maxSuccesses+1, qt.IsTrue)
+	*now = now.Add(judgeInterval)
+	q.RecordCrash(content(1<<40, "a"))
+	own, _ := q.Report()
+	qt.Assert(t, own.Exchanges, qt.HasLen, maxPublished)
+	qt.Assert(t, own.Exchanges[0].Features[0], qt.Equals, Content(1<<40), qt.Commentf("the latest come first"))
 }
 
 // Guards against a change that no other router is told of.
 func TestChangesAreSignalled(t *testing.T) {
 	q, _ := testQuarantine()
-	q.RecordCrash(Crash{7, "a"})
-	q.RecordCrash(Crash{7, "b"})
+	q.RecordCrash(content(7, "a"))
+	q.RecordCrash(content(7, "b"))
 	select {
 	case <-q.Changed():
 	default:
 		t.Fatal("no signal")
 	}
-	q.Merge([]Crash{{7, "c"}})
+	q.hear("other", content(7, "c"))
 	select {
 	case <-q.Changed():
 		t.Fatal("signal for what another router saw")
@@ -134,28 +355,61 @@
 	}
 }
 
+// Guards against a change of what is held back that the log doesn't tell.
+func TestChangesAreTold(t *testing.T) {
+	var held, released []Feature
+	now := time.Unix(1000, 0)
+	q := New(func() time.Time { return now }, func(c Change) {
+		for _, blame := range c.Held {
+			held = append(held, blame.Feature)
+		}
+		released = append(released, c.Released...)
+	})
+	q.hear("other", content(7, "a"), content(7, "b"))
+	qt.Assert(t, held, qt.DeepEquals, []Feature{Content(7)})
+	q.RecordBegun([]Feature{Content(7)})
+	qt.Assert(t, released, qt.DeepEquals, []Feature{Content(7)})
+}
+
 // Guards against a record that another router reads differently, or that is damaged.
 func TestRecordIsReadAsWritten(t *testing.T) {
-	crashes := []Crash{{Content: 0xfedcba9876543210, Server: "i-1@10.0.0.1:80@5"}, {Content: 1, Server: "i-2"}}
-	item := store.Item{Key: RecordKey("r"), Value: NewRecord("vm-1", crashes).Encode()}
+	report := Report{
+		Exchanges: []Exchange{
+			{Server: "i-1@10.0.0.1:80@5", Features: []Feature{Part("t"), Part("g"), Content(0xfedcba9876543210)}, Late: true},
+			content(1, "i-2"),
+		},
+		Cleared:   []Clearance{{Feature: Part("t"), Servers: []string{"a", "b"}, Whole: true}, {Feature: Content(3), Servers: []string{"c"}}},
+		Survivors: []string{"i-3"},
+	}
+	item := store.Item{Key: RecordKey("r"), Value: NewRecord("vm-1", report).Encode()}
 	qt.Assert(t, IsRecord(item.Key), qt.IsTrue)
 	vm, read, err := DecodeRecord(item)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, vm, qt.Equals, "vm-1")
-	qt.Assert(t, read, qt.DeepEquals, crashes)
-	for _, damaged := range []string{"", "vm-1", `{"crashes":[{"content":"x","server":"a"}]}`, `{"crashes":[{"content":"1"}]}`} {
+	qt.Assert(t, read, qt.DeepEquals, report)
+	for _, damaged := range []string{"", "vm-1", `{"crashes":[{"content":"x","server":"a"}]}`, `{"crashes":[{"content":"1"}]}`,
+		`{"crashes":[{"content":"1","parts":["x"],"server":"a"}]}`, `{"cleared":[{"servers":["a"]}]}`} {
 		_, _, err := DecodeRecord(store.Item{Value: []byte(damaged)})
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q", damaged))
 	}
 }
 
+// Guards against a record of a router of an earlier version that can't be read, or the other way round.
+func TestRecordOfEarlierVersionIsRead(t *testing.T) {
+	earlier := `{"router":"vm-1","crashes":[{"content":"7","server":"a"}]}`
+	_, read, err := DecodeRecord(store.Item{Value: []byte(earlier)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, read, qt.DeepEquals, Report{Exchanges: []Exchange{content(7, "a")}})
+	qt.Assert(t, string(NewRecord("vm-1", read).Encode()), qt.Equals, earlier)
+}
+
 // Guards against a router that reads more of another's record than it would write.
 func TestLongRecordIsCut(t *testing.T) {
-	var crashes []Crash
+	var report Report
 	for i := range 2 * maxPublished {
-		crashes = append(crashes, Crash{uint64(i), fmt.Sprint("s", i)})
+		report.Exchanges = append(report.Exchanges, content(uint64(i), fmt.Sprint("s", i)))
 	}
-	_, read, err := DecodeRecord(store.Item{Value: NewRecord("vm-1", crashes).Encode()})
+	_, read, err := DecodeRecord(store.Item{Value: NewRecord("vm-1", report).Encode()})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, read, qt.HasLen, maxPublished)
+	qt.Assert(t, read.Exchanges, qt.HasLen, maxPublished)
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -10,36 +9,60 @@
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
-// RecordPrefix is the key prefix of the records of crashes in the store, one per incarnation of a
-// router.
+// RecordPrefix is the key prefix of the reports in the store, one per incarnation of a router.
 const RecordPrefix = "chicory/broken/"
 
-// Record is the stored form of the crashes that one router saw.
+// Record is the stored form of a router's Report.
 type Record struct {
 	// Router is the VM of the router.
-	Router  string        `json:"router"`
-	Crashes []CrashRecord `json:"crashes"`
+	Router    string            `json:"router"`
+	Crashes   []CrashRecord     `json:"crashes"`
+	Cleared   []ClearanceRecord `json:"cleared,omitempty"`
+	Survivors []string          `json:"survivors,omitempty"`
 }
 
-// CrashRecord is the stored form of a Crash.
+// CrashRecord is the stored form of an Exchange. Hashes are in hexadecimal.
 type CrashRecord struct {
-	// Content is the hash in hexadecimal.
-	Content string `json:"content"`
-	Server  string `json:"server"`
+	Content string   `json:"content"`
+	Parts   []string `json:"parts,omitempty"` // from the first to the last of the prompt
+	Server  string   `json:"server"`
+	Late    bool     `json:"late,omitempty"`
 }
 
-// NewRecord returns the record of the crashes that a VM's router saw.
-func NewRecord(vm string, crashes []Crash) Record {
-	r := Record{Router: vm, Crashes: make([]CrashRecord, 0, len(crashes))}
-	for _, crash := range crashes {
-		r.Crashes = append(r.Crashes, CrashRecord{Content: FormatContent(crash.Content), Server: crash.Server})
-	}
-	return r
+// ClearanceRecord is the stored form of a Clearance. Content or Part is set.
+type ClearanceRecord struct {
+	Content string   `json:"content,omitempty"`
+	Part    string   `json:"part,omitempty"`
+	Servers []string `json:"servers"`
+	Whole   bool     `json:"whole,omitempty"`
 }
 
-// FormatContent returns the form of a content's hash in records and logs.
-func FormatContent(content uint64) string {
-	return strconv.FormatUint(content, 16)
+// NewRecord returns the record of what a VM's router reports.
+func NewRecord(vm string, report Report) Record {
+	r := Record{Router: vm, Crashes: make([]CrashRecord, 0, len(report.Exchanges)), Survivors: report.Survivors}
+	for _, e := range report.Exchanges {
+		crash := CrashRecord{Server: e.Server, Late: e.Late}
+		for _, feature := range e.Features {
+			switch feature.Kind {
+			case KindContent:
+				crash.Content = formatHash(feature.Hash)
+			case KindPart:
+				crash.Parts = append(crash.Parts, formatHash(feature.Hash))
+			}
+		}
+		r.Crashes = append(r.Crashes, crash)
+	}
+	for _, c := range report.Cleared {
+		cleared := ClearanceRecord{Servers: c.Servers, Whole: c.Whole}
+		switch c.Feature.Kind {
+		case KindContent:
+			cleared.Content = formatHash(c.Feature.Hash)
+		case KindPart:
+			cleared.Part = formatHash(c.Feature.Hash)
+		}
+		r.Cleared = append(r.Cleared, cleared)
+	}
+	return r
 }
 
 // Encode returns the stored form.
@@ -61,21 +84,63 @@
 	return strings.HasPrefix(key, RecordPrefix)
 }
 
-// DecodeRecord returns the router's VM and the crashes of a stored record.
-func DecodeRecord(item store.Item) (vm string, crashes []Crash, err error) {
+// DecodeRecord returns the router's VM and the report of a stored record.
+func DecodeRecord(item store.Item) (vm string, report Report, err error) {
 	record := Record{}
 	if err := json.Unmarshal(item.Value, &record); err != nil {
-		return "", nil, errors.Wrap(err, "decode record of crashes")
+		return "", Report{}, errors.Wrap(err, "decode record of crashes")
 	}
-	for _, r := range record.Crashes[:min(len(record.Crashes), maxPublished)] {
-		content, err := strconv.ParseUint(r.Content, 16, 64)
+	for _, crash := range record.Crashes[:min(len(record.Crashes), maxPublished)] {
+		e, err := crash.decode()
 		if err != nil {
-			return "", nil, errors.Wrap(err, "record of crashes: content")
+			return "", Report{}, errors.Wrap(err, "record of crashes")
 		}
-		if r.Server == "" {
-			return "", nil, errors.New("record of crashes: no server")
+		report.Exchanges = append(report.Exchanges, e)
+	}
+	for _, cleared := range record.Cleared[:min(len(record.Cleared), maxCleared)] {
+		c, err := cleared.decode()
+		if err != nil {
+			return "", Report{}, errors.Wrap(err, "record of crashes")
 		}
-		crashes = append(crashes, Crash{Content: content, Server: r.Server})
+		report.Cleared = append(report.Cleared, c)
+	}
+	report.Survivors = record.Survivors[:min(len(record.Survivors), maxSurvivors)]
+	return record.Router, report, nil
+}
+
+func (r CrashRecord) decode() (Exchange, error) {
+	if r.Server == "" {
+		return Exchange{}, errors.New("no server")
+	}
+	e := Exchange{Server: r.Server, Late: r.Late}
+	for _, part := range r.Parts {
+		hash, err := parseHash(part)
+		if err != nil {
+			return Exchange{}, errors.Wrap(err, "part")
+		}
+		e.Features = append(e.Features, Feature{KindPart, hash})
+	}
+	if r.Content == "" && len(r.Parts) > 0 {
+		return e, nil
+	}
+	hash, err := parseHash(r.Content)
+	if err != nil {
+		return Exchange{}, errors.Wrap(err, "content")
+	}
+	e.Features = append(e.Features, Content(hash))
+	return e, nil
+}
+
+func (r ClearanceRecord) decode() (Clearance, error) {
+	c := Clearance{Servers: r.Servers, Whole: r.Whole}
+	text, kind := r.Content, KindContent
+	if r.Part != "" {
+		text, kind = r.Part, KindPart
+	}
+	hash, err := parseHash(text)
+	if err != nil {
+		return Clearance{}, errors.Wrap(err, "cleared feature")
 	}
-	return record.Router, crashes, nil
+	c.Feature = Feature{kind, hash}
+	return c, nil
 }
--- /dev/null
+++ b/internal/quarantine/report.go
@@ -0,0 +1,160 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxPublished bounds the exchanges that a router tells the others of, maxCleared the features that
+	// it cleared and maxSurvivors the servers that did not crash, and so the bytes that each router gets
+	// when a fault breaks many exchanges everywhere.
+	maxPublished = 24
+	maxCleared   = 24
+	maxSurvivors = 8
+	// maxClearedServers bounds the servers of one clearance.
+	maxClearedServers = 16
+	// survivorNewsTime is how long a router tells the others of a server that did not crash.
+	survivorNewsTime = 10 * time.Second
+)
+
+// Report is what a router tells the others.
+type Report struct {
+	// Exchanges are the latest that broke off, with the features that are not cleared.
+	Exchanges []Exchange
+	// Cleared tells the features that others may suspect wrongly.
+	Cleared []Clearance
+	// Survivors are the incarnations of servers that did not crash, though exchanges with them broke
+	// off.
+	Survivors []string
+}
+
+func (r Report) equal(other Report) bool {
+	sameExchange := func(a, b Exchange) bool {
+		return a.Server == b.Server && a.Late == b.Late && slices.Equal(a.Features, b.Features)
+	}
+	sameClearance := func(a, b Clearance) bool {
+		return a.Feature == b.Feature && a.Whole == b.Whole && slices.Equal(a.Servers, b.Servers)
+	}
+	return slices.EqualFunc(r.Exchanges, other.Exchanges, sameExchange) && slices.EqualFunc(r.Cleared, other.Cleared, sameClearance) &&
+		slices.Equal(r.Survivors, other.Survivors)
+}
+
+// Report returns what this router tells the others, and its version.
+func (q *Quarantine) Report() (Report, uint64) {
+	q.mu.Lock()
+	defer q.unlock()
+	return q.report, q.version
+}
+
+// Changed returns a channel that receives a value when Report may have a new result.
+func (q *Quarantine) Changed() <-chan struct{} {
+	return q.changed
+}
+
+// updateReport builds the report and signals a change.
+func (q *Quarantine) updateReport() {
+	report := Report{Exchanges: q.ownOpen(), Cleared: q.ownCleared(), Survivors: q.ownSurvivors()}
+	if report.equal(q.report) {
+		return
+	}
+	q.report = report
+	q.version++
+	select {
+	case q.changed <- struct{}{}:
+	default: // a value is already pending
+	}
+}
+
+// ownOpen returns the latest exchanges of this router with a feature that it has not cleared.
+func (q *Quarantine) ownOpen() []Exchange {
+	var open []Exchange
+	for _, s := range slices.Backward(q.own) {
+		if q.hasSurvived(s) {
+			continue
+		}
+		e := Exchange{Server: s.Server, Late: s.Late}
+		for _, feature := range s.Features {
+			if !q.clearances[feature].covers(s.Server, s.Late) {
+				e.Features = append(e.Features, feature)
+			}
+		}
+		if len(e.Features) > 0 {
+			open = append(open, e)
+		}
+		if len(open) == maxPublished {
+			break
+		}
+	}
+	return open
+}
+
+// suspicionOf is a feature that is suspected at one server.
+type suspicionOf struct {
+	feature Feature
+	server  string
+}
+
+// ownCleared returns the clearances of features that other routers suspect and that several crashes are
+// known of, those with the most crashes first.
+func (q *Quarantine) ownCleared() []Clearance {
+	suspected := q.suspectedByOthers()
+	var cleared []Clearance
+	for feature := range q.clearances {
+		if q.known[feature] < 2 {
+			continue
+		}
+		for _, whole := range []bool{false, true} {
+			if servers := q.clearedServers(feature, whole, suspected); len(servers) > 0 {
+				cleared = append(cleared, Clearance{Feature: feature, Servers: servers, Whole: whole})
+			}
+		}
+	}
+	slices.SortFunc(cleared, func(a, b Clearance) int {
+		return cmp.Or(cmp.Compare(q.known[b.Feature], q.known[a.Feature]), cmp.Compare(a.Feature.Kind, b.Feature.Kind),
+			cmp.Compare(a.Feature.Hash, b.Feature.Hash), cmp.Compare(len(b.Servers), len(a.Servers)))
+	})
+	return cleared[:min(len(cleared), maxCleared)]
+}
+
+// clearedServers returns the servers of the latest crashes, sorted, that this router cleared a feature
+// of and that other routers suspect it for.
+func (q *Quarantine) clearedServers(feature Feature, whole bool, suspected map[suspicionOf]bool) []string {
+	crashes := q.clearances[feature]
+	var servers []string
+	for server, cleared := range crashes {
+		if cleared.whole == whole && suspected[suspicionOf{feature, server}] {
+			servers = append(servers, server)
+		}
+	}
+	slices.SortFunc(servers, func(a, b string) int { return cmp.Or(crashes[b].at.Compare(crashes[a].at), cmp.Compare(a, b)) })
+	servers = servers[:min(len(servers), maxClearedServers)]
+	slices.Sort(servers)
+	return servers
+}
+
+func (q *Quarantine) suspectedByOthers() map[suspicionOf]bool {
+	suspected := make(map[suspicionOf]bool)
+	for _, t := range q.others {
+		for _, s := range t.sightings {
+			for _, feature := range s.Features {
+				suspected[suspicionOf{feature, s.Server}] = true
+			}
+		}
+	}
+	return suspected
+}
+
+func (q *Quarantine) ownSurvivors() []string {
+	now := q.now()
+	var survivors []string
+	for server, at := range q.survivors {
+		isOwn := slices.ContainsFunc(q.own, func(s *sighting) bool { return s.Server == server })
+		if isOwn && now.Sub(at) < survivorNewsTime {
+			survivors = append(survivors, server)
+		}
+	}
+	slices.Sort(survivors)
+	return survivors[:min(len(survivors), maxSurvivors)]
+}
--- /dev/null
+++ b/internal/quarantine/watch.go
@@ -0,0 +1,69 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// watch is a request that waits for the first event of its answer.
+type watch struct {
+	features []Feature
+	cancel   func()
+}
+
+// Watch calls cancel once one of the features is held back, until stop is called.
+func (q *Quarantine) Watch(features []Feature, cancel func()) (stop func()) {
+	w := &watch{features: features, cancel: cancel}
+	q.mu.Lock()
+	defer q.unlock()
+	q.watches[w] = struct{}{}
+	return func() {
+		q.mu.Lock()
+		defer q.unlock()
+		delete(q.watches, w)
+	}
+}
+
+// cancelHeld cancels the watched requests that are held back.
+func (q *Quarantine) cancelHeld() {
+	for w := range q.watches {
+		if slices.ContainsFunc(w.features, func(f Feature) bool { _, held := q.held[f]; return held }) {
+			q.cancelled = append(q.cancelled, w)
+			delete(q.watches, w)
+		}
+	}
+}
+
+const (
+	// trialDelay is how long after its last crash a feature that was blamed by just enough evidence is
+	// tried again, and trialFactor by how much longer that takes for each further crash. Most features
+	// that crash servers have crashed more of them by the time all routers know.
+	trialDelay  = 10 * time.Second
+	trialFactor = 6
+)
+
+// TryAgain reports whether one request with a feature that is held back should be sent, to find out
+// whether the feature was blamed wrongly. isElected reports whether this is the one router of the fleet
+// that may.
+func (q *Quarantine) TryAgain(feature Feature, isElected func() bool) bool {
+	q.mu.Lock()
+	defer q.unlock()
+	blame, found := q.held[feature]
+	if !found {
+		return false
+	}
+	delay := trialDelay
+	for range len(blame.Servers) - rules[feature.Kind].servers {
+		delay *= trialFactor
+	}
+	now := q.now()
+	since := q.lastCrash(blame)
+	if tried := q.trials[feature]; tried.After(since) {
+		since = tried
+	}
+	if delay > suspectTTL || now.Sub(since) < delay || !isElected() {
+		return false
+	}
+	q.trials[feature] = now
+	return true
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -96,6 +96,8 @@
 	Meta
 	// Length is the length of the body, or -1 if the response doesn't state it.
 	Length int64
+	// Unframed: the body has neither a length nor chunks, so that it ends with its connection.
+	Unframed bool
 
 	client   *Client
 	server   *fleet.Server
@@ -179,6 +181,7 @@
 		if meta.RequestID == a.Request.ID || meta.RequestID == "" && response.StatusCode >= http.StatusBadRequest {
 			r.Status, r.Header, r.Meta = response.StatusCode, response.Header, meta
 			r.Length, r.response = response.ContentLength, response
+			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 			return nil
 		}
 		r.unusable = true
