A request that tries a held part again is sent once

A trial that broke off was repeated at the next server, which crashed too: the feature was exempt from the check of retries. Contents are not tried again at all: a trial may cost a server with all of its requests, a content that was blamed wrongly costs one caller's request.

--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -155,9 +155,11 @@
 	return t.tried[s.Incarnation]
 }
 
-// acquireRetry reports whether the request may be sent once more and, if so, counts the retry.
+// acquireRetry reports whether the request may be sent once more and, if so, counts the retry. A trial of
+// a feature that is held back is sent once.
 func (t *task) acquireRetry(reason string) bool {
-	if t.sends >= t.r.Route.MaxAttempts || t.isHeldBack() {
+	_, held := t.f.Quarantine.Held(t.features)
+	if t.sends >= t.r.Route.MaxAttempts || held {
 		return false
 	}
 	if !t.f.Retries.TryAcquire(t.r.Service) {
--- a/internal/quarantine/feature.go
+++ b/internal/quarantine/feature.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -25,12 +26,16 @@
 	// lateServers is the number that must have crashed while they ran such requests at all. It is
 	// larger, since a long answer is often there when another request crashes its server.
 	lateServers int
+	// trialDelay is how long after its last crash a feature that was blamed by just enough evidence is
+	// tried again; zero means never. A content is not: a trial may cost a server with all of its
+	// requests, a content that was blamed wrongly costs little.
+	trialDelay time.Duration
 }
 
 // rules holds the rule of each kind. A content is shared by few requests, so little is lost if it is
 // blamed wrongly; a part may be in all requests of a route.
 var rules = map[Kind]rule{
-	KindPart:    {name: "part", servers: 3, lateServers: 6},
+	KindPart:    {name: "part", servers: 3, lateServers: 6, trialDelay: 10 * time.Second},
 	KindContent: {name: "content", servers: 2, lateServers: 3},
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -304,6 +304,7 @@
 func TestHeldPartIsTriedAgain(t *testing.T) {
 	q, now := testQuarantine()
 	elected := func() bool { return true }
+	trialDelay := rules[KindPart].trialDelay
 	q.hear("other", prompt("a", "t"), prompt("b", "t"), prompt("c", "t"))
 	qt.Assert(t, q.TryAgain(Part("t"), elected), qt.IsFalse)
 	*now = now.Add(trialDelay)
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // watch is a request that waits for the first event of its answer.
 type watch struct {
@@ -34,13 +31,9 @@
 	}
 }
 
-const (
-	// trialDelay is how long after its last crash a feature that was blamed by just enough evidence is
-	// tried again, and trialFactor by how much longer that takes for each further crash. Most features
-	// that crash servers have crashed more of them by the time all routers know.
-	trialDelay  = 10 * time.Second
-	trialFactor = 6
-)
+// trialFactor is by how much longer a trial has to wait for each crash beyond just enough evidence. Most
+// features that crash servers have crashed more of them by the time all routers know.
+const trialFactor = 6
 
 // TryAgain reports whether one request with a feature that is held back should be sent, to find out
 // whether the feature was blamed wrongly. isElected reports whether this is the one router of the fleet
@@ -49,10 +42,10 @@
 	q.mu.Lock()
 	defer q.unlock()
 	blame, found := q.held[feature]
-	if !found {
+	delay := rules[feature.Kind].trialDelay
+	if !found || delay == 0 {
 		return false
 	}
-	delay := trialDelay
 	for range len(blame.Servers) - rules[feature.Kind].servers {
 		delay *= trialFactor
 	}
