Routers tell each other of crashes while the store doesn't

While the store was away each router counted what it saw itself: a request or a part of prompts that crashes servers ended as many servers at each router. Reports have serials, so both ways may overtake each other. A router that starts on another's knowledge gets the reports, too.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -52,20 +52,18 @@
 type crashWriter struct {
 	node    *Node
 	writer  leasedWriter
-	written uint64 // version of the list of crashes that the store holds
-	failing bool   // the last write failed
+	failing bool // the last write failed
 }
 
 func (w *crashWriter) isDue() bool {
-	_, version := w.node.quarantine.Report()
-	return version != w.written
+	return w.node.quarantine.Report().Serial != w.node.crashReports.written.Load()
 }
 
 // write writes the record. If that fails, it remains due.
 func (w *crashWriter) write(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
 	defer cancel()
-	report, version := w.node.quarantine.Report()
+	report := w.node.quarantine.Report()
 	record := quarantine.NewRecord(w.node.settings.VM, report)
 	err := w.writer.put(ctx, quarantine.RecordKey(w.node.incarnation), record.Encode())
 	if err != nil && !w.failing {
@@ -73,27 +71,19 @@
 	}
 	w.failing = err != nil
 	if err == nil {
-		w.written = version
+		w.node.crashReports.written.Store(report.Serial)
 		w.node.log.Emit(event.CrashesRecorded, slog.Int("crashes", len(report.Exchanges)), slog.Int("cleared", len(report.Cleared)),
 			slog.Int("survivors", len(report.Survivors)))
 	}
 }
 
-// applyCrashRecord takes over what another router reports. Judge has to be called afterwards. It reports whether the item's key
-// is that of such a record; an invalid record is logged.
+// applyCrashRecord takes over what another router reports; quarantine.Judge has to be called afterwards. It
+// reports whether the item's key is that of such a report.
 func (n *Node) applyCrashRecord(item store.Item) bool {
 	if !quarantine.IsRecord(item.Key) {
 		return false
 	}
-	if item.Key == quarantine.RecordKey(n.incarnation) {
-		return true
-	}
-	_, report, err := quarantine.DecodeRecord(item)
-	if err != nil {
-		n.log.Emit(event.EntryRejected, slog.String("key", item.Key), slog.Int64("revision", int64(item.Revision)), slog.Any(event.KeyCause, err))
-		return true
-	}
-	n.quarantine.Merge(item.Key, report)
+	n.crashReports.apply(item)
 	return true
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -30,6 +30,7 @@
 	tunnels       *prometheus.CounterVec
 	resumed       *prometheus.CounterVec
 	streamRecords *prometheus.CounterVec
+	crashReports  *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -58,7 +59,9 @@
 		Help: "Requests that resume a stream, by how the version at which it began is known."}, []string{"by"})
 	m.streamRecords = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_stream_records_total",
 		Help: "Records of streams for other routers, by outcome."}, []string{"outcome"})
-	m.registry.MustRegister(m.resumed, m.streamRecords)
+	m.crashReports = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_crash_reports_total",
+		Help: "Reports of crashes of backend servers handed to other routers directly, by outcome."}, []string{"outcome"})
+	m.registry.MustRegister(m.resumed, m.streamRecords, m.crashReports)
 	m.recent = make(map[string]int)
 	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.stale)
 	return m
@@ -123,6 +126,10 @@
 	m.streamRecords.WithLabelValues(outcome).Add(float64(records))
 }
 
+func (m *Metrics) countCrashReports(outcome string, reports int) {
+	m.crashReports.WithLabelValues(outcome).Add(float64(reports))
+}
+
 // registerLinkDelay registers a gauge of the delay of this VM's own link.
 func (m *Metrics) registerLinkDelay(delay func() time.Duration) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_link_delay_seconds",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,26 +120,27 @@
 
 	policy atomic.Pointer[policy.Policy]
 	// configItem is the item that policy was decoded from.
-	configItem  atomic.Pointer[store.Item]
-	configMu    sync.Mutex             // held while policy and configItem are set
-	feeds       map[string]*store.Feed // by prefix
-	registry    *fleet.Registry
-	serversAsOf atomic.Pointer[time.Time] // when the list of backend servers was current
-	evacuations *fleet.Evacuations
-	members     *fleet.Members
-	rankings    rankings[[]string]          // holders of accounts
-	serverRanks rankings[pacing.SenderRank] // of this router, by incarnation of a backend server
-	limits      *pacing.Limits
-	membership  membership
-	grants      *escrow.GrantManager
-	retries     *retry.Budget
-	quarantine  *quarantine.Quarantine
-	streams     *streamVersions
-	link        *linkdelay.Estimator
-	client      *upstream.Client
-	carrier     *tunnel.Carrier // of connections for other routers
-	peers       *peers.Client
-	forward     *forward.Forwarder
+	configItem   atomic.Pointer[store.Item]
+	configMu     sync.Mutex             // held while policy and configItem are set
+	feeds        map[string]*store.Feed // by prefix
+	registry     *fleet.Registry
+	serversAsOf  atomic.Pointer[time.Time] // when the list of backend servers was current
+	evacuations  *fleet.Evacuations
+	members      *fleet.Members
+	rankings     rankings[[]string]          // holders of accounts
+	serverRanks  rankings[pacing.SenderRank] // of this router, by incarnation of a backend server
+	limits       *pacing.Limits
+	membership   membership
+	grants       *escrow.GrantManager
+	retries      *retry.Budget
+	quarantine   *quarantine.Quarantine
+	crashReports *crashReports
+	streams      *streamVersions
+	link         *linkdelay.Estimator
+	client       *upstream.Client
+	carrier      *tunnel.Carrier // of connections for other routers
+	peers        *peers.Client
+	forward      *forward.Forwarder
 
 	listeners    []*listener
 	peerListener net.Listener
@@ -167,6 +168,7 @@
 	}
 	n.retries = retry.NewBudget(retryLimits(s), 1, nil)
 	n.quarantine = quarantine.New(nil, n.logQuarantine)
+	n.crashReports = newCrashReports(n)
 	n.streams = newStreamVersions(n)
 	n.metrics.registerStreamRecords(n.streams.own.Len, n.streams.held.Len)
 	n.metrics.registerQuarantined(n.quarantine.Count)
@@ -385,7 +387,7 @@
 // while the store is unreachable.
 func (n *Node) Known() peers.Known {
 	known := peers.Known{Servers: n.registry.Items(), Members: n.members.Items(), Limits: n.limits.Items(),
-		Versions: n.streams.rollout.Items()}
+		Versions: n.streams.rollout.Items(), Crashes: n.crashReports.Items()}
 	if item := n.configItem.Load(); item != nil {
 		known.Config = append([]store.Item{*item}, n.evacuations.Items()...)
 	}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -211,24 +211,24 @@
 		case <-ctx.Done():
 			return
 		case record := <-v.queue:
-			for address, records := range v.byHolder(v.collect(record)) {
+			for address, records := range v.byHolder(collect(v.queue, record, streamLinger)) {
 				calls.Go(func() { v.send(ctx, address, records) })
 			}
 		}
 	}
 }
 
-// collect returns the first record and those that are queued shortly after it.
-func (v *streamVersions) collect(first streams.Record) []streams.Record {
-	records := []streams.Record{first}
-	timer := time.NewTimer(streamLinger)
+// collect returns the first of queued values and those that are queued within the linger time after it.
+func collect[T any](queue <-chan T, first T, linger time.Duration) []T {
+	values := []T{first}
+	timer := time.NewTimer(linger)
 	defer timer.Stop()
 	for {
 		select {
-		case record := <-v.queue:
-			records = append(records, record)
+		case value := <-queue:
+			values = append(values, value)
 		case <-timer.C:
-			return records
+			return values
 		}
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -48,6 +48,7 @@
 func (emptyState) Known() Known            { return Known{} }
 func (emptyState) Feed(string) *store.Feed { return nil }
 
+func (emptyState) KeepCrashes([]store.Item)              {}
 func (emptyState) KeepStreams([]streams.Record)          {}
 func (emptyState) FindStream(streams.Key) (string, bool) { return "", false }
 
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -81,9 +81,11 @@
 	Limits []store.Item
 	// Versions are the records of the services' admitted versions.
 	Versions []store.Item
-	Config   []store.Item
-	Servers  []store.Item
-	Members  []store.Item
+	// Crashes are the routers' reports of crashes of backend servers.
+	Crashes []store.Item
+	Config  []store.Item
+	Servers []store.Item
+	Members []store.Item
 }
 
 // Lender lends granted tokens to other routers and takes tokens from them.
@@ -103,6 +105,8 @@
 	Known() Known
 	// Feed returns the feed of the store's items under a prefix, or nil if this router has none.
 	Feed(prefix string) *store.Feed
+	// KeepCrashes takes over reports of crashes of backend servers, as stored records.
+	KeepCrashes(items []store.Item)
 	// KeepStreams keeps records of streams that other routers relay.
 	KeepStreams(records []streams.Record)
 	// FindStream returns the version at which a stream began, if this router knows it.
@@ -158,6 +162,17 @@
 	return nil
 }
 
+// CrashReports are routers' reports of crashes of backend servers, as stored records.
+type CrashReports struct {
+	Items []store.Item
+}
+
+// KeepCrashes takes over the reports that the peer knows.
+func (s *Service) KeepCrashes(request CrashReports, _ *struct{}) error {
+	s.state.KeepCrashes(request.Items)
+	return nil
+}
+
 // StreamRecords tells at which versions of servers' software streams began.
 type StreamRecords struct {
 	Records []streams.Record
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// suspectTTL is how long the evidence of a crash counts: longer than callers wait between
+	// SuspectTTL is how long the evidence of a crash counts: longer than callers wait between
 	// attempts.
-	suspectTTL = 5 * time.Minute
+	SuspectTTL = 5 * time.Minute
 	// successWindow is how long an answer clears its features of crashes that become known later:
 	// other routers report crashes with a delay.
 	successWindow = 1500 * time.Millisecond
@@ -73,7 +73,6 @@
 	cancelled  []*watch
 
 	report  Report // of this router
-	version uint64 // of report
 	changed chan struct{}
 }
 
@@ -87,6 +86,7 @@
 
 // testimony is what another router reports.
 type testimony struct {
+	serial    uint64 // of the report
 	sightings []*sighting
 	cleared   []Clearance
 	survivors []string
@@ -169,13 +169,16 @@
 	q.watchful.Store(true)
 }
 
-// Merge replaces what another router reported before. key identifies that router. Judge must be called
-// after the last of several calls.
-func (q *Quarantine) Merge(key string, r Report) {
+// Merge replaces what another router reported before, and reports whether that is news. key identifies the
+// router. Judge must be called after the last of several calls.
+func (q *Quarantine) Merge(key string, r Report) bool {
 	q.mu.Lock()
 	defer q.unlock()
 	before := q.others[key]
-	t := &testimony{cleared: r.Cleared, survivors: r.Survivors, at: q.now()}
+	if before != nil && r.Serial > 0 && r.Serial <= before.serial {
+		return false
+	}
+	t := &testimony{serial: r.Serial, cleared: r.Cleared, survivors: r.Survivors, at: q.now()}
 	for _, e := range r.Exchanges {
 		s := &sighting{Exchange: e, at: t.at}
 		if known := before.find(e); known != nil {
@@ -193,6 +196,7 @@
 	q.others[key] = t
 	q.watchful.Store(true)
 	q.isDue = true
+	return true
 }
 
 // find returns the known sighting of an exchange, or nil.
@@ -340,16 +344,16 @@
 // expire drops the evidence that is too old.
 func (q *Quarantine) expire() {
 	now := q.now()
-	isOld := func(s *sighting) bool { return now.Sub(s.at) >= suspectTTL }
+	isOld := func(s *sighting) bool { return now.Sub(s.at) >= SuspectTTL }
 	q.own = slices.DeleteFunc(q.own, isOld)
 	for key, t := range q.others {
 		t.sightings = slices.DeleteFunc(t.sightings, isOld)
-		if len(t.sightings) == 0 && now.Sub(t.at) >= suspectTTL {
+		if len(t.sightings) == 0 && now.Sub(t.at) >= SuspectTTL {
 			delete(q.others, key)
 		}
 	}
 	for server, at := range q.survivors {
-		if now.Sub(at) >= suspectTTL {
+		if now.Sub(at) >= SuspectTTL {
 			delete(q.survivors, server)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -55,7 +55,7 @@
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
 	qt.Assert(t, q.Servers(Content(7)), qt.DeepEquals, []string{"a", "b"})
 	qt.Assert(t, q.isHeld(Content(8)), qt.IsFalse)
-	*now = now.Add(suspectTTL)
+	*now = now.Add(SuspectTTL)
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
 	q.RecordCrash(content(7, "c"))
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("the earlier crashes are out of date"))
@@ -128,7 +128,7 @@
 	q.RecordCrash(content(7, "a"))
 	q.hear("other", content(8, "b"), content(7, "b"))
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
-	own, _ := q.Report()
+	own := q.Report()
 	qt.Assert(t, own.Exchanges, qt.DeepEquals, []Exchange{content(7, "a")}, qt.Commentf("a router reports only what it saw"))
 }
 
@@ -141,14 +141,14 @@
 		one.RecordCrash(e)
 	}
 	qt.Assert(t, one.isHeld(Part("t")), qt.IsTrue)
-	report, _ := one.Report()
+	report := one.Report()
 	two.Merge("one", report)
 	two.Judge()
 	qt.Assert(t, two.isHeld(Part("t")), qt.IsTrue)
 	*now = now.Add(time.Minute)
 	two.RecordBegun(promptFeatures("sound", "t"))
 	qt.Assert(t, two.isHeld(Part("t")), qt.IsFalse)
-	report, _ = two.Report()
+	report = two.Report()
 	one.Merge("two", report)
 	one.Judge()
 	qt.Assert(t, one.isHeld(Part("t")), qt.IsFalse)
@@ -166,6 +166,17 @@
 	qt.Assert(t, q.isHeld(Part("t")), qt.IsTrue)
 }
 
+// Guards against an old report that arrives late, by another way, and replaces a newer one.
+func TestOlderReportIsNoNews(t *testing.T) {
+	q, _ := testQuarantine()
+	newer := Report{Serial: 2, Exchanges: []Exchange{content(7, "a"), content(7, "b")}}
+	qt.Assert(t, q.Merge("other", newer), qt.IsTrue)
+	qt.Assert(t, q.Merge("other", newer), qt.IsFalse)
+	qt.Assert(t, q.Merge("other", Report{Serial: 1}), qt.IsFalse)
+	q.Judge()
+	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
+}
+
 // Guards against a report that still counts after its router took it back.
 func TestReportIsReplaced(t *testing.T) {
 	q, _ := testQuarantine()
@@ -180,7 +191,7 @@
 	q, _ := testQuarantine()
 	q.RecordCrash(content(7, "a"))
 	q.hear("other", content(7, "b"))
-	_, before := q.Report()
+	before := q.Report().Serial
 	q.DismissSurvived(func(server string, _ time.Time) fleet.Fate {
 		if server == "a" {
 			return fleet.FateSurvived
@@ -188,10 +199,10 @@
 		return fleet.FateUnknown
 	})
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
-	own, after := q.Report()
+	own := q.Report()
 	qt.Assert(t, own.Exchanges, qt.HasLen, 0)
 	qt.Assert(t, own.Survivors, qt.DeepEquals, []string{"a"})
-	qt.Assert(t, after != before, qt.IsTrue, qt.Commentf("the record has to be written again"))
+	qt.Assert(t, own.Serial > before, qt.IsTrue, qt.Commentf("the record has to be written again"))
 	q.hear("third", content(7, "a"))
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("another router's old report"))
 	q.hear("third", content(7, "c"))
@@ -212,7 +223,7 @@
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue, qt.Commentf("the request was sent before the crash"))
 	q.RecordAlive("a", brokenAt.Add(time.Millisecond))
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
-	report, _ := q.Report()
+	report := q.Report()
 	other.Merge("two", report)
 	other.Judge()
 	qt.Assert(t, other.isHeld(Content(7)), qt.IsFalse)
@@ -333,7 +344,7 @@
 	qt.Assert(t, len(q.successes.begun) <= maxSuccesses+1, qt.IsTrue)
 	*now = now.Add(judgeInterval)
 	q.RecordCrash(content(1<<40, "a"))
-	own, _ := q.Report()
+	own := q.Report()
 	qt.Assert(t, own.Exchanges, qt.HasLen, maxPublished)
 	qt.Assert(t, own.Exchanges[0].Features[0], qt.Equals, Content(1<<40), qt.Commentf("the latest come first"))
 }
@@ -375,6 +386,7 @@
 // Guards against a record that another router reads differently, or that is damaged.
 func TestRecordIsReadAsWritten(t *testing.T) {
 	report := Report{
+		Serial: 9,
 		Exchanges: []Exchange{
 			{Server: "i-1@10.0.0.1:80@5", Features: []Feature{Part("t"), Part("g"), Content(0xfedcba9876543210)}, Late: true},
 			content(1, "i-2"),
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -16,6 +16,7 @@
 type Record struct {
 	// Router is the VM of the router.
 	Router    string            `json:"router"`
+	Serial    uint64            `json:"serial,omitempty"`
 	Crashes   []CrashRecord     `json:"crashes"`
 	Cleared   []ClearanceRecord `json:"cleared,omitempty"`
 	Survivors []string          `json:"survivors,omitempty"`
@@ -39,7 +40,7 @@
 
 // NewRecord returns the record of what a VM's router reports.
 func NewRecord(vm string, report Report) Record {
-	r := Record{Router: vm, Crashes: make([]CrashRecord, 0, len(report.Exchanges)), Survivors: report.Survivors}
+	r := Record{Router: vm, Serial: report.Serial, Crashes: make([]CrashRecord, 0, len(report.Exchanges)), Survivors: report.Survivors}
 	for _, e := range report.Exchanges {
 		crash := CrashRecord{Server: e.Server, Late: e.Late}
 		for _, feature := range e.Features {
@@ -90,6 +91,7 @@
 	if err := json.Unmarshal(item.Value, &record); err != nil {
 		return "", Report{}, errors.Wrap(err, "decode record of crashes")
 	}
+	report.Serial = record.Serial
 	for _, crash := range record.Crashes[:min(len(record.Crashes), maxPublished)] {
 		e, err := crash.decode()
 		if err != nil {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -21,6 +21,8 @@
 
 // Report is what a router tells the others.
 type Report struct {
+	// Serial numbers the reports of one incarnation of a router from 1 on; 0 if it doesn't number them.
+	Serial uint64
 	// Exchanges are the latest that broke off, with the features that are not cleared.
 	Exchanges []Exchange
 	// Cleared tells the features that others may suspect wrongly.
@@ -41,11 +43,11 @@
 		slices.Equal(r.Survivors, other.Survivors)
 }
 
-// Report returns what this router tells the others, and its version.
-func (q *Quarantine) Report() (Report, uint64) {
+// Report returns what this router tells the others. Its serial is 0 as long as that is nothing.
+func (q *Quarantine) Report() Report {
 	q.mu.Lock()
 	defer q.unlock()
-	return q.report, q.version
+	return q.report
 }
 
 // Changed returns a channel that receives a value when Report may have a new result.
@@ -59,8 +61,8 @@
 	if report.equal(q.report) {
 		return
 	}
+	report.Serial = q.report.Serial + 1
 	q.report = report
-	q.version++
 	select {
 	case q.changed <- struct{}{}:
 	default: // a value is already pending
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -54,7 +54,7 @@
 	if tried := q.trials[feature]; tried.After(since) {
 		since = tried
 	}
-	if delay > suspectTTL || now.Sub(since) < delay || !isElected() {
+	if delay > SuspectTTL || now.Sub(since) < delay || !isElected() {
 		return false
 	}
 	q.trials[feature] = now
