--- a/internal/quarantine/clear.go
+++ b/internal/quarantine/clear.go
@@ -61,15 +61,11 @@
 	if !q.watchful.Load() {
 		return
 	}
-	relevant := false
 	for _, feature := range features {
 		if q.clearKnown(feature, whole) && q.known[feature] > 1 {
-			relevant = true
+			q.isDue = true
 		}
 	}
-	if relevant {
-		q.evidenceChanged()
-	}
 }
 
 // clearKnown clears a feature of all crashes known so far. It reports whether that is news.
@@ -125,7 +121,7 @@
 	}
 	if slices.ContainsFunc(q.own, isBefore) {
 		q.survivors[server] = sentAt
-		q.evidenceChanged()
+		q.isDue = true
 	}
 }
 
@@ -143,7 +139,7 @@
 	}
 	if slices.ContainsFunc(q.own, justBroken) {
 		q.addOwn(end)
-		q.evidenceChanged()
+		q.isDue = true
 		return
 	}
 	q.ends = append(q.ends, end)
@@ -160,7 +156,7 @@
 	q.mu.Lock()
 	defer q.unlock()
 	if q.adoptEnds(server) {
-		q.evidenceChanged()
+		q.isDue = true
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,8 +33,8 @@
 	maxOwn        = 256
 	maxSuccesses  = 4096
 	maxClearances = 4096
-	// maxAtOnce is the number of exchanges up to which each change is judged at once. With more
-	// evidence, changes within judgeInterval are judged together.
+	// maxAtOnce is the number of exchanges up to which changes are judged with the next request. With more
+	// evidence, those within judgeInterval are judged together.
 	maxAtOnce     = 256
 	judgeInterval = 100 * time.Millisecond
 	// expiryInterval is how often evidence is checked for its age.
@@ -153,7 +153,7 @@
 	defer q.unlock()
 	q.addOwn(&sighting{Exchange: e, at: q.now()})
 	q.adoptEnds(e.Server)
-	q.evidenceChanged()
+	q.isDue = true
 }
 
 func (q *Quarantine) addOwn(s *sighting) {
@@ -165,10 +165,19 @@
 	}
 	q.clearBySuccesses(s)
 	q.own = append(q.own, s)
-	q.own = q.own[max(0, len(q.own)-maxOwn):]
+	q.trimOwn()
 	q.watchful.Store(true)
 }
 
+// trimOwn drops the oldest exchange if there are too many, rather one that blames no feature.
+func (q *Quarantine) trimOwn() {
+	if len(q.own) <= maxOwn {
+		return
+	}
+	oldest := max(0, slices.IndexFunc(q.own, func(s *sighting) bool { return !q.blames(s) }))
+	q.own = slices.Delete(q.own, oldest, oldest+1)
+}
+
 // Merge replaces what another router reported before, and reports whether that is news. key identifies the
 // router. Judge must be called after the last of several calls.
 func (q *Quarantine) Merge(key string, r Report) bool {
@@ -218,15 +227,12 @@
 func (q *Quarantine) Judge() {
 	q.mu.Lock()
 	defer q.unlock()
-	if q.isDue {
-		q.judge()
-	}
+	q.judgeIfDue()
 }
 
-// evidenceChanged judges the evidence, unless there is so much that changes have to be judged together.
-func (q *Quarantine) evidenceChanged() {
-	q.isDue = true
-	if q.size() <= maxAtOnce || q.now().Sub(q.judgedAt) >= judgeInterval {
+// judgeIfDue judges the evidence if it has changed. If there is much, changes are judged together.
+func (q *Quarantine) judgeIfDue() {
+	if q.isDue && (q.size() <= maxAtOnce || q.now().Sub(q.judgedAt) >= judgeInterval) {
 		q.judge()
 	}
 }
@@ -368,9 +374,7 @@
 func (q *Quarantine) Held(features []Feature) (held Feature, found bool) {
 	q.mu.Lock()
 	defer q.unlock()
-	if q.isDue && q.now().Sub(q.judgedAt) >= judgeInterval {
-		q.judge()
-	}
+	q.judgeIfDue()
 	if len(q.held) > 0 && q.now().Sub(q.judgedAt) >= expiryInterval {
 		q.judge()
 	}
@@ -397,6 +401,7 @@
 func (q *Quarantine) Servers(feature Feature) []string {
 	q.mu.Lock()
 	defer q.unlock()
+	q.judgeIfDue()
 	return q.held[feature].Servers
 }
 
@@ -404,6 +409,7 @@
 func (q *Quarantine) Count() int {
 	q.mu.Lock()
 	defer q.unlock()
+	q.judgeIfDue()
 	return len(q.held)
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -349,11 +349,32 @@
 	qt.Assert(t, own.Exchanges[0].Features[0], qt.Equals, Content(1<<40), qt.Commentf("the latest come first"))
 }
 
+// Guards against a part that is released, and crashes servers again, since later crashes push its evidence
+// out of the reports.
+func TestEvidenceOfHeldPartIsKept(t *testing.T) {
+	q, now := testQuarantine()
+	for _, server := range []string{"a", "b", "c"} {
+		q.RecordCrash(prompt(server, "bad"))
+	}
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+	for hash := range uint64(2 * maxOwn) {
+		*now = now.Add(time.Millisecond)
+		q.RecordCrash(content(hash, "d"))
+	}
+	*now = now.Add(judgeInterval)
+	other, _ := testQuarantine()
+	other.Merge("one", q.Report())
+	other.Judge()
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+	qt.Assert(t, other.isHeld(Part("bad")), qt.IsTrue)
+}
+
 // Guards against a change that no other router is told of.
 func TestChangesAreSignalled(t *testing.T) {
 	q, _ := testQuarantine()
 	q.RecordCrash(content(7, "a"))
 	q.RecordCrash(content(7, "b"))
+	q.Judge()
 	select {
 	case <-q.Changed():
 	default:
@@ -380,6 +401,7 @@
 	q.hear("other", content(7, "a"), content(7, "b"))
 	qt.Assert(t, held, qt.DeepEquals, []Feature{Content(7)})
 	q.RecordBegun([]Feature{Content(7)})
+	q.Judge()
 	qt.Assert(t, released, qt.DeepEquals, []Feature{Content(7)})
 }
 
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -47,6 +47,7 @@
 func (q *Quarantine) Report() Report {
 	q.mu.Lock()
 	defer q.unlock()
+	q.judgeIfDue()
 	return q.report
 }
 
@@ -69,27 +70,41 @@
 	}
 }
 
-// ownOpen returns the latest exchanges of this router with a feature that it has not cleared.
+// ownOpen returns exchanges of this router with a feature that it has not cleared: first those that blame a
+// feature, so that nothing pushes them out, and then the latest.
 func (q *Quarantine) ownOpen() []Exchange {
-	var open []Exchange
+	var blaming, others []Exchange
 	for _, s := range slices.Backward(q.own) {
-		if q.hasSurvived(s) {
-			continue
-		}
-		e := Exchange{Server: s.Server, Late: s.Late}
-		for _, feature := range s.Features {
-			if !q.clearances[feature].covers(s.Server, s.Late) {
-				e.Features = append(e.Features, feature)
-			}
+		e := q.openExchange(s)
+		switch {
+		case len(e.Features) == 0:
+		case q.blames(s):
+			blaming = append(blaming, e)
+		default:
+			others = append(others, e)
 		}
-		if len(e.Features) > 0 {
-			open = append(open, e)
-		}
-		if len(open) == maxPublished {
-			break
+	}
+	open := append(blaming, others...)
+	return open[:min(len(open), maxPublished)]
+}
+
+// openExchange returns an exchange of this router with the features that it has not cleared.
+func (q *Quarantine) openExchange(s *sighting) Exchange {
+	e := Exchange{Server: s.Server, Late: s.Late}
+	if q.hasSurvived(s) {
+		return e
+	}
+	for _, feature := range s.Features {
+		if !q.clearances[feature].covers(s.Server, s.Late) {
+			e.Features = append(e.Features, feature)
 		}
 	}
-	return open
+	return e
+}
+
+// blames reports whether a feature of the exchange is held back.
+func (q *Quarantine) blames(s *sighting) bool {
+	return slices.ContainsFunc(s.Features, func(f Feature) bool { _, held := q.held[f]; return held })
 }
 
 // suspicionOf is a feature that is suspected at one server.
--- a/internal/quarantine/watch.go
+++ b/internal/quarantine/watch.go
@@ -41,6 +41,7 @@
 func (q *Quarantine) TryAgain(feature Feature, isElected func() bool) bool {
 	q.mu.Lock()
 	defer q.unlock()
+	q.judgeIfDue()
 	blame, found := q.held[feature]
 	delay := rules[feature.Kind].trialDelay
 	if !found || delay == 0 {
