--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -17,6 +17,9 @@
 	// crashWriteInterval is the time between two writes, and the wait after a failed one. It is
 	// short, so that soon after an outage of the store all routers know what each saw meanwhile.
 	crashWriteInterval = 500 * time.Millisecond
+	// crashWriteShare times the number of routers is the least time between two writes of one router. It
+	// bounds the writes of all, which each router reads.
+	crashWriteShare = 10 * time.Millisecond
 	// crashWriteTimeout bounds a write and the call for its lease. It is long enough for a slow
 	// store: a write that is given up each time would never tell the other routers.
 	crashWriteTimeout = 2 * time.Second
@@ -42,7 +45,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(crashWriteInterval):
+			case <-time.After(max(crashWriteInterval, time.Duration(n.routerCount())*crashWriteShare)):
 			}
 		}
 	}
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -48,9 +48,18 @@
 
 // collectSuspicions returns the evidence against each feature.
 func collectSuspicions(exchanges []Exchange) map[Feature]*suspicion {
+	counts := make(map[Feature]int)
+	for _, e := range exchanges {
+		for _, feature := range e.Features {
+			counts[feature]++
+		}
+	}
 	suspicions := make(map[Feature]*suspicion)
 	for _, e := range exchanges {
 		for depth, feature := range e.Features {
+			if counts[feature] < rules[feature.Kind].servers {
+				continue // most are the contents of single requests
+			}
 			s := suspicions[feature]
 			if s == nil {
 				s = &suspicion{feature: feature, early: make(map[string]bool), all: make(map[string]bool)}
--- a/internal/quarantine/clear.go
+++ b/internal/quarantine/clear.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -76,7 +77,7 @@
 	news := false
 	q.eachSighting(func(s *sighting) {
 		if (whole || !s.Late) && slices.Contains(s.Features, feature) && !q.clearances[feature].covers(s.Server, s.Late) {
-			q.clear(feature, s.Server, whole)
+			q.clear(feature, s.Server, clearing{whole: whole, own: true, at: q.now()})
 			news = true
 		}
 	})
@@ -88,22 +89,43 @@
 	now := q.now()
 	for _, feature := range s.Features {
 		if at, found := q.successes.whole[feature]; found && now.Sub(at) <= successWindow {
-			q.clear(feature, s.Server, true)
+			q.clear(feature, s.Server, clearing{whole: true, own: true, at: now})
 		} else if at, found := q.successes.begun[feature]; found && now.Sub(at) <= successWindow && !s.Late {
-			q.clear(feature, s.Server, false)
+			q.clear(feature, s.Server, clearing{own: true, at: now})
 		}
 	}
 }
 
 // clear clears a feature of one crash.
-func (q *Quarantine) clear(feature Feature, server string, whole bool) {
+func (q *Quarantine) clear(feature Feature, server string, c clearing) {
 	if q.clearances[feature] == nil {
 		if len(q.clearances) >= maxClearances {
-			clear(q.clearances)
+			q.pruneClearances()
 		}
 		q.clearances[feature] = make(clearances)
 	}
-	q.clearances[feature].add(server, whole, q.now())
+	if len(q.clearances[feature]) >= maxClearings {
+		q.clearances[feature].dropOldest()
+	}
+	q.clearances[feature].add(server, c)
+}
+
+// pruneClearances drops the clearances of features that are in no evidence, and all if those are too few.
+func (q *Quarantine) pruneClearances() {
+	maps.DeleteFunc(q.clearances, func(feature Feature, _ clearances) bool { return q.known[feature] == 0 })
+	if len(q.clearances) > maxClearances/2 {
+		clear(q.clearances)
+	}
+}
+
+func (c clearances) dropOldest() {
+	oldest := ""
+	for server, cleared := range c {
+		if oldest == "" || cleared.at.Before(c[oldest].at) {
+			oldest = server
+		}
+	}
+	delete(c, oldest)
 }
 
 // RecordAlive records that a server answered a request that was sent at the given time. Exchanges with
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,14 +29,18 @@
 	// exchange broke off comes from the same process.
 	minRestartTime = time.Second
 	// maxOwn bounds the exchanges of this router that are kept, maxSuccesses the features with a recent
-	// answer, and maxClearances the features cleared of crashes. The oldest are dropped first.
+	// answer, maxClearances the features cleared of crashes and maxClearings the crashes that each is
+	// cleared of. The oldest are dropped first.
 	maxOwn        = 256
 	maxSuccesses  = 4096
 	maxClearances = 4096
+	maxClearings  = 64
 	// maxAtOnce is the number of exchanges up to which changes are judged with the next request. With more
 	// evidence, those within judgeInterval are judged together.
 	maxAtOnce     = 256
-	judgeInterval = 100 * time.Millisecond
+	judgeInterval = 250 * time.Millisecond
+	// maxSightings bounds the exchanges that are judged, and so what a judgement costs in a large fleet.
+	maxSightings = 1024
 	// expiryInterval is how often evidence is checked for its age.
 	expiryInterval = time.Second
 )
@@ -64,7 +68,7 @@
 	survivors  map[string]time.Time   // servers that did not crash, and since when that is known
 	ends       []*sighting            // answers that may have been cut off by a crash
 	held       map[Feature]Blame
-	known      map[Feature]int // number of servers in the evidence against a feature, cleared or not
+	known      map[Feature]int // number of exchanges with a feature in the evidence, cleared or not
 	judgedAt   time.Time
 	isDue      bool // the evidence has changed since
 	trials     map[Feature]time.Time
@@ -88,7 +92,6 @@
 type testimony struct {
 	serial    uint64 // of the report
 	sightings []*sighting
-	cleared   []Clearance
 	survivors []string
 	at        time.Time
 }
@@ -105,14 +108,16 @@
 // clearing says how a feature was cleared of a crash.
 type clearing struct {
 	whole bool // see Clearance.Whole
+	own   bool // by an answer at this router
 	at    time.Time
 }
 
 // clearances are the crashes that one feature is cleared of, by server.
 type clearances map[string]clearing
 
-func (c clearances) add(server string, whole bool, at time.Time) {
-	c[server] = clearing{c[server].whole || whole, at}
+func (c clearances) add(server string, added clearing) {
+	before := c[server]
+	c[server] = clearing{whole: before.whole || added.whole, own: before.own || added.own, at: added.at}
 }
 
 // covers reports whether a crash is cleared.
@@ -187,7 +192,7 @@
 	if before != nil && r.Serial > 0 && r.Serial <= before.serial {
 		return false
 	}
-	t := &testimony{serial: r.Serial, cleared: r.Cleared, survivors: r.Survivors, at: q.now()}
+	t := &testimony{serial: r.Serial, survivors: r.Survivors, at: q.now()}
 	for _, e := range r.Exchanges {
 		s := &sighting{Exchange: e, at: t.at}
 		if known := before.find(e); known != nil {
@@ -197,6 +202,11 @@
 		}
 		t.sightings = append(t.sightings, s)
 	}
+	for _, c := range r.Cleared {
+		for _, server := range c.Servers {
+			q.clear(c.Feature, server, clearing{whole: c.Whole, at: t.at})
+		}
+	}
 	for _, server := range r.Survivors {
 		if before == nil || !slices.Contains(before.survivors, server) {
 			q.survivors[server] = t.at
@@ -273,67 +283,38 @@
 
 // openExchanges returns the exchanges that count, each with the features that are not cleared.
 func (q *Quarantine) openExchanges() []Exchange {
-	cleared := q.allClearances()
-	servers := make(map[Feature]map[string]bool)
+	q.known = make(map[Feature]int)
 	var open []Exchange
 	q.eachSighting(func(s *sighting) {
-		if q.hasSurvived(s) {
-			return
-		}
-		e := Exchange{Server: s.Server, Late: s.Late}
 		for _, feature := range s.Features {
-			if servers[feature] == nil {
-				servers[feature] = make(map[string]bool)
-			}
-			servers[feature][s.Server] = true
-			if !cleared[feature].covers(s.Server, s.Late) {
-				e.Features = append(e.Features, feature)
-			}
+			q.known[feature]++
+		}
+		if e := q.openExchange(s); len(e.Features) > 0 {
+			open = append(open, e)
 		}
-		open = append(open, e)
 	})
-	q.known = make(map[Feature]int, len(servers))
-	for feature, crashed := range servers {
-		q.known[feature] = len(crashed)
-	}
-	q.pruneClearances(servers)
 	return open
 }
 
-// hasSurvived reports whether the server did not crash when the exchange broke off.
-func (q *Quarantine) hasSurvived(s *sighting) bool {
-	at, found := q.survivors[s.Server]
-	return found && !s.at.After(at)
-}
-
-// pruneClearances drops the clearances of crashes that are not in the evidence, which is given as the
-// servers by feature.
-func (q *Quarantine) pruneClearances(evidence map[Feature]map[string]bool) {
-	for feature, crashes := range q.clearances {
-		maps.DeleteFunc(crashes, func(server string, _ clearing) bool { return !evidence[feature][server] })
-		if len(crashes) == 0 {
-			delete(q.clearances, feature)
+// openExchange returns an exchange with the features that are not cleared; none if its server did not
+// crash.
+func (q *Quarantine) openExchange(s *sighting) Exchange {
+	e := Exchange{Server: s.Server, Late: s.Late}
+	if q.hasSurvived(s) {
+		return e
+	}
+	for _, feature := range s.Features {
+		if !q.clearances[feature].covers(s.Server, s.Late) {
+			e.Features = append(e.Features, feature)
 		}
 	}
+	return e
 }
 
-// allClearances returns the clearances of this and all other routers.
-func (q *Quarantine) allClearances() map[Feature]clearances {
-	all := make(map[Feature]clearances)
-	for feature, crashes := range q.clearances {
-		all[feature] = maps.Clone(crashes)
-	}
-	for _, t := range q.others {
-		for _, c := range t.cleared {
-			if all[c.Feature] == nil {
-				all[c.Feature] = make(clearances)
-			}
-			for _, server := range c.Servers {
-				all[c.Feature].add(server, c.Whole, t.at)
-			}
-		}
-	}
-	return all
+// hasSurvived reports whether the server did not crash when the exchange broke off.
+func (q *Quarantine) hasSurvived(s *sighting) bool {
+	at, found := q.survivors[s.Server]
+	return found && !s.at.After(at)
 }
 
 func (q *Quarantine) eachSighting(do func(*sighting)) {
@@ -347,28 +328,40 @@
 	}
 }
 
-// expire drops the evidence that is too old.
+// expire drops the evidence that is too old, or too much.
 func (q *Quarantine) expire() {
 	now := q.now()
-	isOld := func(s *sighting) bool { return now.Sub(s.at) >= SuspectTTL }
-	q.own = slices.DeleteFunc(q.own, isOld)
-	for key, t := range q.others {
-		t.sightings = slices.DeleteFunc(t.sightings, isOld)
-		if len(t.sightings) == 0 && now.Sub(t.at) >= SuspectTTL {
-			delete(q.others, key)
-		}
-	}
-	for server, at := range q.survivors {
-		if now.Sub(at) >= SuspectTTL {
-			delete(q.survivors, server)
-		}
+	q.dropSightings(now.Add(-SuspectTTL), false)
+	if size := q.size(); size > maxSightings {
+		q.dropSightings(q.timeOfLatest(maxSightings), true)
 	}
+	isOld := func(at time.Time) bool { return now.Sub(at) >= SuspectTTL }
+	maps.DeleteFunc(q.others, func(_ string, t *testimony) bool { return len(t.sightings) == 0 && isOld(t.at) })
+	maps.DeleteFunc(q.survivors, func(_ string, at time.Time) bool { return isOld(at) })
 	if len(q.own) == 0 && len(q.others) == 0 {
 		clear(q.trials)
+		clear(q.clearances)
 		q.watchful.Store(len(q.ends) > 0)
 	}
 }
 
+// dropSightings drops the sightings up to a time. keepBlaming keeps those that blame a feature.
+func (q *Quarantine) dropSightings(upTo time.Time, keepBlaming bool) {
+	drops := func(s *sighting) bool { return !s.at.After(upTo) && !(keepBlaming && q.blames(s)) }
+	q.own = slices.DeleteFunc(q.own, drops)
+	for _, t := range q.others {
+		t.sightings = slices.DeleteFunc(t.sightings, drops)
+	}
+}
+
+// timeOfLatest returns the time after which fewer than count sightings became known.
+func (q *Quarantine) timeOfLatest(count int) time.Time {
+	var times []time.Time
+	q.eachSighting(func(s *sighting) { times = append(times, s.at) })
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[count]
+}
+
 // Held returns the first of the features that is held back, so that requests with it must not be sent
 // to a server.
 func (q *Quarantine) Held(features []Feature) (held Feature, found bool) {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -11,10 +11,10 @@
 	// it cleared and maxSurvivors the servers that did not crash, and so the bytes that each router gets
 	// when a fault breaks many exchanges everywhere.
 	maxPublished = 24
-	maxCleared   = 24
+	maxCleared   = 12
 	maxSurvivors = 8
 	// maxClearedServers bounds the servers of one clearance.
-	maxClearedServers = 16
+	maxClearedServers = 8
 	// survivorNewsTime is how long a router tells the others of a server that did not crash.
 	survivorNewsTime = 10 * time.Second
 )
@@ -88,20 +88,6 @@
 	return open[:min(len(open), maxPublished)]
 }
 
-// openExchange returns an exchange of this router with the features that it has not cleared.
-func (q *Quarantine) openExchange(s *sighting) Exchange {
-	e := Exchange{Server: s.Server, Late: s.Late}
-	if q.hasSurvived(s) {
-		return e
-	}
-	for _, feature := range s.Features {
-		if !q.clearances[feature].covers(s.Server, s.Late) {
-			e.Features = append(e.Features, feature)
-		}
-	}
-	return e
-}
-
 // blames reports whether a feature of the exchange is held back.
 func (q *Quarantine) blames(s *sighting) bool {
 	return slices.ContainsFunc(s.Features, func(f Feature) bool { _, held := q.held[f]; return held })
@@ -141,7 +127,7 @@
 	crashes := q.clearances[feature]
 	var servers []string
 	for server, cleared := range crashes {
-		if cleared.whole == whole && suspected[suspicionOf{feature, server}] {
+		if cleared.own && cleared.whole == whole && suspected[suspicionOf{feature, server}] {
 			servers = append(servers, server)
 		}
 	}
@@ -151,12 +137,15 @@
 	return servers
 }
 
+// suspectedByOthers returns what other routers suspect of the features that this router knows clearances of.
 func (q *Quarantine) suspectedByOthers() map[suspicionOf]bool {
 	suspected := make(map[suspicionOf]bool)
 	for _, t := range q.others {
 		for _, s := range t.sightings {
 			for _, feature := range s.Features {
-				suspected[suspicionOf{feature, s.Server}] = true
+				if q.clearances[feature] != nil {
+					suspected[suspicionOf{feature, s.Server}] = true
+				}
 			}
 		}
 	}
