Reports of crashes are handed on only where they are known to be news

Reports without a serial are not handed on, a router that has nothing to report hands none to others, and a batch has the latest report of each router only.

--- a/internal/node/crashshare.go
+++ b/internal/node/crashshare.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,9 +58,9 @@
 	return &crashReports{node: n, queue: make(chan store.Item, crashQueueSize), kept: make(map[string]keptReport)}
 }
 
-// apply takes over another router's report. It reports whether that is news. quarantine.Judge has to be
-// called afterwards.
-func (c *crashReports) apply(item store.Item) bool {
+// apply takes over another router's report. It reports whether that is news to be handed on: only a report
+// with a serial can be told from one that is known. quarantine.Judge has to be called afterwards.
+func (c *crashReports) apply(item store.Item) (isNews bool) {
 	n := c.node
 	if item.Key == quarantine.RecordKey(n.incarnation) {
 		return false
@@ -72,7 +74,7 @@
 		return false
 	}
 	c.keep(item)
-	return true
+	return report.Serial > 0
 }
 
 // keep keeps a report for routers that start while the store is away.
@@ -92,7 +94,10 @@
 func (c *crashReports) Items() []store.Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	items := []store.Item{c.own()}
+	var items []store.Item
+	if c.node.quarantine.Report().Serial > 0 {
+		items = append(items, c.own())
+	}
 	for _, kept := range c.kept {
 		items = append(items, kept.item)
 	}
@@ -133,7 +138,7 @@
 		case <-ctx.Done():
 			return
 		case item := <-c.queue:
-			items := collect(c.queue, item, crashLinger)
+			items := latestOfEach(collect(c.queue, item, crashLinger))
 			for _, address := range c.pickRouters() {
 				calls.Go(func() { c.send(ctx, address, items) })
 			}
@@ -141,6 +146,15 @@
 	}
 }
 
+// latestOfEach returns the last item of each key.
+func latestOfEach(items []store.Item) []store.Item {
+	latest := make(map[string]store.Item)
+	for _, item := range items {
+		latest[item.Key] = item
+	}
+	return slices.Collect(maps.Values(latest))
+}
+
 // pickRouters returns the addresses of up to crashFanout other routers at random.
 func (c *crashReports) pickRouters() []string {
 	others := c.node.otherRouters()
