--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -17,6 +17,9 @@
 	// crashWriteInterval is the time between two writes, and the wait after a failed one. It is
 	// short, so that soon after an outage of the store all routers know what each saw meanwhile.
 	crashWriteInterval = 500 * time.Millisecond
+	// crashGatherTime is how long a first write waits for the other exchanges that broke off with the same
+	// server. Without it they would be written crashWriteInterval later.
+	crashGatherTime = 50 * time.Millisecond
 	// crashWriteShare times the number of routers is the least time between two writes of one router. It
 	// bounds the writes of all, which each router reads.
 	crashWriteShare = 10 * time.Millisecond
@@ -40,17 +43,28 @@
 			return
 		case <-n.quarantine.Changed():
 		}
+		if !sleep(ctx, crashGatherTime) {
+			return
+		}
 		for w.isDue() {
 			w.write(ctx)
-			select {
-			case <-ctx.Done():
+			if !sleep(ctx, max(crashWriteInterval, time.Duration(n.routerCount())*crashWriteShare)) {
 				return
-			case <-time.After(max(crashWriteInterval, time.Duration(n.routerCount())*crashWriteShare)):
 			}
 		}
 	}
 }
 
+// sleep waits for a time. It returns false if ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // crashWriter writes this router's record of crashes.
 type crashWriter struct {
 	node    *Node
