Quarantine: a server's survival says nothing of later crashes

A server that was still listed six seconds after a break was taken to have survived until then, which dismissed a crash that had just happened. The new test failed before.

--- a/internal/quarantine/clear.go
+++ b/internal/quarantine/clear.go
@@ -8,6 +8,36 @@
 	"chicorytiller.example/chicorytiller/internal/fleet"
 )
 
+// Clearance says that requests with a feature did not crash servers.
+type Clearance struct {
+	Feature Feature
+	Servers []string
+	// Whole: answers came to their end. Otherwise they were seen to begin, which says nothing of
+	// crashes late in an answer.
+	Whole bool
+}
+
+// clearing says how a feature was cleared of a crash.
+type clearing struct {
+	whole bool // see Clearance.Whole
+	own   bool // by an answer at this router
+	at    time.Time
+}
+
+// clearances are the crashes that one feature is cleared of, by server.
+type clearances map[string]clearing
+
+func (c clearances) add(server string, added clearing) {
+	before := c[server]
+	c[server] = clearing{whole: before.whole || added.whole, own: before.own || added.own, at: added.at}
+}
+
+// covers reports whether a crash is cleared.
+func (c clearances) covers(server string, late bool) bool {
+	cleared, found := c[server]
+	return found && (cleared.whole || !late)
+}
+
 // successes holds the features of recent answers.
 type successes struct {
 	begun, whole map[Feature]time.Time
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -65,7 +65,7 @@
 	others     map[string]*testimony  // by key of the record
 	successes  successes              // recent answers
 	clearances map[Feature]clearances // crashes that answers to other requests cleared features of
-	survivors  map[string]time.Time   // servers that did not crash, and since when that is known
+	survivors  map[string]time.Time   // until when servers are known not to have crashed
 	ends       []*sighting            // answers that may have been cut off by a crash
 	held       map[Feature]Blame
 	known      map[Feature]int // number of exchanges with a feature in the evidence, cleared or not
@@ -80,52 +80,6 @@
 	changed chan struct{}
 }
 
-// sighting is an exchange that broke off, with when this router learned of it.
-type sighting struct {
-	Exchange
-	at time.Time
-	// fateKnown is set once it is known whether the server ended.
-	fateKnown bool
-}
-
-// testimony is what another router reports.
-type testimony struct {
-	serial    uint64 // of the report
-	sightings []*sighting
-	survivors []string
-	at        time.Time
-}
-
-// Clearance says that requests with a feature did not crash servers.
-type Clearance struct {
-	Feature Feature
-	Servers []string
-	// Whole: answers came to their end. Otherwise they were seen to begin, which says nothing of
-	// crashes late in an answer.
-	Whole bool
-}
-
-// clearing says how a feature was cleared of a crash.
-type clearing struct {
-	whole bool // see Clearance.Whole
-	own   bool // by an answer at this router
-	at    time.Time
-}
-
-// clearances are the crashes that one feature is cleared of, by server.
-type clearances map[string]clearing
-
-func (c clearances) add(server string, added clearing) {
-	before := c[server]
-	c[server] = clearing{whole: before.whole || added.whole, own: before.own || added.own, at: added.at}
-}
-
-// covers reports whether a crash is cleared.
-func (c clearances) covers(server string, late bool) bool {
-	cleared, found := c[server]
-	return found && (cleared.whole || !late)
-}
-
 // New returns an empty quarantine. onChange may be nil; a nil now means time.Now.
 func New(now func() time.Time, onChange func(Change)) *Quarantine {
 	if now == nil {
@@ -152,87 +106,6 @@
 	}
 }
 
-// RecordCrash records that this router's exchange with a server broke off.
-func (q *Quarantine) RecordCrash(e Exchange) {
-	q.mu.Lock()
-	defer q.unlock()
-	q.addOwn(&sighting{Exchange: e, at: q.now()})
-	q.adoptEnds(e.Server)
-	q.isDue = true
-}
-
-func (q *Quarantine) addOwn(s *sighting) {
-	same := func(other *sighting) bool {
-		return other.Server == s.Server && other.Late == s.Late && slices.Equal(other.Features, s.Features)
-	}
-	if slices.ContainsFunc(q.own, same) {
-		return
-	}
-	q.clearBySuccesses(s)
-	q.own = append(q.own, s)
-	q.trimOwn()
-	q.watchful.Store(true)
-}
-
-// trimOwn drops the oldest exchange if there are too many, rather one that blames no feature.
-func (q *Quarantine) trimOwn() {
-	if len(q.own) <= maxOwn {
-		return
-	}
-	oldest := max(0, slices.IndexFunc(q.own, func(s *sighting) bool { return !q.blames(s) }))
-	q.own = slices.Delete(q.own, oldest, oldest+1)
-}
-
-// Merge replaces what another router reported before, and reports whether that is news. key identifies the
-// router. Judge must be called after the last of several calls.
-func (q *Quarantine) Merge(key string, r Report) bool {
-	q.mu.Lock()
-	defer q.unlock()
-	before := q.others[key]
-	if before != nil && r.Serial > 0 && r.Serial <= before.serial {
-		return false
-	}
-	t := &testimony{serial: r.Serial, survivors: r.Survivors, at: q.now()}
-	for _, e := range r.Exchanges {
-		s := &sighting{Exchange: e, at: t.at}
-		if known := before.find(e); known != nil {
-			s = known
-		} else {
-			q.clearBySuccesses(s)
-		}
-		t.sightings = append(t.sightings, s)
-	}
-	for _, c := range r.Cleared {
-		for _, server := range c.Servers {
-			q.clear(c.Feature, server, clearing{whole: c.Whole, at: t.at})
-		}
-	}
-	for _, server := range r.Survivors {
-		if before == nil || !slices.Contains(before.survivors, server) {
-			q.survivors[server] = t.at
-		}
-	}
-	q.others[key] = t
-	q.watchful.Store(true)
-	q.isDue = true
-	return true
-}
-
-// find returns the known sighting of an exchange, or nil.
-func (t *testimony) find(e Exchange) *sighting {
-	if t == nil {
-		return nil
-	}
-	for _, s := range t.sightings {
-		if s.Server == e.Server && s.Late == e.Late && len(s.Features) > 0 && len(e.Features) > 0 &&
-			s.Features[len(s.Features)-1] == e.Features[len(e.Features)-1] {
-			s.Features = e.Features // some may have been cleared
-			return s
-		}
-	}
-	return nil
-}
-
 // Judge judges the evidence if it has changed.
 func (q *Quarantine) Judge() {
 	q.mu.Lock()
@@ -390,14 +263,6 @@
 	return last
 }
 
-// Servers returns the incarnations of the servers whose crashes blame a feature, sorted.
-func (q *Quarantine) Servers(feature Feature) []string {
-	q.mu.Lock()
-	defer q.unlock()
-	q.judgeIfDue()
-	return q.held[feature].Servers
-}
-
 // Count returns the number of features that are held back.
 func (q *Quarantine) Count() int {
 	q.mu.Lock()
@@ -418,8 +283,10 @@
 		}
 		switch fateOf(s.Server, s.at) {
 		case fleet.FateSurvived:
-			q.survivors[s.Server], s.fateKnown = q.now(), true
-			q.isDue = true
+			if s.at.After(q.survivors[s.Server]) {
+				q.survivors[s.Server] = s.at // it may have crashed since
+			}
+			s.fateKnown, q.isDue = true, true
 		case fleet.FateEnded:
 			s.fateKnown = true
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -53,7 +53,7 @@
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse, qt.Commentf("a single crash may be a network fault"))
 	q.RecordCrash(content(7, "b"))
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
-	qt.Assert(t, q.Servers(Content(7)), qt.DeepEquals, []string{"a", "b"})
+	qt.Assert(t, q.held[Content(7)].Servers, qt.DeepEquals, []string{"a", "b"})
 	qt.Assert(t, q.isHeld(Content(8)), qt.IsFalse)
 	*now = now.Add(SuspectTTL)
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsFalse)
@@ -209,6 +209,23 @@
 	qt.Assert(t, q.isHeld(Content(7)), qt.IsTrue)
 }
 
+// Guards against a crash that is dismissed since the server had survived an earlier break.
+func TestCrashAfterSurvivalCounts(t *testing.T) {
+	q, now := testQuarantine()
+	broken := *now
+	q.RecordCrash(content(7, "a"))
+	*now = now.Add(time.Minute)
+	q.RecordCrash(content(8, "a"))
+	q.RecordCrash(content(8, "b"))
+	q.DismissSurvived(func(_ string, since time.Time) fleet.Fate {
+		if since.Equal(broken) {
+			return fleet.FateSurvived
+		}
+		return fleet.FateUnknown
+	})
+	qt.Assert(t, q.isHeld(Content(8)), qt.IsTrue)
+}
+
 // Guards against sound requests that are held back for seconds after connections were reset, though the
 // servers go on answering.
 func TestServerThatAnswersAgainDidNotCrash(t *testing.T) {
