Reports of crashes go from router to router only if the store fails to take one

A report that waited half a second for its turn counted as one that the store did not take, so that in a series of crashes reports went both ways, each to five routers by each router. The new test failed before.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -81,6 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
 	defer cancel()
 	report := w.node.quarantine.Report()
+	w.node.crashReports.writeBegins()
 	record := quarantine.NewRecord(w.node.settings.VM, report)
 	err := w.writer.put(ctx, quarantine.RecordKey(w.node.incarnation), record.Encode())
 	if err != nil && !w.failing {
@@ -88,7 +89,7 @@
 	}
 	w.failing = err != nil
 	if err == nil {
-		w.node.crashReports.written.Store(report.Serial)
+		w.node.crashReports.writeSucceeded(report.Serial)
 		w.node.log.Emit(event.CrashesRecorded, slog.Int("crashes", len(report.Exchanges)), slog.Int("cleared", len(report.Cleared)),
 			slog.Int("survivors", len(report.Survivors)))
 	}
--- a/internal/node/crashshare.go
+++ b/internal/node/crashshare.go
@@ -44,6 +44,8 @@
 
 	// written is the serial of this router's report that the store holds.
 	written atomic.Uint64
+	// writingSince is when the first write began that the store has not acknowledged; nil if there is none.
+	writingSince atomic.Pointer[time.Time]
 
 	mu   sync.Mutex
 	kept map[string]keptReport // by key
@@ -175,11 +177,29 @@
 	c.node.metrics.countCrashReports(recordsSent, len(items))
 }
 
+// writeBegins notes that a report is being written.
+func (c *crashReports) writeBegins() {
+	now := time.Now()
+	c.writingSince.CompareAndSwap(nil, &now)
+}
+
+// writeSucceeded notes that the store holds the report with the serial.
+func (c *crashReports) writeSucceeded(serial uint64) {
+	c.written.Store(serial)
+	c.writingSince.Store(nil)
+}
+
+// isStoreFailing reports whether the store has not taken a report for crashTellDelay.
+func (c *crashReports) isStoreFailing(now time.Time) bool {
+	since := c.writingSince.Load()
+	return since != nil && now.Sub(*since) >= crashTellDelay
+}
+
 // tellUnwritten hands this router's report on while the store does not take it.
 func (c *crashReports) tellUnwritten(ctx context.Context) {
 	ticker := time.NewTicker(crashCheckInterval)
 	defer ticker.Stop()
-	var unwrittenSince, toldAt time.Time
+	var toldAt time.Time
 	told := uint64(0)
 	for {
 		select {
@@ -188,15 +208,8 @@
 		case <-ticker.C:
 		}
 		now, serial := time.Now(), c.node.quarantine.Report().Serial
-		if serial == c.written.Load() {
-			unwrittenSince = time.Time{}
-			continue
-		}
-		if unwrittenSince.IsZero() {
-			unwrittenSince = now
-		}
 		isNews := serial != told || now.Sub(toldAt) >= crashTellInterval
-		if now.Sub(unwrittenSince) < crashTellDelay || !isNews {
+		if !isNews || !c.isStoreFailing(now) {
 			continue
 		}
 		c.handOn(c.own())
