Blame: a crash that broke many exchanges is reported whole, a more specific part comes first

When ten servers end within half a second, the 24 newest exchanges of a router don't tell of each crash with the guilty part; a template seen at one server more was blamed first, and its crashes counted against nothing else. A report has the parts of all exchanges that broke off with one server in one entry now, and a more specific part that explains nearly as many crashes is blamed before a general one.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -94,7 +94,9 @@
 	}
 }
 
-// findStrongest returns the strongest sufficient suspicion, or nil if there is none.
+// findStrongest returns the strongest sufficient suspicion, or nil if there is none. If a more specific part
+// explains nearly as many crashes, it returns that one: of a crash that is known in part, the exchange that
+// caused it may be missing.
 func findStrongest(suspicions map[Feature]*suspicion) *suspicion {
 	var strongest *suspicion
 	for _, s := range suspicions {
@@ -102,6 +104,19 @@
 			strongest = s
 		}
 	}
+	if strongest == nil || strongest.feature.Kind != KindPart {
+		return strongest
+	}
+	most := len(strongest.all)
+	enough := most - max(1, most/5)
+	for _, s := range suspicions {
+		if s.feature.Kind != KindPart || !s.isSufficient() || len(s.all) < enough {
+			continue
+		}
+		if s.depth > strongest.depth || s.depth == strongest.depth && s.compare(strongest) < 0 {
+			strongest = s
+		}
+	}
 	return strongest
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -386,6 +386,40 @@
 	qt.Assert(t, other.isHeld(Part("bad")), qt.IsTrue)
 }
 
+// Guards against a crash of a server with many exchanges, of which the guilty one is not reported.
+func TestReportUnitesPartsOfOneCrash(t *testing.T) {
+	q, _ := testQuarantine()
+	for i := range 4 * maxPublished {
+		q.RecordCrash(prompt("a", "t", "bad"))
+		q.RecordCrash(Exchange{Server: "a", Features: promptFeatures(fmt.Sprint("own", i), "t", fmt.Sprint("g", i%8))})
+		q.RecordCrash(Exchange{Server: "a", Features: promptFeatures(fmt.Sprint("rare", i), "t", fmt.Sprint("rare", i))})
+	}
+	report := q.Report()
+	qt.Assert(t, report.Exchanges, qt.HasLen, maxPublished)
+	first := report.Exchanges[0].Features
+	qt.Assert(t, first, qt.HasLen, maxUnited+1)
+	qt.Assert(t, first[0], qt.Equals, Part("t"))
+	for i := range 8 {
+		qt.Assert(t, first, qt.Contains, Part(fmt.Sprint("g", i)))
+	}
+}
+
+// Guards against a template that is blamed for crashes of a part, since the guilty exchange of one crash is
+// not known.
+func TestMoreSpecificPartIsBlamedFirst(t *testing.T) {
+	q, now := testQuarantine()
+	for i := range 5 {
+		server := fmt.Sprint("s", i)
+		if i > 0 {
+			q.RecordCrash(prompt(server, "t", "bad"))
+		}
+		q.RecordCrash(Exchange{Server: server, Features: promptFeatures(server+"sound", "t", fmt.Sprint("g", i))})
+		*now = now.Add(2 * successWindow)
+	}
+	qt.Assert(t, q.isHeld(Part("bad")), qt.IsTrue)
+	qt.Assert(t, q.Count(), qt.Equals, 1)
+}
+
 // Guards against a change that no other router is told of.
 func TestChangesAreSignalled(t *testing.T) {
 	q, _ := testQuarantine()
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -13,6 +13,8 @@
 	maxPublished = 24
 	maxCleared   = 12
 	maxSurvivors = 8
+	// maxUnited bounds the parts of one server's exchanges.
+	maxUnited = 32
 	// maxClearedServers bounds the servers of one clearance.
 	maxClearedServers = 8
 	// survivorNewsTime is how long a router tells the others of a server that did not crash.
@@ -70,24 +72,83 @@
 	}
 }
 
-// ownOpen returns exchanges of this router with a feature that it has not cleared: first those that blame a
-// feature, so that nothing pushes them out, and then the latest.
+// ownOpen returns exchanges of this router with the features that it has not cleared. For each server the
+// parts of all exchanges are united in one, so that a crash which broke many can't push out the guilty one.
+// Servers whose crashes blame a feature come first, then the latest.
 func (q *Quarantine) ownOpen() []Exchange {
-	var blaming, others []Exchange
-	for _, s := range slices.Backward(q.own) {
-		e := q.openExchange(s)
-		switch {
-		case len(e.Features) == 0:
-		case q.blames(s):
-			blaming = append(blaming, e)
-		default:
-			others = append(others, e)
+	var united, contents []Exchange
+	seen := make(map[crash]bool)
+	for _, blaming := range []bool{true, false} {
+		for _, s := range slices.Backward(q.own) {
+			e := q.openExchange(s)
+			if len(e.Features) == 0 || q.blames(s) != blaming {
+				continue
+			}
+			if key := (crash{s.Server, s.Late}); !seen[key] {
+				seen[key] = true
+				united = append(united, q.uniteParts(e))
+				continue
+			}
+			if last := e.Features[len(e.Features)-1]; last.Kind == KindContent {
+				contents = append(contents, Exchange{Server: e.Server, Features: []Feature{last}, Late: e.Late})
+			}
 		}
 	}
-	open := append(blaming, others...)
+	open := append(united, contents...)
 	return open[:min(len(open), maxPublished)]
 }
 
+// crash identifies the exchanges that broke off when a server crashed.
+type crash struct {
+	server string
+	late   bool
+}
+
+// uniteParts returns an exchange with the parts of all of this router's exchanges that broke off with it, from
+// the most general to the most specific.
+func (q *Quarantine) uniteParts(e Exchange) Exchange {
+	byDepth := make([][]Feature, 0, len(e.Features))
+	counts := make(map[Feature]int)
+	for _, s := range q.own {
+		if s.Server != e.Server || s.Late != e.Late {
+			continue
+		}
+		depth := 0
+		for _, feature := range s.Features {
+			if feature.Kind != KindPart {
+				continue
+			}
+			if depth == len(byDepth) {
+				byDepth = append(byDepth, nil)
+			}
+			if !q.clearances[feature].covers(s.Server, s.Late) && !slices.Contains(byDepth[depth], feature) {
+				byDepth[depth] = append(byDepth[depth], feature)
+			}
+			counts[feature]++
+			depth++
+		}
+	}
+	united := Exchange{Server: e.Server, Late: e.Late}
+	for _, features := range byDepth {
+		united.Features = append(united.Features, features...)
+	}
+	united.Features = mostFrequent(united.Features, counts, maxUnited)
+	if last := e.Features[len(e.Features)-1]; last.Kind == KindContent {
+		united.Features = append(united.Features, last)
+	}
+	return united
+}
+
+// mostFrequent returns up to most features with the highest counts, in their present order.
+func mostFrequent(features []Feature, counts map[Feature]int, most int) []Feature {
+	if len(features) <= most {
+		return features
+	}
+	byCount := slices.Clone(features)
+	slices.SortStableFunc(byCount, func(a, b Feature) int { return cmp.Compare(counts[b], counts[a]) })
+	return slices.DeleteFunc(features, func(f Feature) bool { return !slices.Contains(byCount[:most], f) })
+}
+
 // blames reports whether a feature of the exchange is held back.
 func (q *Quarantine) blames(s *sighting) bool {
 	return slices.ContainsFunc(s.Features, func(f Feature) bool { _, held := q.held[f]; return held })
