Quarantine: a report that changes in one part keeps the age of the rest

Since the parts of a server's exchanges are reported together, with any of their contents, a report whose newest content had changed counted as new evidence: it started its five minutes again and was cleared once more by answers of the last 1.5 s. Parts of exchanges at a server that did not crash are left out of it. The new test failed before.

--- a/internal/quarantine/clear.go
+++ b/internal/quarantine/clear.go
@@ -114,14 +114,14 @@
 	return news
 }
 
-// clearBySuccesses clears the features of a new sighting that were in recent answers.
-func (q *Quarantine) clearBySuccesses(s *sighting) {
+// clearBySuccesses clears the features of a new exchange that were in recent answers.
+func (q *Quarantine) clearBySuccesses(e Exchange) {
 	now := q.now()
-	for _, feature := range s.Features {
+	for _, feature := range e.Features {
 		if at, found := q.successes.whole[feature]; found && now.Sub(at) <= successWindow {
-			q.clear(feature, s.Server, clearing{whole: true, own: true, at: now})
-		} else if at, found := q.successes.begun[feature]; found && now.Sub(at) <= successWindow && !s.Late {
-			q.clear(feature, s.Server, clearing{own: true, at: now})
+			q.clear(feature, e.Server, clearing{whole: true, own: true, at: now})
+		} else if at, found := q.successes.begun[feature]; found && now.Sub(at) <= successWindow && !e.Late {
+			q.clear(feature, e.Server, clearing{own: true, at: now})
 		}
 	}
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -37,7 +37,7 @@
 	if slices.ContainsFunc(q.own, same) {
 		return
 	}
-	q.clearBySuccesses(s)
+	q.clearBySuccesses(s.Exchange)
 	q.own = append(q.own, s)
 	q.trimOwn()
 	q.watchful.Store(true)
@@ -63,12 +63,12 @@
 	}
 	t := &testimony{serial: r.Serial, survivors: r.Survivors, at: q.now()}
 	for _, e := range r.Exchanges {
-		s := &sighting{Exchange: e, at: t.at}
-		if known := before.find(e); known != nil {
-			s = known
-		} else {
-			q.clearBySuccesses(s)
+		s := before.find(e)
+		if s == nil {
+			s = &sighting{at: t.at}
 		}
+		q.clearBySuccesses(Exchange{Server: e.Server, Features: without(e.Features, s.Features), Late: e.Late})
+		s.Exchange = e
 		t.sightings = append(t.sightings, s)
 	}
 	for _, c := range r.Cleared {
@@ -87,17 +87,25 @@
 	return true
 }
 
-// find returns the known sighting of an exchange, or nil.
+// without returns the features that are not among others.
+func without(features, others []Feature) []Feature {
+	return slices.DeleteFunc(slices.Clone(features), func(f Feature) bool { return slices.Contains(others, f) })
+}
+
+// find returns the known sighting of an exchange, or nil. The parts of one server's exchanges are reported
+// together, with any of their contents.
 func (t *testimony) find(e Exchange) *sighting {
 	if t == nil {
 		return nil
 	}
 	for _, s := range t.sightings {
-		if s.Server == e.Server && s.Late == e.Late && len(s.Features) > 0 && len(e.Features) > 0 &&
-			s.Features[len(s.Features)-1] == e.Features[len(e.Features)-1] {
-			s.Features = e.Features // some may have been cleared
+		if s.Server == e.Server && s.Late == e.Late && (s.hasParts() && e.hasParts() || slices.Equal(s.Features, e.Features)) {
 			return s
 		}
 	}
 	return nil
 }
+
+func (e Exchange) hasParts() bool {
+	return len(e.Features) > 0 && e.Features[0].Kind == KindPart
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -404,6 +404,25 @@
 	}
 }
 
+// Guards against evidence that seems new, and never expires, since its report has changed in another part.
+func TestChangedReportKeepsAgeOfEvidence(t *testing.T) {
+	q, now := testQuarantine()
+	start := *now
+	report := func(parts ...string) {
+		q.Merge("other", Report{Exchanges: []Exchange{prompt("a", parts...)}})
+	}
+	report("t")
+	*now = now.Add(time.Minute)
+	q.RecordBegun(promptFeatures("sound", "g"))
+	report("t", "g")
+	known := q.others["other"].sightings
+	qt.Assert(t, known, qt.HasLen, 1)
+	qt.Assert(t, known[0].at, qt.Equals, start)
+	qt.Assert(t, known[0].hasParts(), qt.IsTrue)
+	qt.Assert(t, q.clearances[Part("g")].covers("a", false), qt.IsTrue, qt.Commentf("a feature that is news is cleared by a recent answer"))
+	qt.Assert(t, q.clearances[Part("t")].covers("a", false), qt.IsFalse)
+}
+
 // Guards against a template that is blamed for crashes of a part, since the guilty exchange of one crash is
 // not known.
 func TestMoreSpecificPartIsBlamedFirst(t *testing.T) {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -110,7 +110,7 @@
 	byDepth := make([][]Feature, 0, len(e.Features))
 	counts := make(map[Feature]int)
 	for _, s := range q.own {
-		if s.Server != e.Server || s.Late != e.Late {
+		if s.Server != e.Server || s.Late != e.Late || q.hasSurvived(s) {
 			continue
 		}
 		depth := 0
