A lowered budget leaves no negative grant, which locked the account for all routers

Callers of two accounts were refused for 26 s (budget_unreachable, budget_held), and each router that serves them read all budget records 15 times a second.

Cause: a router that has borrowed more tokens than it has used counts a negative use. When a budget was lowered below what is granted, it stored its grant less the excess, but not less than its use, so -200 for a grant of 0. A record with a negative grant was refused whole by every router.

Change: the lowered grant is at least zero, and nothing is written if that changes nothing. A negative grant in a stored record, which routers of earlier versions may still write, counts as zero: that leaves less to grant to others, never more.

--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -199,7 +199,8 @@
 		// The budget was lowered. The excess is returned, or this router would go on
 		// spending it.
 		excess := g.record.TotalGranted() - prepaid
-		return max(g.used(), g.granted-excess), true
+		lowered := max(0, g.used(), g.granted-excess) // used is negative if more was borrowed than spent
+		return lowered, lowered < g.granted
 	}
 	return g.granted, false
 }
--- a/internal/escrow/manager_test.go
+++ b/internal/escrow/manager_test.go
@@ -185,3 +185,30 @@
 	c.Assert(b.accountRecord(c).TotalGranted() <= 6_000, qt.IsTrue, qt.Commentf("%d granted", b.accountRecord(c).TotalGranted()))
 	c.Assert(g.available(0) <= 1_000, qt.IsTrue, qt.Commentf("%d available", g.available(0)))
 }
+
+// Guards against a negative grant of a router that only borrowed, which would make the record of a lowered
+// budget unreadable for all routers.
+func TestLoweredBudgetLeavesNoNegativeGrant(t *testing.T) {
+	for _, granted := range []int64{0, 300, 2_000} {
+		g := newGrant("boatyard")
+		g.granted, g.spent, g.borrowed = granted, 100, 300
+		g.record.Closed = 9_000
+		g.record.Entries["vm"] = map[string]GrantEntry{"p1": {Seq: 1, Granted: granted}}
+		next, due := g.plan(8_500, borrower, refillThreshold)
+		qt.Check(t, next >= 0, qt.IsTrue, qt.Commentf("%d granted before, %d after", granted, next))
+		qt.Check(t, due, qt.Equals, next < granted)
+	}
+}
+
+// Guards against an account that can't be used any more once a router of an older build has stored a negative
+// grant.
+func TestStoredNegativeGrantCountsAsNone(t *testing.T) {
+	c := qt.New(t)
+	record := newRecord()
+	record.Closed = 1_000
+	record.Entries["vm"] = map[string]GrantEntry{"p1": {Seq: 3, Granted: -200, Spent: -500}}
+	decoded, err := DecodeRecord(record.Encode())
+	c.Assert(err, qt.IsNil)
+	c.Assert(decoded.GrantEntry("vm", "p1"), qt.Equals, GrantEntry{Seq: 3, Granted: 0, Spent: -500})
+	c.Assert(decoded.TotalGranted(), qt.Equals, int64(1_000))
+}
--- a/internal/escrow/record.go
+++ b/internal/escrow/record.go
@@ -63,10 +63,11 @@
 		return Record{}, errors.Wrapf(ErrInvalidRecord, "format %d, closed %d", r.Format, r.Closed)
 	}
 	for _, incarnations := range r.Entries {
-		for _, e := range incarnations {
-			if e.Granted < 0 {
-				return Record{}, errors.Wrap(ErrInvalidRecord, "negative grant")
-			}
+		for incarnation, e := range incarnations {
+			// Routers of earlier versions stored negative grants. Zero is on the safe side, since it leaves
+			// less to grant to others.
+			e.Granted = max(0, e.Granted)
+			incarnations[incarnation] = e
 		}
 	}
 	if r.Entries == nil {
