Routers whose callers saturate their link send new callers elsewhere

Cause: bodies of requests fill the link of a small router whatever it answers, and with them servers' answers, tokens and lists no longer arrive (docs/design/load.md, Findings).

Change: internal/intake counts bytes read from callers' connections and decides, every 50 ms, whether they have taken 0.7 of [router] link_mbps for 0.3 s, or 0.4 of it while the link is saturated; this lasts until 12 s after the last such moment. An overloaded router is not ready while another one is not overloaded; its entry in the store says so, written at once. Small routers of its failure domain are in standby while a larger one is not overloaded. Both serve what arrives and answer the directory, which names others. A change of overload alone keeps the version of the list of routers: grantors of fragile servers grant half for three seconds after each new one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,15 +22,15 @@
 
 // Choose returns router addresses for a caller in a failure domain. Routers in that domain are
 // preferred since traffic between failure domains is charged for. A caller gets the same routers
-// as long as they live, since it drops its connections to all others.
+// as long as they live, since it drops its connections to all others. Routers that are overloaded or in
+// standby are omitted while others are left.
 func Choose(members []fleet.Member, domain, caller string) []string {
-	var local, remote []fleet.Member
-	for _, m := range members {
-		if m.Domain == domain {
-			local = append(local, m)
-			continue
+	local, remote := split(members, domain)
+	if ready := readyMembers(members); len(ready) > 0 && len(ready) < len(members) {
+		all := len(local)
+		if local, remote = split(ready, domain); len(local) < min(all, minLocalRouters) {
+			remote = replacements(remote, len(local), caller)
 		}
-		remote = append(remote, m)
 	}
 	chosen := local
 	if len(local) < minLocalRouters {
@@ -50,6 +50,31 @@
 	return addresses
 }
 
+// split returns the members of a failure domain and the others.
+func split(members []fleet.Member, domain string) (local, remote []fleet.Member) {
+	for _, m := range members {
+		if m.Domain == domain {
+			local = append(local, m)
+			continue
+		}
+		remote = append(remote, m)
+	}
+	return local, remote
+}
+
+// replacements returns the routers of other failure domains that stand in where overload leaves fewer than
+// minLocalRouters in a caller's own: one if there is a local one, since with the usual list, all of the other
+// domains, most of the traffic would leave the domain; otherwise as many as a caller gets of its own.
+func replacements(remote []fleet.Member, local int, caller string) []fleet.Member {
+	count := maxLocalRouters
+	if local > 0 {
+		count = minLocalRouters - local
+	}
+	remote = dropSmallRouters(remote)
+	sort.Slice(remote, func(i, j int) bool { return remote[i].Rank(caller) < remote[j].Rank(caller) })
+	return remote[:min(len(remote), count)]
+}
+
 const (
 	// smallCapacityFraction is the fraction of the largest capacity below which a router counts
 	// as small.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -82,6 +82,15 @@
 const (
 	PeerJoined Number = 600
 	PeerLeft   Number = 603
+	// RouterOverloaded: bytes of callers overload this router's own link; OverloadEnded: they no longer do.
+	RouterOverloaded Number = 605
+	OverloadEnded    Number = 606
+	// StandbyEntered: this router takes no new callers, who would come from an overloaded router;
+	// StandbyLeft: it takes them again.
+	StandbyEntered Number = 607
+	StandbyLeft    Number = 608
+	// OverloadReadiness: an overloaded router takes new callers again, since no other can, or no longer.
+	OverloadReadiness Number = 609
 )
 
 // Backend server and store events.
@@ -179,6 +188,11 @@
 	{SettingsRejected, slog.LevelError, "changed settings rejected, the old ones stay in force"},
 	{PeerJoined, slog.LevelInfo, "peer joined"},
 	{PeerLeft, slog.LevelInfo, "peer left"},
+	{RouterOverloaded, slog.LevelWarn, "router overloaded by bytes of callers"},
+	{OverloadEnded, slog.LevelInfo, "router no longer overloaded"},
+	{StandbyEntered, slog.LevelInfo, "router in standby"},
+	{StandbyLeft, slog.LevelInfo, "router no longer in standby"},
+	{OverloadReadiness, slog.LevelInfo, "readiness of an overloaded router changed"},
 	{BackendFound, slog.LevelInfo, "backend server found"},
 	{DomainEvacuated, slog.LevelWarn, "failure domain evacuated"},
 	{DomainRestored, slog.LevelInfo, "failure domain restored"},
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -23,6 +23,15 @@
 	Domain      string // failure domain
 	// Capacity is the VM's capacity relative to other VMs, in cores of work.
 	Capacity float64
+	// Overloaded reports whether callers' bytes overload the router's link (package intake).
+	Overloaded bool
+}
+
+// sameMembership reports whether two entries of a router are equal but for Overloaded, which comes and goes
+// without any effect on who holds what.
+func (m Member) sameMembership(other Member) bool {
+	m.Overloaded = other.Overloaded
+	return m == other
 }
 
 // Rank returns the router's rank for a key by weighted rendezvous hashing; the lowest rank
@@ -55,7 +64,7 @@
 	reachable bool
 	// sorted caches the present members in order of name; nil after a change.
 	sorted []Member
-	// version is incremented by each change of present.
+	// version is incremented by each change of present but those of Overloaded alone.
 	version uint64
 }
 
@@ -112,8 +121,11 @@
 	if !known {
 		m.log.Emit(event.PeerJoined, slog.String(event.KeyRouter, member.Name), slog.String("address", member.Address))
 	}
-	if before != member {
+	switch {
+	case !before.sameMembership(member):
 		m.changed()
+	case before != member:
+		m.sorted = nil
 	}
 	m.present[item.Key], m.items[item.Key] = member, item
 	delete(m.expired, item.Key)
@@ -181,7 +193,9 @@
 }
 
 // Snapshot returns the present members in order of name, and a version that differs after each
-// change, so that callers can cache what they derive from the list. The list must not be modified.
+// change, so that callers can cache what they derive from the list. Changes of Member.Overloaded alone keep
+// the version: grantors of fragile servers hold back permits after each new one. The list must not be
+// modified.
 func (m *Members) Snapshot() (list []Member, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -21,24 +21,31 @@
 	storeCallTimeout = 500 * time.Millisecond
 )
 
+// ownEntry is this router's entry in the store.
+type ownEntry struct {
+	lease      store.LeaseID // none: there is no entry
+	overloaded bool          // as last written
+}
+
 // maintainEntry keeps this router's entry in the store from the time it has routing data until
-// it begins to stop.
+// it begins to stop. The begin and the end of an overload are written at once.
 func (n *Node) maintainEntry(ctx context.Context) {
-	var lease store.LeaseID
+	var own ownEntry
 	for {
 		switch {
 		case n.stopping.Load():
-			n.deregister(lease)
+			n.deregister(own.lease)
 			return
-		case lease.IsNone() && n.hasRoutingData():
-			lease = n.register(ctx)
-		case !lease.IsNone():
-			lease = n.renew(ctx, lease)
+		case own.lease.IsNone() && n.hasRoutingData():
+			own = n.register(ctx)
+		case !own.lease.IsNone():
+			own = n.renew(ctx, n.writeOverload(ctx, own))
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(n.entryInterval(lease)):
+		case <-time.After(n.entryInterval(own.lease)):
+		case <-n.intake.changed:
 		case <-n.stopSignal:
 		}
 	}
@@ -56,39 +63,65 @@
 }
 
 // register writes the entry under a new lease. It returns no lease on failure.
-func (n *Node) register(ctx context.Context) store.LeaseID {
+func (n *Node) register(ctx context.Context) ownEntry {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	lease, err := n.env.Store.GrantLease(ctx, entryLeaseTTL)
 	if err != nil {
 		n.log.Emit(event.LeaseLost, slog.Any(event.KeyCause, err))
-		return store.LeaseID{}
+		return ownEntry{}
+	}
+	own := ownEntry{lease: lease, overloaded: n.intake.overloaded.Load()}
+	if err := n.writeEntry(ctx, own); err != nil {
+		n.log.Emit(event.LeaseLost, slog.Any(event.KeyCause, err))
+		return ownEntry{}
 	}
+	n.log.Emit(event.ProcessReady, slog.Int64("lease", lease.Number))
+	return own
+}
+
+// writeEntry writes the entry under its lease.
+func (n *Node) writeEntry(ctx context.Context, own ownEntry) error {
 	value, err := json.Marshal(MemberRecord{Address: n.settings.CallerAddr, Peer: n.settings.PeerAddr, Domain: n.settings.FailureDomain,
-		Capacity: n.settings.Capacity})
+		Capacity: n.settings.Capacity, Overloaded: own.overloaded})
 	if err != nil {
 		panic(err) // strings and a finite number always encode
 	}
-	put := store.Put{Key: MemberPrefix + n.settings.VM, Value: value, Lease: lease}
-	if _, err := n.env.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}}); err != nil {
-		n.log.Emit(event.LeaseLost, slog.Any(event.KeyCause, err))
-		return store.LeaseID{}
+	put := store.Put{Key: MemberPrefix + n.settings.VM, Value: value, Lease: own.lease}
+	_, err = n.env.Store.Commit(ctx, store.Txn{Puts: []store.Put{put}})
+	return err
+}
+
+// maxOverloadWriteTime is the longest time for a write over this router's saturated link. With it and a call
+// for the lease the entry does not expire before the next renewal.
+const maxOverloadWriteTime = 800 * time.Millisecond
+
+// writeOverload writes the entry if this router's overload has begun or ended since it was written. What
+// fails is written again with the next renewal.
+func (n *Node) writeOverload(ctx context.Context, own ownEntry) ownEntry {
+	overloaded := n.intake.overloaded.Load()
+	if own.overloaded == overloaded {
+		return own
 	}
-	n.log.Emit(event.ProcessReady, slog.Int64("lease", lease.Number))
-	return lease
+	ctx, cancel := context.WithTimeout(ctx, n.link.Timeout(storeCallTimeout, maxOverloadWriteTime))
+	defer cancel()
+	if n.writeEntry(ctx, ownEntry{lease: own.lease, overloaded: overloaded}) == nil {
+		own.overloaded = overloaded
+	}
+	return own
 }
 
 // renew extends the lease. It returns no lease if it is gone, in which case the router must register
 // again.
-func (n *Node) renew(ctx context.Context, lease store.LeaseID) store.LeaseID {
+func (n *Node) renew(ctx context.Context, own ownEntry) ownEntry {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	err := n.env.Store.RenewLease(ctx, lease)
+	err := n.env.Store.RenewLease(ctx, own.lease)
 	if errors.Is(err, store.ErrLeaseGone) {
-		n.log.Emit(event.LeaseLost, slog.Int64("lease", lease.Number), slog.Any(event.KeyCause, err))
-		return store.LeaseID{}
+		n.log.Emit(event.LeaseLost, slog.Int64("lease", own.lease.Number), slog.Any(event.KeyCause, err))
+		return ownEntry{}
 	}
-	return lease // the followers log other store failures
+	return own // the followers log other store failures
 }
 
 // deregister ends the lease, which removes the entry, so that no more callers are directed here.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -23,6 +23,7 @@
 	tasks.Go(func() { n.client.Run(ctx) })
 	tasks.Go(func() { n.peers.Run(ctx) })
 	tasks.Go(func() { n.bootstrap(ctx) })
+	tasks.Go(func() { n.watchIntake(ctx) })
 	tasks.Go(func() { n.maintainEntry(ctx) })
 	tasks.Go(func() { n.publishCrashes(ctx) })
 	tasks.Go(func() { n.crashReports.tellUnwritten(ctx) })
@@ -253,6 +254,8 @@
 	Domain  string `json:"failure_domain"`
 	// Capacity is the load that the VM can carry, in CPU cores; 0 if unknown.
 	Capacity float64 `json:"capacity"`
+	// Overloaded is absent from the entries of routers that are not overloaded, and of older builds.
+	Overloaded bool `json:"overloaded,omitempty"`
 }
 
 func decodeMember(item store.Item) (fleet.Member, error) {
@@ -264,5 +267,5 @@
 		return fleet.Member{}, errors.New("router entry has no address")
 	}
 	return fleet.Member{Name: item.Key[len(MemberPrefix):], Address: record.Address, PeerAddress: record.Peer, Domain: record.Domain,
-		Capacity: record.Capacity}, nil
+		Capacity: record.Capacity, Overloaded: record.Overloaded}, nil
 }
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -11,6 +11,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/intake"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
@@ -55,6 +56,10 @@
 			n.closeListeners()
 			return err
 		}
+		if h.address == &n.settings.CallerAddr {
+			n.intake.listener = &intake.Listener{TCPListener: l.(*net.TCPListener)}
+			l = n.intake.listener
+		}
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 		n.listeners = append(n.listeners, &listener{ln: l, server: server, log: n.log})
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -42,6 +42,13 @@
 	m.asOf = asOf
 }
 
+// age returns how old the list is at most; known is false before it was first confirmed.
+func (m *membership) age(now time.Time) (age time.Duration, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.asOf), !m.asOf.IsZero()
+}
+
 // setListed records whether this router's own entry is in the list.
 func (m *membership) setListed(listed bool, now time.Time) {
 	m.mu.Lock()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -168,6 +168,24 @@
 		Help: "Round trip over this VM's own link: the shortest recent exchange with another VM."}, func() float64 { return delay().Seconds() }))
 }
 
+// registerIntake registers the metrics of what callers send to this router.
+func (m *Metrics) registerIntake(s *intakeState) {
+	gauge := func(name, help string, state func() bool) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			if state() {
+				return 1
+			}
+			return 0
+		})
+	}
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chicory_caller_bytes_total", Help: "Bytes received from callers."},
+			func() float64 { return float64(s.received()) }),
+		gauge("chicory_overloaded", "1: callers' bytes overload this VM's own link.", s.overloaded.Load),
+		gauge("chicory_standby", "1: not ready for new callers, who would come from an overloaded router.", s.standby.Load),
+		gauge("chicory_accepts_new_callers", "0: overloaded or in standby while another router is not.", s.acceptsNew))
+}
+
 // Served implements forward.Metrics.
 func (m *Metrics) Served(firstByte, total time.Duration) {
 	m.firstByte.Observe(firstByte.Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,7 @@
 	fragility   *pacing.AnnouncedRates
 	permits     *permitHolder
 	membership  membership
+	intake      *intakeState
 	grants      *escrow.GrantManager
 	// eraObservers are called when the store has lost writes. They are registered before Run.
 	eraObservers []func(store.Era)
@@ -176,6 +177,8 @@
 	n.streams = newStreamVersions(n)
 	n.metrics.registerStreamRecords(n.streams.own.Len, n.streams.held.Len)
 	n.metrics.registerQuarantined(n.quarantine.Count)
+	n.intake = newIntakeState(s.LinkMbps)
+	n.metrics.registerIntake(n.intake)
 	n.link = linkdelay.New(env.Now)
 	n.metrics.registerLinkDelay(n.link.Delay)
 	carriers := tunnel.NewClient(s.FailureDomain, n.otherRouters, n.link, env.Now)
@@ -274,14 +277,20 @@
 	return n.policy.Load() != nil && n.registry.View().Total > 0
 }
 
-// Ready reports whether this router is ready for callers.
-func (n *Node) Ready() bool {
+// ableToServe reports whether this router can serve callers.
+func (n *Node) ableToServe() bool {
 	return n.hasRoutingData() && n.membershipKnown() && n.versionsKnown() && !n.stopping.Load()
 }
 
+// Ready reports whether this router is ready for new callers: it can serve them, and no other router should
+// take them because of the load of links.
+func (n *Node) Ready() bool {
+	return n.ableToServe() && n.intake.acceptsNew()
+}
+
 func (n *Node) self() fleet.Member {
 	return fleet.Member{Name: n.settings.VM, Address: n.settings.CallerAddr, PeerAddress: n.settings.PeerAddr, Domain: n.settings.FailureDomain,
-		Capacity: n.settings.Capacity}
+		Capacity: n.settings.Capacity, Overloaded: n.intake.overloaded.Load()}
 }
 
 // peerAddresses returns the peer addresses of the other routers.
@@ -295,17 +304,19 @@
 }
 
 // resolve returns the addresses of the routers that a caller should use. They may include this
-// router while it is ready, even if its own entry expired because the store is unreachable, but
+// router while it can serve, even if its own entry expired because the store is unreachable, but
 // not while it is isolated and knows other routers.
 func (n *Node) resolve(domain, caller string) []string {
 	members := n.members.List()
 	others := members[:0]
+	overloadsKnown := n.overloadsKnown(n.now())
 	for _, m := range members {
 		if m.Name != n.settings.VM {
+			m.Overloaded = m.Overloaded && overloadsKnown
 			others = append(others, m)
 		}
 	}
-	if n.Ready() && (len(others) == 0 || !n.grants.Isolated()) {
+	if n.ableToServe() && (len(others) == 0 || !n.grants.Isolated()) {
 		others = append(others, n.self())
 	}
 	return entry.Choose(others, domain, caller)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -46,6 +46,8 @@
 
 	// Capacity is the load that the VM can carry, in CPU cores; 0 if unknown.
 	Capacity float64
+	// LinkMbps is the rate of the VM's link in Mbit/s; 0 if unknown.
+	LinkMbps float64
 
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int
@@ -71,6 +73,7 @@
 		return nil, errors.Wrap(ErrInvalidSettings, err.Error())
 	}
 	p := &parser{file: file}
+	linkMbps := p.number("router", "link_mbps", unset)
 	s := &Settings{
 		VM:            p.text("router", "vm"),
 		FailureDomain: p.text("router", "failure_domain"),
@@ -87,7 +90,8 @@
 		RetryRatio:    p.number("retries", "ratio", 0),
 		RetryExtra:    p.number("retries", "extra", 0),
 		RetryWindow:   p.seconds("retries", "window_s", 0),
-		Capacity:      capacity(p.number("router", "cpu_share", unset), p.number("router", "link_mbps", unset)),
+		Capacity:      capacity(p.number("router", "cpu_share", unset), linkMbps),
+		LinkMbps:      knownLink(linkMbps),
 		MemoryMB:      int(p.number("router", "memory_mb", 0)),
 	}
 	if p.err != nil {
@@ -113,6 +117,14 @@
 	return cores
 }
 
+// knownLink returns the rate of a link, 0 if it is not set.
+func knownLink(linkMbps float64) float64 {
+	if linkMbps >= unset {
+		return 0
+	}
+	return linkMbps
+}
+
 // parser reads values from an INI file and keeps the first error.
 type parser struct {
 	file *ini.File
