An overloaded router refuses a request whose body comes too late for its caller

Cause: bodies that arrive over a saturated link were read until the caller closed the connection, so that it got no answer.

Change: while the router is overloaded, a body may take the time for which the caller says that it waits, less the link's delay; then the request is refused overdue_unsent (503, not run). Elsewhere nothing changes.

--- /dev/null
+++ b/internal/callers/bodytime_test.go
@@ -0,0 +1,63 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/request"
+)
+
+// Guards against a request whose body the saturated link brings too late for its caller, and that gets no answer
+// meanwhile, and against a limit that outlasts the body.
+func TestBodyThatIsLateIsRefused(t *testing.T) {
+	c := qt.New(t)
+	served := make(chan string, 3)
+	protocol := Protocol{
+		Decode: func(_ *http.Request, body []byte, _ time.Time, _ *policy.Policy) (*request.Request, *forward.Refusal) {
+			return &request.Request{Body: body}, nil
+		},
+		TimeLeft:    func(http.Header) time.Duration { return time.Second },
+		RefusalBody: func(r forward.Refusal, _ *request.Request) []byte { return []byte(r.Cause) },
+	}
+	router := Router{
+		ShuttingDown: func() bool { return false }, MaxBodyBytes: func() int64 { return 0 }, Policy: func() *policy.Policy { return nil },
+		BodyTime: func(timeLeft time.Duration) time.Duration { return timeLeft / 10 },
+		Refuse:   func(_ *request.Request, caller forward.Caller, refusal forward.Refusal) { caller.Refuse(refusal) },
+	}
+	router.Serve = func(_ context.Context, r *request.Request, caller forward.Caller) {
+		served <- string(r.Body)
+		time.Sleep(150 * time.Millisecond) // longer than the body may take
+		_ = caller.Answer(http.StatusOK, http.Header{}, nil)
+	}
+	server := httptest.NewServer(NewHandler(protocol, router))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }() // the server may have closed it
+	answers := bufio.NewReader(conn)
+	send := func(body string) *http.Response {
+		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n%s", body)
+		c.Assert(err, qt.IsNil)
+		response, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		_ = response.Body.Close() // only the status is needed
+		return response
+	}
+	for range 2 {
+		c.Assert(send("body").StatusCode, qt.Equals, http.StatusOK)
+	}
+	late := send("bo")
+	c.Assert(late.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(late.Close, qt.IsTrue)
+	c.Assert(served, qt.HasLen, 2)
+}
--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -32,6 +33,9 @@
 	Resolve func(domain, caller string) []string
 	// EntryTTL is how long callers may cache the result of Resolve.
 	EntryTTL time.Duration
+	// BodyTime returns how long the body of a request may take to arrive whose caller waits for timeLeft; 0:
+	// no limit. Nil: never a limit.
+	BodyTime func(timeLeft time.Duration) time.Duration
 	// OnNewEra registers a function that is called when the store has lost writes.
 	OnNewEra func(observe func(store.Era))
 }
@@ -41,6 +45,8 @@
 	// Decode converts an HTTP request and its body. The returned request has at least its ID,
 	// even if there is a refusal.
 	Decode func(req *http.Request, body []byte, arrived time.Time, p *policy.Policy) (*request.Request, *forward.Refusal)
+	// TimeLeft returns how long the caller of a request still waits, 0 if it does not say. Nil: it never says.
+	TimeLeft func(header http.Header) time.Duration
 	// RequestIDHeader is the answer's header for the request ID.
 	RequestIDHeader string
 	// StrippedHeaders are headers of backend servers' answers that callers don't get, in
@@ -58,13 +64,16 @@
 		if router.ShuttingDown() {
 			w.Header().Set("Connection", "close")
 		}
-		body, err := readBody(w, req, router.MaxBodyBytes())
+		body, err := readBodyInTime(w, req, router.MaxBodyBytes(), bodyTime(p, router, req))
 		r, refusal := p.Decode(req, body, arrived, router.Policy())
 		caller.request = r
 		w.Header().Set(p.RequestIDHeader, r.ID)
 		switch {
 		case isTooLarge(err):
 			router.Refuse(r, caller, forward.Refusal{Cause: forward.BodyTooLarge})
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			w.Header().Set("Connection", "close") // the rest of the body may still come
+			router.Refuse(r, caller, forward.NewRefusal(forward.OverdueUnsent))
 		case err != nil:
 			caller.Abort() // the caller has disconnected
 		case refusal != nil:
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -141,3 +141,15 @@
 	}
 	n.log.Emit(number, slog.String(event.KeyRouter, example), slog.Int("overloaded", overloaded), n.listAge(now))
 }
+
+// minBodyTime is the shortest time for the body of a request to arrive: one round trip over a saturated link.
+const minBodyTime = 150 * time.Millisecond
+
+// bodyTime returns how long the body of a request may take to arrive whose caller waits for timeLeft; 0: no
+// limit. While this router is overloaded, it is refused in time for the refusal to reach the caller.
+func (n *Node) bodyTime(timeLeft time.Duration) time.Duration {
+	if timeLeft <= 0 || !n.intake.overloaded.Load() {
+		return 0
+	}
+	return max(timeLeft-n.link.Delay(), minBodyTime)
+}
