Tests of intake see the cap on bursts, the length of an overload and a body's limit that is not lifted

A burst of 200 ms beside a load of 0.1 is exactly at the threshold, so the test has 0.05 beside it. A change of overload alone keeps the version of the list of routers: a test of its own.

--- a/internal/callers/bodytime_test.go
+++ b/internal/callers/bodytime_test.go
@@ -21,7 +21,7 @@
 // meanwhile, and against a limit that outlasts the body.
 func TestBodyThatIsLateIsRefused(t *testing.T) {
 	c := qt.New(t)
-	served := make(chan string, 3)
+	ended := make(chan error, 3) // of the requests' contexts
 	protocol := Protocol{
 		Decode: func(_ *http.Request, body []byte, _ time.Time, _ *policy.Policy) (*request.Request, *forward.Refusal) {
 			return &request.Request{Body: body}, nil
@@ -34,9 +34,9 @@
 		BodyTime: func(timeLeft time.Duration) time.Duration { return timeLeft / 10 },
 		Refuse:   func(_ *request.Request, caller forward.Caller, refusal forward.Refusal) { caller.Refuse(refusal) },
 	}
-	router.Serve = func(_ context.Context, r *request.Request, caller forward.Caller) {
-		served <- string(r.Body)
+	router.Serve = func(ctx context.Context, _ *request.Request, caller forward.Caller) {
 		time.Sleep(150 * time.Millisecond) // longer than the body may take
+		ended <- ctx.Err()
 		_ = caller.Answer(http.StatusOK, http.Header{}, nil)
 	}
 	server := httptest.NewServer(NewHandler(protocol, router))
@@ -45,19 +45,20 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }() // the server may have closed it
 	answers := bufio.NewReader(conn)
-	send := func(body string) *http.Response {
-		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n%s", body)
+	send := func(length int, body string) *http.Response {
+		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body)
 		c.Assert(err, qt.IsNil)
 		response, err := http.ReadResponse(answers, nil)
 		c.Assert(err, qt.IsNil)
 		_ = response.Body.Close() // only the status is needed
 		return response
 	}
-	for range 2 {
-		c.Assert(send("body").StatusCode, qt.Equals, http.StatusOK)
+	for _, body := range []string{"body", "", "body"} {
+		c.Assert(send(len(body), body).StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(<-ended, qt.IsNil)
 	}
-	late := send("bo")
+	late := send(4, "bo")
 	c.Assert(late.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(late.Close, qt.IsTrue)
-	c.Assert(served, qt.HasLen, 2)
+	c.Assert(ended, qt.HasLen, 0)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -315,3 +315,20 @@
 	r.MarkLeaving(server) // a late answer of the former process
 	qt.Assert(t, r.View().Total, qt.Equals, 1)
 }
+
+// Guards against grantors of fragile servers that hold back permits whenever a router is overloaded, and against a
+// list that does not show it.
+func TestOverloadKeepsVersionOfMembers(t *testing.T) {
+	m, _ := newMembers()
+	overloaded := false
+	m.decode = func(item store.Item) (Member, error) {
+		return Member{Name: string(item.Value), Overloaded: overloaded}, nil
+	}
+	m.Reset([]store.Item{memberItem("a"), memberItem("b")}, store.Silence{})
+	_, before := m.Snapshot()
+	overloaded = true
+	m.Apply([]store.Event{{Item: memberItem("a")}}, store.Silence{})
+	list, after := m.Snapshot()
+	qt.Assert(t, after, qt.Equals, before)
+	qt.Assert(t, list, qt.DeepEquals, []Member{{Name: "a", Overloaded: true}, {Name: "b"}})
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -45,9 +45,10 @@
 	w := newWorld(linkMbps)
 	for range 20 {
 		w.run(200*time.Millisecond, 1, 0)
-		w.run(200*time.Millisecond, 0.1, 0)
+		w.run(200*time.Millisecond, 0.05, 0)
 		w.run(Interval, 40, 0) // what a link that was idle lets through at once
-		w.run(window, 0.1, 0)
+		w.run(window, 0.05, 0)
+		qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
 	}
 	w.run(time.Minute, 0.6, 140*time.Millisecond)
 	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
@@ -61,7 +62,7 @@
 	qt.Assert(t, w.run(5*time.Second, 0.95, 5*time.Millisecond) <= window+Interval, qt.IsTrue)
 	qt.Assert(t, w.gauge.Last().Cause, qt.Equals, LinkTaken)
 	qt.Assert(t, w.gauge.Last().BytesPerSecond > 1_100_000, qt.IsTrue)
-	w.run(Hold, 0.3, 5*time.Millisecond)
+	w.run(12*time.Second, 0.3, 5*time.Millisecond)
 	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsTrue)
 	w.run(window, 0.3, 5*time.Millisecond)
 	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
