--- a/internal/callers/bodytime_test.go
+++ b/internal/callers/bodytime_test.go
@@ -44,21 +44,16 @@
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close() }() // the server may have closed it
-	answers := bufio.NewReader(conn)
-	send := func(length int, body string) *http.Response {
-		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	for i, body := range []string{"body", "", "bo"} {
+		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", []int{4, 0, 4}[i], body)
 		c.Assert(err, qt.IsNil)
-		response, err := http.ReadResponse(answers, nil)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		c.Assert(err, qt.IsNil)
 		_ = response.Body.Close() // only the status is needed
-		return response
+		late := i == 2
+		c.Assert(response.StatusCode, qt.Equals, map[bool]int{false: http.StatusOK, true: http.StatusServiceUnavailable}[late])
+		c.Assert(response.Close, qt.Equals, late)
+		c.Assert(late || <-ended == nil, qt.IsTrue)
 	}
-	for _, body := range []string{"body", "", "body"} {
-		c.Assert(send(len(body), body).StatusCode, qt.Equals, http.StatusOK)
-		c.Assert(<-ended, qt.IsNil)
-	}
-	late := send(4, "bo")
-	c.Assert(late.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(late.Close, qt.IsTrue)
 	c.Assert(ended, qt.HasLen, 0)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,93 +9,50 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// linkMbps is the link of the tests: 1,250,000 bytes per second.
-const linkMbps = 10
+// frozen is the share of a phase in which the process takes no samples.
+const frozen = -1
 
-// world feeds a gauge in virtual time.
-type world struct {
-	gauge    *Gauge
-	now      time.Time
-	received int64
+// phase is a time in which callers take a share of a link of 10 Mbit/s. cause is that of the overload at its
+// end, "" if there is none.
+type phase struct {
+	length time.Duration
+	share  float64
+	delay  time.Duration
+	cause  Cause
 }
 
-func newWorld(mbps float64) *world {
-	w := &world{gauge: NewGauge(mbps), now: time.Unix(1_800_000_000, 0)}
-	w.gauge.Observe(Sample{At: w.now})
-	return w
-}
-
-// run lets callers take a share of the link for some time and returns how long it took until the router was
-// overloaded; if it was not, the whole time.
-func (w *world) run(d time.Duration, share float64, delay time.Duration) time.Duration {
-	start, overloadedAfter := w.now, d
-	for w.now.Sub(start) < d {
-		w.now = w.now.Add(Interval)
-		w.received += int64(share * linkMbps * 1e6 / 8 * Interval.Seconds())
-		w.gauge.Observe(Sample{At: w.now, Received: w.received, Delay: delay})
-		if w.gauge.Overloaded(w.now) {
-			overloadedAfter = min(overloadedAfter, w.now.Sub(start))
+func TestOverload(t *testing.T) {
+	const ms, s = time.Millisecond, time.Second
+	for name, test := range map[string]struct {
+		linkMbps float64
+		phases   []phase
+	}{
+		// Guards against callers sent away for a burst that does no harm, or that an idle link lets through at once.
+		"short bursts": {10, []phase{{200 * ms, 1, 0, ""}, {200 * ms, 0.05, 0, ""}, {Interval, 40, 0, ""}, {window, 0.05, 0, ""}, {200 * ms, 1, 0, ""},
+			{time.Minute, 0.6, 140 * ms, ""}}},
+		// Guards against an account that fills the link all day, and callers that return before it has moved.
+		"one account": {10, []phase{{10 * s, 0.3, 5 * ms, ""}, {window + Interval, 0.95, 5 * ms, LinkTaken}, {12 * s, 0.3, 5 * ms, LinkTaken}, {window, 0.3, 5 * ms, ""}}},
+		// Guards against a link saturated by callers and servers together, and blaming callers if it is without them.
+		"saturated link": {10, []phase{{5 * s, 0.3, 400 * ms, ""}, {window + Interval, 0.5, 200 * ms, LinkSaturated}}},
+		// Guards against blaming callers for bytes that piled up in a freeze, and an overload that outlasts one.
+		"freeze": {10, []phase{{s, 0.3, 0, ""}, {3 * s, frozen, 0, ""}, {Interval, 80, s, ""}, {window - Interval, 0.3, s, ""}, {s, 1, 0, LinkTaken}, {12 * s, frozen, 0, ""}}},
+		// Guards against a router of unknown link that refuses readiness.
+		"no setting": {0, []phase{{10 * s, 50, s, ""}}},
+	} {
+		gauge, now, received := NewGauge(test.linkMbps), time.Unix(1_800_000_000, 0), 0.0
+		gauge.Observe(Sample{At: now})
+		for i, p := range test.phases {
+			for end := now.Add(p.length); now.Before(end); {
+				now = now.Add(Interval)
+				received += max(0, p.share) * 10e6 / 8 * Interval.Seconds()
+				if p.share != frozen {
+					gauge.Observe(Sample{At: now, Received: int64(received), Delay: p.delay})
+				}
+			}
+			qt.Check(t, gauge.Overloaded(now), qt.Equals, p.cause != "", qt.Commentf("%s, phase %d", name, i))
+			qt.Check(t, p.cause == "" || gauge.Last().Cause == p.cause, qt.IsTrue, qt.Commentf("%s, phase %d", name, i))
 		}
 	}
-	return overloadedAfter
-}
-
-// Guards against a router that sends callers away for a burst that its link carries without harm.
-func TestBurstShorterThanWindowIsNoOverload(t *testing.T) {
-	w := newWorld(linkMbps)
-	for range 20 {
-		w.run(200*time.Millisecond, 1, 0)
-		w.run(200*time.Millisecond, 0.05, 0)
-		w.run(Interval, 40, 0) // what a link that was idle lets through at once
-		w.run(window, 0.05, 0)
-		qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
-	}
-	w.run(time.Minute, 0.6, 140*time.Millisecond)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
-}
-
-// Guards against an account that saturates the link for as long as it sends, and against callers that return
-// before it has moved to another router.
-func TestAccountThatFillsLinkIsOverload(t *testing.T) {
-	w := newWorld(linkMbps)
-	w.run(10*time.Second, 0.3, 5*time.Millisecond)
-	qt.Assert(t, w.run(5*time.Second, 0.95, 5*time.Millisecond) <= window+Interval, qt.IsTrue)
-	qt.Assert(t, w.gauge.Last().Cause, qt.Equals, LinkTaken)
-	qt.Assert(t, w.gauge.Last().BytesPerSecond > 1_100_000, qt.IsTrue)
-	w.run(12*time.Second, 0.3, 5*time.Millisecond)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsTrue)
-	w.run(window, 0.3, 5*time.Millisecond)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
-}
-
-// Guards against a link saturated by callers and servers together, and against blaming callers for one that is
-// saturated without them.
-func TestSaturatedLinkIsOverloadIfCallersTakeMuchOfIt(t *testing.T) {
-	w := newWorld(linkMbps)
-	w.run(5*time.Second, 0.3, 400*time.Millisecond)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
-	qt.Assert(t, w.run(time.Second, 0.5, 200*time.Millisecond) <= window+Interval, qt.IsTrue)
-	qt.Assert(t, w.gauge.Last().Cause, qt.Equals, LinkSaturated)
-}
-
-// Guards against bytes that piled up while the process was frozen, and against an overload that outlasts a freeze.
-func TestFreezeIsNoOverload(t *testing.T) {
-	w := newWorld(linkMbps)
-	w.run(time.Second, 0.3, 0)
-	w.now = w.now.Add(3 * time.Second)
-	w.run(Interval, 80, time.Second)
-	w.run(window-Interval, 0.3, time.Second)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
-	w.run(time.Second, 1, 0)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsTrue)
-	qt.Assert(t, w.gauge.Overloaded(w.now.Add(Hold)), qt.IsFalse)
-}
-
-// Guards against a router of unknown link that refuses readiness.
-func TestUnknownLinkIsNeverOverloaded(t *testing.T) {
-	w := newWorld(0)
-	w.run(10*time.Second, 50, time.Second)
-	qt.Assert(t, w.gauge.Overloaded(w.now), qt.IsFalse)
 }
 
 // Guards against bytes that bypass the count, and against connections that lose the methods of TCP connections.
@@ -104,23 +61,20 @@
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	l := &Listener{TCPListener: plain.(*net.TCPListener)}
-	defer func() { c.Check(l.Close(), qt.IsNil) }()
-	for _, read := range []func(net.Conn) error{
-		func(conn net.Conn) error { _, err := io.ReadAll(conn); return err },
-		func(conn net.Conn) error { _, err := io.Copy(io.Discard, conn); return err },
-	} {
-		before := l.Received()
+	defer func() { _ = plain.Close() }() // the test is over
+	for i := range int64(2) {
 		caller, err := net.Dial("tcp", l.Addr().String())
 		c.Assert(err, qt.IsNil)
 		accepted, err := l.Accept()
 		c.Assert(err, qt.IsNil)
 		_, err = caller.Write(make([]byte, 10_000))
 		c.Assert(err, qt.IsNil)
-		c.Assert(caller.Close(), qt.IsNil)
-		c.Assert(read(accepted), qt.IsNil)
-		c.Assert(l.Received()-before, qt.Equals, int64(10_000))
-		_, ok := accepted.(interface{ CloseWrite() error })
-		c.Assert(ok, qt.IsTrue)
+		c.Assert(caller.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		source := []io.Reader{accepted, struct{ io.Reader }{accepted}}[i] // with WriterTo and without
+		_, err = io.Copy(io.Discard, source)
+		c.Assert(err, qt.IsNil)
+		c.Assert(l.Received(), qt.Equals, 10_000*(i+1))
+		c.Assert(accepted.(interface{ CloseWrite() error }).CloseWrite(), qt.IsNil)
 		c.Assert(accepted.Close(), qt.IsNil)
 	}
 }
--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -24,6 +24,7 @@
 		s, err := ParseSettings([]byte(strings.Replace(validSettings, "[listen]", lines+"[listen]", 1)))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, s.Capacity, qt.Equals, want)
+		qt.Assert(t, s.LinkMbps > 0, qt.Equals, strings.Contains(lines, "link"), qt.Commentf("an unknown link is no limit"))
 	}
 }
 
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -38,15 +38,6 @@
 	qt.Assert(t, s.RetryExtra, qt.Equals, 54.0)
 }
 
-// Guards against a router without a known link that takes any traffic for an overload.
-func TestLinkRateIsOptional(t *testing.T) {
-	for lines, want := range map[string]float64{"": 0, "link_mbps = 10.0\n": 10} {
-		s, err := ParseSettings([]byte(strings.Replace(validSettings, "[listen]", lines+"[listen]", 1)))
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, s.LinkMbps, qt.Equals, want)
-	}
-}
-
 // The error for an invalid setting names its section and key.
 func TestParseSettingsErrorNamesKey(t *testing.T) {
 	for _, test := range []struct{ from, to, want string }{
