--- /dev/null
+++ b/internal/entry/overload_test.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"chicorytiller.example/chicorytiller/internal/fixedseed"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Main(m, nil)
+}
+
+// router returns a router whose failure domain is the first letter of its name.
+func router(name string, capacity float64, overloaded bool) fleet.Member {
+	return fleet.Member{Name: name, Address: name, Domain: name[:1], Capacity: capacity, Overloaded: overloaded}
+}
+
+// Guards against an account that saturates one small router after the other, and against a domain whose routers
+// are all in standby for one that is as small as they are.
+func TestSmallRoutersStandByWhileOneIsOverloaded(t *testing.T) {
+	members := []fleet.Member{router("a1", 0.04, true), router("a2", 0.05, false), router("a3", 0.2, false), router("b1", 0.04, false)}
+	for i, standby := range []bool{false, true, false, false} {
+		qt.Check(t, Standby(members, members[i]), qt.Equals, standby)
+	}
+	qt.Check(t, Standby(members[:2], members[1]), qt.IsFalse)
+}
+
+// Guards against callers that are sent out of their failure domain without need, or nowhere.
+func TestOverloadedRoutersAreOmitted(t *testing.T) {
+	members := []fleet.Member{router("a1", 0.8, false), router("a2", 0.8, false), router("a3", 0.8, false), router("b1", 0.8, false), router("b2", 0.8, false)}
+	for i, want := range []string{"a1 a2 a3", "a2 a3", "a3 b.", "b. b.", "b2", "a1 a2 a3"} {
+		qt.Check(t, fmt.Sprint(Choose(members, "a", "caller")), qt.Matches, `\[`+want+`\]`)
+		members[min(i, len(members)-1)].Overloaded = true
+	}
+}
+
+// Guards against a failure domain, or a fleet, in which no router takes callers although one could, and against
+// callers that are sent to a router which takes none.
+func TestAReadyRouterIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fleet.Member {
+			domain := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain")
+			return router(domain, rapid.SampledFrom([]float64{0, 0.04, 0.05, 0.07, 0.1, 0.8}).Draw(t, "capacity"), rapid.Bool().Draw(t, "overloaded"))
+		}), 1, 8).Draw(t, "members")
+		for i := range members {
+			members[i].Name, members[i].Address = fmt.Sprint(i), fmt.Sprint(i)
+		}
+		free, ready, addresses, unconfirmed := map[string]bool{}, map[string]bool{}, map[string]bool{}, 0
+		for _, m := range members {
+			free[m.Domain] = free[m.Domain] || !m.Overloaded
+			if !Standby(members, m) && !Withdraws(members, m) {
+				addresses[m.Address] = true
+				ready[m.Domain] = ready[m.Domain] || !m.Overloaded
+			}
+			if !WithdrawsUnconfirmed(members, m) {
+				unconfirmed++
+			}
+		}
+		chosen := Choose(members, "a", "caller")
+		unready := slices.ContainsFunc(chosen, func(address string) bool { return !addresses[address] })
+		if len(chosen) == 0 || unready || len(addresses) == 0 || unconfirmed == 0 || ready["a"] != free["a"] || ready["b"] != free["b"] {
+			t.Fatalf("%v: chosen %v, ready %v", members, chosen, addresses)
+		}
+	})
+}
