Only overloaded routers withdraw, for thirty seconds, and at most a third of a failure domain

Standby is gone. A router withdraws while at most a third of its domain's routers do, the smallest first.

--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -2,69 +2,62 @@
 
 import "chicorytiller.example/chicorytiller/internal/fleet"
 
-// nextCapacityFactor is how many times the capacity of an overloaded router another one may have to be
-// overloaded by the same callers if they move there. Routers of one size differ by less.
-const nextCapacityFactor = 1.5
+// largerCapacityFactor is how many times the capacity of an overloaded router another one must have to be
+// certain to carry its callers. Routers of one size differ by less.
+const largerCapacityFactor = 1.5
 
-// standbyLimits returns, by failure domain, the capacity up to which routers are in standby, and no entry for
-// domains without any: nextCapacityFactor times that of an overloaded router, if a router that is not
-// overloaded has more. That one is larger than all in standby, so that the largest router of a domain that is
-// not overloaded is never in standby.
-func standbyLimits(members []fleet.Member) map[string]float64 {
-	largest := make(map[string]float64)
-	for _, m := range members {
-		if !m.Overloaded {
-			largest[m.Domain] = max(largest[m.Domain], m.Capacity)
-		}
+// maxWithdrawnShare is the share of a failure domain's routers that may withdraw. Platforms ignore readiness
+// where most routers of a place are not ready, and callers then stay at the overloaded one.
+const maxWithdrawnShare = 1.0 / 3
+
+// Withdraws reports whether an overloaded router takes no new callers, because another one is not overloaded
+// and at most maxWithdrawnShare of its failure domain's routers are, those with the smallest capacity first.
+// One may always withdraw.
+func Withdraws(members []fleet.Member, self fleet.Member) bool {
+	if !self.Overloaded {
+		return false
 	}
-	limits := make(map[string]float64)
+	anyOther, domainSize, before := false, 1, 0
 	for _, m := range members {
-		limit := nextCapacityFactor * m.Capacity
-		if m.Overloaded && limit < largest[m.Domain] {
-			limits[m.Domain] = max(limits[m.Domain], limit)
+		if m.Name == self.Name {
+			continue
+		}
+		anyOther = anyOther || !m.Overloaded
+		if m.Domain != self.Domain {
+			continue
+		}
+		domainSize++
+		if m.Overloaded && withdrawsBefore(m, self) {
+			before++
 		}
 	}
-	return limits
-}
-
-func isStandby(m fleet.Member, limits map[string]float64) bool {
-	limit, any := limits[m.Domain]
-	return any && !m.Overloaded && m.Capacity <= limit
+	return anyOther && before < max(1, int(maxWithdrawnShare*float64(domainSize)))
 }
 
-// Standby reports whether a router that is not overloaded takes no new callers, because those that overload
-// another one of its failure domain would overload it next, while a larger one there can take them.
-func Standby(members []fleet.Member, self fleet.Member) bool {
-	return isStandby(self, standbyLimits(members))
-}
-
-// Withdraws reports whether an overloaded router takes no new callers, because another one is not overloaded.
-func Withdraws(members []fleet.Member, self fleet.Member) bool {
-	for _, m := range members {
-		if m.Name != self.Name && !m.Overloaded {
-			return self.Overloaded
-		}
+// withdrawsBefore orders the overloaded routers of a failure domain.
+func withdrawsBefore(a, b fleet.Member) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity < b.Capacity
 	}
-	return false
+	return a.Name < b.Name
 }
 
 // WithdrawsUnconfirmed is Withdraws for a router that does not know which others are overloaded. It withdraws
 // only for a larger one: if each did for any other, none might be left.
 func WithdrawsUnconfirmed(members []fleet.Member, self fleet.Member) bool {
 	for _, m := range members {
-		if m.Name != self.Name && m.Capacity > nextCapacityFactor*self.Capacity {
+		if m.Name != self.Name && m.Capacity > largerCapacityFactor*self.Capacity {
 			return self.Overloaded
 		}
 	}
 	return false
 }
 
-// readyMembers returns the members that are neither overloaded nor in standby.
+// readyMembers returns the members that are not overloaded.
 func readyMembers(members []fleet.Member) []fleet.Member {
-	limits := standbyLimits(members)
 	ready := make([]fleet.Member, 0, len(members))
 	for _, m := range members {
-		if !m.Overloaded && !isStandby(m, limits) {
+		if !m.Overloaded {
 			ready = append(ready, m)
 		}
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,10 +85,6 @@
 	// RouterOverloaded: bytes of callers overload this router's own link; OverloadEnded: they no longer do.
 	RouterOverloaded Number = 605
 	OverloadEnded    Number = 606
-	// StandbyEntered: this router takes no new callers, who would come from an overloaded router;
-	// StandbyLeft: it takes them again.
-	StandbyEntered Number = 607
-	StandbyLeft    Number = 608
 	// OverloadReadiness: an overloaded router takes new callers again, since no other can, or no longer.
 	OverloadReadiness Number = 609
 )
@@ -190,8 +186,6 @@
 	{PeerLeft, slog.LevelInfo, "peer left"},
 	{RouterOverloaded, slog.LevelWarn, "router overloaded by bytes of callers"},
 	{OverloadEnded, slog.LevelInfo, "router no longer overloaded"},
-	{StandbyEntered, slog.LevelInfo, "router in standby"},
-	{StandbyLeft, slog.LevelInfo, "router no longer in standby"},
 	{OverloadReadiness, slog.LevelInfo, "readiness of an overloaded router changed"},
 	{BackendFound, slog.LevelInfo, "backend server found"},
 	{DomainEvacuated, slog.LevelWarn, "failure domain evacuated"},
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,9 +17,9 @@
 	saturatedShare = 0.4
 	// saturatedDelay is the round-trip time of a saturated link, far above that between failure domains.
 	saturatedDelay = 150 * time.Millisecond
-	// Hold is how long an overload lasts beyond its last cause. With 3 s callers returned to the same
-	// router and saturated it again.
-	Hold = 12 * time.Second
+	// Hold is how long an overload lasts beyond its last cause. When it ends the same callers return and
+	// saturate the link again, and go without answers until they have left once more, for some three seconds.
+	Hold = 30 * time.Second
 	// maxSampleGap is the longest time between two samples that belong to one window. The bytes of a
 	// longer gap have come while this process or its VM was frozen, and say nothing about the link now.
 	maxSampleGap = time.Second
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/entry"
 	"chicorytiller.example/chicorytiller/internal/event"
-	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/intake"
 )
 
@@ -20,7 +18,6 @@
 	listener   *intake.Listener // for callers; nil before Listen
 	overloaded atomic.Bool      // callers' bytes overload the own link
 	withdrawn  atomic.Bool      // not ready: overloaded, and another router is not
-	standby    atomic.Bool      // not ready: the callers of an overloaded router would overload it next
 	changed    chan struct{}    // has a value when overloaded has changed, for maintainEntry
 }
 
@@ -38,7 +35,7 @@
 
 // acceptsNew reports whether the router takes new callers.
 func (s *intakeState) acceptsNew() bool {
-	return !s.withdrawn.Load() && !s.standby.Load()
+	return !s.withdrawn.Load()
 }
 
 // watchIntake decides whether this router takes new callers, until ctx is done.
@@ -102,44 +99,20 @@
 	return known && age <= intake.Hold
 }
 
-// updateReadiness decides whether this router withdraws or is in standby. overloadChanged says that its own
-// overload has just begun or ended, which is logged on its own.
+// updateReadiness decides whether this router withdraws. overloadChanged says that its own overload has just
+// begun or ended, which is logged on its own.
 func (n *Node) updateReadiness(now time.Time, overloadChanged bool) {
 	members, _ := n.members.Snapshot()
 	self, known := n.self(), n.overloadsKnown(now)
-	withdrawn, standby := false, false
-	switch {
-	case self.Overloaded && known:
+	withdrawn := false
+	if known {
 		withdrawn = entry.Withdraws(members, self)
-	case self.Overloaded:
+	} else {
 		withdrawn = entry.WithdrawsUnconfirmed(members, self)
-	case known && slices.ContainsFunc(members, isOverloaded):
-		standby = entry.Standby(n.withSelf(members, false), self)
 	}
 	if n.intake.withdrawn.Swap(withdrawn) != withdrawn && !overloadChanged {
 		n.log.Emit(event.OverloadReadiness, slog.Bool("ready", n.Ready()), n.listAge(now))
 	}
-	if n.intake.standby.Swap(standby) != standby {
-		n.logStandby(members, standby, now)
-	}
-}
-
-func isOverloaded(m fleet.Member) bool {
-	return m.Overloaded
-}
-
-func (n *Node) logStandby(members []fleet.Member, standby bool, now time.Time) {
-	number, overloaded, example := event.StandbyLeft, 0, ""
-	if standby {
-		number = event.StandbyEntered
-	}
-	for _, m := range members {
-		if m.Overloaded && m.Domain == n.settings.FailureDomain && m.Name != n.settings.VM {
-			overloaded++
-			example = m.Name
-		}
-	}
-	n.log.Emit(number, slog.String(event.KeyRouter, example), slog.Int("overloaded", overloaded), n.listAge(now))
 }
 
 // minBodyTime is the shortest time for the body of a request to arrive: one round trip over a saturated link.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -182,8 +182,7 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chicory_caller_bytes_total", Help: "Bytes received from callers."},
 			func() float64 { return float64(s.received()) }),
 		gauge("chicory_overloaded", "1: callers' bytes overload this VM's own link.", s.overloaded.Load),
-		gauge("chicory_standby", "1: not ready for new callers, who would come from an overloaded router.", s.standby.Load),
-		gauge("chicory_accepts_new_callers", "0: overloaded or in standby while another router is not.", s.acceptsNew))
+		gauge("chicory_accepts_new_callers", "0: overloaded while another router is not.", s.acceptsNew))
 }
 
 // Served implements forward.Metrics.
