Read the pace that backend servers report

Servers of some deployments report a fourth figure with their load: how long work takes now, in percent of the normal time. The parser wanted exactly three figures and dropped the whole report, so that routers counted only their own requests there.

fleet.Load.Pace holds the figure. A pace that is not a positive number, or is over 100,000, is ignored and the rest is used; figures after the fourth are ignored. chicory_load_report_faults_total counts each fault. Nothing uses the pace yet.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -37,6 +37,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the server now, in percent of the normal time; 0 if not reported.
+	Pace float64
 }
 
 // RateState says whether an answer announces a rate.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,8 @@
 	Served(firstByte, total time.Duration)
 	Refused(cause Cause)
 	Retried(reason string)
+	// LoadFault counts an invalid load report of a server.
+	LoadFault(upstream.LoadFault)
 }
 
 // Forwarder serves requests. Its fields must not change while it is in use.
--- a/internal/forward/selfreport.go
+++ b/internal/forward/selfreport.go
@@ -14,6 +14,9 @@
 	if reply.HasLoad {
 		server.SetLoad(reply.Load, now)
 	}
+	if reply.LoadFault != "" {
+		f.Metrics.LoadFault(reply.LoadFault)
+	}
 	server.MarkCold(now, reply.ColdFor)
 	server.MarkUnavailable(now, reply.RetryAfter)
 	f.RateLimits.ObserveResponse(server.Incarnation, reply.RateLimit, sent)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -14,6 +14,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/store"
+	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
 // Metrics holds the Prometheus metrics of one router. It implements forward.Metrics.
@@ -33,6 +34,7 @@
 	streamRecords *prometheus.CounterVec
 	crashReports  *prometheus.CounterVec
 	permits       *prometheus.CounterVec
+	loadFaults    *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -66,6 +68,9 @@
 		Help: "Reports of crashes of backend servers handed to other routers directly, by outcome."}, []string{"outcome"})
 	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_permits_total",
 		Help: "Permits for requests to fragile servers that this router asked for, by outcome."}, []string{"outcome"})
+	m.loadFaults = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_load_report_faults_total",
+		Help: "Invalid load reports of backend servers, by fault."}, []string{"fault"})
+	m.registry.MustRegister(m.loadFaults)
 	m.registry.MustRegister(m.resumed, m.streamRecords, m.crashReports, m.permits)
 	m.recent = make(map[string]int)
 	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.storeEra, m.stale)
@@ -184,6 +189,11 @@
 	m.retried.WithLabelValues(reason).Inc()
 }
 
+// LoadFault implements forward.Metrics.
+func (m *Metrics) LoadFault(fault upstream.LoadFault) {
+	m.loadFaults.WithLabelValues(string(fault)).Inc()
+}
+
 // Values of the label "outcome" of storeCalls.
 const (
 	outcomeAnswered = "answered"
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -39,6 +39,8 @@
 	NotExecuted bool
 	Load        fleet.Load
 	HasLoad     bool
+	// LoadFault is what is wrong with the load report; empty if it is valid or missing.
+	LoadFault LoadFault
 	// ColdFor is how much longer the server will be cold; zero if it is warm.
 	ColdFor time.Duration
 	// RateLimit is the limit on requests that the server sets. Its State tells a missing header
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -20,7 +20,7 @@
 	Account      string // of requests: the client account that pays
 	Priority     string // of requests: 0 (highest) to 9
 	NotExecuted  string // of responses: the server did not run the request
-	Load         string // of responses: numbers of running and waiting requests and of slots
+	Load         string // of responses: numbers of running and waiting requests and of slots, and the pace
 	Cold         string // of responses: how much longer the server will be cold, in ms
 	RateLimit    string // of responses: requests per second that the server accepts from all routers together
 	Fragile      string // of responses: requests per second that the server can reject without crashing
@@ -90,7 +90,7 @@
 		NotExecuted: header.Get(c.Names.NotExecuted) != "",
 		KeepAlive:   parseKeepAlive(header.Get("Keep-Alive")),
 	}
-	meta.Load, meta.HasLoad = parseLoad(header.Get(c.Names.Load))
+	meta.Load, meta.HasLoad, meta.LoadFault = parseLoad(header.Get(c.Names.Load))
 	if c.Names.Cold != "" {
 		meta.ColdFor = parseColdTime(header.Get(c.Names.Cold))
 	}
@@ -165,13 +165,48 @@
 	return rate
 }
 
-// parseLoad parses "running,waiting,slots".
-func parseLoad(value string) (fleet.Load, bool) {
-	numbers, ok := ParseNumbers(value, 3)
+// LoadFault names what is wrong with a load report.
+type LoadFault string
+
+const (
+	// LoadUnreadable: the report has fewer than three valid figures and is dropped.
+	LoadUnreadable LoadFault = "unreadable"
+	// LoadPaceInvalid: the pace is ignored.
+	LoadPaceInvalid LoadFault = "pace"
+	// LoadTooLong: figures after the fourth are ignored.
+	LoadTooLong LoadFault = "too_long"
+)
+
+// maxPace is the highest pace in percent that is taken for one. Servers that share their machines take a few
+// times the normal time; a thousand times is an error in the report.
+const maxPace = 100_000
+
+// parseLoad parses "running,waiting,slots" or "running,waiting,slots,pace". fault is empty for a valid report
+// and if there is none.
+func parseLoad(value string) (load fleet.Load, ok bool, fault LoadFault) {
+	if strings.TrimSpace(value) == "" {
+		return fleet.Load{}, false, ""
+	}
+	counts, rest := value, []string(nil)
+	if fields := strings.SplitN(value, ",", 6); len(fields) > 3 {
+		counts, rest = strings.Join(fields[:3], ","), fields[3:]
+	}
+	numbers, ok := ParseNumbers(counts, 3)
 	if !ok {
-		return fleet.Load{}, false
+		return fleet.Load{}, false, LoadUnreadable
+	}
+	load = fleet.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	if len(rest) > 1 {
+		fault = LoadTooLong
+	}
+	if len(rest) > 0 {
+		pace, err := strconv.ParseFloat(strings.TrimSpace(rest[0]), 64)
+		if err != nil || !(pace > 0 && pace <= maxPace) {
+			return load, true, LoadPaceInvalid
+		}
+		load.Pace = pace
 	}
-	return fleet.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+	return load, true, fault
 }
 
 // ParseNumbers parses exactly n comma-separated non-negative integers.
