Choose servers by the pace that they report and show

The estimate of a server's cost assumed that all servers read 40 tokens per ms and had no notion of speed, so long prompts were read on servers that were slow at that moment, between the tokens of streams there.

Package predict keeps a server's recent tempo, from its reports and from the gaps of this router's streams there, which decays to its normal one within 0.6 s; the longest current pause of such a stream; and for the service the prefill rate, the normal gap and the share of slowed servers. From these it predicts the time to the first event, the pause, and what a prompt adds to the pauses of the streams at the server. A time near or beyond its goal costs up to twice the goal. It takes effect only while a service's servers report a pace. Servers that nothing is known about are no longer tried in the order of the list.

Tested with -race: internal/predict, internal/balance, internal/forward, internal/fleet, internal/upstream. Effect on a deployment not measured yet.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/predict"
 	"chicorytiller.example/chicorytiller/internal/request"
 )
 
@@ -60,6 +61,7 @@
 	domain string // failure domain of this router
 	pacer  Pacer
 	now    func() time.Time
+	model  *predict.Model
 
 	mu        sync.Mutex
 	sentParts map[serverPart]time.Time // when this router last sent a prompt part to a server
@@ -76,7 +78,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Chooser{domain: domain, pacer: pacer, now: now, sentParts: make(map[serverPart]time.Time)}
+	return &Chooser{domain: domain, pacer: pacer, now: now, model: predict.NewModel(), sentParts: make(map[serverPart]time.Time)}
 }
 
 // Choice is a server with its cost estimate for a request.
@@ -87,6 +89,11 @@
 	UncachedTokens float64
 	// CostMs is the estimated cost of sending the request to the server, in milliseconds.
 	CostMs float64
+	// Estimate has the components of the cost; zero if the service's servers report no pace.
+	predict.Estimate
+	// work is what the estimate is for.
+	work      predict.Work
+	predicted bool
 	// inBackoff is set if the server failed recently, paced if the pacer limits its requests.
 	inBackoff, paced bool
 }
@@ -109,7 +116,8 @@
 func (c *Chooser) bestChoice(servers []*fleet.Server, r *request.Request, homeServer *fleet.Server, excluded, canAcquire func(*fleet.Server) bool) Choice {
 	now := c.now()
 	best := Choice{}
-	for _, s := range servers {
+	prediction := c.prediction(r, now)
+	for i, s := range servers {
 		if excluded(s) {
 			continue
 		}
@@ -118,7 +126,12 @@
 			continue
 		}
 		status := s.Status(now)
-		choice := c.estimate(s, status, r, s == homeServer, now)
+		choice := Choice{}
+		if prediction.active {
+			choice = c.predict(&prediction, s, i, status, r, s == homeServer, now)
+		} else {
+			choice = c.estimate(s, status, r, s == homeServer, now)
+		}
 		choice.inBackoff, choice.paced = status.InBackoff, v.paced
 		if v.paced {
 			choice.CostMs += c.pacingAdjustment(s, now)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -94,13 +94,20 @@
 
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{20, 140, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			list, c, r := newServers(n), NewChooser("zone-1", unlimitedPacer{}, nil), newPromptRequest("subject")
-			b.ReportAllocs()
-			for b.Loop() {
-				c.Choose(list, r, excludeNone)
-			}
-		})
+		for _, paced := range []bool{false, true} {
+			b.Run(fmt.Sprint(n, "/pace=", paced), func(b *testing.B) {
+				list, c, r := newServers(n), NewChooser("zone-1", unlimitedPacer{}, nil), newPromptRequest("subject")
+				for i, s := range list {
+					if paced && i%3 == 0 {
+						c.ObserveLoad(s, fleet.Load{Running: 2, Slots: 32, Pace: 100})
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					c.Choose(list, r, excludeNone)
+				}
+			})
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/balance/predict.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/predict"
+	"chicorytiller.example/chicorytiller/internal/request"
+)
+
+// spreadMs is the range of a term that differs for each request and server. Without it, all routers send what
+// no server has in its cache to the first of the servers that they know nothing about.
+const spreadMs = 6
+
+// prediction is what the estimates of one choice have in common.
+type prediction struct {
+	active bool // the service's servers report a pace
+	params predict.Params
+	seed   uint64
+}
+
+func (c *Chooser) prediction(r *request.Request, now time.Time) prediction {
+	params, active := c.model.Params(c.model.Service(r.Service), now)
+	if !active {
+		return prediction{}
+	}
+	return prediction{active: true, params: params, seed: xxhash.Sum64String(r.ID)}
+}
+
+// predict estimates the cost of a request at the server with index i.
+func (c *Chooser) predict(p *prediction, s *fleet.Server, i int, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
+	choice := Choice{Server: s, predicted: true}
+	w := &choice.work
+	w.Own, w.Running, w.Slots, w.Queued, w.TokensPerEvent = status.Outstanding, status.Running, status.Slots, status.Prefill, r.TokensPerEvent
+	if r.Route != nil {
+		w.LatencyGoal, w.GapGoal = r.Route.LatencyGoal, r.Route.GapGoal
+	}
+	if r.HasTokenUsage {
+		w.Tokens = true
+		w.Unread = max(0, float64(r.PromptTokens-c.cachedTokens(s, r, isHome, now)))
+		choice.UncachedTokens = w.Unread
+	}
+	choice.Estimate = c.model.Estimate(&p.params, &s.Prediction, w, now)
+	choice.CostMs = choice.Estimate.CostMs + spreadMs*p.fraction(i)
+	if s.Domain != c.domain {
+		choice.CostMs += crossDomainMs
+	}
+	return choice
+}
+
+// fraction returns a pseudo-random number in [0, 1) for a server's index.
+func (p *prediction) fraction(i int) float64 {
+	x := (p.seed ^ uint64(i+1)) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>32) * 0xd6e8feb86659fd93
+	return float64(x>>11) / (1 << 53)
+}
+
+// Begin records that a request is sent to the chosen server. The result receives its events and must be ended.
+// It is nil if the service's servers report no pace.
+func (c *Chooser) Begin(choice Choice, r *request.Request) *predict.Stream {
+	if !choice.predicted {
+		return nil
+	}
+	return c.model.Begin(c.model.Service(r.Service), &choice.Server.Prediction, choice.work, choice.Estimate, c.now())
+}
+
+// ObserveLoad records the load and the pace that a server reported.
+func (c *Chooser) ObserveLoad(s *fleet.Server, l fleet.Load) {
+	if l.Pace > 0 {
+		c.model.ObservePace(c.model.Service(s.Service), &s.Prediction, l.Pace, l.Running+l.Waiting, c.now())
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chicorytiller.example/chicorytiller/internal/predict"
 )
 
 // Entry is a backend server's entry in the registry, written by the server itself.
@@ -77,6 +79,9 @@
 	// unavailableUntil is when the server wants requests from this router again; nil if it rejected none with a time.
 	unavailableUntil atomic.Pointer[time.Time]
 
+	// Prediction is what is known of how fast the server works.
+	Prediction predict.Server
+
 	mu           sync.Mutex
 	load         Load
 	loadAt       time.Time
@@ -286,6 +291,7 @@
 	Outstanding int
 	Running     int     // estimated number of all routers' requests
 	Prefill     float64 // this router's prompt tokens sent and not yet answered
+	Slots       int     // as last reported or stated in the entry; 0 if unknown
 	InBackoff   bool
 	Failures    int
 }
@@ -302,9 +308,13 @@
 		Outstanding: s.outstanding,
 		Running:     s.outstanding,
 		Prefill:     s.prefill,
+		Slots:       s.Entry.Slots,
 		InBackoff:   now.Before(s.backoffUntil),
 		Failures:    s.failures,
 	}
+	if s.load.Slots > 0 {
+		status.Slots = s.load.Slots
+	}
 	if !s.loadAt.IsZero() && now.Sub(s.loadAt) < maxLoadAge {
 		status.Running = max(s.outstanding, s.load.Running+s.load.Waiting+s.sinceLoad)
 	}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -30,6 +30,7 @@
 	server.RecordSuccess()
 	t.firstByteAt = time.Now()
 	if reply.Status == http.StatusOK {
+		t.stream.Event(t.firstByteAt)
 		t.succeeded = true
 		t.setOutput(reply.OutputTokens)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,6 +37,8 @@
 	}
 	t.sentAt, t.prefill = time.Now(), choice.UncachedTokens
 	t.beganAt, t.received, t.survived, t.answerRead = time.Time{}, 0, false, false
+	t.stream, t.choice = t.f.Chooser.Begin(choice, t.r), choice
+	defer t.stream.End()
 	server.BeginRequest(choice.UncachedTokens)
 	defer server.EndRequest()
 	watch := t.watch(parent)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -71,6 +71,7 @@
 // recordReceived counts a whole event of the present attempt.
 func (t *task) recordReceived(watch *watchdog) {
 	now := time.Now()
+	t.stream.Event(now)
 	if t.received == 0 {
 		t.beganAt = now
 		watch.stopHolding()
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -92,7 +92,7 @@
 	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", reply.Status),
 		slog.Int64("first_ms", firstByte.Milliseconds()), slog.Int64("reserved_ms", t.reserveTime.Milliseconds()),
 		slog.Int64("server_ms", t.firstByteAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.maxGap.Milliseconds()),
-		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version))...)
+		slog.Int64("unread", int64(t.prefill)), slog.Int64("predicted_ms", int64(t.choice.FirstMs)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version))...)
 }
 
 func (t *task) attrs() []slog.Attr {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -47,7 +47,8 @@
 		t.recordVersion(server)
 	}
 	t.sendHead(reply)
-	t.recordGap(time.Now())
+	now := time.Now()
+	t.recordGap(now)
 	if e.HasID {
 		t.lastEventID, t.hasLastEventID = e.ID, true
 	}
@@ -55,7 +56,10 @@
 	if e.HasID || !t.hasLastEventID {
 		t.events++
 	}
-	return t.caller.Write(e.Raw)
+	t.stream.BeginWrite()
+	err := t.caller.Write(e.Raw)
+	t.stream.EndWrite(time.Since(now))
+	return err
 }
 
 // recordGap updates the longest time between two events.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,6 +171,9 @@
 		return BodyTooLarge
 	}
 	r.Service = r.Route.PickService(serviceFraction(r))
+	if s := p.Services[r.Service]; s != nil {
+		r.TokensPerEvent = s.TokensPerEvent
+	}
 	return ""
 }
 
--- a/internal/forward/selfreport.go
+++ b/internal/forward/selfreport.go
@@ -13,6 +13,7 @@
 	now := time.Now()
 	if reply.HasLoad {
 		server.SetLoad(reply.Load, now)
+		f.Chooser.ObserveLoad(server, reply.Load)
 	}
 	if reply.LoadFault != "" {
 		f.Metrics.LoadFault(reply.LoadFault)
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"chicorytiller.example/chicorytiller/internal/balance"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/policy"
+	"chicorytiller.example/chicorytiller/internal/predict"
 	"chicorytiller.example/chicorytiller/internal/quarantine"
 	"chicorytiller.example/chicorytiller/internal/request"
 )
@@ -54,6 +56,9 @@
 	prefill     float64       // prompt tokens that the server was expected to process
 	lastEventAt time.Time     // time of the last event relayed
 	maxGap      time.Duration // longest time between two events
+	// choice and stream are of the last attempt; stream is nil if its service's servers report no pace.
+	choice balance.Choice
+	stream *predict.Stream
 
 	headSent       bool // status and header were relayed, and the body follows in parts
 	firstByteAt    time.Time
--- /dev/null
+++ b/internal/predict/estimate.go
@@ -0,0 +1,172 @@
+package predict
+
+import (
+	"math"
+	"time"
+)
+
+// Work is a request and what this router knows of the requests at the server that it may be sent to.
+type Work struct {
+	// Tokens is set if the request has token counts; otherwise all requests of the service count as equal work.
+	Tokens bool
+	// Unread is the number of the prompt's tokens that the server has to read.
+	Unread float64
+	// Queued is the number of prompt tokens that this router sent to the server and that are still unread.
+	Queued float64
+	// Own is the number of this router's requests in progress there, Running that of all as far as known.
+	Own, Running int
+	// Slots is the number of requests that the server runs at the same time; 0 if unknown.
+	Slots int
+	// TokensPerEvent is the number of tokens in an event of a stream.
+	TokensPerEvent int
+	// LatencyGoal and GapGoal are those of the request's route; 0 if there are none.
+	LatencyGoal, GapGoal time.Duration
+
+	running float64 // requests in progress when it was sent
+}
+
+// Estimate is the cost of a request at a server, in ms, with its components.
+type Estimate struct {
+	// FirstMs is the predicted time to the first event, QueueMs and ReadingMs the parts of it that are due to
+	// other requests and to the prompt.
+	FirstMs, QueueMs, ReadingMs float64
+	// Running is the expected number of requests in progress at the server.
+	Running float64
+	// Pace is the expected tempo; 1 is normal.
+	Pace float64
+	// PauseMs is the predicted longest pause.
+	PauseMs float64
+	// HarmMs is the cost of what the prompt adds to the pauses of the streams at the server.
+	HarmMs float64
+	// CostMs is the sum that servers are compared by.
+	CostMs float64
+}
+
+const (
+	// chunkTokens is the largest part of a prompt that a server reads between two tokens of its streams.
+	chunkTokens = 2000
+	// A time costs more from lateFrom of its goal on, since what other routers send is not known, and most at
+	// lateTo. lateCost is that cost in parts of the goal: a late answer is worth a third or less.
+	lateFrom, lateTo = 0.6, 1.2
+	lateCost         = 2
+	// stallIntervals is the number of intervals between events after which a stream counts as stalled, and
+	// minStall the shortest such time: a busy router reads events late by some tens of milliseconds.
+	// maxHarmed bounds the number of streams that harm is counted for.
+	maxHarmed      = 100
+	stallIntervals = 3
+	minStall       = 80
+)
+
+// late returns the cost of the risk that a time exceeds its goal.
+func late(ms, goal float64) float64 {
+	if goal <= 0 || ms <= lateFrom*goal {
+		return 0
+	}
+	return lateCost * goal * min(1, (ms/goal-lateFrom)/(lateTo-lateFrom))
+}
+
+// Estimate predicts the cost of a request at a server.
+func (m *Model) Estimate(p *Params, s *Server, w *Work, now time.Time) Estimate {
+	s.mu.Lock()
+	b := s.belief(p, now)
+	queued := w.Queued
+	running := s.runningAt(p, w, now)
+	if len(s.streams) > 0 {
+		b.stall = s.stall(now, p.resumedAt)
+		queued = max(queued, s.unread())
+	}
+	s.mu.Unlock()
+	if b.stall < max(minStall, stallIntervals*p.gap*b.normal) {
+		b.stall = 0
+	}
+	e := Estimate{Running: running}
+	add := func(tempo, weight float64) {
+		if weight > 0 {
+			e.add(evaluate(p, w, tempo, queued, running, b.stall), weight)
+		}
+	}
+	add(b.recent, b.weight)
+	add(b.normal, (1-b.weight)*(1-p.slowShare))
+	add(b.normal*p.slowRatio, (1-b.weight)*p.slowShare)
+	return e
+}
+
+func (e *Estimate) add(other Estimate, weight float64) {
+	e.FirstMs += weight * other.FirstMs
+	e.QueueMs += weight * other.QueueMs
+	e.ReadingMs += weight * other.ReadingMs
+	e.Pace += weight * other.Pace
+	e.PauseMs += weight * other.PauseMs
+	e.HarmMs += weight * other.HarmMs
+	e.CostMs += weight * other.CostMs
+}
+
+// belief is what is known of a server's tempo: the recent one with a weight, and the normal one.
+type belief struct {
+	recent, weight, normal, stall float64
+}
+
+func (s *Server) belief(p *Params, now time.Time) belief {
+	level := s.level
+	if level == 0 {
+		level = p.level
+	}
+	b := belief{normal: level}
+	if s.logSpeed != 0 {
+		b.normal *= math.Exp(s.logSpeed)
+	}
+	if age := now.Sub(s.tempoAt); s.tempo > 0 && age < 6*tempoDecay {
+		b.recent, b.weight = s.tempo, math.Exp(-float64(max(0, age))/float64(tempoDecay))
+	}
+	return b
+}
+
+// runningAt returns the expected number of requests in progress.
+func (s *Server) runningAt(p *Params, w *Work, now time.Time) float64 {
+	mean, weight := p.running, 0.0
+	if !s.toldAt.IsZero() {
+		mean = s.running
+		if age := now.Sub(s.toldAt); age < 4*loadDecay {
+			weight = math.Exp(-float64(max(0, age)) / float64(loadDecay))
+		}
+	}
+	return weight*float64(w.Running) + (1-weight)*max(float64(w.Own), mean)
+}
+
+// evaluate returns the cost at a given tempo.
+func evaluate(p *Params, w *Work, tempo, queued, running, stall float64) Estimate {
+	e := Estimate{Pace: tempo}
+	latencyGoal, gapGoal := milliseconds(w.LatencyGoal), milliseconds(w.GapGoal)
+	if !w.Tokens {
+		e.ReadingMs = tempo * p.work
+		e.QueueMs = stall + tempo*p.work*occupancy(running, w.Slots)
+		e.FirstMs = e.QueueMs + e.ReadingMs
+		e.CostMs = e.FirstMs + late(e.FirstMs, latencyGoal)
+		return e
+	}
+	e.ReadingMs = tempo * w.Unread / p.rate
+	e.QueueMs = stall + tempo*(queued/p.rate+p.queue*running)
+	e.FirstMs = e.QueueMs + e.ReadingMs + tempo*p.gap
+	// While unread tokens wait, a chunk of them is read before each token, so an event takes at most as many
+	// chunks as it has tokens.
+	most := float64(max(1, w.TokensPerEvent)) * chunkTokens
+	others := p.queue * running * p.rate // unread tokens of other routers' requests
+	pause := func(unread float64) float64 { return tempo * (p.gap + min(others+unread, most)/p.rate) }
+	e.PauseMs = pause(queued + p.unread)
+	before := max(stall, pause(queued))
+	after := max(stall+tempo*min(w.Unread, most)/p.rate, pause(queued+w.Unread))
+	e.HarmMs = min(running, maxHarmed) * (late(after, gapGoal) - late(before, gapGoal))
+	e.CostMs = e.FirstMs + late(e.FirstMs, latencyGoal) + late(e.PauseMs, gapGoal) + e.HarmMs
+	return e
+}
+
+// occupancy returns the delay that the requests in progress cause, in parts of a request's work. Where a slot is
+// free there is none, but the number is not exact.
+func occupancy(running float64, slots int) float64 {
+	if slots <= 0 {
+		return running
+	}
+	const uncertainty = 0.3
+	used := running / float64(slots)
+	return uncertainty*min(1, used) + max(0, running+1-float64(slots))/float64(slots)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -57,6 +57,8 @@
 	Account *policy.Account
 	Route   *policy.Route
 	Service string
+	// TokensPerEvent is the maximum number of tokens in one event of a stream, set by the router.
+	TokensPerEvent int
 	// StreamVersion is the version of the servers' software at which the stream began, set by the
 	// router once HasStreamVersion is true: when it has found the stream that the request resumes, or
 	// when it relays the first event of a new one.
