Estimate other routers' requests and overdue answers

A server's report counted the requests that this router had sent before it and that had ended since. The number of other routers' requests is now kept apart, and decays to its mean within 0.5 s. An answer without token counts that is overdue makes its server count as slowed at once.

--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -33,7 +33,7 @@
 func (c *Chooser) predict(p *prediction, s *fleet.Server, i int, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
 	choice := Choice{Server: s, predicted: true}
 	w := &choice.work
-	w.Own, w.Running, w.Slots, w.Queued, w.TokensPerEvent = status.Outstanding, status.Running, status.Slots, status.Prefill, r.TokensPerEvent
+	w.Own, w.Slots, w.Queued, w.TokensPerEvent = status.Outstanding, status.Slots, status.Prefill, r.TokensPerEvent
 	if r.Route != nil {
 		w.LatencyGoal, w.GapGoal = r.Route.LatencyGoal, r.Route.GapGoal
 	}
--- a/internal/predict/estimate.go
+++ b/internal/predict/estimate.go
@@ -13,8 +13,8 @@
 	Unread float64
 	// Queued is the number of prompt tokens that this router sent to the server and that are still unread.
 	Queued float64
-	// Own is the number of this router's requests in progress there, Running that of all as far as known.
-	Own, Running int
+	// Own is the number of this router's requests in progress there.
+	Own int
 	// Slots is the number of requests that the server runs at the same time; 0 if unknown.
 	Slots int
 	// TokensPerEvent is the number of tokens in an event of a stream.
@@ -48,13 +48,19 @@
 	// A time costs more from lateFrom of its goal on, since what other routers send is not known, and most at
 	// lateTo. lateCost is that cost in parts of the goal: a late answer is worth a third or less.
 	lateFrom, lateTo = 0.6, 1.2
-	lateCost         = 2
-	// stallIntervals is the number of intervals between events after which a stream counts as stalled, and
-	// minStall the shortest such time: a busy router reads events late by some tens of milliseconds.
+	lateCost         = 1.5
 	// maxHarmed bounds the number of streams that harm is counted for.
-	maxHarmed      = 100
+	maxHarmed = 100
+	// stallIntervals is the number of intervals between events after which a stream counts as stalled, and
+	// minStall the shortest such time, in ms: a busy router reads events late by some tens of milliseconds.
 	stallIntervals = 3
 	minStall       = 80
+	// minOverdue is the time after the predicted one, in ms, from which an answer without token counts is overdue.
+	minOverdue = 20
+	// uncertainty is the standard deviation of the number of other routers' requests in parts of its square root.
+	uncertainty = 0.6
+	// occupiedCost is the cost of each request in progress while slots are free, in parts of a request's work.
+	occupiedCost = 0.3
 )
 
 // late returns the cost of the risk that a time exceeds its goal.
@@ -70,19 +76,23 @@
 	s.mu.Lock()
 	b := s.belief(p, now)
 	queued := w.Queued
-	running := s.runningAt(p, w, now)
+	others := s.othersAt(p, now)
+	running := others + min(float64(max(w.Own, len(s.streams))), maxRunning)
 	if len(s.streams) > 0 {
 		b.stall = s.stall(now, p.resumedAt)
 		queued = max(queued, s.unread())
 	}
 	s.mu.Unlock()
-	if b.stall < max(minStall, stallIntervals*p.gap*b.normal) {
+	switch {
+	case !w.Tokens:
+		b.suspectSlow(p)
+	case b.stall < max(minStall, stallIntervals*p.gap*b.normal):
 		b.stall = 0
 	}
 	e := Estimate{Running: running}
 	add := func(tempo, weight float64) {
 		if weight > 0 {
-			e.add(evaluate(p, w, tempo, queued, running, b.stall), weight)
+			e.add(evaluate(p, w, tempo, queued, running, others, b.stall), weight)
 		}
 	}
 	add(b.recent, b.weight)
@@ -121,25 +131,36 @@
 	return b
 }
 
-// runningAt returns the expected number of requests in progress.
-func (s *Server) runningAt(p *Params, w *Work, now time.Time) float64 {
-	mean, weight := p.running, 0.0
-	if !s.toldAt.IsZero() {
-		mean = s.running
-		if age := now.Sub(s.toldAt); age < 4*loadDecay {
-			weight = math.Exp(-float64(max(0, age)) / float64(loadDecay))
-		}
+// suspectSlow raises the tempo if an answer is overdue.
+func (b *belief) suspectSlow(p *Params) {
+	overdue := b.stall - max(minOverdue, p.work*b.normal/2)
+	if b.stall = 0; overdue <= 0 {
+		return
+	}
+	weight := min(1, overdue/(p.work*b.normal))
+	b.recent, b.weight = (b.weight*b.recent+weight*b.normal*p.slowRatio)/(b.weight+weight), max(b.weight, weight)
+	b.stall = overdue
+}
+
+// othersAt returns the expected number of other routers' requests in progress.
+func (s *Server) othersAt(p *Params, now time.Time) float64 {
+	if s.toldAt.IsZero() {
+		return p.others
 	}
-	return weight*float64(w.Running) + (1-weight)*max(float64(w.Own), mean)
+	weight := 0.0
+	if age := now.Sub(s.toldAt); age < 4*loadDecay {
+		weight = math.Exp(-float64(max(0, age)) / float64(loadDecay))
+	}
+	return weight*s.others + (1-weight)*s.meanOthers
 }
 
 // evaluate returns the cost at a given tempo.
-func evaluate(p *Params, w *Work, tempo, queued, running, stall float64) Estimate {
+func evaluate(p *Params, w *Work, tempo, queued, running, others, stall float64) Estimate {
 	e := Estimate{Pace: tempo}
 	latencyGoal, gapGoal := milliseconds(w.LatencyGoal), milliseconds(w.GapGoal)
 	if !w.Tokens {
 		e.ReadingMs = tempo * p.work
-		e.QueueMs = stall + tempo*p.work*occupancy(running, w.Slots)
+		e.QueueMs = stall + tempo*p.work*occupancy(running, others, w.Slots)
 		e.FirstMs = e.QueueMs + e.ReadingMs
 		e.CostMs = e.FirstMs + late(e.FirstMs, latencyGoal)
 		return e
@@ -150,8 +171,8 @@
 	// While unread tokens wait, a chunk of them is read before each token, so an event takes at most as many
 	// chunks as it has tokens.
 	most := float64(max(1, w.TokensPerEvent)) * chunkTokens
-	others := p.queue * running * p.rate // unread tokens of other routers' requests
-	pause := func(unread float64) float64 { return tempo * (p.gap + min(others+unread, most)/p.rate) }
+	hidden := p.queue * running * p.rate // unread tokens of other routers' requests
+	pause := func(unread float64) float64 { return tempo * (p.gap + min(hidden+unread, most)/p.rate) }
 	e.PauseMs = pause(queued + p.unread)
 	before := max(stall, pause(queued))
 	after := max(stall+tempo*min(w.Unread, most)/p.rate, pause(queued+w.Unread))
@@ -160,13 +181,16 @@
 	return e
 }
 
-// occupancy returns the delay that the requests in progress cause, in parts of a request's work. Where a slot is
-// free there is none, but the number is not exact.
-func occupancy(running float64, slots int) float64 {
+// occupancy returns the expected delay that the requests in progress cause, in parts of a request's work. others
+// of them are those of other routers, whose number is not exact.
+func occupancy(running, others float64, slots int) float64 {
 	if slots <= 0 {
 		return running
 	}
-	const uncertainty = 0.3
-	used := running / float64(slots)
-	return uncertainty*min(1, used) + max(0, running+1-float64(slots))/float64(slots)
+	deviation := uncertainty * math.Sqrt(others+0.25)
+	excess := (running + 1 - float64(slots)) / deviation
+	if excess < 20 {
+		excess = math.Log1p(math.Exp(excess))
+	}
+	return (excess*deviation + occupiedCost*running) / float64(slots)
 }
--- a/internal/predict/model.go
+++ b/internal/predict/model.go
@@ -33,11 +33,11 @@
 	reportDelay = 100 * time.Millisecond
 	// tempoDecay is the time constant with which a tempo decays to the server's mean: other work on a
 	// server's machine begins or ends about every 0.6 s.
-	tempoDecay = 600 * time.Millisecond
+	tempoDecay = 500 * time.Millisecond
 	// gapDecay is the time constant with which tempos seen in the events of streams replace each other.
 	gapDecay = 100 * time.Millisecond
 	// loadDecay is the time constant with which a reported load decays to the server's mean.
-	loadDecay = time.Second
+	loadDecay = 500 * time.Millisecond
 	// freshReport is the age up to which a reported pace is compared with the gaps between events.
 	freshReport = 250 * time.Millisecond
 	// activeTime is how long after the last report of a pace the service's estimates are used.
@@ -78,8 +78,8 @@
 	level float64
 	// slowShare is the share of reports with a raised pace, slowRatio by how much it is raised.
 	slowShare, slowRatio float64
-	// running is the mean number of requests in progress at a server.
-	running float64
+	// others is the mean number of other routers' requests in progress at a server.
+	others float64
 	// rate is the prefill rate at tempo 1.
 	rate float64
 	// gap is the time between events of a stream at tempo 1 while nothing is read; 0 if unknown.
@@ -138,9 +138,9 @@
 		return
 	}
 	told := clamp(pace/100, minTempo, maxTempo)
-	count := clamp(float64(running), 0, maxRunning)
-	p := service.observeReport(told, count, now)
-	server.observeReport(p, told, count, now)
+	others := clamp(float64(running)-server.own(), 0, maxRunning)
+	p := service.observeReport(told, others, now)
+	server.observeReport(p, told, others, now)
 }
 
 // Weights of one observation in the means of a service and of a server.
@@ -149,16 +149,16 @@
 	serverWeight  = 0.1
 )
 
-func (s *Service) observeReport(told, running float64, now time.Time) Params {
+func (s *Service) observeReport(told, others float64, now time.Time) Params {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &s.params
 	first := p.toldAt.IsZero()
 	p.toldAt = now
 	if first {
-		p.running = running
+		p.others = others
 	}
-	p.running += serviceWeight * (running - p.running)
+	p.others += serviceWeight * (others - p.others)
 	if told < slowFrom*p.level {
 		p.level += serviceWeight * (told - p.level)
 		p.slowShare -= serviceWeight * p.slowShare
--- a/internal/predict/predict_test.go
+++ b/internal/predict/predict_test.go
@@ -142,7 +142,7 @@
 	for range 5 {
 		st.Event(f.now)
 	}
-	e := f.estimate(s, Work{Tokens: true, Unread: 1e9, Running: math.MaxInt, GapGoal: time.Second})
+	e := f.estimate(s, Work{Tokens: true, Unread: 1e9, Own: math.MaxInt, GapGoal: time.Second})
 	qt.Check(t, e.CostMs >= 0 && e.CostMs < 1e13, qt.IsTrue, qt.Commentf("%+v", e))
 	qt.Check(t, e.Pace >= minTempo && e.Pace <= maxTempo*maxSlowRatio, qt.IsTrue, qt.Commentf("%+v", e))
 }
--- a/internal/predict/server.go
+++ b/internal/predict/server.go
@@ -22,8 +22,8 @@
 	level float64
 	// logSpeed is the logarithm of how much longer work takes than the reported pace says.
 	logSpeed float64
-	// running is the mean of the reported numbers of requests in progress.
-	running float64
+	// others is the number of other routers' requests in progress, as last reported, and meanOthers its mean.
+	others, meanOthers float64
 	// streams are this router's requests in progress.
 	streams []*Stream
 }
@@ -43,13 +43,14 @@
 	gaps   [3]float64 // the last ones, in ms
 }
 
-func (s *Server) observeReport(p Params, told, running float64, now time.Time) {
+func (s *Server) observeReport(p Params, told, others float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.toldAt.IsZero() {
-		s.level, s.running = p.level, p.running
+		s.level, s.meanOthers = p.level, p.others
 	}
-	s.running += serverWeight * (running - s.running)
+	s.others = others
+	s.meanOthers += serverWeight * (others - s.meanOthers)
 	if told < slowFrom*p.level {
 		s.level += serverWeight * (told - s.level)
 	}
@@ -206,6 +207,13 @@
 	return min(longest, maxStall)
 }
 
+// own returns the number of this router's requests in progress.
+func (s *Server) own() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(len(s.streams))
+}
+
 // unread returns the prompt tokens of the streams that have no event yet.
 func (s *Server) unread() float64 {
 	sum := 0.0
