--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -115,10 +115,21 @@
 // server may get it.
 func (c *Chooser) bestChoice(servers []*fleet.Server, r *request.Request, homeServer *fleet.Server, excluded, canAcquire func(*fleet.Server) bool) Choice {
 	now := c.now()
-	best := Choice{}
 	prediction := c.prediction(r, now)
+	prediction.share = float64(maxPredicted) / float64(max(1, len(servers)))
+	best := c.compare(servers, &prediction, r, homeServer, excluded, canAcquire, now)
+	if prediction.share < 1 && (best.Server == nil || best.inBackoff || best.paced) {
+		prediction.share = 1
+		best = c.compare(servers, &prediction, r, homeServer, excluded, canAcquire, now)
+	}
+	return best
+}
+
+// compare returns the cheapest server.
+func (c *Chooser) compare(servers []*fleet.Server, prediction *prediction, r *request.Request, homeServer *fleet.Server, excluded, canAcquire func(*fleet.Server) bool, now time.Time) Choice {
+	best := Choice{}
 	for i, s := range servers {
-		if excluded(s) {
+		if prediction.skips(i) && s != homeServer || excluded(s) {
 			continue
 		}
 		v := c.judge(s, now, canAcquire)
@@ -128,7 +139,7 @@
 		status := s.Status(now)
 		choice := Choice{}
 		if prediction.active {
-			choice = c.predict(&prediction, s, i, status, r, s == homeServer, now)
+			choice = c.predict(prediction, s, i, status, r, s == homeServer, now)
 		} else {
 			choice = c.estimate(s, status, r, s == homeServer, now)
 		}
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -19,6 +19,16 @@
 	active bool // the service's servers report a pace
 	params predict.Params
 	seed   uint64
+	share  float64 // of the servers that are compared, above 1 for all
+}
+
+// maxPredicted is about how many servers of a service are compared for a request, beside the home of its prompt.
+// The cheapest of that many, which differ for each request, is hardly worse than that of some thousand.
+const maxPredicted = 400
+
+// skips reports whether the server with index i is not compared.
+func (p *prediction) skips(i int) bool {
+	return p.active && p.share < 1 && p.fraction(i+1<<20) >= p.share
 }
 
 func (c *Chooser) prediction(r *request.Request, now time.Time) prediction {
--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -35,6 +35,7 @@
 func (c *refusedCaller) Served(time.Duration, time.Duration)   {}
 func (c *refusedCaller) Refused(Cause)                         {}
 func (c *refusedCaller) Retried(string)                        {}
+func (c *refusedCaller) Predicted(_, _ time.Duration)          {}
 func (c *refusedCaller) LoadFault(upstream.LoadFault)          {}
 
 // unreachableBackend takes a while to find out that a server can't be connected to.
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -89,10 +89,24 @@
 	total := time.Since(t.r.Arrived)
 	firstByte := t.firstByteAt.Sub(t.r.Arrived)
 	t.f.Metrics.Served(firstByte, total)
-	t.f.Log.Emit(event.RequestServed, append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", reply.Status),
+	t.f.Log.Emit(event.RequestServed, append(append(t.attrs(), slog.String(event.KeyBackend, server.ID), slog.Int("status", reply.Status),
 		slog.Int64("first_ms", firstByte.Milliseconds()), slog.Int64("reserved_ms", t.reserveTime.Milliseconds()),
 		slog.Int64("server_ms", t.firstByteAt.Sub(t.sentAt).Milliseconds()), slog.Int64("pause_ms", t.maxGap.Milliseconds()),
-		slog.Int64("unread", int64(t.prefill)), slog.Int64("predicted_ms", int64(t.choice.FirstMs)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version))...)
+		slog.Int64("unread", int64(t.prefill)), slog.Int("events", t.events), slog.String("via", t.via), slog.String("version", server.Version)), t.predictionAttrs()...)...)
+}
+
+// predictionAttrs returns what was predicted of the last attempt, and counts how far off that was.
+func (t *task) predictionAttrs() []slog.Attr {
+	if t.stream == nil {
+		return nil
+	}
+	e := t.choice.Estimate
+	predicted := time.Duration(e.FirstMs * float64(time.Millisecond))
+	if t.firstByteAt.After(t.sentAt) { // else the first event was of an earlier attempt
+		t.f.Metrics.Predicted(predicted, t.firstByteAt.Sub(t.sentAt))
+	}
+	return []slog.Attr{slog.Int64("predicted_ms", predicted.Milliseconds()), slog.Int("queue_ms", int(e.QueueMs)), slog.Int("reading_ms", int(e.ReadingMs)),
+		slog.Int("pace", int(100*e.Pace)), slog.Int("pace_age_ms", int(e.AgeMs)), slog.Int("predicted_pause_ms", int(e.PauseMs)), slog.Int("harm_ms", int(e.HarmMs))}
 }
 
 func (t *task) attrs() []slog.Attr {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,8 @@
 	Served(firstByte, total time.Duration)
 	Refused(cause Cause)
 	Retried(reason string)
+	// Predicted records the predicted and the actual time from sending a request to its first event.
+	Predicted(predicted, actual time.Duration)
 	// LoadFault counts an invalid load report of a server.
 	LoadFault(upstream.LoadFault)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,7 @@
 	crashReports  *prometheus.CounterVec
 	permits       *prometheus.CounterVec
 	loadFaults    *prometheus.CounterVec
+	predictions   *prometheus.HistogramVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -70,7 +71,9 @@
 		Help: "Permits for requests to fragile servers that this router asked for, by outcome."}, []string{"outcome"})
 	m.loadFaults = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_load_report_faults_total",
 		Help: "Invalid load reports of backend servers, by fault."}, []string{"fault"})
-	m.registry.MustRegister(m.loadFaults)
+	m.predictions = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "chicory_prediction_error_seconds",
+		Help: "Difference of the actual and the predicted time to the first event, by whether it came later or earlier.", Buckets: buckets}, []string{"actual"})
+	m.registry.MustRegister(m.loadFaults, m.predictions)
 	m.registry.MustRegister(m.resumed, m.streamRecords, m.crashReports, m.permits)
 	m.recent = make(map[string]int)
 	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.storeEra, m.stale)
@@ -189,6 +192,15 @@
 	m.retried.WithLabelValues(reason).Inc()
 }
 
+// Predicted implements forward.Metrics.
+func (m *Metrics) Predicted(predicted, actual time.Duration) {
+	if actual > predicted {
+		m.predictions.WithLabelValues("later").Observe((actual - predicted).Seconds())
+		return
+	}
+	m.predictions.WithLabelValues("earlier").Observe((predicted - actual).Seconds())
+}
+
 // LoadFault implements forward.Metrics.
 func (m *Metrics) LoadFault(fault upstream.LoadFault) {
 	m.loadFaults.WithLabelValues(string(fault)).Inc()
--- a/internal/predict/estimate.go
+++ b/internal/predict/estimate.go
@@ -32,8 +32,8 @@
 	FirstMs, QueueMs, ReadingMs float64
 	// Running is the expected number of requests in progress at the server.
 	Running float64
-	// Pace is the expected tempo; 1 is normal.
-	Pace float64
+	// Pace is the expected tempo; 1 is normal. AgeMs is the age of what was last seen of it, -1 if that is old.
+	Pace, AgeMs float64
 	// PauseMs is the predicted longest pause.
 	PauseMs float64
 	// HarmMs is the cost of what the prompt adds to the pauses of the streams at the server.
@@ -59,8 +59,9 @@
 	minOverdue = 20
 	// uncertainty is the standard deviation of the number of other routers' requests in parts of its square root.
 	uncertainty = 0.6
-	// occupiedCost is the cost of each request in progress while slots are free, in parts of a request's work.
-	occupiedCost = 0.3
+	// occupiedCost is the cost of a server whose slots are all taken, beside the wait for one, in parts of a
+	// request's work: its requests are late together if the server is slowed unnoticed.
+	occupiedCost = 1.5
 )
 
 // late returns the cost of the risk that a time exceeds its goal.
@@ -89,7 +90,7 @@
 	case b.stall < max(minStall, stallIntervals*p.gap*b.normal):
 		b.stall = 0
 	}
-	e := Estimate{Running: running}
+	e := Estimate{Running: running, AgeMs: b.ageMs}
 	add := func(tempo, weight float64) {
 		if weight > 0 {
 			e.add(evaluate(p, w, tempo, queued, running, others, b.stall), weight)
@@ -113,7 +114,7 @@
 
 // belief is what is known of a server's tempo: the recent one with a weight, and the normal one.
 type belief struct {
-	recent, weight, normal, stall float64
+	recent, weight, normal, stall, ageMs float64
 }
 
 func (s *Server) belief(p *Params, now time.Time) belief {
@@ -121,11 +122,12 @@
 	if level == 0 {
 		level = p.level
 	}
-	b := belief{normal: level}
+	b := belief{normal: level, ageMs: -1}
 	if s.logSpeed != 0 {
 		b.normal *= math.Exp(s.logSpeed)
 	}
 	if age := now.Sub(s.tempoAt); s.tempo > 0 && age < 6*tempoDecay {
+		b.ageMs = milliseconds(max(0, age))
 		b.recent, b.weight = s.tempo, math.Exp(-float64(max(0, age))/float64(tempoDecay))
 	}
 	return b
