--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,10 @@
 	Served(firstByte, total time.Duration)
 	Refused(cause Cause)
 	Retried(reason string)
+	// Predicted records the predicted and the actual time from sending a request to its first event.
+	Predicted(predicted, actual time.Duration)
+	// LoadFault counts an invalid load report of a server.
+	LoadFault(upstream.LoadFault)
 }
 
 // Forwarder serves requests. Its fields must not change while it is in use.
@@ -169,6 +173,9 @@
 		return BodyTooLarge
 	}
 	r.Service = r.Route.PickService(serviceFraction(r))
+	if s := p.Services[r.Service]; s != nil {
+		r.TokensPerEvent = s.TokensPerEvent
+	}
 	return ""
 }
 
--- a/internal/forward/selfreport.go
+++ b/internal/forward/selfreport.go
@@ -13,6 +13,10 @@
 	now := time.Now()
 	if reply.HasLoad {
 		server.SetLoad(reply.Load, now)
+		f.Chooser.ObserveLoad(server, reply.Load)
+	}
+	if reply.LoadFault != "" {
+		f.Metrics.LoadFault(reply.LoadFault)
 	}
 	server.MarkCold(now, reply.ColdFor)
 	server.MarkUnavailable(now, reply.RetryAfter)
