--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -31,9 +31,15 @@
 	return p.active && p.share < 1 && p.fraction(i+1<<20) >= p.share
 }
 
+// maxPredictedPrompt is the length in tokens of the longest prompts whose server is chosen by prediction, about
+// what a server reads between two tokens of its streams. Longer ones stay with the estimate that favors the
+// servers which have their parts in the cache: by predicted pauses they are spread over more servers, which then
+// read the same parts again, and have less time for everything else.
+const maxPredictedPrompt = 2000
+
 func (c *Chooser) prediction(r *request.Request, now time.Time) prediction {
 	params, active := c.model.Params(c.model.Service(r.Service), now)
-	if !active {
+	if !active || r.HasTokenUsage && r.PromptTokens > maxPredictedPrompt {
 		return prediction{}
 	}
 	return prediction{active: true, params: params, seed: xxhash.Sum64String(r.ID)}
