Admit requests by urgency while a service's servers are full

How much is served was controlled, who is served was not.

internal/admission limits a router's requests in progress per service from the moment at which all servers that report are full for 300 ms. It divides the limit by priority, by size and by account, lets requests wait for a tenth of their goal at the most, and refuses the others at once. The limit is learned from load reports and rejections, without messages. internal/forward asks for admission before it reserves tokens; fragile, cold and rate-limited servers keep their own mechanisms.

Tested: eight loads in virtual time (go test -race ./internal/admission), the tests of internal/forward, internal/node and internal/event.

--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,394 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// longFactor times the mean duration of a level's requests is the duration from which on a request
+	// counts as long.
+	longFactor = 1.5
+	// meanWeight is the weight of one more request in that mean.
+	meanWeight = 0.05
+	// burstFactor and burstExtra let classes that get all they ask for, and the most urgent one, exceed the
+	// limit for a moment: a router's requests arrive in bursts, which the servers' queues even out over
+	// all routers. Their average is bounded by their shares.
+	burstFactor = 1.5
+	burstExtra  = 2
+	// sharesInterval is how often shares are computed while they are needed.
+	sharesInterval = 50 * time.Millisecond
+	// leastDemand is the demand below which a class is forgotten.
+	leastDemand = 1e-3
+)
+
+// Gate admits the requests of one service. It is not safe for concurrent use.
+type Gate struct {
+	order      Order
+	limiter    limiter
+	known      map[string]news // by incarnation of the server
+	durations  durations
+	inProgress int
+	pressure   Pressure // as of the last Evaluate
+	// rejected and answered count the responses of servers, with weight 1 each.
+	rejected, answered average
+	recent             sample
+
+	// Demand, use and waiting requests; empty while the limit does not apply.
+	classes  map[class]*usage
+	demands  []demand // as of sharesAt, in order of their classes
+	shares   map[class]float64
+	sharesAt time.Time
+	top      int                    // the lowest level that has demand
+	means    [maxLevel + 1]estimate // duration of the requests that arrive, by level
+	waiting  []*Waiter
+	// unmet is set if a request was refused or waited since the last change of the limit.
+	unmet bool
+}
+
+// usage is the demand of a class and what of it was admitted, in requests in progress.
+type usage struct {
+	demand, admitted average
+}
+
+// Waiter is a request that asked to be admitted.
+type Waiter struct {
+	Request Request
+	// Until is the end of its wait.
+	Until time.Time
+
+	class  class
+	level  int
+	weight float64 // its expected duration in seconds
+	// Settled is set once the request is admitted or refused; Refusal is nil if it is admitted.
+	Settled bool
+	Refusal *Refusal
+	// Waited is set if the request could not be admitted at once.
+	Waited bool
+	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
+	ready chan struct{}
+}
+
+// NewGate returns a gate that does not limit requests yet.
+func NewGate(order Order) *Gate {
+	return &Gate{order: order, known: make(map[string]news), classes: make(map[class]*usage)}
+}
+
+// Limited reports whether the limit applies.
+func (g *Gate) Limited() bool {
+	return g.limiter.limited
+}
+
+// Observe records what a response says about its server.
+func (g *Gate) Observe(s Signal, now time.Time) {
+	n := news{signal: s, at: now, rejectedAt: g.known[s.Incarnation].rejectedAt}
+	if s.Rejected {
+		n.rejectedAt = now
+		g.rejected.add(1, now)
+	}
+	g.answered.add(1, now)
+	g.known[s.Incarnation] = n
+	g.recent.add(s)
+}
+
+// Due reports whether Evaluate should be called.
+func (g *Gate) Due(now time.Time) bool {
+	return g.limiter.due(g.durations.seconds(0), now)
+}
+
+// Evaluate changes the limit by what the eligible servers reported. It reports whether the limit
+// began or ended to apply.
+func (g *Gate) Evaluate(eligible []string, now time.Time) bool {
+	g.forget(eligible)
+	g.pressure = measure(g.known, eligible, now)
+	c := conditions{
+		pressure:   g.pressure,
+		recent:     g.recent,
+		rejecting:  g.pressure.rejecting(g.rejected.value(now), g.answered.value(now)),
+		inProgress: g.inProgress,
+		unmet:      g.unmet,
+	}
+	if g.limiter.limited {
+		g.computeShares(now)
+	}
+	c.demand, c.urgentDemand = g.demand()
+	g.unmet = false
+	switched, used := g.limiter.update(c, now)
+	if used {
+		g.recent = sample{}
+	}
+	if switched {
+		clear(g.classes)
+		g.demands, g.shares, g.sharesAt = nil, nil, time.Time{}
+	}
+	return switched
+}
+
+// forget removes the news of servers that are no longer eligible.
+func (g *Gate) forget(eligible []string) {
+	if len(g.known) <= len(eligible) {
+		return
+	}
+	for incarnation := range g.known {
+		if !slices.Contains(eligible, incarnation) {
+			delete(g.known, incarnation)
+		}
+	}
+}
+
+// demand returns the demand of all classes, and the same weighted by urgency. A router whose demand is less
+// urgent than that of others grows its limit more slowly and so ends up with a smaller share, but not with
+// less than a fifth of theirs.
+func (g *Gate) demand() (total, urgent float64) {
+	const perLevel, least = 0.4, 0.2
+	for _, d := range g.demands {
+		total += d.amount
+		urgent += d.amount * max(least, math.Pow(perLevel, float64(d.class.level)))
+	}
+	return total, urgent
+}
+
+// Offer decides on a request. If it is not settled, Next must be called, which may settle it or another one that
+// it displaces, and again at the latest at the end of its wait.
+func (g *Gate) Offer(r Request, now time.Time) *Waiter {
+	w := &Waiter{Request: r}
+	if !g.limiter.limited {
+		g.admit(w, now)
+		return w
+	}
+	g.classify(w, now)
+	g.classes[w.class].demand.add(w.weight, now)
+	if now.Sub(g.sharesAt) >= sharesInterval {
+		g.computeShares(now)
+	}
+	if late(r, g.durations.recentSeconds(r.Work, now), now) {
+		g.refuse(w, Late, now)
+		return w
+	}
+	cause := g.obstacle(w, now)
+	if cause == "" {
+		g.admit(w, now)
+		return w
+	}
+	g.unmet = true
+	w.Until = now.Add(time.Duration(waitFraction * float64(r.Goal)))
+	if now.Add(g.expectedWait(w, cause, now)).After(w.Until) {
+		g.refuse(w, cause, now)
+		return w
+	}
+	w.Waited = true
+	g.enqueue(w, now)
+	return w
+}
+
+// late reports whether a request that takes so many seconds would not be answered before its deadline.
+func late(r Request, seconds float64, now time.Time) bool {
+	return !r.Deadline.IsZero() && now.Add(time.Duration(seconds*float64(time.Second))).After(r.Deadline)
+}
+
+// classify sets the request's class and weight and creates the class if there is none.
+func (g *Gate) classify(w *Waiter, now time.Time) {
+	w.level = g.order(w.Request)
+	w.weight = g.durations.seconds(w.Request.Work)
+	mean := &g.means[w.level]
+	w.class = class{level: w.level, long: mean.samples >= minSamples && w.weight > longFactor*mean.mean, account: w.Request.Account}
+	mean.samples++
+	mean.mean += max(meanWeight, 1/float64(mean.samples)) * (w.weight - mean.mean)
+	if g.classes[w.class] == nil && len(g.classes) >= maxClasses {
+		w.class.account = "" // accounts beyond the bound share one class
+	}
+	if g.classes[w.class] == nil {
+		g.classes[w.class] = &usage{}
+		g.sharesAt = time.Time{}
+	}
+}
+
+// computeShares divides the limit between the classes that have demand.
+func (g *Gate) computeShares(now time.Time) {
+	g.demands = g.demands[:0]
+	g.top = maxLevel
+	for c, u := range g.classes {
+		amount := u.demand.value(now)
+		if amount < leastDemand {
+			delete(g.classes, c)
+			continue
+		}
+		g.top = min(g.top, c.level)
+		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * g.means[c.level].mean)})
+	}
+	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
+	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
+}
+
+// share returns a class's share of the capacity.
+func (g *Gate) share(c class) float64 {
+	if share, found := g.shares[c]; found {
+		return share
+	}
+	return unlimited // its demand is new or negligible
+}
+
+func (g *Gate) admitted(c class, now time.Time) float64 {
+	if u := g.classes[c]; u != nil {
+		return u.admitted.value(now)
+	}
+	return 0
+}
+
+// obstacle returns why a request can't be admitted now, or "" if it can.
+func (g *Gate) obstacle(w *Waiter, now time.Time) Cause {
+	share := g.share(w.class)
+	if share < unlimited && g.admitted(w.class, now) >= threshold(share, w.weight) {
+		return OverShare
+	}
+	capacity := g.limiter.limit + 1
+	if share == unlimited || w.level == g.top {
+		capacity = burstFactor*g.limiter.limit + burstExtra
+	}
+	if float64(g.inProgress) >= capacity {
+		return Full
+	}
+	return ""
+}
+
+// threshold returns the use below which a class may have another request of the weight admitted, so that its
+// average use is its share: use jumps by the weight and decays to the threshold within
+// window*ln(1+weight/threshold), in which share*window must have been admitted.
+func threshold(share, weight float64) float64 {
+	if share <= 0 {
+		return 0
+	}
+	return weight / math.Expm1(weight/share)
+}
+
+// expectedWait returns the time after which the obstacle is expected to be gone for the request.
+func (g *Gate) expectedWait(w *Waiter, cause Cause, now time.Time) time.Duration {
+	ahead, sameClass := 0, 0.0
+	for _, other := range g.waiting {
+		if compare(other, w) > 0 {
+			break
+		}
+		ahead++
+		if other.class == w.class {
+			sameClass += other.weight
+		}
+	}
+	seconds := g.durations.seconds(0) / max(g.limiter.limit, minLimit) * float64(ahead)
+	if cause == OverShare {
+		used := g.admitted(w.class, now) + sameClass
+		seconds = max(seconds, window.Seconds()*math.Log(max(1, used/max(threshold(g.share(w.class), w.weight), minLimit/100))))
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// compare orders waiting requests: by level, then by deadline, then by work.
+func compare(a, b *Waiter) int {
+	if a.level != b.level {
+		return a.level - b.level
+	}
+	if !a.Request.Deadline.Equal(b.Request.Deadline) {
+		switch {
+		case a.Request.Deadline.IsZero():
+			return 1
+		case b.Request.Deadline.IsZero():
+			return -1
+		}
+		return a.Request.Deadline.Compare(b.Request.Deadline)
+	}
+	switch {
+	case a.weight < b.weight:
+		return -1
+	case a.weight > b.weight:
+		return 1
+	}
+	return 0
+}
+
+// enqueue lets a request wait. If the queue is too long, the wait of the last one in order ends.
+func (g *Gate) enqueue(w *Waiter, now time.Time) {
+	at, _ := slices.BinarySearchFunc(g.waiting, w, func(a, b *Waiter) int {
+		if compare(a, b) <= 0 {
+			return -1 // behind those that came before it
+		}
+		return 1
+	})
+	g.waiting = slices.Insert(g.waiting, at, w)
+	if len(g.waiting) > maxWaiting {
+		g.waiting[maxWaiting].Until = now
+	}
+}
+
+// Next settles waiting requests that can be admitted, or that have waited long enough, and returns
+// them.
+func (g *Gate) Next(now time.Time) []*Waiter {
+	if len(g.waiting) == 0 {
+		return nil
+	}
+	if g.limiter.limited && now.Sub(g.sharesAt) >= sharesInterval {
+		g.computeShares(now)
+	}
+	var settled []*Waiter
+	rest := g.waiting[:0]
+	for _, w := range g.waiting {
+		cause := Cause("")
+		if g.limiter.limited {
+			cause = g.obstacle(w, now)
+		}
+		switch {
+		case late(w.Request, g.durations.recentSeconds(w.Request.Work, now), now):
+			g.refuse(w, Late, now)
+		case cause == "":
+			g.admit(w, now)
+		case !now.Before(w.Until):
+			g.refuse(w, cause, now)
+		default:
+			rest = append(rest, w)
+			continue
+		}
+		settled = append(settled, w)
+	}
+	clear(g.waiting[len(rest):])
+	g.waiting = rest
+	return settled
+}
+
+// Withdraw removes a waiting request whose caller disconnected.
+func (g *Gate) Withdraw(w *Waiter) {
+	if i := slices.Index(g.waiting, w); i >= 0 {
+		g.waiting = slices.Delete(g.waiting, i, i+1)
+	}
+}
+
+func (g *Gate) admit(w *Waiter, now time.Time) {
+	w.Settled = true
+	g.inProgress++
+	if u := g.classes[w.class]; g.limiter.limited && u != nil {
+		u.admitted.add(w.weight, now)
+	}
+}
+
+func (g *Gate) refuse(w *Waiter, cause Cause, now time.Time) {
+	w.Settled = true
+	w.Refusal = &Refusal{Cause: cause, RetryAfter: g.retryAfter(w, now)}
+}
+
+// retryAfter returns the time after which capacity for the request's class is expected: that in
+// which its share serves what was asked for beyond it in the last window.
+func (g *Gate) retryAfter(w *Waiter, now time.Time) time.Duration {
+	seconds := g.durations.seconds(w.Request.Work)
+	share := g.share(w.class)
+	if u := g.classes[w.class]; share < unlimited && u != nil {
+		excess := u.demand.value(now) - share
+		seconds = max(seconds, excess/max(share, minLimit/100)*window.Seconds())
+	}
+	return min(max(time.Duration(seconds*float64(time.Second)), minRetryAfter), maxRetryAfter)
+}
+
+// Done records the end of an admitted request.
+func (g *Gate) Done(r Request, o Outcome, now time.Time) {
+	g.inProgress--
+	if o.Served {
+		g.durations.add(r.Work, o.Took, now)
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -40,6 +40,12 @@
 	// ClaimsRestored: recent claims of idempotency keys were written again, since the store may have lost
 	// them.
 	ClaimsRestored Number = 214
+	// AdmissionLimited: a service's servers are full, and this router limits its requests to them.
+	AdmissionLimited Number = 215
+	// AdmissionUnlimited: the servers have free slots, and all requests pass again.
+	AdmissionUnlimited Number = 216
+	// AdmissionState: the state of a service whose requests are limited.
+	AdmissionState Number = 217
 )
 
 // Budget events.
@@ -160,6 +166,9 @@
 	{QuarantineEnded, slog.LevelInfo, "requests no longer held back"},
 	{StreamResumed, slog.LevelInfo, "stream to be resumed"},
 	{ClaimsRestored, slog.LevelInfo, "claims of idempotency keys written again"},
+	{AdmissionLimited, slog.LevelWarn, "capacity of a service is short, requests are admitted by urgency"},
+	{AdmissionUnlimited, slog.LevelInfo, "capacity of a service suffices, all requests are admitted"},
+	{AdmissionState, slog.LevelInfo, "capacity of a service is still short"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{DrawOutcomeUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -83,6 +83,7 @@
 }
 
 func (t *task) recordServed(server *fleet.Server, reply *upstream.Reply) {
+	t.answered = true
 	if reply.Status == http.StatusOK {
 		t.recordWhole(server, reply)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"chicorytiller.example/chicorytiller/internal/admission"
 	"chicorytiller.example/chicorytiller/internal/balance"
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
@@ -91,6 +92,8 @@
 	// too many requests.
 	Fragility *pacing.AnnouncedRates
 	Permits   Permits
+	// Admission decides which requests are sent while servers are full; nil if all are.
+	Admission Admission
 	// PriorityGate reserves the capacity of cold and rate-limited servers for urgent requests.
 	PriorityGate *pacing.PriorityGate
 	Backend      Exchanger
@@ -134,6 +137,13 @@
 		f.refuse(r, caller, *refusal, p, nil)
 		return
 	}
+	ticket, refused := f.admitCapacity(ctx, r)
+	if refused != nil {
+		f.refuse(r, caller, *refused, p, nil)
+		return
+	}
+	var outcome admission.Outcome
+	defer func() { ticket.Done(outcome) }()
 	start := time.Now()
 	reservation, cause := f.reserve(ctx, r)
 	if cause != "" {
@@ -144,6 +154,7 @@
 	t.features, t.checked = features, checked
 	t.reserveTime = time.Since(start)
 	t.run(ctx)
+	outcome = t.admissionOutcome()
 	reservation.Settle(t.used())
 }
 
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -46,8 +46,8 @@
 	return shortest
 }
 
-// admission is a server that the request may be sent to.
-type admission struct {
+// permitted is a server that the request may be sent to.
+type permitted struct {
 	balance.Choice
 	// release returns the permit; nil if none was needed.
 	release func(permits.Outcome)
@@ -55,9 +55,9 @@
 
 // admit chooses a server and acquires a permit if it is fragile. The Server is nil if there is none for the
 // request; refused is then the answer of the grantor that expects a free place soonest, if any was asked.
-func (t *task) admit(ctx context.Context) (chosen admission, refused *permits.Answer) {
+func (t *task) admit(ctx context.Context) (chosen permitted, refused *permits.Answer) {
 	if !t.isFragile() {
-		return admission{Choice: t.f.Chooser.Choose(t.f.servers(t.r), t.r, t.excluded)}, nil
+		return permitted{Choice: t.f.Chooser.Choose(t.f.servers(t.r), t.r, t.excluded)}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxPermitTime)
 	defer cancel()
@@ -66,7 +66,7 @@
 
 // admitWithPermit asks for a permit for the servers that suit best, one after the other. If none has a free
 // place, the request waits in the queue of the best.
-func (t *task) admitWithPermit(ctx context.Context) (chosen admission, refused *permits.Answer) {
+func (t *task) admitWithPermit(ctx context.Context) (chosen permitted, refused *permits.Answer) {
 	var denied []*fleet.Server
 	excluded := func(s *fleet.Server) bool { return t.excluded(s) || slices.Contains(denied, s) || t.isHeldOff(s) }
 	var first balance.Choice // whose queue has room
@@ -77,7 +77,7 @@
 		}
 		release, answer := t.f.Permits.Acquire(ctx, choice.Server, t.permitPriority(), 0)
 		if answer.Granted {
-			return admission{choice, release}, nil
+			return permitted{choice, release}, nil
 		}
 		denied = append(denied, choice.Server)
 		refused = sooner(refused, answer)
@@ -86,13 +86,13 @@
 		}
 	}
 	if first.Server == nil || ctx.Err() != nil {
-		return admission{}, refused
+		return permitted{}, refused
 	}
 	release, answer := t.f.Permits.Acquire(ctx, first.Server, t.permitPriority(), t.permitWait())
 	if answer.Granted {
-		return admission{first, release}, nil
+		return permitted{first, release}, nil
 	}
-	return admission{}, sooner(refused, answer)
+	return permitted{}, sooner(refused, answer)
 }
 
 // permitPriority returns the priority at which the request asks for a permit. A stream that was broken off
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -30,7 +30,7 @@
 	BackendsEvacuated   Cause = "backends_evacuated"        // operators have ordered all servers evacuated
 	BackendsCold        Cause = "backends_cold"             // all servers have recently started and can handle only few requests
 	BackendsLimited     Cause = "backends_limited"          // all servers are cold or limit their request rate
-	BackendsBusy        Cause = "backends_busy"             // all servers are fragile and have as many requests as they can take
+	BackendsBusy        Cause = "backends_busy"             // the servers have as many requests as they can take, and others go first
 	BackendsUnavailable Cause = "backends_unavailable"      // all servers have asked for a time without requests
 	BackendsOutdated    Cause = "backends_outdated"         // what is known of the servers is too old, since this VM's link is full
 	// StreamVersionUnknown: at which version of the servers' software the stream began is unknown.
--- a/internal/forward/selfreport.go
+++ b/internal/forward/selfreport.go
@@ -18,6 +18,7 @@
 	server.MarkUnavailable(now, reply.RetryAfter)
 	f.RateLimits.ObserveResponse(server.Incarnation, reply.RateLimit, sent)
 	f.Fragility.ObserveResponse(server.Service, reply.Fragile, sent)
+	f.observeLoad(server, reply)
 	if reply.Leaving && !server.Leaving() {
 		f.MarkLeaving(server)
 	}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -62,27 +62,16 @@
 	events         int  // number of events relayed that hold tokens
 	output         int  // output tokens of an answer, except those of events
 	succeeded      bool // a buffered answer with status 200 was relayed
+	answered       bool // a server's answer was relayed to its end
 }
 
 func newTask(f *Forwarder, p *policy.Policy, r *request.Request, caller Caller) *task {
 	t := &task{f: f, policy: p, r: r, caller: caller, tried: make(map[string]bool)}
-	timeout := r.Timeout
-	if r.Route.Timeout > 0 && (timeout == 0 || r.Route.Timeout < timeout) {
-		timeout = r.Route.Timeout
-	}
-	if timeout > 0 {
-		t.deadline = r.Arrived.Add(timeout - t.linkDelay(timeout))
-	}
+	t.deadline = f.deadline(r)
 	t.lastEventID, t.hasLastEventID = r.ResumeAfter, r.HasResume
 	return t
 }
 
-// linkDelay returns how much earlier than the timeout the answer has to be ready. The caller's clock
-// began when it sent the request, and stops when it has the answer; a full link holds up both.
-func (t *task) linkDelay(timeout time.Duration) time.Duration {
-	return min(t.f.LinkDelay(), timeout/2)
-}
-
 // used returns the number of tokens charged to the client account: the prompt once, and the output
 // that was relayed. A request of whose answer nothing was relayed costs nothing even if it ran, so
 // that no one pays for a prompt twice because a server failed or the caller disconnected early.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	streamRecords *prometheus.CounterVec
 	crashReports  *prometheus.CounterVec
 	permits       *prometheus.CounterVec
+	admission     *prometheus.CounterVec
 
 	mu     sync.Mutex
 	recent map[string]int // number of calls to the store since the last log entry, by kind and subject
@@ -66,7 +68,9 @@
 		Help: "Reports of crashes of backend servers handed to other routers directly, by outcome."}, []string{"outcome"})
 	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_permits_total",
 		Help: "Permits for requests to fragile servers that this router asked for, by outcome."}, []string{"outcome"})
-	m.registry.MustRegister(m.resumed, m.streamRecords, m.crashReports, m.permits)
+	m.admission = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "chicory_admission_total",
+		Help: "Decisions on requests of services whose capacity was short, by priority and outcome."}, []string{"priority", "outcome"})
+	m.registry.MustRegister(m.resumed, m.streamRecords, m.crashReports, m.permits, m.admission)
 	m.recent = make(map[string]int)
 	m.registry.MustRegister(m.tunnels, m.firstByte, m.total, m.refused, m.retried, m.BackendDials, m.storeCalls, m.relayed, m.storeEra, m.stale)
 	return m
@@ -128,6 +132,17 @@
 	m.permits.WithLabelValues(outcome).Inc()
 }
 
+// CountAdmission implements admission.Metrics.
+func (m *Metrics) CountAdmission(priority int, outcome string) {
+	m.admission.WithLabelValues(strconv.Itoa(priority), outcome).Inc()
+}
+
+// registerLimitedServices registers a gauge of the services whose requests are limited by admission.
+func (m *Metrics) registerLimitedServices(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_limited_services",
+		Help: "Services whose servers are full, so that requests are admitted by urgency."}, func() float64 { return float64(count()) }))
+}
+
 // registerGrantedServers registers a gauge of the fragile servers that this router grants permits for.
 func (m *Metrics) registerGrantedServers(count func() int) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_granted_servers",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,9 @@
 		Log:             log,
 		Metrics:         n.metrics,
 	}
+	if !s.AdmissionOff {
+		n.forward.Admission = newAdmission(n, pacer)
+	}
 	return n
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +46,9 @@
 	RetryExtra  float64
 	RetryWindow time.Duration
 
+	// AdmissionOff switches admission by urgency off: see package admission.
+	AdmissionOff bool
+
 	// Capacity is the load that the VM can carry, in CPU cores; 0 if unknown.
 	Capacity float64
 
@@ -87,6 +92,7 @@
 		RetryRatio:    p.number("retries", "ratio", 0),
 		RetryExtra:    p.number("retries", "extra", 0),
 		RetryWindow:   p.seconds("retries", "window_s", 0),
+		AdmissionOff:  p.choice("router", "admission", "on", "off") == "off",
 		Capacity:      capacity(p.number("router", "cpu_share", unset), p.number("router", "link_mbps", unset)),
 		MemoryMB:      int(p.number("router", "memory_mb", 0)),
 	}
@@ -154,6 +160,18 @@
 	return list
 }
 
+// choice reads an optional word, by default the first of the allowed ones.
+func (p *parser) choice(section, key string, allowed ...string) string {
+	value := p.file.Section(section).Key(key).String()
+	if value == "" {
+		return allowed[0]
+	}
+	if !slices.Contains(allowed, value) {
+		p.fail(section, key, "not one of "+strings.Join(allowed, ", ")+": "+value)
+	}
+	return value
+}
+
 // number reads a non-negative number. If fallback is zero the key is required.
 func (p *parser) number(section, key string, fallback float64) float64 {
 	k := p.file.Section(section).Key(key)
