Limit services whose servers reject for other reasons than slots

Servers that lack memory reject requests while they report free slots, and the limit did not apply to them. Rejections of a fifth of the traffic at half of the servers now count whatever slots are reported. Less urgent priorities no longer get what the more urgent ones ask for less by chance.

--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,129 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/fleet"
+)
+
+var (
+	allServers = []string{"a", "b", "c", "d"}
+	fullLoad   = fleet.Load{Running: 8, Waiting: 8, Slots: 8}
+	testTime   = time.Unix(1_700_000_000, 0)
+)
+
+// observeFor lets each server send a signal every 50 ms and returns when it ends.
+func observeFor(g *Gate, from time.Time, length time.Duration, signal func(server string, i int) Signal) time.Time {
+	now := from
+	for i := 0; now.Sub(from) < length; i++ {
+		for _, server := range allServers {
+			s := signal(server, i)
+			s.Incarnation = server
+			g.Observe(s, now)
+		}
+		g.Evaluate(allServers, now)
+		now = now.Add(50 * ms)
+	}
+	return now
+}
+
+// Guards against services that are limited although they are not short of capacity, and against shortages that
+// go unnoticed where servers tell nothing of their slots or lack memory.
+func TestOnlyShortagesLimit(t *testing.T) {
+	idle := fleet.Load{Running: 1, Slots: 8}
+	for name, test := range map[string]struct {
+		signal  func(server string, i int) Signal
+		limited bool
+	}{
+		"all full": {func(string, int) Signal { return Signal{Load: fullLoad, HasLoad: true} }, true},
+		"one full": {func(s string, _ int) Signal {
+			if s == "a" {
+				return Signal{Load: fullLoad, HasLoad: true, Rejected: true}
+			}
+			return Signal{Load: idle, HasLoad: true}
+		}, false},
+		"slots taken, none waits":      {func(string, int) Signal { return Signal{Load: fleet.Load{Running: 8, Slots: 8}, HasLoad: true} }, false},
+		"a rejection here and there":   {func(s string, i int) Signal { return Signal{Rejected: s == "b" && i%8 == 0} }, false},
+		"rejections without reports":   {func(_ string, i int) Signal { return Signal{Rejected: i%2 == 0} }, true},
+		"rejections, slots are free":   {func(_ string, i int) Signal { return Signal{Load: idle, HasLoad: true, Rejected: i%2 == 0} }, true},
+		"no reports and no rejections": {func(string, int) Signal { return Signal{} }, false},
+	} {
+		g := NewGate(ByPriority)
+		observeFor(g, testTime, 2*time.Second, test.signal)
+		qt.Check(t, g.Limited(), qt.Equals, test.limited, qt.Commentf(name))
+	}
+}
+
+// limitedGate returns a gate with a small limit.
+func limitedGate() (*Gate, time.Time) {
+	g := NewGate(ByPriority)
+	now := observeFor(g, testTime, time.Second, func(string, int) Signal { return Signal{Load: fullLoad, HasLoad: true} })
+	g.limiter.limit = 1
+	return g, now
+}
+
+// Guards against a limit that outlasts the reports that it rests on, as after a router was frozen.
+func TestStaleReportsEndTheLimit(t *testing.T) {
+	g, now := limitedGate()
+	qt.Check(t, g.Evaluate(allServers, now.Add(reportTTL+50*ms)), qt.IsTrue)
+	qt.Check(t, g.Limited(), qt.IsFalse)
+}
+
+// Guards against a queue that grows without bound, and against requests for which it holds back more urgent ones.
+func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
+	g, now := limitedGate()
+	g.inProgress = 100
+	waiters := make(map[*Waiter]int)
+	for i := range maxWaiting {
+		w := g.Offer(Request{Priority: 1, Account: fmt.Sprint(i), Goal: time.Hour}, now)
+		qt.Assert(t, w.Settled, qt.IsFalse)
+		waiters[w] = i
+	}
+	urgent := g.Offer(Request{Priority: 0, Goal: time.Hour}, now)
+	settled := g.Next(now)
+	qt.Assert(t, settled, qt.HasLen, 1)
+	qt.Check(t, waiters[settled[0]], qt.Equals, maxWaiting-1)
+	qt.Check(t, settled[0].Refusal, qt.IsNotNil)
+	qt.Check(t, urgent.Settled, qt.IsFalse)
+}
+
+type noMetrics struct{}
+
+func (noMetrics) CountAdmission(int, string) {}
+
+// Guards against requests that wait for longer than a tenth of their goal, that are forgotten when capacity
+// becomes free, or that hold it after their callers have left.
+func TestWaitsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+		g := c.gate("s")
+		g.gate, _ = limitedGate()
+		g.gate.limiter.updatedAt = time.Now()
+		request := Request{Service: "s", Goal: time.Second}
+		var tickets []*Ticket
+		for range 4 {
+			ticket, refused := c.Admit(t.Context(), request)
+			qt.Assert(t, refused, qt.IsNil)
+			tickets = append(tickets, ticket)
+		}
+		began := time.Now()
+		_, refused := c.Admit(t.Context(), request)
+		qt.Check(t, refused, qt.IsNotNil)
+		qt.Check(t, time.Since(began) <= 100*ms, qt.IsTrue)
+		gone, leave := context.WithTimeout(t.Context(), 10*ms)
+		defer leave()
+		_, refused = c.Admit(gone, request)
+		qt.Check(t, refused, qt.IsNotNil)
+		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
+		time.AfterFunc(20*ms, func() { tickets[0].Done(Outcome{}) })
+		_, refused = c.Admit(t.Context(), request)
+		qt.Check(t, refused, qt.IsNil)
+	})
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -24,13 +24,14 @@
 	idleLoad = 0.85
 	// targetLoad is the number of requests per slot that the limit aims at. A short queue at the
 	// servers keeps slots busy until the routers have seen a response and sent the next request.
-	targetLoad = 1.15
+	targetLoad = 1.1
 	// queuedLoad is the number of requests per slot from which on the limit shrinks. Between the two
 	// it stays, so that it does not swing.
-	queuedLoad = 1.3
-	// maxShrink is the lowest factor of one change. rejectionShrink applies where servers report no slots.
+	queuedLoad = 1.25
+	// maxShrink is the lowest factor of one change. rejectionShrink is the factor of a second in which servers
+	// reject requests although their slots are not full.
 	maxShrink       = 0.3
-	rejectionShrink = 0.85
+	rejectionShrink = 0.6
 	// gainPerSecond makes changes smaller the sooner they follow each other. Use is averaged over window, so that
 	// faster changes would make the limits of all routers swing together.
 	gainPerSecond = 1.5
@@ -66,14 +67,18 @@
 
 // sample is the mean of the load reports of the responses since the last change of the limit.
 type sample struct {
-	signals int
-	reports int // those of the signals that tell slots
+	signals  int
+	reports  int // those of the signals that tell slots
+	rejected int
 	// load and free are sums of the servers' requests and free slots, per slot.
 	load, free float64
 }
 
 func (s *sample) add(signal Signal) {
 	s.signals++
+	if signal.Rejected {
+		s.rejected++
+	}
 	if l := signal.Load; signal.HasLoad && l.Slots > 0 {
 		s.reports++
 		load := float64(l.Running+l.Waiting) / float64(l.Slots)
@@ -152,10 +157,10 @@
 	l.changedAt = now
 	load := c.recent.loadPerSlot()
 	switch {
-	case c.recent.reports == 0 && c.rejecting:
-		l.limit *= rejectionShrink
 	case load > queuedLoad:
 		l.limit *= math.Pow(targetLoad/load, gain*l.shrinkExponent(c.urgentDemand))
+	case c.rejecting && float64(c.recent.rejected) >= minRejectedFraction*float64(c.recent.signals):
+		l.limit *= math.Pow(rejectionShrink, gain)
 	case c.unmet && load < targetLoad:
 		l.limit += gain * minGrowth * min(c.urgentDemand, 4*l.limit+1)
 		l.limit *= 1 + gain*freeGrowth*max(0, c.recent.freePerSlot()-usualFree)
@@ -175,7 +180,7 @@
 // their slots need.
 func (l *limiter) tryClose(c conditions, now time.Time) (switched, used bool) {
 	enough := c.recent.signals >= minSignals
-	if enough && c.recent.reports > 0 && c.recent.loadPerSlot() < queuedLoad {
+	if enough && !c.rejecting && c.recent.reports > 0 && c.recent.loadPerSlot() < queuedLoad {
 		l.fullSince = time.Time{} // the older reports of other servers no longer hold
 	}
 	if l.fullSince.IsZero() || now.Sub(l.fullSince) < closeAfter {
@@ -183,11 +188,10 @@
 	}
 	p := c.pressure
 	factor := rejectionShrink
-	if p.Slots > 0 {
-		if p.Load < queuedLoad*p.Slots {
-			return false, enough
-		}
+	if p.Load >= queuedLoad*p.Slots && p.Slots > 0 {
 		factor = max(maxShrink, targetLoad*p.Slots/p.Load)
+	} else if !c.rejecting {
+		return false, enough
 	}
 	l.limited, l.changedAt = true, now
 	l.limit = max(minLimit, float64(c.inProgress)*factor)
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -77,15 +77,14 @@
 }
 
 const (
-	// minRejected and minRejectedFraction are the rejections in a window that show a shortage where
-	// no reports show free slots. Fewer come from single servers or moments.
+	// minRejected and minRejectedFraction are the rejections in a window that show a shortage, whatever
+	// slots the reports tell: servers may lack memory. Fewer come from single servers or moments.
 	minRejected         = 3.0
 	minRejectedFraction = 0.2
 )
 
 // rejecting reports whether servers reject so much that capacity must be short: several requests, a
-// fifth of the traffic, at half of the servers that answer, and no report of free slots.
+// fifth of the traffic, at half of the servers that answer.
 func (p Pressure) rejecting(rejected, answered float64) bool {
-	return rejected >= minRejected && rejected >= minRejectedFraction*answered &&
-		p.Known > 0 && 2*p.Rejecting >= p.Known && p.Free == 0
+	return rejected >= minRejected && rejected >= minRejectedFraction*answered && p.Known > 0 && 2*p.Rejecting >= p.Known
 }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -42,18 +42,19 @@
 // the accounts get equal shares, of which they borrow what others leave.
 func divide(demands []demand, capacity float64) map[class]float64 {
 	shares := make(map[class]float64, len(demands))
-	left, asked := capacity, 0.0
+	left, asked := capacity, 0.0 // asked: by the levels that are left
 	byLevel := make([][]demand, maxLevel+1)
 	for _, d := range demands {
 		byLevel[d.class.level] = append(byLevel[d.class.level], d)
 		asked += d.amount
 	}
 	for _, level := range byLevel {
-		own := sum(level)
+		own, noise := sum(level)
 		asked -= own
-		// The least urgent levels share the reserve of a tenth with each other, so each level may take at least half of what is left.
+		// The less urgent levels share the reserve of a tenth, so each level may take half of what is left.
 		reserve := min(leastUrgentShare*capacity, max(0, asked), left/2)
-		got := min(own, left-reserve)
+		// What the level may ask for more by chance is kept for it too, not given to the next.
+		got := min(own+noise, left-reserve)
 		left -= got
 		divideLevel(level, got, shares)
 	}
@@ -70,7 +71,8 @@
 			short = append(short, d)
 		}
 	}
-	shortAsked, longAsked := sum(short), sum(long)
+	shortAsked, _ := sum(short)
+	longAsked, _ := sum(long)
 	if shortAsked+longAsked == 0 {
 		return
 	}
@@ -97,10 +99,12 @@
 	}
 }
 
-func sum(demands []demand) float64 {
-	total := 0.0
+// sum returns the whole demand and its noise.
+func sum(demands []demand) (amount, noise float64) {
+	variance := 0.0
 	for _, d := range demands {
-		total += d.amount
+		amount += d.amount
+		variance += d.noise * d.noise
 	}
-	return total
+	return amount, math.Sqrt(variance)
 }
