Damp the limits of admission and count from their first moment

Limits of all routers swung together: the estimate of how long requests take followed the servers' queues and so corrected the same thing twice, and growth was fast. In the first second after a limit began, averages knew nothing and all requests passed.

Estimates now change slowly, changes are smaller the sooner they follow each other, routers that turn away more (or more urgent) requests grow faster, and averages are corrected for the time that they have seen. Classes compare work, not durations that were estimated at different times.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// longFactor times the mean duration of a level's requests is the duration from which on a request
-	// counts as long.
+	// longFactor times the duration of a request of the level's mean work is the duration from which on
+	// a request counts as long.
 	longFactor = 1.5
 	// meanWeight is the weight of one more request in that mean.
 	meanWeight = 0.05
@@ -35,13 +35,14 @@
 	rejected, answered average
 	recent             sample
 
+	limitedAt time.Time // when the limit began to apply
 	// Demand, use and waiting requests; empty while the limit does not apply.
 	classes  map[class]*usage
 	demands  []demand // as of sharesAt, in order of their classes
 	shares   map[class]float64
 	sharesAt time.Time
 	top      int                    // the lowest level that has demand
-	means    [maxLevel + 1]estimate // duration of the requests that arrive, by level
+	works    [maxLevel + 1]estimate // mean work of the requests that arrive, by level
 	waiting  []*Waiter
 	// unmet is set if a request was refused or waited since the last change of the limit.
 	unmet bool
@@ -112,7 +113,7 @@
 	if g.limiter.limited {
 		g.computeShares(now)
 	}
-	c.demand, c.urgentDemand = g.demand()
+	c.demand, c.unmetDemand = g.demand()
 	g.unmet = false
 	switched, used := g.limiter.update(c, now)
 	if used {
@@ -121,6 +122,7 @@
 	if switched {
 		clear(g.classes)
 		g.demands, g.shares, g.sharesAt = nil, nil, time.Time{}
+		g.limitedAt = now
 	}
 	return switched
 }
@@ -137,16 +139,17 @@
 	}
 }
 
-// demand returns the demand of all classes, and the same weighted by urgency. A router whose demand is less
-// urgent than that of others grows its limit more slowly and so ends up with a smaller share, but not with
-// less than a fifth of theirs.
-func (g *Gate) demand() (total, urgent float64) {
+// demand returns the demand of all classes, and what of it exceeds their shares, weighted by urgency. A router
+// that turns away more, or more urgent, requests than others grows its limit faster and shrinks it less. The
+// limits therefore approach a division at which no router admits less urgent requests while another one turns
+// away urgent ones, but a router with none but the least urgent still gets a part.
+func (g *Gate) demand() (total, unmet float64) {
 	const perLevel, least = 0.4, 0.2
 	for _, d := range g.demands {
 		total += d.amount
-		urgent += d.amount * max(least, math.Pow(perLevel, float64(d.class.level)))
+		unmet += max(0, d.amount-g.share(d.class)) * max(least, math.Pow(perLevel, float64(d.class.level)))
 	}
-	return total, urgent
+	return total, unmet
 }
 
 // Offer decides on a request. If it is not settled, Next must be called, which may settle it or another one that
@@ -191,10 +194,12 @@
 func (g *Gate) classify(w *Waiter, now time.Time) {
 	w.level = g.order(w.Request)
 	w.weight = g.durations.seconds(w.Request.Work)
-	mean := &g.means[w.level]
-	w.class = class{level: w.level, long: mean.samples >= minSamples && w.weight > longFactor*mean.mean, account: w.Request.Account}
+	mean := &g.works[w.level]
+	// Both durations are present estimates, so that requests of the same work never differ in class.
+	long := mean.samples >= minSamples && w.weight > longFactor*g.durations.seconds(mean.mean)
+	w.class = class{level: w.level, long: long, account: w.Request.Account}
 	mean.samples++
-	mean.mean += max(meanWeight, 1/float64(mean.samples)) * (w.weight - mean.mean)
+	mean.mean += max(meanWeight, 1/float64(mean.samples)) * (w.Request.Work - mean.mean)
 	if g.classes[w.class] == nil && len(g.classes) >= maxClasses {
 		w.class.account = "" // accounts beyond the bound share one class
 	}
@@ -208,14 +213,15 @@
 func (g *Gate) computeShares(now time.Time) {
 	g.demands = g.demands[:0]
 	g.top = maxLevel
+	correction := g.correction(now)
 	for c, u := range g.classes {
-		amount := u.demand.value(now)
+		amount := u.demand.value(now) * correction
 		if amount < leastDemand {
 			delete(g.classes, c)
 			continue
 		}
 		g.top = min(g.top, c.level)
-		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * g.means[c.level].mean)})
+		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * g.durations.seconds(g.works[c.level].mean))})
 	}
 	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
 	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
@@ -231,7 +237,7 @@
 
 func (g *Gate) admitted(c class, now time.Time) float64 {
 	if u := g.classes[c]; u != nil {
-		return u.admitted.value(now)
+		return u.admitted.value(now) * g.correction(now)
 	}
 	return 0
 }
@@ -252,6 +258,14 @@
 	return ""
 }
 
+// correction is what averages that began with the limit have to be multiplied by, since they have not yet
+// seen a whole window. Without it all requests would pass in the first second.
+func (g *Gate) correction(now time.Time) float64 {
+	const least = 0.2 // of a window: fewer requests tell too little
+	age := max(least, now.Sub(g.limitedAt).Seconds()/window.Seconds())
+	return 1 / (1 - math.Exp(-age))
+}
+
 // threshold returns the use below which a class may have another request of the weight admitted, so that its
 // average use is its share: use jumps by the weight and decays to the threshold within
 // window*ln(1+weight/threshold), in which share*window must have been admitted.
@@ -379,7 +393,7 @@
 	seconds := g.durations.seconds(w.Request.Work)
 	share := g.share(w.class)
 	if u := g.classes[w.class]; share < unlimited && u != nil {
-		excess := u.demand.value(now) - share
+		excess := u.demand.value(now)*g.correction(now) - share
 		seconds = max(seconds, excess/max(share, minLimit/100)*window.Seconds())
 	}
 	return min(max(time.Duration(seconds*float64(time.Second)), minRetryAfter), maxRetryAfter)
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -24,24 +24,25 @@
 	idleLoad = 0.85
 	// targetLoad is the number of requests per slot that the limit aims at. A short queue at the
 	// servers keeps slots busy until the routers have seen a response and sent the next request.
-	targetLoad = 1.1
+	targetLoad = 1.2
 	// queuedLoad is the number of requests per slot from which on the limit shrinks. Between the two
 	// it stays, so that it does not swing.
-	queuedLoad = 1.25
+	queuedLoad = 1.35
 	// maxShrink is the lowest factor of one change. rejectionShrink is the factor of a second in which servers
 	// reject requests although their slots are not full.
 	maxShrink       = 0.3
 	rejectionShrink = 0.6
 	// gainPerSecond makes changes smaller the sooner they follow each other. Use is averaged over window, so that
 	// faster changes would make the limits of all routers swing together.
-	gainPerSecond = 1.5
-	// minGrowth is the growth of one change near full servers, relative to the demand. All routers grow at
+	gainPerSecond = 1
+	// minGrowth is the growth of one change near full servers, relative to the demand that is
+	// turned away. All routers grow at
 	// the same time, so it is slow.
-	minGrowth = 0.08
+	minGrowth = 0.06
 	// usualFree is the part of the slots that is free at times while requests fill all slots on average. The
 	// limit grows faster if more are free, for example after servers have returned.
 	usualFree  = 0.05
-	freeGrowth = 1.4
+	freeGrowth = 1.0
 	// headroom is by how much the limit may exceed the demand, so that it takes effect as soon as it shrinks.
 	headroom = 1.25
 	// minLimit keeps a router with hardly any demand from being shut out.
@@ -104,8 +105,8 @@
 	inProgress int
 	// unmet is set if requests were refused or waited since the last update.
 	unmet bool
-	// demand is the demand of all classes, urgentDemand the same weighted by urgency.
-	demand, urgentDemand float64
+	// demand is the demand of all classes, unmetDemand what of it exceeds their shares, weighted by urgency.
+	demand, unmetDemand float64
 }
 
 // due reports whether it is time for another update. duration is how long a request takes, in seconds.
@@ -158,11 +159,11 @@
 	load := c.recent.loadPerSlot()
 	switch {
 	case load > queuedLoad:
-		l.limit *= math.Pow(targetLoad/load, gain*l.shrinkExponent(c.urgentDemand))
+		l.limit *= math.Pow(targetLoad/load, gain*l.shrinkExponent(c.unmetDemand))
 	case c.rejecting && float64(c.recent.rejected) >= minRejectedFraction*float64(c.recent.signals):
 		l.limit *= math.Pow(rejectionShrink, gain)
 	case c.unmet && load < targetLoad:
-		l.limit += gain * minGrowth * min(c.urgentDemand, 4*l.limit+1)
+		l.limit += gain * minGrowth * min(c.unmetDemand, l.limit+1)
 		l.limit *= 1 + gain*freeGrowth*max(0, c.recent.freePerSlot()-usualFree)
 	}
 	return true
@@ -171,9 +172,9 @@
 // shrinkExponent returns how strongly this router reacts to full servers. On average it is a half, which avoids too
 // low a limit where a report is older than the last change. A router that serves much of its demand, or
 // whose demand is less urgent, gives up more, so that routers' limits approach each other.
-func (l *limiter) shrinkExponent(urgentDemand float64) float64 {
+func (l *limiter) shrinkExponent(unmetDemand float64) float64 {
 	const least, most = 0.25, 0.75
-	return min(most, least+least*l.limit/max(urgentDemand, minLimit))
+	return min(most, least+least*l.limit/max(unmetDemand, minLimit))
 }
 
 // tryClose begins to limit requests once the servers have been full for some time and queue more than
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -42,9 +42,9 @@
 }
 
 const (
-	// sampleWeight is the weight of a new duration, of the order of the requests that a router has in
-	// progress: the estimate follows within a few service times.
-	sampleWeight = 0.1
+	// sampleWeight is the weight of a new duration. An estimate that followed the queues of the servers quickly
+	// would react to them a second time beside the limit, and the load would swing.
+	sampleWeight = 0.03
 	// minSamples is the number of durations from which on the estimate for a size is used.
 	minSamples = 3
 	// defaultDuration is assumed until the first request is answered.
