--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -182,7 +182,7 @@
 
 // evaluate changes the limit if it is time to. g.mu must be held.
 func (c *Controller) evaluate(g *sharedGate, now time.Time) {
-	if !g.gate.Due(now) {
+	if !g.gate.Due(now) || g.gate.Rest(now) {
 		return
 	}
 	switched := g.gate.Evaluate(c.options.Eligible(g.service), now)
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -19,6 +19,8 @@
 	burstExtra  = 2
 	// sharesInterval is how often shares are computed while they are needed.
 	sharesInterval = 50 * time.Millisecond
+	// maxRest is how long Rest may replace Evaluate, which also forgets servers that are gone.
+	maxRest = 5 * time.Second
 	// leastDemand is the demand below which a class is forgotten.
 	leastDemand = 1e-3
 )
@@ -35,7 +37,8 @@
 	rejected, answered average
 	recent             sample
 
-	limitedAt time.Time // when the limit began to apply
+	evaluatedAt time.Time // when Evaluate was last called
+	limitedAt   time.Time // when the limit began to apply
 	// Demand, use and waiting requests; empty while the limit does not apply.
 	classes  map[class]*usage
 	demands  []demand // as of sharesAt, in order of their classes
@@ -101,6 +104,7 @@
 // Evaluate changes the limit by what the eligible servers reported. It reports whether the limit
 // began or ended to apply.
 func (g *Gate) Evaluate(eligible []string, now time.Time) bool {
+	g.evaluatedAt = now
 	g.forget(eligible)
 	g.pressure = measure(g.known, eligible, now)
 	c := conditions{
@@ -127,13 +131,29 @@
 	return switched
 }
 
+// Rest replaces Evaluate where the responses since the last one leave no doubt that capacity suffices. It
+// saves looking at all servers, of which there may be thousands, and reports whether it was enough.
+func (g *Gate) Rest(now time.Time) bool {
+	calm := !g.limiter.limited && g.recent.rejected == 0 && g.recent.loadPerSlot() < queuedLoad
+	if !calm || now.Sub(g.evaluatedAt) >= maxRest {
+		return false
+	}
+	g.limiter.updatedAt, g.limiter.fullSince = now, time.Time{}
+	g.recent = sample{}
+	return true
+}
+
 // forget removes the news of servers that are no longer eligible.
 func (g *Gate) forget(eligible []string) {
 	if len(g.known) <= len(eligible) {
 		return
 	}
+	keep := make(map[string]bool, len(eligible))
+	for _, incarnation := range eligible {
+		keep[incarnation] = true
+	}
 	for incarnation := range g.known {
-		if !slices.Contains(eligible, incarnation) {
+		if !keep[incarnation] {
 			delete(g.known, incarnation)
 		}
 	}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -39,20 +39,19 @@
 	// turned away. All routers grow at
 	// the same time, so it is slow.
 	minGrowth = 0.06
-	// usualFree is the part of the slots that is free at times while requests fill all slots on average. The
-	// limit grows faster if more are free, for example after servers have returned.
-	usualFree  = 0.05
-	freeGrowth = 1.0
+	// freeGrowth is the further growth of a change, as a factor of the limit for each request per slot that
+	// is missing to targetLoad. It is fast after servers have returned.
+	freeGrowth = 0.6
 	// headroom is by how much the limit may exceed the demand, so that it takes effect as soon as it shrinks.
 	headroom = 1.25
 	// minLimit keeps a router with hardly any demand from being shut out.
 	minLimit = 0.05
 )
 
-// limiter learns how many of a router's requests the servers of one service can have in progress. All
-// routers shrink their limits by the same factor when the servers are full, and grow them by an amount
-// in proportion to the demand that they turn away. Their shares of the capacity therefore approach
-// their shares of the demand, without messages between them.
+// limiter learns how many of a router's requests the servers of one service can have in progress. While the
+// servers are full all routers shrink their limits by a factor; while they have capacity to spare, routers that
+// turn requests away grow theirs by an amount in proportion to what they turn away. The limits therefore approach
+// shares of the capacity that follow the demand, without messages between routers.
 type limiter struct {
 	limited bool
 	// limit is the number of requests in progress; it is not whole, and below one where many routers
@@ -71,8 +70,8 @@
 	signals  int
 	reports  int // those of the signals that tell slots
 	rejected int
-	// load and free are sums of the servers' requests and free slots, per slot.
-	load, free float64
+	// load is the sum of the servers' requests per slot.
+	load float64
 }
 
 func (s *sample) add(signal Signal) {
@@ -84,7 +83,6 @@
 		s.reports++
 		load := float64(l.Running+l.Waiting) / float64(l.Slots)
 		s.load += min(load, maxLoadPerSlot)
-		s.free += max(0, 1-load)
 	}
 }
 
@@ -93,10 +91,6 @@
 	return s.load / float64(max(1, s.reports))
 }
 
-func (s sample) freePerSlot() float64 {
-	return s.free / float64(max(1, s.reports))
-}
-
 // conditions are the inputs of one update.
 type conditions struct {
 	pressure   Pressure
@@ -164,7 +158,7 @@
 		l.limit *= math.Pow(rejectionShrink, gain)
 	case c.unmet && load < targetLoad:
 		l.limit += gain * minGrowth * min(c.unmetDemand, l.limit+1)
-		l.limit *= 1 + gain*freeGrowth*max(0, c.recent.freePerSlot()-usualFree)
+		l.limit *= 1 + gain*freeGrowth*(targetLoad-load)
 	}
 	return true
 }
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -1,8 +1,6 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 // news is what is known of one server.
 type news struct {
@@ -25,9 +23,9 @@
 	Eligible int // servers that may get requests
 	Known    int // those of them that reported
 	Full     int // those of them without a free slot
-	// Slots, Load and Free are sums over the servers that reported slots: their slots, their requests
-	// running and waiting, and their free slots.
-	Slots, Load, Free float64
+	// Slots and Load are sums over the servers that reported slots: their slots, and their requests
+	// running and waiting.
+	Slots, Load float64
 	// Rejecting is the number of servers whose latest response is recent and which rejected a request recently.
 	Rejecting int
 	// Age is the age of the oldest report that counts.
@@ -59,7 +57,6 @@
 			slots := float64(l.Slots)
 			p.Slots += slots
 			p.Load += min(float64(l.Running+l.Waiting), maxLoadPerSlot*slots)
-			p.Free += max(0, slots-float64(l.Running+l.Waiting))
 		}
 	}
 	return p
