Servers missing after a silence get no requests while most others have entries

A router that was without the store counted the two seconds of grace for missing servers from its own return, and sent to a server that had been removed long before. Nothing tells it when the store was back; the service's other entries tell whether entries lapsed in an outage or one server left.

While two thirds or more of a service's known servers have entries, the missing ones get no new requests (fleet.Server.Missing, event 737). Otherwise they stay in use for the grace period as before. Requests in progress go on, and the entry's return puts the server back into use.

The first answer after such a silence is often that the watch's revision is of another era. It did not count as an answer of the store, so the full read waited for the backoff, up to 0.8 s. It ends the backoff now.

--- a/internal/balance/availability.go
+++ b/internal/balance/availability.go
@@ -13,7 +13,7 @@
 const (
 	// Available means that at least one server can take a request.
 	Available State = iota
-	// NoServers means that all servers are leaving or that there are none.
+	// NoServers means that all servers are leaving or missing, or that there are none.
 	NoServers
 	// AllEvacuated means that all servers that are not leaving are in evacuated failure domains.
 	AllEvacuated
@@ -72,7 +72,7 @@
 
 // judge tells whether a server may get a request now. canAcquire reports whether a paced server may.
 func (c *Chooser) judge(s *fleet.Server, now time.Time, canAcquire func(*fleet.Server) bool) verdict {
-	if s.Leaving() {
+	if s.Leaving() || s.Missing() {
 		return verdict{state: NoServers}
 	}
 	if s.Evacuated() {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -128,9 +128,12 @@
 	AdmissionChanged Number = 731
 	// StoreLostWrites: the store was restored from a copy and has lost writes that it had acknowledged.
 	StoreLostWrites Number = 732
-	Bootstrapped    Number = 714
-	SourceChanged   Number = 715
-	StoreCalls      Number = 716
+	// MissingUnused: the servers of a service whose entries are missing after a store outage get no new
+	// requests, since most others have entries; or they get requests again.
+	MissingUnused Number = 737
+	Bootstrapped  Number = 714
+	SourceChanged Number = 715
+	StoreCalls    Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -207,6 +210,7 @@
 	{ServiceSound, slog.LevelInfo, "backend servers of a service are fragile no more"},
 	{AdmissionChanged, slog.LevelInfo, "requests admitted to a fragile backend server changed"},
 	{StoreLostWrites, slog.LevelWarn, "store has lost writes"},
+	{MissingUnused, slog.LevelInfo, "use of missing backend servers changed"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/grace_test.go
+++ b/internal/fleet/grace_test.go
@@ -67,3 +67,30 @@
 	c.advance(100 * time.Millisecond)
 	qt.Assert(t, ids(r), qt.HasLen, 0)
 }
+
+// Guards against requests to a server that left during an outage that most entries survived, and against
+// a service left to a minority of its servers.
+func TestMissingServersAreUnusedWhileMostHaveEntries(t *testing.T) {
+	c := qt.New(t)
+	r, clock := newRegistry()
+	unused := func() (ids []string) {
+		for _, s := range r.View().ByService["engines"] {
+			if !s.AcceptsRequests(clock.now()) {
+				ids = append(ids, s.ID)
+			}
+		}
+		return ids
+	}
+	r.Reset([]store.Item{entryItem("a", 1, false), entryItem("b", 2, false), entryItem("c", 3, false)}, store.Silence{})
+	clock.advance(10 * time.Second)
+	r.Reset([]store.Item{entryItem("b", 2, false), entryItem("c", 3, false)}, outage(10*time.Second))
+	c.Assert(unused(), qt.DeepEquals, []string{"a"})
+	r.Apply([]store.Event{deletion("b", 4)}, normalSilence)
+	c.Assert(unused(), qt.HasLen, 0, qt.Commentf("one of three has an entry"))
+	r.Apply([]store.Event{put(entryItem("a", 5, false))}, normalSilence)
+	c.Assert(unused(), qt.DeepEquals, []string{"b"})
+	r.Apply([]store.Event{put(entryItem("b", 6, false))}, normalSilence)
+	c.Assert(unused(), qt.HasLen, 0)
+	clock.advance(gracePeriod)
+	c.Assert(ids(r), qt.DeepEquals, []string{"a", "b", "c"})
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -36,6 +36,8 @@
 	grace     grace
 	// evacuated holds the failure domains whose servers get no new requests.
 	evacuated map[string]bool
+	// unused holds, by service, whether its missing servers get no new requests; see updateMissing.
+	unused map[string]bool
 	// warmUp returns how long a service's servers are cold after a start.
 	warmUp func(service string) time.Duration
 	// lastAnswer is when the last answer came from the store, or from the router that reads
@@ -58,7 +60,7 @@
 	// start and seq are those of the last entry.
 	start, seq int64
 	// expired is set if the entry is missing after an outage and the server is still used
-	// for the grace period.
+	// for the grace period, unless most others of its service have entries.
 	expired bool
 	// unreadable is set if the present entry can't be decoded. The server's state is kept,
 	// since it may write a valid entry again, and must not get requests then if it was leaving.
@@ -79,7 +81,7 @@
 		now = time.Now
 	}
 	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked),
-		rejected: make(map[string]string), removed: make(removedEntries), reachable: true, grace: grace{now: now}, evacuated: make(map[string]bool),
+		rejected: make(map[string]string), removed: make(removedEntries), reachable: true, grace: grace{now: now}, evacuated: make(map[string]bool), unused: make(map[string]bool),
 		warmUp: func(string) time.Duration { return 0 }}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
@@ -443,6 +445,7 @@
 	for _, servers := range view.ByService {
 		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
 	}
+	r.updateMissing()
 	r.view.Store(view)
 	r.graceEnd.Store(due)
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -70,6 +70,8 @@
 
 	leaving   atomic.Bool
 	evacuated atomic.Bool
+	// missing is set while the server's entry is missing and most others of its service have theirs.
+	missing atomic.Bool
 	// coldUntil is when the server stops being cold; nil if it is warm.
 	coldUntil atomic.Pointer[time.Time]
 	// unavailableUntil is when the server wants requests from this router again; nil if it rejected none with a time.
@@ -129,10 +131,19 @@
 	s.evacuated.Store(evacuated)
 }
 
-// Ineligible reports whether the server must get no new requests, because it is leaving or
-// evacuated.
+// Missing reports whether the server must get no new requests until its entry returns.
+func (s *Server) Missing() bool {
+	return s.missing.Load()
+}
+
+func (s *Server) setMissing(missing bool) {
+	s.missing.Store(missing)
+}
+
+// Ineligible reports whether the server must get no new requests, because it is leaving, missing
+// or evacuated.
 func (s *Server) Ineligible() bool {
-	return s.Leaving() || s.Evacuated()
+	return s.Leaving() || s.Missing() || s.Evacuated()
 }
 
 // maxColdTime caps the cold time that a server reports. Servers warm up within seconds, and one
@@ -168,7 +179,7 @@
 }
 
 // AcceptsRequests reports whether the server may get new requests from this router: it is neither leaving nor
-// evacuated nor unavailable.
+// missing, evacuated or unavailable.
 func (s *Server) AcceptsRequests(now time.Time) bool {
 	return !s.Ineligible() && s.UnavailableFor(now) == 0
 }
--- a/internal/store/results.go
+++ b/internal/store/results.go
@@ -29,7 +29,7 @@
 
 // recordProbe records how a check ended, even if another call was answered first.
 func (f *Follower) recordProbe(r callResult) {
-	if r.err == nil {
+	if r.err == nil || errors.Is(r.err, ErrCompacted) {
 		f.Backoff.ProbeAnswered(r.probe, r.ended)
 		return
 	}
@@ -66,6 +66,9 @@
 		f.regular.next = now
 	}
 	if errors.Is(r.err, ErrCompacted) {
+		// The store has answered. Without this the read waits for the backoff: up to 0.8 s after a silence
+		// whose first answer is that the history is lost.
+		f.Backoff.RecordSuccess(now)
 		return
 	}
 	f.failing = true
