Bodies of backend servers without end are served elsewhere or refused

An answer of 256 KiB or more was passed on as it came. If it had no end its caller got a part and an abort at the deadline, and no other server could answer. The body of a rejection was waited for until the deadline as well.

An answer that doesn't state its length is now held whole, up to 4 MiB, and 32 MiB for all requests of a router (chicory_held_answer_bytes). Beyond that, or with a stated length above 256 MiB, the exchange is broken: it goes to another server if it may, else backend_failed. The request is not blamed for a crash, since the server still runs; the same holds for an event that is too large. The body of a rejection is waited for 100 ms.

Changed for callers: an answer longer than 4 MiB without a stated length is refused. Passing it on was weighed: it can't be told from one without end before a part of it is sent.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -11,17 +11,23 @@
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
-// relayBuffered reads an answer to its end before it sends any of it to the caller. Answers of
-// maxBufferedAnswer bytes or more are passed to relayUnbuffered.
+// relayBuffered reads an answer to its end before it sends any of it to the caller. Answers that state
+// a length of maxBufferedAnswer bytes or more are passed to relayUnbuffered.
 func (t *task) relayBuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply) outcome {
+	if reply.Length > maxStatedAnswer && t.r.Method != http.MethodHead {
+		return t.handleBroken(watch, server, errAnswerTooLong)
+	}
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer))
+	if err == nil && len(body) == maxBufferedAnswer && reply.Length < 0 {
+		body, err = t.f.unstated.readRest(reply, body)
+		defer t.f.unstated.release(len(body))
+	} else if err == nil && len(body) == maxBufferedAnswer {
+		return t.relayUnbuffered(watch, server, reply, body)
+	}
 	if err != nil {
 		return t.handleBroken(watch, server, err)
 	}
-	t.answerRead = len(body) < maxBufferedAnswer
-	if !t.answerRead {
-		return t.relayUnbuffered(watch, server, reply, body)
-	}
+	t.answerRead = true
 	serverError := reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
 	if serverError && t.r.Route.Retryable() && t.acquireRetry("failed") {
 		t.logFailure(server, "failed", errors.Errorf("status %d", reply.Status))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -107,7 +106,7 @@
 	}
 	server.RecordFailure(time.Now())
 	t.logFailure(server, "broken", err)
-	if !t.pastDeadline() && !upstream.IsTimeout(err) {
+	if !t.pastDeadline() && !upstream.IsTimeout(err) && !isEndless(err) {
 		t.f.Quarantine.RecordCrash(t.exchange(server))
 	}
 	return broken
@@ -120,8 +119,12 @@
 	}
 }
 
+// rejectionWait is how long the body of a rejection is waited for. It usually comes with the head, and is
+// read only so that the connection can be used again.
+const rejectionWait = 100 * time.Millisecond
+
 func (t *task) handleRejection(server *fleet.Server, reply *upstream.Reply) outcome {
-	if _, err := io.CopyN(io.Discard, reply, maxBufferedAnswer); err != io.EOF {
+	if err := reply.Discard(maxBufferedAnswer, rejectionWait); err != nil {
 		t.logFailure(server, "rejection unread", err) // the connection is then closed
 	}
 	if reply.Status == http.StatusMisdirectedRequest {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -103,6 +103,8 @@
 	Limits  *limit.Limiter
 	Log     *event.Log
 	Metrics Metrics
+
+	unstated unstatedBytes
 }
 
 // Serve answers one request. ctx is cancelled when the caller disconnects.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -96,6 +96,12 @@
 		Help: "Backend servers that answer other routers but not this one."}, func() float64 { return float64(count()) }))
 }
 
+// registerHeldBytes registers a gauge of the bytes held of answers that don't state their length.
+func (m *Metrics) registerHeldBytes(held func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_held_answer_bytes",
+		Help: "Bytes held of long answers that don't state their length."}, func() float64 { return float64(held()) }))
+}
+
 // registerCarried registers a gauge of the connections that this router carries for others.
 func (m *Metrics) registerCarried(active func() int64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_carried_connections",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,7 @@
 		Log:             log,
 		Metrics:         n.metrics,
 	}
+	n.metrics.registerHeldBytes(n.forward.HeldBytes)
 	return n
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -230,6 +230,20 @@
 	return n, err
 }
 
+// Discard reads the body and drops it, so that the connection can be used again. It fails if the body is
+// longer than limit bytes or doesn't end within wait.
+func (r *Reply) Discard(limit int64, wait time.Duration) error {
+	if err := r.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	n, err := io.CopyN(io.Discard, r.response.Body, limit)
+	if err != io.EOF {
+		return errors.Errorf("%d bytes read: %v", n, err)
+	}
+	r.bodyRead = true
+	return r.conn.SetReadDeadline(time.Time{})
+}
+
 // Close returns the connection to the pool if it can be reused, and closes it otherwise.
 func (r *Reply) Close() {
 	ctxEnded := !r.stop() // if so, the connection is being closed
