Callers that stop reading are disconnected after five seconds

A caller that read nothing held a goroutine, the kernel's buffers of megabytes and its backend server until TCP gave up. A write deadline was not set.

callerconn wraps the callers' listener: a write fails once the caller has taken no byte for five seconds while bytes wait, counted by what its side acknowledged (SIOCOUTQ), since completed writes come in steps of a third of the buffer. The kernel's buffer is asked to be 256 KiB. The server's connection is closed, line 217 says so, chicory_stalled_callers_total and chicory_caller_waiting_bytes count.

A caller that read slowly made its server seem silent: the watchdog cancelled the attempt and the request was repeated. It rests during writes to the caller now, and in long answers that are relayed it measures pauses rather than the whole time.

--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/request"
 )
@@ -91,6 +92,14 @@
 	if errors.Is(err, http.ErrBodyNotAllowed) {
 		return nil
 	}
+	return writeError(err)
+}
+
+// writeError returns the error to report for one of a write to the caller's connection.
+func writeError(err error) error {
+	if errors.Is(err, callerconn.ErrStalled) {
+		return forward.ErrCallerStalled
+	}
 	return err
 }
 
@@ -106,9 +115,9 @@
 // Write implements forward.Caller.
 func (c *httpCaller) Write(part []byte) error {
 	if _, err := c.w.Write(part); err != nil {
-		return err
+		return writeError(err)
 	}
-	return http.NewResponseController(c.w).Flush()
+	return writeError(http.NewResponseController(c.w).Flush())
 }
 
 // Abort implements forward.Caller.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -40,6 +40,8 @@
 	// ClaimsRestored: recent claims of idempotency keys were written again, since the store may have lost
 	// them.
 	ClaimsRestored Number = 214
+	// CallerStalled: a caller took no byte of its answer for some seconds and was disconnected.
+	CallerStalled Number = 217
 )
 
 // Budget events.
@@ -163,6 +165,7 @@
 	{QuarantineEnded, slog.LevelInfo, "requests no longer held back"},
 	{StreamResumed, slog.LevelInfo, "stream to be resumed"},
 	{ClaimsRestored, slog.LevelInfo, "claims of idempotency keys written again"},
+	{CallerStalled, slog.LevelInfo, "caller that read nothing disconnected"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{DrawOutcomeUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -39,7 +39,9 @@
 		t.succeeded = true
 		t.setOutput(reply.OutputTokens)
 	}
+	watch.pause()
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
+		t.callerStalled = errors.Is(err, ErrCallerStalled)
 		return callerGone
 	}
 	t.recordServed(server, reply)
@@ -65,7 +67,7 @@
 	part := buffered
 	buf := make([]byte, 16<<10)
 	for {
-		if err := t.caller.Write(part); err != nil {
+		if err := t.send(watch, part); err != nil {
 			return callerGone
 		}
 		n, err := reply.Read(buf)
@@ -74,7 +76,7 @@
 			continue
 		}
 		if n > 0 {
-			if failure := t.caller.Write(part); failure != nil {
+			if failure := t.send(watch, part); failure != nil {
 				return callerGone
 			}
 		}
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/request"
@@ -74,11 +76,25 @@
 	return true
 }
 
+// send sends a part of the answer to the caller. A caller that reads slowly holds it up, during which
+// the server's silence is not counted.
+func (t *task) send(watch *watchdog, part []byte) error {
+	watch.pause()
+	err := t.caller.Write(part)
+	watch.progress()
+	t.callerStalled = errors.Is(err, ErrCallerStalled)
+	return err
+}
+
 // abandon ends the task after the caller disconnected. It returns true, the result of step for a
 // finished task.
 func (t *task) abandon() bool {
 	t.caller.Abort()
-	t.f.Log.Emit(event.RequestAbandoned, append(t.attrs(), slog.Int("events", t.events))...)
+	kind := event.RequestAbandoned
+	if t.callerStalled {
+		kind = event.CallerStalled
+	}
+	t.f.Log.Emit(kind, append(t.attrs(), slog.Int("events", t.events))...)
 	return true
 }
 
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -36,13 +36,13 @@
 		if e.HasID && t.hasLastEventID && e.ID != t.lastEventID+1 {
 			return t.handleBroken(watch, server, errors.Errorf("event %d follows event %d", e.ID, t.lastEventID))
 		}
-		if err := t.relayEvent(server, reply, e); err != nil {
+		if err := t.relayEvent(watch, server, reply, e); err != nil {
 			return callerGone
 		}
 	}
 }
 
-func (t *task) relayEvent(server *fleet.Server, reply *upstream.Reply, e eventstream.Event) error {
+func (t *task) relayEvent(watch *watchdog, server *fleet.Server, reply *upstream.Reply, e eventstream.Event) error {
 	if !t.headSent {
 		t.recordVersion(server)
 	}
@@ -55,7 +55,7 @@
 	if e.HasID || !t.hasLastEventID {
 		t.events++
 	}
-	return t.caller.Write(e.Raw)
+	return t.send(watch, e.Raw)
 }
 
 // recordGap updates the longest time between two events.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,11 +26,15 @@
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
+// ErrCallerStalled is the error of an answer whose caller has stopped reading.
+var ErrCallerStalled = errors.New("forward: caller reads nothing")
+
 // Caller receives the answer of a request: one call of Refuse or Answer, or Begin and any number
 // of Write calls. An answer that can't be completed ends with Abort, which may also come first.
 type Caller interface {
 	Refuse(Refusal)
-	// Answer sends a complete answer.
+	// Answer sends a complete answer. It and Write return ErrCallerStalled if the caller was disconnected
+	// because it had stopped reading.
 	Answer(status int, header http.Header, body []byte) error
 	// Begin sends status and header of an answer whose body follows; length is that of the
 	// body, or -1 if unknown.
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -55,6 +55,7 @@
 	lastEventAt time.Time     // time of the last event relayed
 	maxGap      time.Duration // longest time between two events
 
+	callerStalled  bool // the caller was disconnected because it had stopped reading
 	headSent       bool // status and header were relayed, and the body follows in parts
 	firstByteAt    time.Time
 	lastEventID    int64 // of the last event relayed, or received by the caller before it resumed
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// pause stops the timeout until the next call of progress.
+func (w *watchdog) pause() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 // hasExpired reports whether the watchdog cancelled the attempt.
 func (w *watchdog) hasExpired() bool {
 	return w.expired.Load()
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -55,6 +55,10 @@
 			n.closeListeners()
 			return err
 		}
+		if h.address == &n.settings.CallerAddr {
+			n.callerConns.Listener = l
+			l = n.callerConns
+		}
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 		n.listeners = append(n.listeners, &listener{ln: l, server: server, log: n.log})
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/forward"
 	"chicorytiller.example/chicorytiller/internal/store"
@@ -102,6 +103,15 @@
 		Help: "Bytes held of long answers that don't state their length."}, func() float64 { return float64(held()) }))
 }
 
+// registerCallerConns registers what is known of callers that read slowly.
+func (m *Metrics) registerCallerConns(l *callerconn.Listener) {
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chicory_stalled_callers_total", Help: "Callers disconnected because they read nothing."},
+			func() float64 { return float64(l.Stalled()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_caller_waiting_bytes",
+			Help: "Bytes of answers that wait for callers, beyond 256 KiB for each in the kernel."}, func() float64 { return float64(l.WaitingBytes()) }))
+}
+
 // registerCarried registers a gauge of the connections that this router carries for others.
 func (m *Metrics) registerCarried(active func() int64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_carried_connections",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/entry"
 	"chicorytiller.example/chicorytiller/internal/escrow"
@@ -147,6 +148,7 @@
 	forward      *forward.Forwarder
 
 	listeners    []*listener
+	callerConns  *callerconn.Listener
 	peerListener net.Listener
 
 	createdAt     time.Time
@@ -218,6 +220,8 @@
 		Metrics:         n.metrics,
 	}
 	n.metrics.registerHeldBytes(n.forward.HeldBytes)
+	n.callerConns = &callerconn.Listener{}
+	n.metrics.registerCallerConns(n.callerConns)
 	return n
 }
 
