--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,8 @@
 	AdmissionUnlimited Number = 216
 	// AdmissionState: the state of a service whose requests are limited.
 	AdmissionState Number = 217
+	// CallerStalled: a caller took no byte of its answer for some seconds and was disconnected.
+	CallerStalled Number = 218
 )
 
 // Budget events.
@@ -139,9 +141,12 @@
 	AdmissionChanged Number = 731
 	// StoreLostWrites: the store was restored from a copy and has lost writes that it had acknowledged.
 	StoreLostWrites Number = 732
-	Bootstrapped    Number = 714
-	SourceChanged   Number = 715
-	StoreCalls      Number = 716
+	// MissingUnused: the servers of a service whose entries are missing after a store outage get no new
+	// requests, since most others have entries; or they get requests again.
+	MissingUnused Number = 737
+	Bootstrapped  Number = 714
+	SourceChanged Number = 715
+	StoreCalls    Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -174,6 +179,7 @@
 	{AdmissionLimited, slog.LevelWarn, "capacity of a service is short, requests are admitted by urgency"},
 	{AdmissionUnlimited, slog.LevelInfo, "capacity of a service suffices, all requests are admitted"},
 	{AdmissionState, slog.LevelInfo, "capacity of a service is still short"},
+	{CallerStalled, slog.LevelInfo, "caller that read nothing disconnected"},
 	{DrawCommitted, slog.LevelDebug, "draw landed"},
 	{DrawFailed, slog.LevelWarn, "draw failed"},
 	{DrawOutcomeUnknown, slog.LevelWarn, "outcome of a draw unknown, the record is read again"},
@@ -224,6 +230,7 @@
 	{ServiceSound, slog.LevelInfo, "backend servers of a service are fragile no more"},
 	{AdmissionChanged, slog.LevelInfo, "requests admitted to a fragile backend server changed"},
 	{StoreLostWrites, slog.LevelWarn, "store has lost writes"},
+	{MissingUnused, slog.LevelInfo, "use of missing backend servers changed"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -11,17 +11,23 @@
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
-// relayBuffered reads an answer to its end before it sends any of it to the caller. Answers of
-// maxBufferedAnswer bytes or more are passed to relayUnbuffered.
+// relayBuffered reads an answer to its end before it sends any of it to the caller. Answers that state
+// a length of maxBufferedAnswer bytes or more are passed to relayUnbuffered.
 func (t *task) relayBuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply) outcome {
+	if reply.Length > maxStatedAnswer && t.r.Method != http.MethodHead {
+		return t.handleBroken(watch, server, errAnswerTooLong)
+	}
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer))
+	if err == nil && len(body) == maxBufferedAnswer && reply.Length < 0 {
+		body, err = t.f.unstated.readRest(reply, body)
+		defer t.f.unstated.release(len(body))
+	} else if err == nil && len(body) == maxBufferedAnswer {
+		return t.relayUnbuffered(watch, server, reply, body)
+	}
 	if err != nil {
 		return t.handleBroken(watch, server, err)
 	}
-	t.answerRead = len(body) < maxBufferedAnswer
-	if !t.answerRead {
-		return t.relayUnbuffered(watch, server, reply, body)
-	}
+	t.answerRead = true
 	serverError := reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
 	if serverError && t.r.Route.Retryable() && t.acquireRetry("failed") {
 		t.logFailure(server, "failed", errors.Errorf("status %d", reply.Status))
@@ -34,7 +40,9 @@
 		t.succeeded = true
 		t.setOutput(reply.OutputTokens)
 	}
+	watch.pause()
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
+		t.callerStalled = errors.Is(err, ErrCallerStalled)
 		return callerGone
 	}
 	t.recordServed(server, reply)
@@ -60,7 +68,7 @@
 	part := buffered
 	buf := make([]byte, 16<<10)
 	for {
-		if err := t.caller.Write(part); err != nil {
+		if err := t.send(watch, part); err != nil {
 			return callerGone
 		}
 		n, err := reply.Read(buf)
@@ -69,7 +77,7 @@
 			continue
 		}
 		if n > 0 {
-			if failure := t.caller.Write(part); failure != nil {
+			if failure := t.send(watch, part); failure != nil {
 				return callerGone
 			}
 		}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -59,7 +59,8 @@
 		}
 		if h.address == &n.settings.CallerAddr {
 			n.intake.listener = &intake.Listener{TCPListener: l.(*net.TCPListener)}
-			l = n.intake.listener
+			n.callerConns.Listener = n.intake.listener
+			l = n.callerConns
 		}
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/balance"
+	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/entry"
 	"chicorytiller.example/chicorytiller/internal/escrow"
@@ -148,6 +149,7 @@
 	forward      *forward.Forwarder
 
 	listeners    []*listener
+	callerConns  *callerconn.Listener
 	peerListener net.Listener
 
 	createdAt     time.Time
@@ -223,6 +225,9 @@
 	if !s.AdmissionOff {
 		n.forward.Admission = newAdmission(n, pacer)
 	}
+	n.metrics.registerHeldBytes(n.forward.HeldBytes)
+	n.callerConns = &callerconn.Listener{}
+	n.metrics.registerCallerConns(n.callerConns)
 	return n
 }
 
