--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -72,6 +72,7 @@
 // Guards against a limit that outlasts the reports that it rests on, as after a router was frozen.
 func TestStaleReportsEndTheLimit(t *testing.T) {
 	g, now := limitedGate(testTime)
+	g.unmet = true
 	qt.Check(t, g.Evaluate(allServers, now.Add(reportTTL+50*ms)), qt.IsTrue)
 	qt.Check(t, g.Limited(), qt.IsFalse)
 }
@@ -94,6 +95,22 @@
 	qt.Check(t, urgent.Settled, qt.IsFalse)
 }
 
+// Guards against requests that are sent, or wait, although they would be answered after their deadline, and
+// against estimates that refuse requests for good because none is sent that corrects them.
+func TestLateRequestsAreRefusedWhileEstimateIsRecent(t *testing.T) {
+	g, now := limitedGate(testTime)
+	for range minSamples {
+		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+	}
+	request := Request{Priority: 0, Goal: time.Second, Deadline: now.Add(150 * ms)}
+	qt.Check(t, g.Offer(request, now).Refusal.Cause, qt.Equals, Late)
+	request.Deadline = now.Add(250 * ms)
+	qt.Check(t, g.Offer(request, now).Refusal, qt.IsNil)
+	now = now.Add(window + 50*ms)
+	request.Deadline = now.Add(150 * ms)
+	qt.Check(t, g.Offer(request, now).Refusal, qt.IsNil)
+}
+
 type noMetrics struct{}
 
 func (noMetrics) CountAdmission(int, string) {}
