--- a/internal/predict/model.go
+++ b/internal/predict/model.go
@@ -120,10 +120,12 @@
 func (m *Model) seen(now time.Time) (resumedAt time.Time) {
 	last := m.lastSeen.Load()
 	if last == nil || now.Sub(*last) > freezeTime {
-		m.resumedAt.Store(&now)
+		resumedAt := now
+		m.resumedAt.Store(&resumedAt)
 	}
 	if last == nil || now.Sub(*last) > seenStep {
-		m.lastSeen.Store(&now)
+		lastSeen := now
+		m.lastSeen.Store(&lastSeen)
 	}
 	if resumed := m.resumedAt.Load(); resumed != nil {
 		return *resumed
