--- a/internal/predict/predict_test.go
+++ b/internal/predict/predict_test.go
@@ -121,6 +121,7 @@
 	f.pass(800 * time.Millisecond)
 	qt.Check(t, f.estimate(s, prompt(3000)).FirstMs < before.FirstMs+50, qt.IsTrue)
 	st.EndWrite(800 * time.Millisecond)
+	qt.Check(t, f.estimate(s, prompt(3000)).FirstMs < before.FirstMs+50, qt.IsTrue)
 	f.run(st, 8, 24*time.Millisecond)
 	qt.Check(t, f.estimate(s, prompt(3000)).Pace < 1.1, qt.IsTrue)
 }
