Prediction is for streams with short prompts and calls without token counts

Review: whole answers with token counts (own interface) have their only event at the end, so the model learned 1 token per ms as prefill rate and avoided each server that generated one; a price per call was taken for a prompt. Requests with long prompts are not predicted, but were counted twice at a server, once in its report and once as this router's own.

Change: one question, isPredictable, with its test; other routers' requests are the reported number less all that this router has there.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,7 +89,7 @@
 	UncachedTokens float64
 	// CostMs is the estimated cost of sending the request to the server, in milliseconds.
 	CostMs float64
-	// Estimate has the components of the cost; zero if the service's servers report no pace.
+	// Estimate has the components of the cost; zero if the server was not chosen by prediction.
 	predict.Estimate
 	// work is what the estimate is for.
 	work      predict.Work
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -165,7 +165,7 @@
 		router = s.routers[s.random.Intn(6)]
 	}
 	r := &request.Request{ID: fmt.Sprint(s.random.Int63()), Service: "model", HasTokenUsage: true, PromptTokens: t.shared + t.own, TokensPerEvent: s.tokensPerEvent,
-		Route:       &policy.Route{LatencyGoal: t.first * time.Millisecond, GapGoal: t.pause * time.Millisecond},
+		Route:       &policy.Route{Kind: policy.Streaming, LatencyGoal: t.first * time.Millisecond, GapGoal: t.pause * time.Millisecond},
 		PromptParts: []request.PromptPart{{ID: fmt.Sprint(t.name, s.random.Intn(t.parts)), Tokens: t.shared}, {ID: "own", Tokens: t.own}}}
 	st := &simStream{router: router, kind: kind, r: r, choice: router.chooser.Choose(router.servers, r, excludeNone), sentAt: s.now, unread: float64(t.own)}
 	st.progress = router.chooser.Begin(st.choice, r)
@@ -275,7 +275,7 @@
 	long := newPromptRequest("subject")
 	r := &request.Request{HasTokenUsage: true, PromptTokens: 1900,
 		PromptParts: []request.PromptPart{{ID: "common", Tokens: 500}, {ID: "subject", Tokens: 900}, {ID: "own", Tokens: 500}}}
-	r.Route, r.TokensPerEvent = &policy.Route{LatencyGoal: time.Second, GapGoal: 400 * time.Millisecond}, 4
+	r.Route, r.TokensPerEvent = &policy.Route{Kind: policy.Streaming, LatencyGoal: time.Second, GapGoal: 400 * time.Millisecond}, 4
 	for _, s := range list {
 		c.ObserveLoad(s, fleet.Load{Running: 2, Pace: 100})
 	}
@@ -288,3 +288,20 @@
 	long.Route = r.Route
 	qt.Check(t, c.Choose(list, long, excludeNone).Server, qt.Equals, home)
 }
+
+// Guards against a server that is avoided while it generates an answer which is not a stream, or a price that is
+// taken for the length of a prompt.
+func TestOnlyStreamsAndPlainCallsArePredicted(t *testing.T) {
+	stream, buffered := &policy.Route{Kind: policy.Streaming}, &policy.Route{Kind: policy.NonIdempotent}
+	for _, test := range []struct {
+		r    request.Request
+		want bool
+	}{
+		{request.Request{Route: buffered}, true},
+		{request.Request{Route: stream, HasTokenUsage: true, PromptTokens: 700}, true},
+		{request.Request{Route: stream, HasTokenUsage: true, PromptTokens: 9000}, false},
+		{request.Request{Route: buffered, HasTokenUsage: true, PromptTokens: 700}, false},
+	} {
+		qt.Check(t, isPredictable(&test.r), qt.Equals, test.want, qt.Commentf("%+v", test.r))
+	}
+}
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/predict"
 	"chicorytiller.example/chicorytiller/internal/request"
 )
@@ -37,9 +38,19 @@
 // read the same parts again, and have less time for everything else.
 const maxPredictedPrompt = 4000
 
+// isPredictable reports whether the server of a request may be chosen by prediction: that of a call without
+// token counts, or of a stream with a short prompt. Answers with token counts that are not streams bring nothing
+// until they are complete, which looks like a server that stalls.
+func isPredictable(r *request.Request) bool {
+	if !r.HasTokenUsage {
+		return true
+	}
+	return r.Route != nil && r.Route.Kind == policy.Streaming && r.PromptTokens <= maxPredictedPrompt
+}
+
 func (c *Chooser) prediction(r *request.Request, now time.Time) prediction {
 	params, active := c.model.Params(c.model.Service(r.Service), now)
-	if !active || r.HasTokenUsage && r.PromptTokens > maxPredictedPrompt {
+	if !active || !isPredictable(r) {
 		return prediction{}
 	}
 	return prediction{active: true, params: params, seed: xxhash.Sum64String(r.ID)}
@@ -74,7 +85,7 @@
 }
 
 // Begin records that a request is sent to the chosen server. The result receives its events and must be ended.
-// It is nil if the service's servers report no pace.
+// It is nil if the server was not chosen by prediction.
 func (c *Chooser) Begin(choice Choice, r *request.Request) *predict.Stream {
 	if !choice.predicted {
 		return nil
@@ -85,6 +96,7 @@
 // ObserveLoad records the load and the pace that a server reported.
 func (c *Chooser) ObserveLoad(s *fleet.Server, l fleet.Load) {
 	if l.Pace > 0 {
-		c.model.ObservePace(c.model.Service(s.Service), &s.Prediction, l.Pace, l.Running+l.Waiting, c.now())
+		others := max(0, l.Running+l.Waiting-s.Outstanding())
+		c.model.ObservePace(c.model.Service(s.Service), &s.Prediction, l.Pace, others, c.now())
 	}
 }
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -56,7 +56,7 @@
 	prefill     float64       // prompt tokens that the server was expected to process
 	lastEventAt time.Time     // time of the last event relayed
 	maxGap      time.Duration // longest time between two events
-	// choice and stream are of the last attempt; stream is nil if its service's servers report no pace.
+	// choice and stream are of the last attempt; stream is nil if its server was not chosen by prediction.
 	choice balance.Choice
 	stream *predict.Stream
 
--- a/internal/predict/model.go
+++ b/internal/predict/model.go
@@ -133,14 +133,15 @@
 	return now
 }
 
-// ObservePace records a server's report: its pace in percent of the normal time and its requests in progress.
-func (m *Model) ObservePace(service *Service, server *Server, pace float64, running int, now time.Time) {
+// ObservePace records a server's report: its pace in percent of the normal time and the number of other routers'
+// requests in progress.
+func (m *Model) ObservePace(service *Service, server *Server, pace float64, otherRequests int, now time.Time) {
 	m.seen(now)
 	if !(pace > 0) {
 		return
 	}
 	told := clamp(pace/100, minTempo, maxTempo)
-	others := clamp(float64(running)-server.own(), 0, maxRunning)
+	others := clamp(float64(otherRequests), 0, maxRunning)
 	p := service.observeReport(told, others, now)
 	server.observeReport(p, told, others, now)
 }
--- a/internal/predict/server.go
+++ b/internal/predict/server.go
@@ -207,13 +207,6 @@
 	return min(longest, maxStall)
 }
 
-// own returns the number of this router's requests in progress.
-func (s *Server) own() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return float64(len(s.streams))
-}
-
 // unread returns the prompt tokens of the streams that have no event yet.
 func (s *Server) unread() float64 {
 	sum := 0.0
