Directories name the routers that are ready, and a lost answer leaves no wrong entry

An overload's write that took effect without an answer left the entry overloaded for good if the overload ended before it was repeated; the state of the entry is now unknown after an error, and is written again. The directory omitted all overloaded routers although only a third of a domain's withdraw, so with 19 of 20 overloaded all callers were sent to one tiny router; it now omits those that withdraw, as readiness does. Without the store a router withdraws only for a larger one of its own failure domain.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,8 +22,8 @@
 
 // Choose returns router addresses for a caller in a failure domain. Routers in that domain are
 // preferred since traffic between failure domains is charged for. A caller gets the same routers
-// as long as they live, since it drops its connections to all others. Routers that are overloaded are
-// omitted while others are left.
+// as long as they live, since it drops its connections to all others. Routers that have withdrawn are
+// omitted.
 func Choose(members []fleet.Member, domain, caller string) []string {
 	local, remote := split(members, domain)
 	if ready := readyMembers(members); len(ready) > 0 && len(ready) < len(members) {
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -6,13 +6,13 @@
 // certain to carry its callers. Routers of one size differ by less.
 const largerCapacityFactor = 1.5
 
-// maxWithdrawnShare is the share of a failure domain's routers that may withdraw. Platforms ignore readiness
-// where most routers of a place are not ready, and callers then stay at the overloaded one.
-const maxWithdrawnShare = 1.0 / 3
+// withdrawnPart is the part of a failure domain's routers that may withdraw, as its denominator. Platforms ignore
+// readiness where most routers of a place are not ready, and callers then stay at the overloaded one.
+const withdrawnPart = 3
 
-// Withdraws reports whether an overloaded router takes no new callers, because another one is not overloaded
-// and at most maxWithdrawnShare of its failure domain's routers are, those with the smallest capacity first.
-// One may always withdraw.
+// Withdraws reports whether an overloaded router takes no new callers, because another one is not overloaded.
+// Of a failure domain, one in withdrawnPart routers may withdraw at the same time, and one at least, those with
+// the smallest capacity first.
 func Withdraws(members []fleet.Member, self fleet.Member) bool {
 	if !self.Overloaded {
 		return false
@@ -31,7 +31,7 @@
 			before++
 		}
 	}
-	return anyOther && before < max(1, int(maxWithdrawnShare*float64(domainSize)))
+	return anyOther && before < max(1, domainSize/withdrawnPart)
 }
 
 // withdrawsBefore orders the overloaded routers of a failure domain.
@@ -43,21 +43,24 @@
 }
 
 // WithdrawsUnconfirmed is Withdraws for a router that does not know which others are overloaded. It withdraws
-// only for a larger one: if each did for any other, none might be left.
+// only for a larger one in its failure domain: if each did for any other, none might be left.
 func WithdrawsUnconfirmed(members []fleet.Member, self fleet.Member) bool {
+	if !self.Overloaded {
+		return false
+	}
 	for _, m := range members {
-		if m.Name != self.Name && m.Capacity > largerCapacityFactor*self.Capacity {
-			return self.Overloaded
+		if m.Name != self.Name && m.Domain == self.Domain && m.Capacity > largerCapacityFactor*self.Capacity {
+			return true
 		}
 	}
 	return false
 }
 
-// readyMembers returns the members that are not overloaded.
+// readyMembers returns the members that have not withdrawn.
 func readyMembers(members []fleet.Member) []fleet.Member {
 	ready := make([]fleet.Member, 0, len(members))
 	for _, m := range members {
-		if !m.Overloaded {
+		if !Withdraws(members, m) {
 			ready = append(ready, m)
 		}
 	}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -25,6 +25,7 @@
 type ownEntry struct {
 	lease      store.LeaseID // none: there is no entry
 	overloaded bool          // as last written
+	unknown    bool          // whether the last write took effect is unknown
 }
 
 // maintainEntry keeps this router's entry in the store from the time it has routing data until
@@ -100,14 +101,13 @@
 // fails is written again with the next renewal.
 func (n *Node) writeOverload(ctx context.Context, own ownEntry) ownEntry {
 	overloaded := n.intake.overloaded.Load()
-	if own.overloaded == overloaded {
+	if own.overloaded == overloaded && !own.unknown {
 		return own
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.link.Timeout(storeCallTimeout, maxOverloadWriteTime))
 	defer cancel()
-	if n.writeEntry(ctx, ownEntry{lease: own.lease, overloaded: overloaded}) == nil {
-		own.overloaded = overloaded
-	}
+	err := n.writeEntry(ctx, ownEntry{lease: own.lease, overloaded: overloaded})
+	own.overloaded, own.unknown = overloaded, err != nil
 	return own
 }
 
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
@@ -65,3 +66,38 @@
 		check(false, true)
 	}
 }
+
+// lossyStore carries out writes without answering them while it is lossy.
+type lossyStore struct {
+	store.Store
+	lossy bool
+}
+
+// Commit implements store.Store.
+func (s *lossyStore) Commit(ctx context.Context, t store.Txn) (store.Result, error) {
+	result, err := s.Store.Commit(ctx, t)
+	if s.lossy {
+		return store.Result{}, errors.New("no answer")
+	}
+	return result, err
+}
+
+// Guards against an entry that says overloaded for good: the write that said so took effect, its answer was lost,
+// and the overload ended before it was repeated.
+func TestOverloadWrittenWithoutAnswerIsCorrected(t *testing.T) {
+	c, ctx := qt.New(t), context.Background()
+	s := &lossyStore{Store: memstore.New(nil)}
+	n, _ := newIntakeNode(&Settings{VM: "vm-1", CallerAddr: "127.0.0.1:1"}, Environment{Store: s})
+	own := n.register(ctx)
+	n.intake.overloaded.Store(true)
+	s.lossy = true
+	own = n.writeOverload(ctx, own)
+	n.intake.overloaded.Store(false)
+	s.lossy = false
+	n.writeOverload(ctx, own)
+	snapshot, err := s.Read(ctx, MemberPrefix)
+	c.Assert(err, qt.IsNil)
+	m, err := decodeMember(snapshot.Items[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.Overloaded, qt.IsFalse)
+}
