Add chicoryctl explain, which tells where a request would go now

Cause: whoever asks why a request is late or refused has to infer it from event lines of requests that were sent. A router knows the answer before.

Change: routers answer a new peer call, Explain, with route, account, priority and service, the tokens to reserve and whether the own grant covers them, admission's verdict with its inputs and their age, the servers in the order of the choice with the parts of their estimates, those left out and why, and the refusal with status and Retry-After. chicoryctl explain asks one router or all that the store lists, and prints text or JSON.

The checks of Serve are split into decision and counting, so that both use the same code; where a decision changes state (admission's gate, pacer, rationing) it is made on a copy. Decisions on requests are as before. A stand-in for the backend behind Serve was ruled out: it would take tokens and places for a moment.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -63,7 +63,10 @@
 	now    func() time.Time
 	model  *predict.Model
 
-	mu        sync.Mutex
+	// looking is set in the chooser that Looker returns.
+	looking bool
+
+	mu        *sync.Mutex              // guards sentParts
 	sentParts map[serverPart]time.Time // when this router last sent a prompt part to a server
 }
 
@@ -78,7 +81,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Chooser{domain: domain, pacer: pacer, now: now, model: predict.NewModel(), sentParts: make(map[serverPart]time.Time)}
+	return &Chooser{domain: domain, pacer: pacer, now: now, model: predict.NewModel(), mu: new(sync.Mutex), sentParts: make(map[serverPart]time.Time)}
 }
 
 // Choice is a server with its cost estimate for a request.
@@ -114,7 +117,12 @@
 // bestChoice compares the servers that may get the request. canAcquire reports whether a paced
 // server may get it.
 func (c *Chooser) bestChoice(servers []*fleet.Server, r *request.Request, homeServer *fleet.Server, excluded, canAcquire func(*fleet.Server) bool) Choice {
-	now := c.now()
+	best, _ := c.search(servers, r, homeServer, excluded, canAcquire, c.now())
+	return best
+}
+
+// search is bestChoice that also returns what the estimates had in common.
+func (c *Chooser) search(servers []*fleet.Server, r *request.Request, homeServer *fleet.Server, excluded, canAcquire func(*fleet.Server) bool, now time.Time) (Choice, prediction) {
 	prediction := c.prediction(r, now)
 	prediction.share = float64(maxPredicted) / float64(max(1, len(servers)))
 	best := c.compare(servers, &prediction, r, homeServer, excluded, canAcquire, now)
@@ -122,7 +130,7 @@
 		prediction.share = 1
 		best = c.compare(servers, &prediction, r, homeServer, excluded, canAcquire, now)
 	}
-	return best
+	return best, prediction
 }
 
 // compare returns the cheapest server.
@@ -136,27 +144,34 @@
 		if v.state != Available {
 			continue
 		}
-		status := s.Status(now)
-		choice := Choice{}
-		if prediction.active {
-			choice = c.predict(prediction, s, i, status, r, s == homeServer, now)
-		} else {
-			choice = c.estimate(s, status, r, s == homeServer, now)
-		}
-		choice.inBackoff, choice.paced = status.InBackoff, v.paced
-		if v.paced {
-			choice.CostMs += c.pacingAdjustment(s, now)
-		}
-		better := best.Server == nil ||
-			best.inBackoff && !choice.inBackoff ||
-			best.inBackoff == choice.inBackoff && choice.CostMs < best.CostMs
-		if better {
+		if choice := c.weigh(s, i, prediction, r, homeServer, v, now); best.Server == nil || choice.before(&best) {
 			best = choice
 		}
 	}
 	return best
 }
 
+// weigh returns a server that may get the request, with its estimate. i is its index.
+func (c *Chooser) weigh(s *fleet.Server, i int, prediction *prediction, r *request.Request, homeServer *fleet.Server, v verdict, now time.Time) Choice {
+	status := s.Status(now)
+	choice := Choice{}
+	if prediction.active {
+		choice = c.predict(prediction, s, i, status, r, s == homeServer, now)
+	} else {
+		choice = c.estimate(s, status, r, s == homeServer, now)
+	}
+	choice.inBackoff, choice.paced = status.InBackoff, v.paced
+	if v.paced {
+		choice.CostMs += c.pacingAdjustment(s, now)
+	}
+	return choice
+}
+
+// before reports whether a choice is better than another one.
+func (c *Choice) before(other *Choice) bool {
+	return other.inBackoff && !c.inBackoff || other.inBackoff == c.inBackoff && c.CostMs < other.CostMs
+}
+
 // pacingAdjustment returns what is added to the cost of a paced server, in milliseconds.
 func (c *Chooser) pacingAdjustment(s *fleet.Server, now time.Time) float64 {
 	switch {
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -38,13 +38,20 @@
 const maxPredictedPrompt = 4000
 
 func (c *Chooser) prediction(r *request.Request, now time.Time) prediction {
-	params, active := c.model.Params(c.model.Service(r.Service), now)
+	params, active := c.params(r.Service, now)
 	if !active || r.HasTokenUsage && r.PromptTokens > maxPredictedPrompt {
 		return prediction{}
 	}
 	return prediction{active: true, params: params, seed: xxhash.Sum64String(r.ID)}
 }
 
+func (c *Chooser) params(service string, now time.Time) (predict.Params, bool) {
+	if c.looking {
+		return c.model.LookParams(service, now)
+	}
+	return c.model.Params(c.model.Service(service), now)
+}
+
 // predict estimates the cost of a request at the server with index i.
 func (c *Chooser) predict(p *prediction, s *fleet.Server, i int, status fleet.Status, r *request.Request, isHome bool, now time.Time) Choice {
 	choice := Choice{Server: s, predicted: true}
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -79,16 +79,24 @@
 	a.setAction(router.Command("list", "Lists the routers that live."), a.listRouters)
 	key := cli.Command("key", "Callers' keys.")
 	a.setAction(key.Command("new", "Makes a random key. Only its hash goes into a contract; the key is shown once."), a.newKey)
+	a.explainCommand(cli.Command("explain", "Tells where routers would send a request now, and why, without sending it. "+
+		"Exit codes: 0 would be sent; 1 would be refused; 2 could not ask."))
 	return a.run(cli, args)
 }
 
 // run parses the command line, runs the command and returns the exit code.
 func (a *app) run(cli *kingpin.Application, args []string) int {
 	var commandErr *commandError
+	var coded *codedError
 	_, err := cli.Parse(args)
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.As(err, &coded):
+		if coded.cause != nil {
+			_, _ = fmt.Fprintf(a.streams.Err, "chicoryctl: %s\n", coded.cause) // a failed write cannot be reported anywhere
+		}
+		return coded.code
 	case errors.As(err, &commandErr):
 		_, _ = fmt.Fprintf(a.streams.Err, "chicoryctl: %s\n", commandErr.cause) // a failed write cannot be reported anywhere
 		return exitCode(commandErr.cause)
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,240 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"chicorytiller.example/chicorytiller/internal/explain"
+	"chicorytiller.example/chicorytiller/internal/operate"
+	"chicorytiller.example/chicorytiller/internal/peers"
+)
+
+// Exit codes of chicoryctl explain, which differ from those of the other commands.
+const (
+	ExitSent    = 0 // all routers that were asked would send the request
+	ExitRefused = 1 // a router would refuse it
+	ExitUnasked = 2 // a router, or the store for the list of routers, could not be asked
+)
+
+const (
+	// maxTextServers is the number of servers that the text shows.
+	maxTextServers = 10
+	// maxExplainAtOnce bounds the routers that are asked at the same time.
+	maxExplainAtOnce = 32
+	// maxParts bounds the size of a query.
+	maxParts = 1000
+)
+
+// codedError sets the exit code of a command; a nil cause prints nothing.
+type codedError struct {
+	code  int
+	cause error
+}
+
+func (e *codedError) Error() string { return fmt.Sprint(e.cause) }
+
+// explainFlags are the flags of chicoryctl explain.
+type explainFlags struct {
+	router, host, path, key, keyFile, id string
+	promptTokens, outputTokens           string
+	parts                                []string
+	timeout                              string
+}
+
+func (a *app) explainCommand(command *kingpin.CmdClause) {
+	f := &explainFlags{}
+	command.Flag("router", "IP:port at which the router serves other routers. Default: all that the store lists.").StringVar(&f.router)
+	command.Flag("host", "Host of the request.").Required().StringVar(&f.host)
+	command.Flag("path", "Path of the request.").Required().StringVar(&f.path)
+	command.Flag("key", "API key. Other users of this machine may see it; --key-file hides it.").StringVar(&f.key)
+	command.Flag("key-file", "File that contains the API key; - is standard input.").StringVar(&f.keyFile)
+	command.Flag("prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.").StringVar(&f.promptTokens)
+	command.Flag("output-tokens", "Most tokens of the answer.").StringVar(&f.outputTokens)
+	command.Flag("part", "ID:TOKENS of a part of the prompt, in order; repeatable. The last one is the request's own.").StringsVar(&f.parts)
+	command.Flag("request-timeout", "How long the caller waits, such as 2s.").StringVar(&f.timeout)
+	command.Flag("id", "ID of the request, by which routers spread equal requests. Default: a random one.").StringVar(&f.id)
+	command.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := context.WithTimeout(context.Background(), a.timeout)
+		defer cancel()
+		return a.explain(ctx, f)
+	})
+}
+
+// explanation is the answer of one router.
+type explanation struct {
+	Peer string `json:"peer"`
+	// Error is why the router could not be asked; Report is then nil.
+	Error  string          `json:"error,omitempty"`
+	Report *explain.Report `json:"report,omitempty"`
+}
+
+func (a *app) explain(ctx context.Context, f *explainFlags) error {
+	query, err := a.explainQuery(f)
+	if err != nil {
+		return &codedError{ExitUnasked, err}
+	}
+	addresses := []string{f.router}
+	if f.router == "" {
+		if addresses, err = a.peerAddresses(ctx); err != nil {
+			return &codedError{ExitUnasked, err}
+		}
+	}
+	answers := make([]explanation, len(addresses))
+	asking := pool.New().WithMaxGoroutines(maxExplainAtOnce)
+	for i, address := range addresses {
+		asking.Go(func() {
+			answers[i].Peer = address
+			report, err := peers.Explain(ctx, address, query)
+			if err != nil {
+				answers[i].Error = err.Error()
+				return
+			}
+			answers[i].Report = &report
+		})
+	}
+	asking.Wait()
+	if err := a.printExplanations(answers); err != nil {
+		return &codedError{ExitUnasked, err}
+	}
+	return outcomeOf(answers)
+}
+
+// outcomeOf returns the error that sets the exit code.
+func outcomeOf(answers []explanation) error {
+	code := ExitSent
+	for _, answer := range answers {
+		switch {
+		case answer.Report == nil:
+			return &codedError{code: ExitUnasked, cause: errors.Errorf("router %s: %s", answer.Peer, answer.Error)}
+		case answer.Report.Refusal != nil:
+			code = ExitRefused
+		}
+	}
+	if code == ExitSent {
+		return nil
+	}
+	return &codedError{code: code}
+}
+
+func (a *app) peerAddresses(ctx context.Context) ([]string, error) {
+	routers, err := operate.Routers(ctx, a.openStore(a.storeAddr))
+	if err != nil {
+		return nil, errors.Wrap(err, "list of routers")
+	}
+	if len(routers) == 0 {
+		return nil, errors.New("the store lists no routers")
+	}
+	var addresses []string
+	for _, r := range routers {
+		addresses = append(addresses, r.Peer)
+	}
+	return addresses, nil
+}
+
+// explainQuery returns the request that the flags state, or an error that names the flag that is wrong. No
+// error contains a key.
+func (a *app) explainQuery(f *explainFlags) (q explain.Query, err error) {
+	q = explain.Query{ID: f.id, Host: f.host, Path: f.path, Key: f.key}
+	if q.ID == "" {
+		q.ID = uuid.NewString()
+	}
+	if f.router != "" {
+		if _, err := netip.ParseAddrPort(f.router); err != nil {
+			return q, errors.Errorf("--router: %q is not IP:PORT", f.router)
+		}
+	}
+	if f.host == "" {
+		return q, errors.New("--host: must not be empty")
+	}
+	if !strings.HasPrefix(f.path, "/") {
+		return q, errors.Errorf("--path: %q does not begin with /", f.path)
+	}
+	q.Path, _, _ = strings.Cut(f.path, "?")
+	if f.keyFile != "" {
+		if f.key != "" {
+			return q, errors.New("--key-file: not together with --key")
+		}
+		if q.Key, err = a.readKey(f.keyFile); err != nil {
+			return q, err
+		}
+	}
+	if err := f.setTokens(&q); err != nil {
+		return q, err
+	}
+	if f.timeout != "" {
+		d, err := time.ParseDuration(f.timeout)
+		if err != nil || d < time.Millisecond {
+			return q, errors.Errorf("--request-timeout: %q is not a time of a millisecond or more, such as 2s", f.timeout)
+		}
+		q.TimeoutMS = d.Milliseconds()
+	}
+	return q, nil
+}
+
+func (a *app) readKey(name string) (string, error) {
+	data, err := a.readFile(name)
+	if err != nil {
+		var pathErr *os.PathError
+		if errors.As(err, &pathErr) {
+			err = pathErr.Err
+		}
+		return "", errors.Wrapf(err, "--key-file: %s", name)
+	}
+	key := strings.TrimSpace(string(data))
+	if key == "" {
+		return "", errors.Errorf("--key-file: %s is empty", name)
+	}
+	return key, nil
+}
+
+// setTokens sets the token counts, which are unknown if no flag states any.
+func (f *explainFlags) setTokens(q *explain.Query) (err error) {
+	if len(f.parts) > maxParts {
+		return errors.Errorf("--part: more than %d", maxParts)
+	}
+	sum := 0
+	for _, part := range f.parts {
+		colon := strings.LastIndexByte(part, ':')
+		if colon <= 0 {
+			return errors.Errorf("--part: %q is not ID:TOKENS", part)
+		}
+		tokens, err := parseTokens("--part", part[colon+1:])
+		if err != nil {
+			return err
+		}
+		sum += tokens
+		q.Parts = append(q.Parts, explain.Part{ID: part[:colon], Tokens: tokens})
+	}
+	q.HasTokens = len(f.parts) > 0 || f.promptTokens != "" || f.outputTokens != ""
+	q.PromptTokens = sum
+	if f.promptTokens != "" {
+		if q.PromptTokens, err = parseTokens("--prompt-tokens", f.promptTokens); err != nil {
+			return err
+		}
+		if q.PromptTokens < sum {
+			return errors.Errorf("--prompt-tokens: %d is less than the %d of the parts", q.PromptTokens, sum)
+		}
+	}
+	if f.outputTokens != "" {
+		q.OutputTokens, err = parseTokens("--output-tokens", f.outputTokens)
+	}
+	return err
+}
+
+func parseTokens(flag, text string) (int, error) {
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || n < 0 {
+		return 0, errors.Errorf("%s: %q is not a number of tokens", flag, text)
+	}
+	return int(n), nil
+}
--- /dev/null
+++ b/internal/ctl/explain_test.go
@@ -0,0 +1,91 @@
+package ctl
+
+import (
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"chicorytiller.example/chicorytiller/internal/explain"
+)
+
+// answering is a router that answers with a report.
+type answering struct{ report explain.Report }
+
+func (a *answering) Explain(_ explain.Query, report *explain.Report) error {
+	*report = a.report
+	return nil
+}
+
+// older is a router of a version without the call.
+type older struct{}
+
+func (*older) Known(struct{}, *struct{}) error { return nil }
+
+func startExplainer(c *qt.C, service any) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	server := rpc.NewServer()
+	c.Assert(server.RegisterName("Router", service), qt.IsNil)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // the listener is closed
+			}
+			go server.ServeConn(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against exit codes that hide a refusal or a router that was not asked from scripts.
+func TestExplainExitCodes(t *testing.T) {
+	o := newOperator(t)
+	sent := startExplainer(o.C, &answering{explain.Report{Router: "vm-1", Route: "draft", Servers: []explain.Server{{ID: "e1"}}}})
+	refused := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "backends_busy", Detail: "late", Status: 503, RetryAfterMS: 250}}})
+	unable := startExplainer(o.C, &older{})
+	for _, test := range []struct {
+		router string
+		code   int
+		text   string
+	}{
+		{sent, ExitSent, "would be sent"},
+		{refused, ExitRefused, "would be refused: 503 backends_busy (late), Retry-After 0.25"},
+		{unable, ExitUnasked, "the router's version can't explain requests"},
+	} {
+		code, out := o.run("", "explain", "--router", test.router, "--host", "h", "--path", "/x")
+		o.Check(code, qt.Equals, test.code)
+		o.Check(out, qt.Contains, test.text)
+	}
+	code, out := o.run("", "--json", "explain", "--router", refused, "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitRefused)
+	o.Check(out, qt.Contains, `"retry_after_ms": 250`)
+	code, out = o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Contains, "the store lists no routers")
+	for i, address := range []string{sent, refused} {
+		o.store.Put("chicory/router/vm-"+string(rune('1'+i)), []byte(`{"address":"127.0.0.1:1","peer":"`+address+`","failure_domain":"d"}`))
+	}
+	code, out = o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitRefused)
+	o.Check(out, qt.Matches, `(?s).*vm-1 .*would be sent +e1 .*would be refused: 503.*`)
+}
+
+// Guards against an error that does not name the wrong flag, and against one that shows the key.
+func TestExplainNamesWrongFlag(t *testing.T) {
+	o := newOperator(t)
+	for flag, value := range map[string]string{"--router": "nowhere", "--part": "a", "--prompt-tokens": "-1", "--output-tokens": "many",
+		"--request-timeout": "2", "--key-file": "/no/such/file"} {
+		code, out := o.run("", "explain", "--host", "h", "--path", "/x", flag+"="+value)
+		o.Check(code, qt.Equals, ExitUnasked)
+		o.Check(out, qt.Contains, flag)
+	}
+	code, out := o.run("", "explain", "--host", "h", "--path", "x", "--key", "secret")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Contains, "--path")
+	o.Check(strings.Contains(out, "secret"), qt.IsFalse)
+}
--- a/internal/escrow/holders.go
+++ b/internal/escrow/holders.go
@@ -228,19 +228,26 @@
 func (m *GrantManager) shortageError(r *pendingReservation) error {
 	g := r.grant
 	prepaid := m.opts.Budgets()[g.account]
+	used, left, err := m.shortageCause(g, prepaid, r.tokens, r.missing)
+	m.logShortage(g, prepaid, used, left, err)
+	return err
+}
+
+// shortageCause returns what is used and left of the budget, and why that can't cover a reservation. The
+// caller holds m.mu.
+func (m *GrantManager) shortageCause(g *grant, prepaid, tokens, missing int64) (used, left int64, err error) {
 	// Tokens spent by other routers count as far as their reports or the record show them.
-	used := g.used() - (r.tokens - r.missing) + m.spentElsewhere(g)
-	left := prepaid - used + g.recentlyLent.sum(m.opts.Clock().Steady)
+	used = g.used() - (tokens - missing) + m.spentElsewhere(g)
+	left = prepaid - used + g.recentlyLent.sum(m.opts.Clock().Steady)
 	inDoubt := g.record.Closed - g.record.ClosedSpent
-	err := ErrContended
+	err = ErrContended
 	switch {
-	case left < r.tokens:
+	case left < tokens:
 		err = ErrExhausted
-	case left-inDoubt < r.tokens:
+	case left-inDoubt < tokens:
 		err = ErrInDoubt
 	}
-	m.logShortage(g, prepaid, used, left, err)
-	return err
+	return used, left, err
 }
 
 // logShortage logs that a budget can't cover a request, at most once a second. The caller
--- a/internal/escrow/lowbudget.go
+++ b/internal/escrow/lowbudget.go
@@ -161,15 +161,18 @@
 	if g.low == nil {
 		return admitted
 	}
-	now := m.opts.Clock().Steady
-	g.low.observe(priority, size, now)
-	rest := g.remaining(prepaid)
+	return g.low.decide(g.remaining(prepaid), tokens, size, priority, m.opts.Clock().Steady)
+}
+
+// decide observes a request and tells whether it may have its tokens out of the rest.
+func (l *lowBudget) decide(rest, tokens, size int64, priority int, now time.Duration) admission {
+	l.observe(priority, size, now)
 	switch {
-	case !g.low.rationed:
+	case !l.rationed:
 		return admitted
 	case tokens > rest:
 		return tooLarge
-	case !g.low.admits(priority, tokens, size, rest, now):
+	case !l.admits(priority, tokens, size, rest, now):
 		return rationedOut
 	}
 	return admitted
--- a/internal/escrow/reserve.go
+++ b/internal/escrow/reserve.go
@@ -266,7 +266,7 @@
 		return nil, nil
 	case m.storeDown || m.isSettling():
 		return nil, ErrUnreachable
-	case r.grant.recordKnown && (waited || m.recordsFresh()) && m.exceedsRecord(r):
+	case r.grant.recordKnown && (waited || m.recordsFresh()) && m.exceedsRecord(r.grant, r.missing):
 		err := m.shortageError(r)
 		if !errors.Is(err, ErrContended) || !m.requestGathering(r) {
 			return nil, err
@@ -285,9 +285,8 @@
 
 // exceedsRecord reports whether the missing tokens exceed the rest of this router's grant and
 // what the record has left to grant.
-func (m *GrantManager) exceedsRecord(r *pendingReservation) bool {
-	g := r.grant
-	return g.ungranted(m.opts.Budgets()[g.account])+g.granted-g.used() < r.missing
+func (m *GrantManager) exceedsRecord(g *grant, missing int64) bool {
+	return g.ungranted(m.opts.Budgets()[g.account])+g.granted-g.used() < missing
 }
 
 func (m *GrantManager) stopWaiting(r *pendingReservation) {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -15,6 +15,8 @@
 	// Admit waits until the request is admitted or refused. Done must be called on the ticket when an
 	// admitted request ends.
 	Admit(ctx context.Context, r admission.Request) (*admission.Ticket, *admission.Refusal)
+	// Look returns what Admit would decide, and changes nothing.
+	Look(r admission.Request) admission.Look
 	// Observe takes over what a response says about its server's load.
 	Observe(service string, s admission.Signal)
 }
@@ -29,7 +31,11 @@
 	if refused == nil {
 		return ticket, nil
 	}
-	return nil, &Refusal{Cause: BackendsBusy, RetryAfter: refused.RetryAfter, Detail: string(refused.Cause)}
+	return nil, admissionRefusal(refused)
+}
+
+func admissionRefusal(refused *admission.Refusal) *Refusal {
+	return &Refusal{Cause: BackendsBusy, RetryAfter: refused.RetryAfter, Detail: string(refused.Cause)}
 }
 
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -48,12 +48,17 @@
 // checkQuarantine returns a refusal if one of the features crashes servers. Otherwise it returns those
 // that are to be checked again before the request is sent: all but one that is tried again.
 func (f *Forwarder) checkQuarantine(features []quarantine.Feature) (checked []quarantine.Feature, refused *Refusal) {
-	held, found := f.Quarantine.Held(features)
+	return checkFeatures(features, f.Quarantine.Held, f.TryAgain)
+}
+
+// checkFeatures is checkQuarantine with the functions that it asks.
+func checkFeatures(features []quarantine.Feature, lookup func([]quarantine.Feature) (quarantine.Feature, bool), tryAgain func(quarantine.Feature) bool) (checked []quarantine.Feature, refused *Refusal) {
+	held, found := lookup(features)
 	if !found {
 		return features, nil
 	}
 	checked = slices.DeleteFunc(slices.Clone(features), func(feature quarantine.Feature) bool { return feature == held })
-	if other, found := f.Quarantine.Held(checked); found || !f.TryAgain(held) {
+	if other, found := lookup(checked); found || !tryAgain(held) {
 		if !found {
 			other = held
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -57,6 +57,8 @@
 // Budget reserves tokens of client accounts.
 type Budget interface {
 	Reserve(ctx context.Context, account string, tokens int64, priority int) (*escrow.Reservation, error)
+	// Look returns what Reserve would find, and changes nothing.
+	Look(account string, tokens int64, priority int) escrow.Look
 }
 
 // Permits are needed to send requests to fragile servers.
@@ -93,7 +95,9 @@
 	// to find out whether the feature was blamed wrongly.
 	TryAgain func(quarantine.Feature) bool
 	Chooser  *balance.Chooser
-	Streams  StreamVersions
+	// CopyPacer returns a copy of Chooser's pacer, of which Explain asks what it must not take.
+	CopyPacer func() balance.Pacer
+	Streams   StreamVersions
 	// RateLimits records the rate limits that servers announce with their answers.
 	RateLimits *pacing.AnnouncedRates
 	// Fragility records the services whose servers announce that they crash if they have to reject
@@ -210,74 +214,100 @@
 // leave their capacity to more urgent requests, and nil otherwise. Serve calls it before it reserves
 // tokens, so that such a request does not wait for them.
 func (f *Forwarder) checkServers(r *request.Request) *Refusal {
+	refusal, short := f.lookAtServers(r, f.servers(r), f.Chooser)
+	if short {
+		f.PriorityGate.RecordRefusal(r.Service, r.Priority())
+	}
+	return refusal
+}
+
+// lookAtServers returns the refusal of checkServers, and whether it is for lack of capacity of paced servers.
+func (f *Forwarder) lookAtServers(r *request.Request, servers []*fleet.Server, chooser *balance.Chooser) (refusal *Refusal, short bool) {
 	if f.ServersOutdated() {
-		return &Refusal{Cause: BackendsOutdated, RetryAfter: retryLater}
+		return &Refusal{Cause: BackendsOutdated, RetryAfter: retryLater}, false
 	}
-	servers := f.servers(r)
 	if wait := f.heldOff(r, servers); wait > 0 {
-		return &Refusal{Cause: BackendsBusy, RetryAfter: max(retrySoon, wait)}
+		return &Refusal{Cause: BackendsBusy, RetryAfter: max(retrySoon, wait)}, false
 	}
-	availability := f.Chooser.Availability(servers)
+	availability := chooser.Availability(servers)
 	switch availability.State {
 	case balance.Available:
 		if availability.PacedOnly && f.PriorityGate.ShouldYield(r.Service, r.Priority()) {
-			return &Refusal{Cause: BackendsLimited, RetryAfter: retryLater}
+			return &Refusal{Cause: BackendsLimited, RetryAfter: retryLater}, false
 		}
 	case balance.NoServers:
-		return f.refuseWithoutServer(r)
+		return f.refuseWithoutServer(r), false
 	case balance.AllEvacuated:
-		return &Refusal{Cause: BackendsEvacuated, RetryAfter: retryLater}
+		return &Refusal{Cause: BackendsEvacuated, RetryAfter: retryLater}, false
 	case balance.AllCold:
-		f.PriorityGate.RecordRefusal(r.Service, r.Priority())
-		return &Refusal{Cause: BackendsCold, RetryAfter: max(retrySoon, availability.Delay)}
+		return &Refusal{Cause: BackendsCold, RetryAfter: max(retrySoon, availability.Delay)}, true
 	case balance.AllLimited:
-		f.PriorityGate.RecordRefusal(r.Service, r.Priority())
-		return &Refusal{Cause: BackendsLimited, RetryAfter: max(retrySoon, availability.Delay)}
+		return &Refusal{Cause: BackendsLimited, RetryAfter: max(retrySoon, availability.Delay)}, true
 	case balance.AllUnavailable:
-		return &Refusal{Cause: BackendsUnavailable, RetryAfter: max(retrySoon, availability.Delay)}
+		return &Refusal{Cause: BackendsUnavailable, RetryAfter: max(retrySoon, availability.Delay)}, false
 	}
-	return nil
+	return nil, false
 }
 
 // checkLimits checks the request against the limits of its account's contract, if there is one. If
 // refused is nil, done must be called when the request ends.
 func (f *Forwarder) checkLimits(r *request.Request) (done func(), refused *Refusal) {
-	if r.Account == nil || r.Account.Contract == nil {
+	limits, limited := limitsOf(r)
+	if !limited {
 		return func() {}, nil
 	}
-	c := r.Account.Contract
-	done, wait, ok := f.Limits.Admit(r.Account.Name, limit.Limits{PerSecond: c.RequestsPerSecond, Burst: c.Burst, Concurrency: c.Concurrency})
+	done, wait, ok := f.Limits.Admit(r.Account.Name, limits)
 	if !ok {
 		return nil, &Refusal{Cause: OverLimit, RetryAfter: wait}
 	}
 	return done, nil
 }
 
+// limitsOf returns the limits of the account's contract, if there is one.
+func limitsOf(r *request.Request) (limits limit.Limits, limited bool) {
+	if r.Account == nil || r.Account.Contract == nil {
+		return limit.Limits{}, false
+	}
+	c := r.Account.Contract
+	return limit.Limits{PerSecond: c.RequestsPerSecond, Burst: c.Burst, Concurrency: c.Concurrency}, true
+}
+
 // reserveTimeout bounds the wait for tokens. A draw from the account takes a few milliseconds. At
 // the beginning of a store outage, up to about two seconds pass before this router can use its
 // grant; most requests that wait for it are still answered in time.
 const reserveTimeout = 1200 * time.Millisecond
 
 func (f *Forwarder) reserve(ctx context.Context, r *request.Request) (*escrow.Reservation, Cause) {
-	if !r.HasTokenUsage || r.Account == nil || !r.Account.Metered {
+	if !needsTokens(r) {
 		return nil, ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reservation, err := f.Budget.Reserve(ctx, r.Account.Name, r.MaxTokens(), r.Priority())
+	if err != nil {
+		return nil, budgetCause(err)
+	}
+	return reservation, ""
+}
+
+// needsTokens reports whether the request reserves tokens.
+func needsTokens(r *request.Request) bool {
+	return r.HasTokenUsage && r.Account != nil && r.Account.Metered
+}
+
+// budgetCause returns the cause of a refusal for an error of Budget.
+func budgetCause(err error) Cause {
 	switch {
-	case err == nil:
-		return reservation, ""
 	case errors.Is(err, escrow.ErrExhausted):
-		return nil, BudgetExhausted
+		return BudgetExhausted
 	case errors.Is(err, escrow.ErrInDoubt):
-		return nil, BudgetInDoubt
+		return BudgetInDoubt
 	case errors.Is(err, escrow.ErrContended):
-		return nil, BudgetHeld
+		return BudgetHeld
 	case errors.Is(err, escrow.ErrRationed):
-		return nil, BudgetLow
+		return BudgetLow
 	}
-	return nil, BudgetUnreachable
+	return BudgetUnreachable
 }
 
 func (f *Forwarder) refuse(r *request.Request, caller Caller, refusal Refusal, p *policy.Policy, t *task) {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -105,12 +105,9 @@
 
 // step makes one attempt and reports whether the task is finished.
 func (t *task) step(ctx context.Context) bool {
-	if !t.deadline.IsZero() && time.Until(t.deadline) < minTimeLeft {
+	if t.f.isTooLate(t.deadline, t.headSent) {
 		return t.giveUp(t.timeoutCause())
 	}
-	if !t.headSent && !t.deadline.IsZero() && time.Until(t.deadline) < t.f.LinkDelay() {
-		return t.giveUp(t.timeoutCause()) // no server's answer would come back in time
-	}
 	if !t.headSent && t.f.ServersOutdated() {
 		return t.giveUp(t.failureCause(BackendsOutdated))
 	}
@@ -161,6 +158,16 @@
 	return false
 }
 
+// isTooLate reports whether no server's answer would come back before the deadline. Of an answer that has begun
+// to be relayed the caller may still get a part.
+func (f *Forwarder) isTooLate(deadline time.Time, headSent bool) bool {
+	if deadline.IsZero() {
+		return false
+	}
+	left := time.Until(deadline)
+	return left < minTimeLeft || !headSent && left < f.LinkDelay()
+}
+
 // hasCandidate reports whether there is a server that may get the request and was not tried. Without one a
 // retry would use up the budget for nothing.
 func (t *task) hasCandidate() bool {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -47,37 +47,71 @@
 // Admit admits one request of an account, or returns the time after which to try again.
 // release must be called when an admitted request has ended.
 func (l *Limiter) Admit(name string, limits Limits) (release func(), wait time.Duration, ok bool) {
-	share := min(1, headroom/float64(max(1, l.routers())))
-	rate := limits.PerSecond * share
-	burst := max(1, float64(limits.Burst)*share)
-	maxInFlight := max(1, int(float64(limits.Concurrency)*share))
+	s := l.share(limits)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.account(name, rate, burst)
-	if a.inFlight >= maxInFlight {
-		return nil, time.Second, false
-	}
-	if a.tokens < 1 {
-		return nil, time.Duration((1 - a.tokens) / rate * float64(time.Second)), false
+	a := l.account(name, s)
+	if wait, ok := a.admits(s); !ok {
+		return nil, wait, false
 	}
 	a.tokens--
 	a.inFlight++
 	return func() { l.release(a) }, 0, true
 }
 
+// Look returns what Admit would answer, and counts nothing.
+func (l *Limiter) Look(name string, limits Limits) (wait time.Duration, ok bool) {
+	s := l.share(limits)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, now := account{tokens: s.burst}, l.now()
+	if known := l.accounts[name]; known != nil {
+		a = *known
+		a.refill(s, now)
+	}
+	return a.admits(s)
+}
+
+// share is this router's part of an account's limits.
+type share struct {
+	rate, burst float64
+	maxInFlight int
+}
+
+func (l *Limiter) share(limits Limits) share {
+	part := min(1, headroom/float64(max(1, l.routers())))
+	return share{rate: limits.PerSecond * part, burst: max(1, float64(limits.Burst)*part),
+		maxInFlight: max(1, int(float64(limits.Concurrency)*part))}
+}
+
+// admits reports whether another request may start, and if not, after which time to try again.
+func (a *account) admits(s share) (wait time.Duration, ok bool) {
+	if a.inFlight >= s.maxInFlight {
+		return time.Second, false
+	}
+	if a.tokens < 1 {
+		return time.Duration((1 - a.tokens) / s.rate * float64(time.Second)), false
+	}
+	return 0, true
+}
+
 // account returns an account with its tokens refilled up to now. l.mu must be held.
-func (l *Limiter) account(name string, rate, burst float64) *account {
+func (l *Limiter) account(name string, s share) *account {
 	now := l.now()
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{tokens: burst, lastRefill: now}
+		a = &account{tokens: s.burst, lastRefill: now}
 		l.accounts[name] = a
 	}
-	a.tokens = min(burst, a.tokens+rate*now.Sub(a.lastRefill).Seconds())
-	a.lastRefill = now
+	a.refill(s, now)
 	return a
 }
 
+func (a *account) refill(s share, now time.Time) {
+	a.tokens = min(s.burst, a.tokens+s.rate*now.Sub(a.lastRefill).Seconds())
+	a.lastRefill = now
+}
+
 func (l *Limiter) release(a *account) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,6 +210,7 @@
 		Quarantine:      n.quarantine,
 		TryAgain:        n.tryAgain,
 		Chooser:         balance.NewChooser(s.FailureDomain, pacer, nil),
+		CopyPacer:       func() balance.Pacer { return pacer.Copy() },
 		RateLimits:      n.limits,
 		Fragility:       n.fragility,
 		Permits:         n.permits,
@@ -339,13 +340,18 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	defer n.abortOnPanic(caller)
-	if n.refusing.Load() || n.stopping.Load() && !n.acceptsWhileStopping(r) {
+	if n.refuses(r) {
 		n.forward.Refuse(r, caller, forward.NewRefusal(forward.RouterStopping))
 		return
 	}
 	n.forward.Serve(ctx, r, caller)
 }
 
+// refuses reports whether this router takes no more requests like this one, since it stops.
+func (n *Node) refuses(r *request.Request) bool {
+	return n.refusing.Load() || n.stopping.Load() && !n.acceptsWhileStopping(r)
+}
+
 // abortOnPanic logs a panic and aborts the response. It must be deferred. Otherwise net/http would
 // recover the panic and discard it, since the server's ErrorLog is off.
 func (n *Node) abortOnPanic(caller forward.Caller) {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -10,6 +10,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/explain"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
 	"chicorytiller.example/chicorytiller/internal/permits"
 	"chicorytiller.example/chicorytiller/internal/store"
@@ -56,7 +57,10 @@
 func (emptyState) AcquirePermit(permits.Request) permits.Answer { return permits.Answer{Granted: true} }
 func (emptyState) ReleasePermit(permits.Release)                {}
 func (emptyState) ReportRequests(permits.Report)                {}
-func (emptyState) FindStream(streams.Key) (string, bool)        { return "", false }
+func (emptyState) Explain(explain.Query) (explain.Report, error) {
+	return explain.Report{}, nil
+}
+func (emptyState) FindStream(streams.Key) (string, bool) { return "", false }
 
 // startPeer serves a fakeLender with the given tokens and returns it with its address.
 func startPeer(t *testing.T, tokens int64) (*fakeLender, string) {
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
+	"chicorytiller.example/chicorytiller/internal/explain"
 	"chicorytiller.example/chicorytiller/internal/permits"
 	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/streams"
@@ -120,6 +121,8 @@
 	ReportRequests(r permits.Report)
 	// FindStream returns the version at which a stream began, if this router knows it.
 	FindStream(key streams.Key) (version string, found bool)
+	// Explain returns what would become of a request now, and changes nothing.
+	Explain(q explain.Query) (explain.Report, error)
 }
 
 // Service is the RPC service that peers call.
@@ -228,6 +231,12 @@
 	return nil
 }
 
+// Explain tells what would become of a request at this router now.
+func (s *Service) Explain(query explain.Query, report *explain.Report) (err error) {
+	*report, err = s.state.Explain(query)
+	return err
+}
+
 // TunnelServer serves connections that begin with tunnel.Prefix. r holds what was read of conn.
 type TunnelServer interface {
 	ServeConn(conn net.Conn, r *bufio.Reader)
--- a/internal/predict/model.go
+++ b/internal/predict/model.go
@@ -108,7 +108,25 @@
 
 // Params returns the present state, and whether the service's servers report a pace.
 func (m *Model) Params(s *Service, now time.Time) (p Params, active bool) {
-	resumedAt := m.seen(now)
+	return s.paramsAt(now, m.seen(now))
+}
+
+// LookParams is Params without learning that the process runs. Unknown services are not active.
+func (m *Model) LookParams(name string, now time.Time) (p Params, active bool) {
+	m.mu.Lock()
+	s := m.services[name]
+	m.mu.Unlock()
+	if s == nil {
+		return Params{}, false
+	}
+	resumedAt := now
+	if last, resumed := m.lastSeen.Load(), m.resumedAt.Load(); last != nil && now.Sub(*last) <= freezeTime && resumed != nil {
+		resumedAt = *resumed
+	}
+	return s.paramsAt(now, resumedAt)
+}
+
+func (s *Service) paramsAt(now, resumedAt time.Time) (p Params, active bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p = s.params
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -244,6 +244,17 @@
 	if len(q.held) > 0 && q.now().Sub(q.judgedAt) >= expiryInterval {
 		q.judge()
 	}
+	return q.lookup(features)
+}
+
+// LookHeld is Held as of the last judgement; it makes none.
+func (q *Quarantine) LookHeld(features []Feature) (held Feature, found bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lookup(features)
+}
+
+func (q *Quarantine) lookup(features []Feature) (held Feature, found bool) {
 	for _, feature := range features {
 		if _, found = q.held[feature]; found {
 			return feature, true
