Don't count evacuated servers as present after an outage

After an outage a missing server got no requests if two thirds of its service's servers had entries, also if those were evacuated or if it was the only one of its software version. The service, or requests tied to the version, then had no server.

Evacuated servers no longer count, the decision is made again when an evacuation is ordered or taken back, and missing servers stay in use if no other server of their version can take requests.

Tested: go test -race ./internal/fleet; the existing test of missing servers covers both.

--- a/internal/fleet/grace_test.go
+++ b/internal/fleet/grace_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -68,8 +69,15 @@
 	qt.Assert(t, ids(r), qt.HasLen, 0)
 }
 
+// placedItem returns an entry of a server in a failure domain with a software version.
+func placedItem(c *qt.C, id, domain, version string, revision store.Revision) store.Item {
+	value, err := json.Marshal(Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Domain: domain, Version: version})
+	c.Assert(err, qt.IsNil)
+	return store.Item{Key: "servers/" + id, Value: value, Revision: revision}
+}
+
 // Guards against requests to a server that left during an outage that most entries survived, and against
-// a service left to a minority of its servers.
+// a service left to a minority of its servers, to evacuated ones only, or without a server of a version.
 func TestMissingServersAreUnusedWhileMostHaveEntries(t *testing.T) {
 	c := qt.New(t)
 	r, clock := newRegistry()
@@ -93,4 +101,25 @@
 	c.Assert(unused(), qt.HasLen, 0)
 	clock.advance(gracePeriod)
 	c.Assert(ids(r), qt.DeepEquals, []string{"a", "b", "c"})
+
+	a1, a2 := placedItem(c, "a1", "a", "v1", 1), placedItem(c, "a2", "a", "v1", 2)
+	b1, b2 := placedItem(c, "b1", "b", "v1", 3), placedItem(c, "b2", "b", "v2", 4)
+	r, clock = newRegistry()
+	r.Reset([]store.Item{a1, a2, b1}, store.Silence{})
+	r.evacuate("a")
+	clock.advance(10 * time.Second)
+	r.Reset([]store.Item{a1, a2}, outage(10*time.Second))
+	c.Assert(unused(), qt.DeepEquals, []string{"a1", "a2"}, qt.Commentf("evacuated before the outage"))
+	r.restore("a")
+	c.Assert(unused(), qt.DeepEquals, []string{"b1"}, qt.Commentf("evacuation taken back"))
+	r.evacuate("a")
+	c.Assert(unused(), qt.DeepEquals, []string{"a1", "a2"}, qt.Commentf("evacuated after the outage"))
+
+	r, clock = newRegistry()
+	r.Reset([]store.Item{a1, a2, b1, b2}, store.Silence{})
+	clock.advance(10 * time.Second)
+	r.Reset([]store.Item{a1, a2, b1}, outage(10*time.Second))
+	c.Assert(unused(), qt.HasLen, 0, qt.Commentf("no other server has the version of b2"))
+	r.Apply([]store.Event{put(placedItem(c, "b3", "b", "v2", 5))}, normalSilence)
+	c.Assert(unused(), qt.DeepEquals, []string{"b2"})
 }
--- a/internal/fleet/missing.go
+++ b/internal/fleet/missing.go
@@ -6,7 +6,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 )
 
-// presence counts a service's servers that are not leaving.
+// presence counts a service's servers that are neither leaving nor evacuated.
 type presence struct {
 	known, missing int
 }
@@ -18,31 +18,49 @@
 	return p.missing > 0 && 3*(p.known-p.missing) >= 2*p.known
 }
 
+// serviceVersion is a software version of a service's servers.
+type serviceVersion struct {
+	service, version string
+}
+
 // updateMissing decides for each service whether servers without an entry get new requests during the
-// grace period, and logs changes of the decision.
+// grace period, and logs changes of the decision. Missing servers of a version of which no other server can
+// take requests stay in use: requests that are tied to the version can't go elsewhere.
 func (r *Registry) updateMissing() {
 	services := make(map[string]presence, len(r.unused))
+	for service := range r.unused {
+		services[service] = presence{}
+	}
+	present := make(map[serviceVersion]bool)
 	for _, known := range r.servers {
-		if known.server.Leaving() {
+		server := known.server
+		if server.Leaving() || server.Evacuated() {
 			continue
 		}
-		p := services[known.server.Service]
+		p := services[server.Service]
 		p.known++
 		if known.expired || known.unreadable {
 			p.missing++
+		} else {
+			present[serviceVersion{server.Service, server.Version}] = true
 		}
-		services[known.server.Service] = p
+		services[server.Service] = p
 	}
+	unused := make(map[string]bool)
 	for _, known := range r.servers {
-		known.server.setMissing(known.expired && services[known.server.Service].enough())
+		server := known.server
+		missing := known.expired && services[server.Service].enough() && present[serviceVersion{server.Service, server.Version}]
+		server.setMissing(missing)
+		if missing && !server.Leaving() && !server.Evacuated() {
+			unused[server.Service] = true
+		}
 	}
 	for service, p := range services {
-		unused := p.enough()
-		if unused == r.unused[service] {
+		if unused[service] == r.unused[service] {
 			continue
 		}
-		r.unused[service] = unused
-		r.log.Emit(event.MissingUnused, slog.String("service", service), slog.Bool("unused", unused),
+		r.unused[service] = unused[service]
+		r.log.Emit(event.MissingUnused, slog.String("service", service), slog.Bool("unused", unused[service]),
 			slog.Int("missing", p.missing), slog.Int("known", p.known), slog.Int64("unheard_ms", r.sinceLastAnswer().Milliseconds()))
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -311,7 +311,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.evacuated[domain] = true
-	return r.eachInDomain(domain, func(s *Server) { s.SetEvacuated(true) })
+	servers := r.eachInDomain(domain, func(s *Server) { s.SetEvacuated(true) })
+	r.updateMissing()
+	return servers
 }
 
 // restore allows new requests to a failure domain's servers again and returns how many there
@@ -323,10 +325,12 @@
 	defer r.mu.Unlock()
 	delete(r.evacuated, domain)
 	now := r.now()
-	return r.eachInDomain(domain, func(s *Server) {
+	servers := r.eachInDomain(domain, func(s *Server) {
 		s.MarkCold(now, r.warmUp(s.Service))
 		s.SetEvacuated(false)
 	})
+	r.updateMissing()
+	return servers
 }
 
 // eachInDomain calls do for each server of a failure domain and returns how many there are.
