Use missing servers while the store is unreachable

If the store became unreachable again within the grace period, the decision not to use missing servers stayed in force for the whole outage, in which the servers can't register again.

While the store is unreachable no missing server is kept unused; its next answer decides again.

Tested: go test -race ./internal/fleet, with a test of the sequence.

--- a/internal/fleet/grace_test.go
+++ b/internal/fleet/grace_test.go
@@ -123,3 +123,26 @@
 	r.Apply([]store.Event{put(placedItem(c, "b3", "b", "v2", 5))}, normalSilence)
 	c.Assert(unused(), qt.DeepEquals, []string{"b2"})
 }
+
+// Guards against keeping a missing server unused for the whole of a second outage, in which it can't register
+// again.
+func TestMissingServersAreUsedWhileStoreIsUnreachable(t *testing.T) {
+	c := qt.New(t)
+	r, clock := newRegistry()
+	a1, a2, b1 := entryItem("a1", 1, false), entryItem("a2", 2, false), entryItem("b1", 3, false)
+	r.Reset([]store.Item{a1, a2, b1}, store.Silence{})
+	server := r.View().ByService["engines"][2]
+	clock.advance(10 * time.Second)
+	r.Reset([]store.Item{a1, a2}, outage(10*time.Second))
+	c.Assert(server.AcceptsRequests(clock.now()), qt.IsFalse)
+	clock.advance(300 * time.Millisecond)
+	r.SetReachable(false, store.ErrUnavailable)
+	c.Assert(server.AcceptsRequests(clock.now()), qt.IsTrue)
+	clock.advance(20 * time.Second)
+	c.Assert(ids(r), qt.DeepEquals, []string{"a1", "a2", "b1"})
+	c.Assert(server.AcceptsRequests(clock.now()), qt.IsTrue)
+	r.Reset([]store.Item{a1, a2}, outage(20*time.Second))
+	c.Assert(server.AcceptsRequests(clock.now()), qt.IsFalse, qt.Commentf("the store is back"))
+	clock.advance(gracePeriod)
+	c.Assert(ids(r), qt.DeepEquals, []string{"a1", "a2"})
+}
--- a/internal/fleet/missing.go
+++ b/internal/fleet/missing.go
@@ -25,7 +25,8 @@
 
 // updateMissing decides for each service whether servers without an entry get new requests during the
 // grace period, and logs changes of the decision. Missing servers of a version of which no other server can
-// take requests stay in use: requests that are tied to the version can't go elsewhere.
+// take requests stay in use: requests that are tied to the version can't go elsewhere. While the store is
+// unreachable all missing servers stay in use, since none can register again.
 func (r *Registry) updateMissing() {
 	services := make(map[string]presence, len(r.unused))
 	for service := range r.unused {
@@ -49,7 +50,7 @@
 	unused := make(map[string]bool)
 	for _, known := range r.servers {
 		server := known.server
-		missing := known.expired && services[server.Service].enough() && present[serviceVersion{server.Service, server.Version}]
+		missing := r.reachable && known.expired && services[server.Service].enough() && present[serviceVersion{server.Service, server.Version}]
 		server.setMissing(missing)
 		if missing && !server.Leaving() && !server.Evacuated() {
 			unused[server.Service] = true
