Don't blame servers for the router's own limit on held answers

At 32 MiB of held answers without a stated length the exchange counted as broken by its server: a failure record, and a retry at the next server, which met the same limit. Only lengths were counted, not the capacity of the growing buffers.

Capacity is counted.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -20,10 +20,17 @@
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer))
 	if err == nil && len(body) == maxBufferedAnswer && reply.Length < 0 {
 		body, err = t.f.unstated.readRest(reply, body)
-		defer t.f.unstated.release(len(body))
+		defer t.f.unstated.release(body)
 	} else if err == nil && len(body) == maxBufferedAnswer {
 		return t.relayUnbuffered(watch, server, reply, body)
 	}
+	if errors.Is(err, errBuffersFull) {
+		// Another server's answer would meet the same limit.
+		watch.pause()
+		t.logFailure(server, "router's buffers full", err)
+		t.giveUp(BackendFailed)
+		return finished
+	}
 	if err != nil {
 		return t.handleBroken(watch, server, err)
 	}
