Don't reset connections of callers after a freeze

After a freeze of the process or its VM for five seconds the first observation of a connection with waiting bytes counted as a stall, before any acknowledgment could be read.

If nothing was observed for two intervals, the measurement restarts, once until the next acknowledged byte: connections are observed only during writes, and a stream with rare events would otherwise restart it with each event and keep a caller that has stopped reading.

Tested: go test -race ./internal/callerconn.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -129,8 +129,13 @@
 type progress struct {
 	timeout time.Duration
 	taken   int64
-	// at is when the caller was last seen to have taken bytes, or to have none waiting.
+	// at is when the caller was last seen to have taken bytes, or to have none waiting, or when the
+	// measurement was restarted.
 	at time.Time
+	// observedAt is the time of the last observation.
+	observedAt time.Time
+	// restarted is set if the measurement was restarted since at was last set for another reason.
+	restarted bool
 }
 
 // interval returns the time between two observations.
@@ -147,8 +152,15 @@
 // kernel's buffers of both sides, so the acknowledged ones count, not the completed writes: a write
 // completes only when a third of the buffer is free.
 func (p *progress) observe(now time.Time, written, unacknowledged int64) bool {
-	if taken := written - unacknowledged; unacknowledged == 0 || taken > p.taken {
-		p.taken, p.at = taken, now
+	unobserved := now.Sub(p.observedAt) > 2*p.interval()
+	p.observedAt = now
+	switch taken := written - unacknowledged; {
+	case unacknowledged == 0 || taken > p.taken:
+		p.taken, p.at, p.restarted = taken, now, false
+	case unobserved && !p.restarted:
+		// This process or its VM may have been frozen, and acknowledgments be on their way. Or nothing was
+		// written for a while: a stream with rare events must not restart the measurement with each.
+		p.at, p.restarted = now, true
 	}
 	return now.Sub(p.at) >= p.timeout
 }
