Stop the watchdog when a long answer is relayed

The watchdog was armed again after each part of an answer that is passed on as it comes. A pause of a second then took a retry token, recorded a failure of the server and broke the answer off, although nothing could be retried.

Its timer is stopped for good when the head of such an answer is sent.

Tested: go test -race -count=2 ./internal/forward; the new test fails without the change.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,7 +26,7 @@
 	}
 	if errors.Is(err, errBuffersFull) {
 		// Another server's answer would meet the same limit.
-		watch.pause()
+		watch.end()
 		t.logFailure(server, "router's buffers full", err)
 		t.giveUp(BackendFailed)
 		return finished
@@ -69,6 +69,7 @@
 // relayUnbuffered relays an answer that is too long to be buffered; buffered is the part already
 // read.
 func (t *task) relayUnbuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
+	watch.end()
 	t.headSent, t.firstByteAt = true, time.Now()
 	t.setOutput(reply.OutputTokens)
 	t.caller.Begin(reply.Status, reply.Header, reply.Length)
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -126,3 +127,25 @@
 		c.Assert(u.held.Load(), qt.Equals, int64(0))
 	}
 }
+
+// Guards against spending a retry on, and blaming a server for, a pause in an answer that is being relayed.
+func TestPauseInRelayedAnswerIsNoStall(t *testing.T) {
+	c := qt.New(t)
+	const length = 2 * maxBufferedAnswer
+	a := newAnsweringFleet(c, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		if _, err := io.WriteString(w, strings.Repeat("x", length-1)); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		time.Sleep(minGapTimeout + 300*time.Millisecond)
+		_, _ = io.WriteString(w, "x") // the test sees what was received
+	})
+	a.run(c)
+	c.Assert(a.caller.received, qt.Equals, length)
+	c.Assert(a.caller.aborted, qt.IsFalse)
+	c.Assert(a.caller.retries, qt.Equals, 0)
+	for _, server := range a.servers {
+		c.Assert(server.Status(time.Now()).Failures, qt.Equals, 0)
+	}
+}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// end stops the timeout for good, for an answer that can't be retried any more.
+func (w *watchdog) end() {
+	w.pause()
+	w.timer = nil
+}
+
 // hasExpired reports whether the watchdog cancelled the attempt.
 func (w *watchdog) hasExpired() bool {
 	return w.expired.Load()
