Count only bytes of callers' writes that the kernel has not taken

WaitingBytes counted whole writes until they ended, with the part that the kernel had taken. Each partial write is subtracted now.

Tested: go test -race -count=4 ./internal/callerconn.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -42,7 +42,8 @@
 	return l.stalled.Load()
 }
 
-// WaitingBytes returns the bytes in writes that are under way, beyond those that the kernel buffers.
+// WaitingBytes returns the bytes of writes under way that the kernel has not taken, as known at the end of
+// each interval of a blocked write.
 func (l *Listener) WaitingBytes() int64 {
 	return l.waiting.Load()
 }
@@ -86,9 +87,10 @@
 
 // Write implements net.Conn. It returns ErrStalled if the caller has stalled.
 func (c *conn) Write(p []byte) (int, error) {
+	sent := 0
 	c.listener.waiting.Add(int64(len(p)))
-	defer c.listener.waiting.Add(int64(-len(p)))
-	for sent := 0; ; {
+	defer func() { c.listener.waiting.Add(int64(sent - len(p))) }()
+	for {
 		now := time.Now()
 		if c.progress.due(now) && c.progress.observe(now, c.written, c.unacknowledged()) {
 			c.listener.stalled.Add(1)
@@ -101,6 +103,7 @@
 		n, err := c.tcpConn.Write(p[sent:])
 		sent += n
 		c.written += int64(n)
+		c.listener.waiting.Add(int64(-n))
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return sent, err
 		}
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -59,9 +59,26 @@
 	c.Assert(caller.(*net.TCPConn).SetReadBuffer(4096), qt.IsNil)
 	accepted, err := l.Accept()
 	c.Assert(err, qt.IsNil)
+	done, least := make(chan struct{}), make(chan int64)
+	go func() {
+		waiting := int64(32 << 20)
+		for {
+			select {
+			case <-done:
+				least <- waiting
+				return
+			case <-time.After(5 * time.Millisecond):
+				if now := l.WaitingBytes(); now > 0 {
+					waiting = min(waiting, now)
+				}
+			}
+		}
+	}()
 	n, err := accepted.Write(make([]byte, 32<<20))
+	close(done)
 	c.Assert(err, qt.Equals, ErrStalled)
 	c.Assert(n < 4<<20, qt.IsTrue, qt.Commentf("%d bytes buffered", n))
+	c.Assert(<-least, qt.Equals, int64(32<<20-n), qt.Commentf("without the bytes that the kernel took"))
 	c.Assert(l.Stalled(), qt.Equals, int64(1))
 	c.Assert(l.WaitingBytes(), qt.Equals, int64(0))
 }
