Reuse connections after rejections of exactly the limit

Discard read as many bytes as the limit, to which the end of a body of just that length doesn't show, and closed the connection. It reads one byte more.

Tested: go test -race ./internal/upstream; the new test fails without the change.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -86,3 +86,16 @@
 		c.Fatal("the connection stays open")
 	}
 }
+
+// Guards against closing the connection after a body of exactly the limit, and against reusing it after a longer one.
+func TestDiscardReadsBodiesUpToLimit(t *testing.T) {
+	c := qt.New(t)
+	for length, fits := range map[string]bool{"3": true, "4": true, "5": false} {
+		head := "HTTP/1.1 503 Service Unavailable\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: " + length + "\r\n\r\n"
+		server, _ := startEndless(t, head, "x")
+		reply, err := newClient().Do(t.Context(), &Attempt{Request: &request.Request{ID: "r1", Method: "GET", RequestURI: "/"}, Server: server})
+		c.Assert(err, qt.IsNil)
+		c.Assert(reply.Discard(4, time.Second) == nil, qt.Equals, fits, qt.Commentf("%s bytes", length))
+		reply.Close()
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -238,7 +238,7 @@
 	if err := r.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return err
 	}
-	n, err := io.CopyN(io.Discard, r.response.Body, limit)
+	n, err := io.CopyN(io.Discard, r.response.Body, limit+1) // the end shows only to a read beyond it
 	if err != io.EOF {
 		return errors.Errorf("%d bytes read: %v", n, err)
 	}
