--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -42,7 +42,8 @@
 	return l.stalled.Load()
 }
 
-// WaitingBytes returns the bytes in writes that are under way, beyond those that the kernel buffers.
+// WaitingBytes returns the bytes of writes under way that the kernel has not taken, as known at the end of
+// each interval of a blocked write.
 func (l *Listener) WaitingBytes() int64 {
 	return l.waiting.Load()
 }
@@ -86,9 +87,10 @@
 
 // Write implements net.Conn. It returns ErrStalled if the caller has stalled.
 func (c *conn) Write(p []byte) (int, error) {
+	sent := 0
 	c.listener.waiting.Add(int64(len(p)))
-	defer c.listener.waiting.Add(int64(-len(p)))
-	for sent := 0; ; {
+	defer func() { c.listener.waiting.Add(int64(sent - len(p))) }()
+	for {
 		now := time.Now()
 		if c.progress.due(now) && c.progress.observe(now, c.written, c.unacknowledged()) {
 			c.listener.stalled.Add(1)
@@ -101,6 +103,7 @@
 		n, err := c.tcpConn.Write(p[sent:])
 		sent += n
 		c.written += int64(n)
+		c.listener.waiting.Add(int64(-n))
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return sent, err
 		}
@@ -129,8 +132,13 @@
 type progress struct {
 	timeout time.Duration
 	taken   int64
-	// at is when the caller was last seen to have taken bytes, or to have none waiting.
+	// at is when the caller was last seen to have taken bytes, or to have none waiting, or when the
+	// measurement was restarted.
 	at time.Time
+	// observedAt is the time of the last observation.
+	observedAt time.Time
+	// restarted is set if the measurement was restarted since at was last set for another reason.
+	restarted bool
 }
 
 // interval returns the time between two observations.
@@ -147,8 +155,15 @@
 // kernel's buffers of both sides, so the acknowledged ones count, not the completed writes: a write
 // completes only when a third of the buffer is free.
 func (p *progress) observe(now time.Time, written, unacknowledged int64) bool {
-	if taken := written - unacknowledged; unacknowledged == 0 || taken > p.taken {
-		p.taken, p.at = taken, now
+	unobserved := now.Sub(p.observedAt) > 2*p.interval()
+	p.observedAt = now
+	switch taken := written - unacknowledged; {
+	case unacknowledged == 0 || taken > p.taken:
+		p.taken, p.at, p.restarted = taken, now, false
+	case unobserved && !p.restarted:
+		// This process or its VM may have been frozen, and acknowledgments be on their way. Or nothing was
+		// written for a while: a stream with rare events must not restart the measurement with each.
+		p.at, p.restarted = now, true
 	}
 	return now.Sub(p.at) >= p.timeout
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -20,10 +20,17 @@
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer))
 	if err == nil && len(body) == maxBufferedAnswer && reply.Length < 0 {
 		body, err = t.f.unstated.readRest(reply, body)
-		defer t.f.unstated.release(len(body))
+		defer t.f.unstated.release(body)
 	} else if err == nil && len(body) == maxBufferedAnswer {
 		return t.relayUnbuffered(watch, server, reply, body)
 	}
+	if errors.Is(err, errBuffersFull) {
+		// Another server's answer would meet the same limit.
+		watch.end()
+		t.logFailure(server, "router's buffers full", err)
+		t.giveUp(BackendFailed)
+		return finished
+	}
 	if err != nil {
 		return t.handleBroken(watch, server, err)
 	}
@@ -62,6 +69,7 @@
 // relayUnbuffered relays an answer that is too long to be buffered; buffered is the part already
 // read.
 func (t *task) relayUnbuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
+	watch.end()
 	t.headSent, t.firstByteAt = true, time.Now()
 	t.setOutput(reply.OutputTokens)
 	t.caller.Begin(reply.Status, reply.Header, reply.Length)
