Explain requests of the product's own interface by the caller's key

Cause: on the own interface the policy has only hashes of keys, so explain answered 401 for every key.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -49,6 +49,7 @@
 	promptTokens, outputTokens           string
 	parts                                []string
 	timeout                              string
+	hasKeyFile                           bool // keyFile is empty for standard input
 }
 
 func (a *app) explainCommand(command *kingpin.CmdClause) {
@@ -57,7 +58,7 @@
 	command.Flag("host", "Host of the request.").Required().StringVar(&f.host)
 	command.Flag("path", "Path of the request.").Required().StringVar(&f.path)
 	command.Flag("key", "API key. Other users of this machine may see it; --key-file hides it.").StringVar(&f.key)
-	command.Flag("key-file", "File that contains the API key; - is standard input.").StringVar(&f.keyFile)
+	command.Flag("key-file", "File that contains the API key; - is standard input.").IsSetByUser(&f.hasKeyFile).StringVar(&f.keyFile)
 	command.Flag("prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.").StringVar(&f.promptTokens)
 	command.Flag("output-tokens", "Most tokens of the answer.").StringVar(&f.outputTokens)
 	command.Flag("part", "ID:TOKENS of a part of the prompt, in order; repeatable. The last one is the request's own.").StringsVar(&f.parts)
@@ -160,7 +161,7 @@
 		return q, errors.Errorf("--path: %q does not begin with /", f.path)
 	}
 	q.Path, _, _ = strings.Cut(f.path, "?")
-	if f.keyFile != "" {
+	if f.hasKeyFile {
 		if f.key != "" {
 			return q, errors.New("--key-file: not together with --key")
 		}
--- a/internal/native/decode.go
+++ b/internal/native/decode.go
@@ -63,7 +63,7 @@
 }
 
 func apiKeyHash(req *http.Request) string {
-	return string(contract.HashKey(callers.BearerToken(req.Header.Get("Authorization"))))
+	return KeyName(callers.BearerToken(req.Header.Get("Authorization")))
 }
 
 // hashRequest hashes method, URI and body, to detect a different request with the same
@@ -168,3 +168,8 @@
 	}
 	return nil
 }
+
+// KeyName returns the name of a caller's key in the policy, which has only hashes of keys.
+func KeyName(key string) string {
+	return string(contract.HashKey(key))
+}
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -20,6 +20,7 @@
 		EvacuatedDomain:  EvacuatedDomain,
 		ServersPrefix:    BackendsPrefix,
 		DecodeServer:     fleet.DecodeEntry(DecodeServer),
+		KeyName:          KeyName,
 		Codec:            Codec,
 		CallerHandler:    CallerHandler(s, log),
 		DirectoryHandler: DirectoryHandler,
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -22,6 +22,9 @@
 	}()
 	r := &request.Request{ID: q.ID, Host: q.Host, RequestURI: q.Path, Path: q.Path, APIKey: q.Key, Arrived: time.Now(),
 		Timeout: time.Duration(q.TimeoutMS) * time.Millisecond, HasTokenUsage: q.HasTokens, PromptTokens: q.PromptTokens, MaxOutputTokens: q.OutputTokens}
+	if n.env.KeyName != nil {
+		r.APIKey = n.env.KeyName(q.Key)
+	}
 	for _, part := range q.Parts {
 		r.PromptParts = append(r.PromptParts, request.PromptPart(part))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,8 @@
 	ServersPrefix   string
 	DecodeServer    fleet.DecodeEntry
 	Codec           upstream.Codec
+	// KeyName returns the name of an API key in the policy; nil means that it is the key itself.
+	KeyName func(key string) string
 	// CallerHandler, DirectoryHandler and ReadyHandler create the handlers of the listeners for
 	// callers, for the directory of routers and for readiness probes.
 	CallerHandler    func(callers.Router) http.Handler
