Copy the end of an admission wait under the gate's lock

The request that overfills the queue ends the wait of the last one by writing its Until, while Admit read that field without the lock: a data race.

Admit copies it before it releases the lock. The displaced request is settled by the one that displaces it, as before.

TestDisplacedRequestsOfAFullQueueEnd offers 320 requests at once; -race reported the race before. Tested: go test -race ./internal/admission ./internal/forward.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -105,9 +105,10 @@
 		w.ready = make(chan struct{})
 		g.settle(now)
 	}
+	until := w.Until // another request may change it once the lock is released
 	g.mu.Unlock()
 	if w.ready != nil {
-		c.wait(ctx, g, w, now)
+		c.wait(ctx, g, w, until.Sub(now))
 	}
 	if limited {
 		c.count(g, w)
@@ -118,9 +119,9 @@
 	return &Ticket{controller: c, gate: g, request: r}, nil
 }
 
-// wait waits until a request is settled.
-func (c *Controller) wait(ctx context.Context, g *sharedGate, w *Waiter, now time.Time) {
-	timer := time.NewTimer(w.Until.Sub(now))
+// wait waits until a request is settled, for up to the given time.
+func (c *Controller) wait(ctx context.Context, g *sharedGate, w *Waiter, most time.Duration) {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-w.ready:
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -145,3 +145,34 @@
 		qt.Check(t, refused, qt.IsNil)
 	})
 }
+
+// Guards against a data race between the end of a request's wait and the request that displaces it from a full queue.
+func TestDisplacedRequestsOfAFullQueueEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		ctx, leave := context.WithCancel(t.Context())
+		const more = 64
+		refused := make(chan *Refusal, maxWaiting+more)
+		for i := range maxWaiting + more {
+			priority := 1
+			if i >= maxWaiting {
+				priority = 0
+			}
+			go func() {
+				_, r := c.Admit(ctx, Request{Service: "s", Priority: priority, Account: fmt.Sprint(i), Goal: time.Hour})
+				refused <- r
+			}()
+		}
+		synctest.Wait()
+		qt.Check(t, len(refused) >= more, qt.IsTrue)
+		leave()
+		synctest.Wait()
+		qt.Check(t, refused, qt.HasLen, maxWaiting+more)
+		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
+	})
+}
