Keep durations by route and probe estimates that refuse requests as late

Durations were kept by work alone. Two routes with equal work but different durations shared one mean; where it was above the deadline of the short one, all its requests were refused as late, and the other route kept the mean recent, so that nothing corrected it. Error answers of servers counted as well.

Durations are kept by route and work, and one request a second and key is admitted although it would be late. Only answers with status 200 are recorded.

TestRoutesOfEqualWorkHaveTheirOwnDurations and TestLateRequestsAreProbed: half of the requests take 50 ms with a deadline of 1 s, half 4 s with 15 s. Tested: go test -race ./internal/admission ./internal/forward.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -16,6 +16,9 @@
 // Request describes a request that asks to be admitted.
 type Request struct {
 	Service string
+	// Route is the name of the request's route. Requests of one route and of similar work are expected to take
+	// equally long.
+	Route string
 	// Account is the client account; empty if there is none.
 	Account string
 	// Priority is 0 for the most urgent requests.
@@ -26,7 +29,7 @@
 	// bounds the wait for admission.
 	Goal time.Duration
 	// Work is the predicted work in any unit that is the same for all requests of the service, such
-	// as tokens; zero if unknown. Requests of similar work are expected to take equally long.
+	// as tokens; zero if unknown.
 	Work float64
 }
 
@@ -41,7 +44,7 @@
 
 // Outcome is what became of an admitted request.
 type Outcome struct {
-	// Served is set if a server answered the request.
+	// Served is set if a server answered the request with success.
 	Served bool
 	// Took is the time from sending the request to the end of its answer; set only if Served is.
 	Took time.Duration
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -70,6 +70,8 @@
 	Refusal *Refusal
 	// Waited is set if the request could not be admitted at once.
 	Waited bool
+	// probe is set if the request seems to be late but is admitted to correct the estimate.
+	probe bool
 	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
 	ready chan struct{}
 }
@@ -185,7 +187,7 @@
 	if now.Sub(g.sharesAt) >= sharesInterval {
 		g.computeShares(now)
 	}
-	if late(r, g.durations.recentSeconds(r.Work, now), now) {
+	if g.late(w, now) {
 		g.refuse(w, Late, now)
 		return w
 	}
@@ -205,17 +207,24 @@
 	return w
 }
 
-// late reports whether a request that takes so many seconds would not be answered before its deadline.
-func late(r Request, seconds float64, now time.Time) bool {
-	return !r.Deadline.IsZero() && now.Add(time.Duration(seconds*float64(time.Second))).After(r.Deadline)
+// late reports whether a request must be refused because it would not be answered before its deadline. One
+// each probeInterval need not be, if its deadline has not passed yet.
+func (g *Gate) late(w *Waiter, now time.Time) bool {
+	w.probe = false
+	deadline := w.Request.Deadline
+	if deadline.IsZero() || !now.Add(g.durations.recent(w.Request, now)).After(deadline) {
+		return false
+	}
+	w.probe = now.Before(deadline) && g.durations.of(w.Request).mayProbe(now)
+	return !w.probe
 }
 
 // classify sets the request's class and weight and creates the class if there is none.
 func (g *Gate) classify(w *Waiter, now time.Time) {
 	w.level = g.order(w.Request)
-	w.weight = g.durations.seconds(w.Request.Work)
+	w.weight = g.durations.expected(w.Request)
 	mean := &g.works[w.level]
-	// Both durations are present estimates, so that requests of the same work never differ in class.
+	// Both durations are present estimates, so that requests of the same route and work never differ in class.
 	long := mean.samples >= minSamples && w.weight > longFactor*g.durations.seconds(mean.mean)
 	w.class = class{level: w.level, long: long, account: w.Request.Account}
 	mean.samples++
@@ -370,7 +379,7 @@
 			cause = g.obstacle(w, now)
 		}
 		switch {
-		case late(w.Request, g.durations.recentSeconds(w.Request.Work, now), now):
+		case g.late(w, now):
 			g.refuse(w, Late, now)
 		case cause == "":
 			g.admit(w, now)
@@ -397,6 +406,9 @@
 func (g *Gate) admit(w *Waiter, now time.Time) {
 	w.Settled = true
 	g.inProgress++
+	if w.probe {
+		g.durations.of(w.Request).probedAt = now
+	}
 	if u := g.classes[w.class]; g.limiter.limited && u != nil {
 		u.admitted.add(w.weight, now)
 	}
@@ -410,7 +422,7 @@
 // retryAfter returns the time after which capacity for the request's class is expected: that in
 // which its share serves what was asked for beyond it in the last window.
 func (g *Gate) retryAfter(w *Waiter, now time.Time) time.Duration {
-	seconds := g.durations.seconds(w.Request.Work)
+	seconds := g.durations.expected(w.Request)
 	share := g.share(w.class)
 	if u := g.classes[w.class]; share < unlimited && u != nil {
 		excess := u.demand.value(now)*g.correction(now) - share
@@ -423,6 +435,6 @@
 func (g *Gate) Done(r Request, o Outcome, now time.Time) {
 	g.inProgress--
 	if o.Served {
-		g.durations.add(r.Work, o.Took, now)
+		g.durations.add(r, o.Took, now)
 	}
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +177,64 @@
 		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
 	})
 }
+
+// offerShortAndLong offers a short request (50 ms, a deadline of 1 s) and a long one (4 s, 15 s) of equal work each
+// 20 ms for 20 s, and returns how many short ones were offered and how many of them were refused as late, and the
+// longest time without one that was admitted.
+func offerShortAndLong(g *Gate, now time.Time, shortRoute, longRoute string) (offered, late int, gap time.Duration) {
+	g.limiter.limit = 1e6
+	type end struct {
+		at      time.Time
+		request Request
+		took    time.Duration
+	}
+	var ends []end
+	admittedAt := now
+	for stop := now.Add(20 * time.Second); now.Before(stop); now = now.Add(20 * ms) {
+		ends = slices.DeleteFunc(ends, func(e end) bool {
+			if e.at.After(now) {
+				return false
+			}
+			g.Done(e.request, Outcome{Served: true, Took: e.took}, now)
+			return true
+		})
+		for _, short := range []bool{true, false} {
+			r, took := Request{Route: longRoute, Work: 100, Goal: time.Second, Deadline: now.Add(15 * time.Second)}, 4*time.Second
+			if short {
+				r.Route, r.Deadline, took = shortRoute, now.Add(time.Second), 50*ms
+				offered++
+			}
+			w := g.Offer(r, now)
+			if w.Refusal == nil && w.Settled {
+				ends = append(ends, end{now.Add(took), r, took})
+			}
+			switch {
+			case !short:
+			case w.Refusal != nil && w.Refusal.Cause == Late:
+				late++
+				gap = max(gap, now.Sub(admittedAt))
+			default:
+				admittedAt = now
+			}
+		}
+	}
+	return offered, late, gap
+}
+
+// Guards against a route whose requests are all refused as late because another route's requests of equal work
+// take longer than its deadline.
+func TestRoutesOfEqualWorkHaveTheirOwnDurations(t *testing.T) {
+	g, now := limitedGate(testTime)
+	offered, late, _ := offerShortAndLong(g, now, "short", "long")
+	qt.Check(t, offered, qt.Equals, 1000)
+	qt.Check(t, late, qt.Equals, 0)
+}
+
+// Guards against requests with a short deadline that are shut out for good by the durations of others of the same
+// route and work.
+func TestLateRequestsAreProbed(t *testing.T) {
+	g, now := limitedGate(testTime)
+	_, late, gap := offerShortAndLong(g, now, "r", "r")
+	qt.Check(t, late > 0, qt.IsTrue) // else the test shows nothing
+	qt.Check(t, gap <= probeInterval, qt.IsTrue, qt.Commentf("none was admitted for %v", gap))
+}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -34,7 +34,7 @@
 
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
 	a := admission.Request{
-		Service: r.Service, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
+		Service: r.Service, Route: r.Route.Name, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
 		Work: float64(r.MaxTokens()),
 	}
 	if r.Account != nil {
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -99,8 +99,8 @@
 }
 
 func (t *task) recordServed(server *fleet.Server, reply *upstream.Reply) {
-	t.answered = true
 	if reply.Status == http.StatusOK {
+		t.answered = true
 		t.recordWhole(server, reply)
 	}
 	total := time.Since(t.r.Arrived)
