End waits for admission in time for the deadline

A request could wait for a tenth of its goal although its deadline was sooner, and was then refused as late, or sent too late to be answered in time.

The wait ends at the deadline less the recent duration of such requests.

TestWaitsEndBeforeTheDeadline. Tested: go test -race ./internal/admission ./internal/forward.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -198,6 +198,9 @@
 	}
 	g.unmet = true
 	w.Until = now.Add(time.Duration(waitFraction * float64(r.Goal)))
+	if latest := r.Deadline.Add(-g.durations.recent(r, now)); !r.Deadline.IsZero() && latest.Before(w.Until) {
+		w.Until = latest
+	}
 	if now.Add(g.expectedWait(w, cause, now)).After(w.Until) {
 		g.refuse(w, cause, now)
 		return w
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -238,3 +238,22 @@
 	qt.Check(t, late > 0, qt.IsTrue) // else the test shows nothing
 	qt.Check(t, gap <= probeInterval, qt.IsTrue, qt.Commentf("none was admitted for %v", gap))
 }
+
+// Guards against requests that wait until they can no longer be answered before their deadline.
+func TestWaitsEndBeforeTheDeadline(t *testing.T) {
+	g, now := limitedGate(testTime)
+	g.inProgress = 100
+	request := Request{Goal: time.Hour, Deadline: now.Add(time.Minute)}
+	w := g.Offer(request, now)
+	qt.Check(t, w.Settled, qt.IsFalse)
+	qt.Check(t, w.Until.Equal(request.Deadline), qt.IsTrue)
+	for range minSamples {
+		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+	}
+	g.inProgress = 100
+	w = g.Offer(request, now)
+	qt.Check(t, w.Settled, qt.IsFalse)
+	qt.Check(t, w.Until.Equal(request.Deadline.Add(-200*ms)), qt.IsTrue)
+	g.Next(w.Until)
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -68,7 +68,7 @@
 	events         int  // number of events relayed that hold tokens
 	output         int  // output tokens of an answer, except those of events
 	succeeded      bool // a buffered answer with status 200 was relayed
-	answered       bool // a server's answer was relayed to its end
+	answered       bool // a server's answer with status 200 was relayed to its end
 }
 
 func newTask(f *Forwarder, p *policy.Policy, r *request.Request, caller Caller) *task {
