Release admission's locks on panics and before waiting for others

A panic in Eligible or in the gate left the gate's lock held, since Admit unlocked without defer: all later requests of the service hung. LimitedServices held the controller's lock while it waited for each gate, so one busy gate held up the requests of all services.

Admit offers the request in a function with a deferred unlock; LimitedServices copies the list of gates first.

TestPanicReleasesTheGate and TestCountOfLimitedServicesHoldsUpNoOther fail with the code before. Tested: go test -race ./internal/admission ./internal/forward.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,19 +74,29 @@
 
 // LimitedServices returns the number of services whose capacity is short.
 func (c *Controller) LimitedServices() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	count := 0
-	for _, g := range c.gates {
-		g.mu.Lock()
-		if g.gate.Limited() {
+	for _, g := range c.all() {
+		if g.limited() {
 			count++
 		}
-		g.mu.Unlock()
 	}
 	return count
 }
 
+// all returns the gates of all services. Their locks must not be taken while c.mu is held: it would hold up the
+// requests of all services while one gate is busy.
+func (c *Controller) all() []*sharedGate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.gates))
+}
+
+func (g *sharedGate) limited() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Limited()
+}
+
 // Ticket is held by an admitted request.
 type Ticket struct {
 	controller *Controller
@@ -96,19 +108,9 @@
 // nil, Done must be called on the ticket when the request ends.
 func (c *Controller) Admit(ctx context.Context, r Request) (ticket *Ticket, refused *Refusal) {
 	g := c.gate(r.Service)
-	g.mu.Lock()
-	now := c.options.Now()
-	c.evaluate(g, now)
-	limited := g.gate.Limited()
-	w := g.gate.Offer(r, now)
-	if !w.Settled {
-		w.ready = make(chan struct{})
-		g.settle(now)
-	}
-	until := w.Until // another request may change it once the lock is released
-	g.mu.Unlock()
+	w, limited, wait := c.offer(g, r)
 	if w.ready != nil {
-		c.wait(ctx, g, w, until.Sub(now))
+		c.wait(ctx, g, w, wait)
 	}
 	if limited {
 		c.count(g, w)
@@ -119,6 +121,23 @@
 	return &Ticket{controller: c, gate: g, request: r}, nil
 }
 
+// offer offers a request to its gate. limited is set if the limit applies, and wait is the longest time for which
+// the request may wait if it has to.
+func (c *Controller) offer(g *sharedGate, r Request) (w *Waiter, limited bool, wait time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := c.options.Now()
+	c.evaluate(g, now)
+	limited = g.gate.Limited()
+	w = g.gate.Offer(r, now)
+	if !w.Settled {
+		w.ready = make(chan struct{})
+		g.settle(now)
+	}
+	// Another request may change the end of the wait once the lock is released.
+	return w, limited, w.Until.Sub(now)
+}
+
 // wait waits until a request is settled, for up to the given time.
 func (c *Controller) wait(ctx context.Context, g *sharedGate, w *Waiter, most time.Duration) {
 	timer := time.NewTimer(most)
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -257,3 +257,44 @@
 	g.Next(w.Until)
 	qt.Check(t, w.Refusal, qt.IsNotNil)
 }
+
+// Guards against a service whose requests all hang after a panic in one of them.
+func TestPanicReleasesTheGate(t *testing.T) {
+	fail := true
+	c := New(Options{Eligible: func(string) []string {
+		if fail {
+			panic("test")
+		}
+		return allServers
+	}, Metrics: noMetrics{}, Log: event.Discard()})
+	qt.Check(t, func() { _, _ = c.Admit(t.Context(), Request{Service: "s"}) }, qt.PanicMatches, "test")
+	fail = false
+	g := c.gate("s")
+	qt.Assert(t, g.mu.TryLock(), qt.IsTrue)
+	g.mu.Unlock()
+	_, refused := c.Admit(t.Context(), Request{Service: "s"})
+	qt.Check(t, refused, qt.IsNil)
+}
+
+// Guards against requests of all services that wait for the lock of one service's gate while limited services are
+// counted.
+func TestCountOfLimitedServicesHoldsUpNoOther(t *testing.T) {
+	c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+	g := c.gate("busy")
+	g.mu.Lock()
+	counted := make(chan int)
+	go func() { counted <- c.LimitedServices() }()
+	admitted := make(chan struct{})
+	time.AfterFunc(50*ms, func() {
+		_, _ = c.Admit(t.Context(), Request{Service: "other"})
+		close(admitted)
+	})
+	select {
+	case <-admitted:
+	case <-time.After(5 * time.Second):
+		t.Error("the request of another service was not decided on")
+	}
+	g.mu.Unlock()
+	qt.Check(t, <-counted, qt.Equals, 0)
+	<-admitted
+}
