Compute shares at most each 50 ms when new accounts arrive

Each new class let all shares be computed again, so that the cost of a request grew with the number of accounts in an overload.

A new class gets the smallest share of its level until shares are computed next. If its level is new, it gets no share to keep to where it is the most urgent, and otherwise a tenth of the limit.

TestNewAccountsDoNotComputeAllShares.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -44,6 +44,7 @@
 	demands  []demand // as of sharesAt, in order of their classes
 	shares   map[class]float64
 	sharesAt time.Time
+	smallest [maxLevel + 1]float64  // the smallest share by level; negative if it has none
 	top      int                    // the lowest level that has demand
 	works    [maxLevel + 1]estimate // mean work of the requests that arrive, by level
 	waiting  []*Waiter
@@ -117,7 +118,7 @@
 		unmet:      g.unmet,
 	}
 	if g.limiter.limited {
-		g.computeShares(now)
+		g.computeShares(now) // the limit follows the present demand
 	}
 	c.demand, c.unmetDemand = g.demand()
 	g.unmet = false
@@ -184,9 +185,7 @@
 	}
 	g.classify(w, now)
 	g.classes[w.class].demand.add(w.weight, now)
-	if now.Sub(g.sharesAt) >= sharesInterval {
-		g.computeShares(now)
-	}
+	g.refreshShares(now)
 	if g.late(w, now) {
 		g.refuse(w, Late, now)
 		return w
@@ -237,7 +236,28 @@
 	}
 	if g.classes[w.class] == nil {
 		g.classes[w.class] = &usage{}
-		g.sharesAt = time.Time{}
+		if !g.sharesAt.IsZero() {
+			g.shares[w.class] = g.provisionalShare(w.class.level)
+		}
+	}
+}
+
+// provisionalShare returns the share of a new class until shares are computed again. Computing them for each new
+// class would cost time in proportion to the square of the number of accounts.
+func (g *Gate) provisionalShare(level int) float64 {
+	switch smallest := g.smallest[level]; {
+	case smallest >= 0:
+		return smallest
+	case level < g.top:
+		return unlimited // it is the most urgent one
+	}
+	return leastUrgentShare * g.limiter.limit
+}
+
+// refreshShares computes the shares if they are older than sharesInterval.
+func (g *Gate) refreshShares(now time.Time) {
+	if now.Sub(g.sharesAt) >= sharesInterval {
+		g.computeShares(now)
 	}
 }
 
@@ -257,6 +277,14 @@
 	}
 	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
 	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
+	for level := range g.smallest {
+		g.smallest[level] = -1
+	}
+	for c, share := range g.shares {
+		if smallest := &g.smallest[c.level]; *smallest < 0 || share < *smallest {
+			*smallest = share
+		}
+	}
 }
 
 // share returns a class's share of the capacity.
@@ -264,7 +292,7 @@
 	if share, found := g.shares[c]; found {
 		return share
 	}
-	return unlimited // its demand is new or negligible
+	return unlimited // its demand is negligible
 }
 
 func (g *Gate) admitted(c class, now time.Time) float64 {
@@ -371,8 +399,8 @@
 	if len(g.waiting) == 0 {
 		return nil
 	}
-	if g.limiter.limited && now.Sub(g.sharesAt) >= sharesInterval {
-		g.computeShares(now)
+	if g.limiter.limited {
+		g.refreshShares(now)
 	}
 	var settled []*Waiter
 	rest := g.waiting[:0]
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -298,3 +298,26 @@
 	qt.Check(t, <-counted, qt.Equals, 0)
 	<-admitted
 }
+
+// Guards against shares of all classes that are computed for each new account, of which there may be thousands in
+// an overload, and against new accounts that are held to no share meanwhile.
+func TestNewAccountsDoNotComputeAllShares(t *testing.T) {
+	g, now := limitedGate(testTime)
+	for range 100 {
+		g.Offer(Request{Account: "first"}, now)
+		now = now.Add(5 * ms)
+	}
+	g.computeShares(now)
+	at, first := g.sharesAt, g.share(class{account: "first"})
+	qt.Assert(t, first < unlimited, qt.IsTrue)
+	now = now.Add(ms)
+	for i := range 1000 {
+		account := fmt.Sprint(i)
+		g.Offer(Request{Account: account}, now)
+		qt.Assert(t, g.share(class{account: account}), qt.Equals, first)
+	}
+	qt.Check(t, g.sharesAt.Equal(at), qt.IsTrue)
+	g.Offer(Request{Account: "last"}, at.Add(sharesInterval))
+	qt.Check(t, g.sharesAt.Equal(at.Add(sharesInterval)), qt.IsTrue)
+	qt.Check(t, g.shares, qt.HasLen, 1002)
+}
