Keep the threshold of small shares above zero

Where a request takes more than 709 times its class's share, Expm1 overflows and the threshold was zero: a use of zero is not below it, so that all requests of the class were refused.

The threshold is 1e-9 at least.

TestSmallSharesAdmitLongRequests. Tested: go test -race ./internal/admission ./internal/forward.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -23,6 +23,9 @@
 	maxRest = 5 * time.Second
 	// leastDemand is the demand below which a class is forgotten.
 	leastDemand = 1e-3
+	// leastThreshold is the least use that still allows a request. Where a request takes far longer than its class's
+	// share, the exact threshold is zero in floating point, which would refuse all requests of the class.
+	leastThreshold = 1e-9
 )
 
 // Gate admits the requests of one service. It is not safe for concurrent use.
@@ -331,9 +334,9 @@
 // window*ln(1+weight/threshold), in which share*window must have been admitted.
 func threshold(share, weight float64) float64 {
 	if share <= 0 {
-		return 0
+		return leastThreshold
 	}
-	return weight / math.Expm1(weight/share)
+	return max(leastThreshold, weight/math.Expm1(weight/share))
 }
 
 // expectedWait returns the time after which the obstacle is expected to be gone for the request.
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -321,3 +321,24 @@
 	qt.Check(t, g.sharesAt.Equal(at.Add(sharesInterval)), qt.IsTrue)
 	qt.Check(t, g.shares, qt.HasLen, 1002)
 }
+
+// Guards against classes that are shut out because their requests take far longer than their share.
+func TestSmallSharesAdmitLongRequests(t *testing.T) {
+	for _, share := range []float64{0, 1e-12, 1e-3, 1} {
+		for _, weight := range []float64{1e-4, 1, 60, 3600} {
+			qt.Check(t, threshold(share, weight) > 0, qt.IsTrue, qt.Commentf("share %v, weight %v", share, weight))
+		}
+	}
+	g, now := limitedGate(testTime)
+	for range minSamples {
+		g.Done(Request{}, Outcome{Served: true, Took: time.Minute}, now)
+	}
+	g.inProgress = 0
+	g.Offer(Request{Account: "a"}, now)
+	b := class{account: "b"}
+	g.classes[b], g.shares[b] = &usage{}, 0.05 // the exponential overflows from 60/710 on
+	w := g.Offer(Request{Account: "b"}, now)
+	qt.Assert(t, g.share(w.class), qt.Equals, 0.05)
+	qt.Check(t, w.Settled && w.Refusal == nil, qt.IsTrue)
+	qt.Check(t, g.Offer(Request{Account: "b"}, now).Refusal, qt.IsNotNil)
+}
