--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -23,6 +23,9 @@
 	maxRest = 5 * time.Second
 	// leastDemand is the demand below which a class is forgotten.
 	leastDemand = 1e-3
+	// leastThreshold is the least use that still allows a request. Where a request takes far longer than its class's
+	// share, the exact threshold is zero in floating point, which would refuse all requests of the class.
+	leastThreshold = 1e-9
 )
 
 // Gate admits the requests of one service. It is not safe for concurrent use.
@@ -44,6 +47,7 @@
 	demands  []demand // as of sharesAt, in order of their classes
 	shares   map[class]float64
 	sharesAt time.Time
+	smallest [maxLevel + 1]float64  // the smallest share by level; negative if it has none
 	top      int                    // the lowest level that has demand
 	works    [maxLevel + 1]estimate // mean work of the requests that arrive, by level
 	waiting  []*Waiter
@@ -70,6 +74,8 @@
 	Refusal *Refusal
 	// Waited is set if the request could not be admitted at once.
 	Waited bool
+	// probe is set if the request seems to be late but is admitted to correct the estimate.
+	probe bool
 	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
 	ready chan struct{}
 }
@@ -115,7 +121,7 @@
 		unmet:      g.unmet,
 	}
 	if g.limiter.limited {
-		g.computeShares(now)
+		g.computeShares(now) // the limit follows the present demand
 	}
 	c.demand, c.unmetDemand = g.demand()
 	g.unmet = false
@@ -182,10 +188,8 @@
 	}
 	g.classify(w, now)
 	g.classes[w.class].demand.add(w.weight, now)
-	if now.Sub(g.sharesAt) >= sharesInterval {
-		g.computeShares(now)
-	}
-	if late(r, g.durations.recentSeconds(r.Work, now), now) {
+	g.refreshShares(now)
+	if g.late(w, now) {
 		g.refuse(w, Late, now)
 		return w
 	}
@@ -196,6 +200,9 @@
 	}
 	g.unmet = true
 	w.Until = now.Add(time.Duration(waitFraction * float64(r.Goal)))
+	if latest := r.Deadline.Add(-g.durations.recent(r, now)); !r.Deadline.IsZero() && latest.Before(w.Until) {
+		w.Until = latest
+	}
 	if now.Add(g.expectedWait(w, cause, now)).After(w.Until) {
 		g.refuse(w, cause, now)
 		return w
@@ -205,17 +212,24 @@
 	return w
 }
 
-// late reports whether a request that takes so many seconds would not be answered before its deadline.
-func late(r Request, seconds float64, now time.Time) bool {
-	return !r.Deadline.IsZero() && now.Add(time.Duration(seconds*float64(time.Second))).After(r.Deadline)
+// late reports whether a request must be refused because it would not be answered before its deadline. One
+// each probeInterval need not be, if its deadline has not passed yet.
+func (g *Gate) late(w *Waiter, now time.Time) bool {
+	w.probe = false
+	deadline := w.Request.Deadline
+	if deadline.IsZero() || !now.Add(g.durations.recent(w.Request, now)).After(deadline) {
+		return false
+	}
+	w.probe = now.Before(deadline) && g.durations.of(w.Request).mayProbe(now)
+	return !w.probe
 }
 
 // classify sets the request's class and weight and creates the class if there is none.
 func (g *Gate) classify(w *Waiter, now time.Time) {
 	w.level = g.order(w.Request)
-	w.weight = g.durations.seconds(w.Request.Work)
+	w.weight = g.durations.expected(w.Request)
 	mean := &g.works[w.level]
-	// Both durations are present estimates, so that requests of the same work never differ in class.
+	// Both durations are present estimates, so that requests of the same route and work never differ in class.
 	long := mean.samples >= minSamples && w.weight > longFactor*g.durations.seconds(mean.mean)
 	w.class = class{level: w.level, long: long, account: w.Request.Account}
 	mean.samples++
@@ -225,7 +239,28 @@
 	}
 	if g.classes[w.class] == nil {
 		g.classes[w.class] = &usage{}
-		g.sharesAt = time.Time{}
+		if !g.sharesAt.IsZero() {
+			g.shares[w.class] = g.provisionalShare(w.class.level)
+		}
+	}
+}
+
+// provisionalShare returns the share of a new class until shares are computed again. Computing them for each new
+// class would cost time in proportion to the square of the number of accounts.
+func (g *Gate) provisionalShare(level int) float64 {
+	switch smallest := g.smallest[level]; {
+	case smallest >= 0:
+		return smallest
+	case level < g.top:
+		return unlimited // it is the most urgent one
+	}
+	return leastUrgentShare * g.limiter.limit
+}
+
+// refreshShares computes the shares if they are older than sharesInterval.
+func (g *Gate) refreshShares(now time.Time) {
+	if now.Sub(g.sharesAt) >= sharesInterval {
+		g.computeShares(now)
 	}
 }
 
@@ -245,6 +280,14 @@
 	}
 	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
 	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
+	for level := range g.smallest {
+		g.smallest[level] = -1
+	}
+	for c, share := range g.shares {
+		if smallest := &g.smallest[c.level]; *smallest < 0 || share < *smallest {
+			*smallest = share
+		}
+	}
 }
 
 // share returns a class's share of the capacity.
@@ -252,7 +295,7 @@
 	if share, found := g.shares[c]; found {
 		return share
 	}
-	return unlimited // its demand is new or negligible
+	return unlimited // its demand is negligible
 }
 
 func (g *Gate) admitted(c class, now time.Time) float64 {
@@ -291,9 +334,9 @@
 // window*ln(1+weight/threshold), in which share*window must have been admitted.
 func threshold(share, weight float64) float64 {
 	if share <= 0 {
-		return 0
+		return leastThreshold
 	}
-	return weight / math.Expm1(weight/share)
+	return max(leastThreshold, weight/math.Expm1(weight/share))
 }
 
 // expectedWait returns the time after which the obstacle is expected to be gone for the request.
@@ -359,8 +402,8 @@
 	if len(g.waiting) == 0 {
 		return nil
 	}
-	if g.limiter.limited && now.Sub(g.sharesAt) >= sharesInterval {
-		g.computeShares(now)
+	if g.limiter.limited {
+		g.refreshShares(now)
 	}
 	var settled []*Waiter
 	rest := g.waiting[:0]
@@ -370,7 +413,7 @@
 			cause = g.obstacle(w, now)
 		}
 		switch {
-		case late(w.Request, g.durations.recentSeconds(w.Request.Work, now), now):
+		case g.late(w, now):
 			g.refuse(w, Late, now)
 		case cause == "":
 			g.admit(w, now)
@@ -397,6 +440,9 @@
 func (g *Gate) admit(w *Waiter, now time.Time) {
 	w.Settled = true
 	g.inProgress++
+	if w.probe {
+		g.durations.of(w.Request).probedAt = now
+	}
 	if u := g.classes[w.class]; g.limiter.limited && u != nil {
 		u.admitted.add(w.weight, now)
 	}
@@ -410,7 +456,7 @@
 // retryAfter returns the time after which capacity for the request's class is expected: that in
 // which its share serves what was asked for beyond it in the last window.
 func (g *Gate) retryAfter(w *Waiter, now time.Time) time.Duration {
-	seconds := g.durations.seconds(w.Request.Work)
+	seconds := g.durations.expected(w.Request)
 	share := g.share(w.class)
 	if u := g.classes[w.class]; share < unlimited && u != nil {
 		excess := u.demand.value(now)*g.correction(now) - share
@@ -423,6 +469,6 @@
 func (g *Gate) Done(r Request, o Outcome, now time.Time) {
 	g.inProgress--
 	if o.Served {
-		g.durations.add(r.Work, o.Took, now)
+		g.durations.add(r, o.Took, now)
 	}
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,3 +146,199 @@
 		qt.Check(t, refused, qt.IsNil)
 	})
 }
+
+// Guards against a data race between the end of a request's wait and the request that displaces it from a full queue.
+func TestDisplacedRequestsOfAFullQueueEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		ctx, leave := context.WithCancel(t.Context())
+		const more = 64
+		refused := make(chan *Refusal, maxWaiting+more)
+		for i := range maxWaiting + more {
+			priority := 1
+			if i >= maxWaiting {
+				priority = 0
+			}
+			go func() {
+				_, r := c.Admit(ctx, Request{Service: "s", Priority: priority, Account: fmt.Sprint(i), Goal: time.Hour})
+				refused <- r
+			}()
+		}
+		synctest.Wait()
+		qt.Check(t, len(refused) >= more, qt.IsTrue)
+		leave()
+		synctest.Wait()
+		qt.Check(t, refused, qt.HasLen, maxWaiting+more)
+		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
+	})
+}
+
+// offerShortAndLong offers a short request (50 ms, a deadline of 1 s) and a long one (4 s, 15 s) of equal work each
+// 20 ms for 20 s, and returns how many short ones were offered and how many of them were refused as late, and the
+// longest time without one that was admitted.
+func offerShortAndLong(g *Gate, now time.Time, shortRoute, longRoute string) (offered, late int, gap time.Duration) {
+	g.limiter.limit = 1e6
+	type end struct {
+		at      time.Time
+		request Request
+		took    time.Duration
+	}
+	var ends []end
+	admittedAt := now
+	for stop := now.Add(20 * time.Second); now.Before(stop); now = now.Add(20 * ms) {
+		ends = slices.DeleteFunc(ends, func(e end) bool {
+			if e.at.After(now) {
+				return false
+			}
+			g.Done(e.request, Outcome{Served: true, Took: e.took}, now)
+			return true
+		})
+		for _, short := range []bool{true, false} {
+			r, took := Request{Route: longRoute, Work: 100, Goal: time.Second, Deadline: now.Add(15 * time.Second)}, 4*time.Second
+			if short {
+				r.Route, r.Deadline, took = shortRoute, now.Add(time.Second), 50*ms
+				offered++
+			}
+			w := g.Offer(r, now)
+			if w.Refusal == nil && w.Settled {
+				ends = append(ends, end{now.Add(took), r, took})
+			}
+			switch {
+			case !short:
+			case w.Refusal != nil && w.Refusal.Cause == Late:
+				late++
+				gap = max(gap, now.Sub(admittedAt))
+			default:
+				admittedAt = now
+			}
+		}
+	}
+	return offered, late, gap
+}
+
+// Guards against a route whose requests are all refused as late because another route's requests of equal work
+// take longer than its deadline.
+func TestRoutesOfEqualWorkHaveTheirOwnDurations(t *testing.T) {
+	g, now := limitedGate(testTime)
+	offered, late, _ := offerShortAndLong(g, now, "short", "long")
+	qt.Check(t, offered, qt.Equals, 1000)
+	qt.Check(t, late, qt.Equals, 0)
+}
+
+// Guards against requests with a short deadline that are shut out for good by the durations of others of the same
+// route and work.
+func TestLateRequestsAreProbed(t *testing.T) {
+	g, now := limitedGate(testTime)
+	_, late, gap := offerShortAndLong(g, now, "r", "r")
+	qt.Check(t, late > 0, qt.IsTrue) // else the test shows nothing
+	qt.Check(t, gap <= probeInterval, qt.IsTrue, qt.Commentf("none was admitted for %v", gap))
+}
+
+// Guards against requests that wait until they can no longer be answered before their deadline.
+func TestWaitsEndBeforeTheDeadline(t *testing.T) {
+	g, now := limitedGate(testTime)
+	g.inProgress = 100
+	request := Request{Goal: time.Hour, Deadline: now.Add(time.Minute)}
+	w := g.Offer(request, now)
+	qt.Check(t, w.Settled, qt.IsFalse)
+	qt.Check(t, w.Until.Equal(request.Deadline), qt.IsTrue)
+	for range minSamples {
+		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+	}
+	g.inProgress = 100
+	w = g.Offer(request, now)
+	qt.Check(t, w.Settled, qt.IsFalse)
+	qt.Check(t, w.Until.Equal(request.Deadline.Add(-200*ms)), qt.IsTrue)
+	g.Next(w.Until)
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+}
+
+// Guards against a service whose requests all hang after a panic in one of them.
+func TestPanicReleasesTheGate(t *testing.T) {
+	fail := true
+	c := New(Options{Eligible: func(string) []string {
+		if fail {
+			panic("test")
+		}
+		return allServers
+	}, Metrics: noMetrics{}, Log: event.Discard()})
+	qt.Check(t, func() { _, _ = c.Admit(t.Context(), Request{Service: "s"}) }, qt.PanicMatches, "test")
+	fail = false
+	g := c.gate("s")
+	qt.Assert(t, g.mu.TryLock(), qt.IsTrue)
+	g.mu.Unlock()
+	_, refused := c.Admit(t.Context(), Request{Service: "s"})
+	qt.Check(t, refused, qt.IsNil)
+}
+
+// Guards against requests of all services that wait for the lock of one service's gate while limited services are
+// counted.
+func TestCountOfLimitedServicesHoldsUpNoOther(t *testing.T) {
+	c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+	g := c.gate("busy")
+	g.mu.Lock()
+	counted := make(chan int)
+	go func() { counted <- c.LimitedServices() }()
+	admitted := make(chan struct{})
+	time.AfterFunc(50*ms, func() {
+		_, _ = c.Admit(t.Context(), Request{Service: "other"})
+		close(admitted)
+	})
+	select {
+	case <-admitted:
+	case <-time.After(5 * time.Second):
+		t.Error("the request of another service was not decided on")
+	}
+	g.mu.Unlock()
+	qt.Check(t, <-counted, qt.Equals, 0)
+	<-admitted
+}
+
+// Guards against shares of all classes that are computed for each new account, of which there may be thousands in
+// an overload, and against new accounts that are held to no share meanwhile.
+func TestNewAccountsDoNotComputeAllShares(t *testing.T) {
+	g, now := limitedGate(testTime)
+	for range 100 {
+		g.Offer(Request{Account: "first"}, now)
+		now = now.Add(5 * ms)
+	}
+	g.computeShares(now)
+	at, first := g.sharesAt, g.share(class{account: "first"})
+	qt.Assert(t, first < unlimited, qt.IsTrue)
+	now = now.Add(ms)
+	for i := range 1000 {
+		account := fmt.Sprint(i)
+		g.Offer(Request{Account: account}, now)
+		qt.Assert(t, g.share(class{account: account}), qt.Equals, first)
+	}
+	qt.Check(t, g.sharesAt.Equal(at), qt.IsTrue)
+	g.Offer(Request{Account: "last"}, at.Add(sharesInterval))
+	qt.Check(t, g.sharesAt.Equal(at.Add(sharesInterval)), qt.IsTrue)
+	qt.Check(t, g.shares, qt.HasLen, 1002)
+}
+
+// Guards against classes that are shut out because their requests take far longer than their share.
+func TestSmallSharesAdmitLongRequests(t *testing.T) {
+	for _, share := range []float64{0, 1e-12, 1e-3, 1} {
+		for _, weight := range []float64{1e-4, 1, 60, 3600} {
+			qt.Check(t, threshold(share, weight) > 0, qt.IsTrue, qt.Commentf("share %v, weight %v", share, weight))
+		}
+	}
+	g, now := limitedGate(testTime)
+	for range minSamples {
+		g.Done(Request{}, Outcome{Served: true, Took: time.Minute}, now)
+	}
+	g.inProgress = 0
+	g.Offer(Request{Account: "a"}, now)
+	b := class{account: "b"}
+	g.classes[b], g.shares[b] = &usage{}, 0.05 // the exponential overflows from 60/710 on
+	w := g.Offer(Request{Account: "b"}, now)
+	qt.Assert(t, g.share(w.class), qt.Equals, 0.05)
+	qt.Check(t, w.Settled && w.Refusal == nil, qt.IsTrue)
+	qt.Check(t, g.Offer(Request{Account: "b"}, now).Refusal, qt.IsNotNil)
+}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -40,7 +40,7 @@
 
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
 	a := admission.Request{
-		Service: r.Service, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
+		Service: r.Service, Route: r.Route.Name, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
 		Work: float64(r.MaxTokens()),
 	}
 	if r.Account != nil {
