Explain decides on a copy of the durations by route as well

The merge of durations by route left them shared between the gate and its copy, so that explaining a request that seems late would have counted as its first refusal. TestExplainChangesNothing covers the gate.

--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -67,7 +67,11 @@
 // clone returns a gate in the same state that shares nothing with this one. Nobody waits for its requests.
 func (g *Gate) clone() *Gate {
 	c := *g
-	c.known = maps.Clone(g.known)
+	c.known, c.durations.byRoute = maps.Clone(g.known), make(map[string]*sizes, len(g.durations.byRoute))
+	for route, known := range g.durations.byRoute {
+		copied := *known
+		c.durations.byRoute[route] = &copied
+	}
 	c.classes = make(map[class]*usage, len(g.classes))
 	for key, u := range g.classes {
 		copied := *u
