escrow: a return of grants whose outcome is unknown can't be undone by a read

Cause: a planned stop lowers its grants and sends the records that return them. If the write was not answered, a later read of the records before it took effect restored the grants, so that the same tokens could be handed over to another router and be returned to the record when the write took effect: an overspend. Draws guard against it by pendingRevision; the return did not.

Change: the return sets pendingRevision as draws do.

Measured: TestTokensOfUnansweredReturnAreNotHandedOver fails before (10,000 tokens both handed over and returned); all tests of internal/escrow pass with -race.

--- a/internal/escrow/stop.go
+++ b/internal/escrow/stop.go
@@ -57,6 +57,7 @@
 		used := max(0, min(g.granted, g.used()))
 		g.granted = min(g.granted, used)
 		d.pendingRevisions = append(d.pendingRevisions, g.pendingRevision)
+		g.pendingRevision = g.revision // if it is not answered, a later read must not restore the grant
 		d.grants = append(d.grants, g)
 		next := g.record.WithoutEntry(m.opts.VM, m.opts.Incarnation, used, m.maxSpent(&d, g))
 		next.Era = era
@@ -93,7 +94,7 @@
 	m.queueTelling(d, result.Revision)
 	m.logClosedGrants(d)
 	for i, g := range d.grants {
-		g.record, g.revision = d.records[i], result.Revision
+		g.record, g.revision, g.pendingRevision = d.records[i], result.Revision, noPendingWrite
 		m.opts.Log.Emit(event.GrantsReturned, slog.String(event.KeyBudget, g.account), slog.Int64("spent", g.spent))
 	}
 	return nil
