escrow: a planned stop returns the grants of all accounts

Cause: the return took eight rounds of twelve accounts, conflicts included, and reported success. Beyond 96 accounts the rest of the grants was neither returned nor handed over, and counted as spent.

Change: only conflicts are bounded; the caller's context bounds the time.

--- a/internal/escrow/stop.go
+++ b/internal/escrow/stop.go
@@ -21,17 +21,17 @@
 		return ErrUnreachable
 	}
 	defer m.tellRecords(ctx)
-	const maxRounds = 8 // each conflict means that another router's write succeeded
-	var err error
-	for i := 0; i < maxRounds; i++ {
+	const maxConflicts = 8 // each means that another router's write succeeded
+	for conflicts := 0; ; {
 		d, due := m.planReturn()
 		if !due {
 			return nil
 		}
-		if err = m.commitReturn(ctx, d); err == nil {
+		err := m.commitReturn(ctx, d)
+		if err == nil {
 			continue
 		}
-		if !errors.Is(err, store.ErrConflict) {
+		if conflicts++; !errors.Is(err, store.ErrConflict) || conflicts == maxConflicts {
 			return err
 		}
 		// A record that has gone was lost by the store. Only this router may know of its grants.
@@ -39,7 +39,6 @@
 			return ErrUnreachable
 		}
 	}
-	return err
 }
 
 // planReturn prepares a transaction that returns the unspent tokens of up to maxTxnAccounts
--- a/internal/escrow/stop_test.go
+++ b/internal/escrow/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -50,3 +51,25 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(peers.received+1_000_000-b.accountRecord(c).TotalGranted() <= 1_000_000, qt.IsTrue, qt.Commentf("%d tokens handed over", peers.received))
 }
+
+// Guards against grants of many accounts of which some are neither returned nor handed over.
+func TestGrantsOfThousandAccountsAreReturned(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(1_000_000)
+	for i := range 1_000 {
+		b.prepaid[fmt.Sprint("account-", i)] = 1_000_000
+	}
+	m := b.newManager("p1", noPeers{})
+	for range 2 * len(b.prepaid) / maxTxnAccounts {
+		m.syncStore(context.Background(), true)
+	}
+	c.Assert(m.ReturnGrants(context.Background()), qt.IsNil)
+	snapshot, err := b.store.Read(context.Background(), "budget/account/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(snapshot.Items, qt.HasLen, len(b.prepaid))
+	for _, item := range snapshot.Items {
+		record, err := DecodeRecord(item.Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(record.TotalGranted(), qt.Equals, int64(0), qt.Commentf("%s", item.Key))
+	}
+}
