peers: a repeated gift is not taken by the successor of the router that took it

Cause: a gift of tokens whose answer was lost is sent again for 30 s. If the router that took it was restarted meanwhile, its successor at the address knew nothing of it and took the tokens again, though the first may have spent them: an overspend by the gift. And a repeat that was refused counted as given, so its tokens were lost; the repeat of a refused gift whose answer was lost even counted as taken.

Change: a repeat says how long ago it was first sent. A router that has started since refuses it, and the tokens are lost, as they are with a router that dies. A refusal is remembered, and the tokens of one that is certain come back to the sender. Fields are added only: older builds ignore them and act as before.

Ruled out: naming the receiver's incarnation, which entries of routers don't contain.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,7 +195,7 @@
 		Store: env.Store, Prefix: BudgetPrefix, VM: s.VM, Address: s.PeerAddr, Incarnation: incarnation, Clock: env.Clock,
 		Budgets: n.budgets, Home: n.homeAddress, Holders: n.holderAddresses, Log: log, Peers: n.peers,
 	})
-	n.peers.OnLateLoan(n.grants.Accept)
+	n.peers.OnReturnedTokens(n.grants.Accept)
 	n.limits = pacing.NewAnnouncedRates(pacing.RateLimits, log, nil)
 	n.metrics.registerLimitedBackends(n.limits.Count)
 	n.fragility = pacing.NewAnnouncedRates(pacing.Fragility, log, nil)
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -55,7 +55,7 @@
 	link        *linkdelay.Estimator
 	lastSerial  atomic.Uint64
 	lateAnswers tasks.Group // wait for overdue answers
-	acceptLate  func(tokens map[string]int64) bool
+	takeBack    func(tokens map[string]int64) bool
 
 	mu           sync.Mutex
 	connections  map[string]*rpc.Client // this and the next two by peer address
@@ -68,7 +68,7 @@
 // again.
 type pendingTransfer struct {
 	address string
-	since   time.Time
+	since   time.Time // when it was first sent, or the loan's answer was lost
 	loanID  TransferID
 	gift    *Gift // nil for a loan
 }
@@ -80,10 +80,11 @@
 		lastAnswer: make(map[string]time.Time)}
 }
 
-// OnLateLoan sets what takes the tokens, by account, of loans that arrive after BorrowFrom or Borrow
-// has given up on them; it returns false if it took none. It must be set before the first call.
-func (c *Client) OnLateLoan(accept func(tokens map[string]int64) bool) {
-	c.acceptLate = accept
+// OnReturnedTokens sets what takes the tokens, by account, of loans that arrive after BorrowFrom or Borrow
+// has given up on them, and of gifts that turn out to be refused; it returns false if it took none. It must be
+// set before the first call.
+func (c *Client) OnReturnedTokens(accept func(tokens map[string]int64) bool) {
+	c.takeBack = accept
 }
 
 // Borrow asks peers for tokens in random order until it has enough or ctx ends. It returns the
@@ -127,7 +128,7 @@
 // tokens that no queued request waits for.
 const noWaiter = ""
 
-// lend asks for a loan. A loan that arrives late is passed on to acceptLate. One whose answer is lost
+// lend asks for a loan. A loan that arrives late is passed on to takeBack. One whose answer is lost
 // is not used; it is voided later.
 func (c *Client) lend(ctx context.Context, address string, request escrow.LoanRequest) (Loan, error) {
 	message := LoanRequest{ID: c.nextID(), Account: request.Account, Tokens: request.Tokens, Size: request.Size, Waiter: request.WaiterID,
@@ -160,7 +161,7 @@
 	if loan.Tokens == 0 {
 		return true
 	}
-	return c.acceptLate != nil && c.acceptLate(map[string]int64{account: loan.Tokens})
+	return c.takeBack != nil && c.takeBack(map[string]int64{account: loan.Tokens})
 }
 
 func (c *Client) nextID() TransferID {
@@ -213,11 +214,25 @@
 
 func (c *Client) settle(ctx context.Context, t pendingTransfer) error {
 	if t.gift != nil {
-		return c.call(ctx, t.address, "HandOver", *t.gift, &GiftAnswer{}, ignoreLate)
+		return c.repeatGift(ctx, t)
 	}
 	return c.call(ctx, t.address, "Void", t.loanID, &struct{}{}, ignoreLate)
 }
 
+// repeatGift sends a gift again. If the peer refused it, the tokens come back; if the peer has restarted since it was first sent,
+// they may have been spent, and are lost.
+func (c *Client) repeatGift(ctx context.Context, t pendingTransfer) error {
+	gift, answer := *t.gift, GiftAnswer{}
+	gift.Age = time.Since(t.since)
+	if err := c.call(ctx, t.address, "HandOver", gift, &answer, ignoreLate); err != nil {
+		return err
+	}
+	if answer.Refused && !answer.Restarted && c.takeBack != nil {
+		c.takeBack(gift.Tokens) // refused only while this router stops; then the tokens are lost
+	}
+	return nil
+}
+
 // HandOver gives tokens to a peer. It returns false only if the peer certainly got none of them:
 // it could not be connected to, or it refused them.
 func (c *Client) HandOver(ctx context.Context, address string, tokens map[string]int64) bool {
@@ -225,13 +240,14 @@
 		return false
 	}
 	gift := Gift{ID: c.nextID(), Tokens: tokens, Clock: c.clock.Tick()}
+	sentAt := time.Now()
 	answer := GiftAnswer{}
 	err := c.call(ctx, address, "HandOver", gift, &answer, ignoreLate)
 	if errors.Is(err, ErrNotSent) || err == nil && answer.Refused {
 		return false
 	}
 	if err != nil {
-		c.addPending(pendingTransfer{address: address, since: time.Now(), gift: &gift})
+		c.addPending(pendingTransfer{address: address, since: sentAt, gift: &gift})
 	}
 	return true
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -143,3 +144,45 @@
 	qt.Assert(t, answerTime > 101, qt.IsTrue)
 	qt.Assert(t, borrowerLog.Tick() > answerTime, qt.IsTrue)
 }
+
+// Guards against tokens that are spent twice: a peer took a gift and ended before its answer arrived, and the process
+// that started in its place takes the repeated gift as well.
+func TestRepeatedGiftIsRefusedByRestartedPeer(t *testing.T) {
+	gift := Gift{ID: TransferID{Incarnation: "p1", Serial: 1}, Tokens: map[string]int64{"a": 5}, Age: time.Second}
+	for age, taken := range map[time.Duration]int64{500 * time.Millisecond: 0, time.Minute: 5} {
+		l := &fakeLender{}
+		s := &Service{lender: l, clock: event.Discard(), transfers: newTransfers(), startedAt: time.Now().Add(-age)}
+		answer := GiftAnswer{}
+		qt.Assert(t, s.HandOver(gift, &answer), qt.IsNil)
+		qt.Assert(t, l.tokens, qt.Equals, taken)
+		qt.Assert(t, answer.Restarted, qt.Equals, taken == 0)
+	}
+}
+
+// Guards against tokens that are lost because a gift without an answer turns out to be refused when it is repeated.
+func TestTokensOfRefusedRepeatComeBack(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		l, address := startPeer(t, 0)
+		l.stopping = true
+		c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
+		returned := int64(0)
+		c.OnReturnedTokens(func(tokens map[string]int64) bool {
+			returned += tokens["a"]
+			return true
+		})
+		since := time.Now()
+		if restarted {
+			since = since.Add(-time.Minute)
+		}
+		gift := Gift{ID: c.nextID(), Tokens: map[string]int64{"a": 5}}
+		for range 2 { // the answer to a refusal may be lost as well
+			returned = 0
+			qt.Assert(t, c.settle(context.Background(), pendingTransfer{address: address, since: since, gift: &gift}), qt.IsNil)
+		}
+		want := int64(5)
+		if restarted {
+			want = 0
+		}
+		qt.Assert(t, returned, qt.Equals, want)
+	}
+}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"net"
 	"net/rpc"
+	"time"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/explain"
@@ -66,12 +67,16 @@
 	ID     TransferID
 	Tokens map[string]int64 // by account
 	Clock  uint64
+	// Age is the time since the gift was first sent; 0 if it is sent for the first time, and from older builds.
+	Age time.Duration
 }
 
 // GiftAnswer is the answer to a Gift.
 type GiftAnswer struct {
 	// Refused: the peer took none of the tokens, and never will.
 	Refused bool
+	// Restarted: the peer has started after the gift was first sent. Its predecessor may have taken the tokens.
+	Restarted bool
 }
 
 // KnownRequest asks for the state that a router needs to start.
@@ -131,6 +136,7 @@
 	state     StateSource
 	clock     Clock
 	transfers *transfers
+	startedAt time.Time
 	packer    packer
 }
 
@@ -162,8 +168,15 @@
 // HandOver takes tokens that the peer no longer needs. It is idempotent.
 func (s *Service) HandOver(gift Gift, answer *GiftAnswer) error {
 	s.clock.Observe(gift.Clock)
-	if s.transfers.recordGift(gift.ID) {
-		answer.Refused = !s.lender.Accept(gift.Tokens)
+	isNew, refused := s.transfers.recordGift(gift.ID)
+	switch {
+	case !isNew:
+		answer.Refused = refused
+	case gift.Age > 0 && gift.Age >= time.Since(s.startedAt):
+		answer.Refused, answer.Restarted = true, true
+	case !s.lender.Accept(gift.Tokens):
+		s.transfers.refuseGift(gift.ID)
+		answer.Refused = true
 	}
 	return nil
 }
@@ -245,7 +258,7 @@
 // Serve answers peers until the listener is closed, and returns the listener's error.
 func Serve(l net.Listener, lender Lender, state StateSource, clock Clock, tunnels TunnelServer) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{lender: lender, state: state, clock: clock, transfers: newTransfers()}); err != nil {
+	if err := server.RegisterName(serviceName, &Service{lender: lender, state: state, clock: clock, transfers: newTransfers(), startedAt: time.Now()}); err != nil {
 		return err
 	}
 	for {
--- a/internal/peers/slowlink_test.go
+++ b/internal/peers/slowlink_test.go
@@ -88,7 +88,7 @@
 
 	c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
 	late := make(chan map[string]int64, 1)
-	c.OnLateLoan(func(tokens map[string]int64) bool {
+	c.OnReturnedTokens(func(tokens map[string]int64) bool {
 		late <- tokens
 		return true
 	})
--- a/internal/peers/transfers.go
+++ b/internal/peers/transfers.go
@@ -22,6 +22,7 @@
 	account   string
 	tokens    int64 // of a loan that was not voided
 	voided    bool
+	refused   bool // a gift of which no tokens were taken
 }
 
 func newTransfers() *transfers {
@@ -59,15 +60,22 @@
 	return account, tokens
 }
 
-// recordGift records a gift. It returns false if the gift was recorded before.
-func (t *transfers) recordGift(id TransferID) bool {
+// recordGift records a gift. isNew is false if it was recorded before; refused is set if it was refused then.
+func (t *transfers) recordGift(id TransferID) (isNew, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.byID[id] != nil {
-		return false
+	if tr := t.byID[id]; tr != nil {
+		return false, tr.refused
 	}
 	t.record(id, &transfer{})
-	return true
+	return true, false
+}
+
+// refuseGift marks a recorded gift as refused.
+func (t *transfers) refuseGift(id TransferID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(id, &transfer{refused: true})
 }
 
 // record sets the state of a transfer, and from time to time removes old transfers.
