node: reloaded retry limits outlast changes of the list of routers

Cause: each change of the list of routers set the retry limits anew, from the settings of the start. A reload's limits lasted until the next entry of a router came or went.

Change: limits and the number of routers that share them are set apart from each other.

Measured: TestReloadedRetryLimitsOutlastChangesOfMembership fails before; all tests of internal/retry and internal/node pass with -race.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -225,7 +225,7 @@
 	s.node.quarantine.Judge()
 	s.node.members.Reset(members, silence)
 	s.node.updateMembership()
-	s.node.retries.Set(retryLimits(s.node.settings), s.node.retryShares())
+	s.node.retries.SetRouters(s.node.retryShares())
 }
 
 func (s *fleetSink) Apply(events []store.Event, silence store.Silence) {
@@ -244,7 +244,7 @@
 	s.node.quarantine.Judge()
 	s.node.members.Apply(members, silence)
 	s.node.updateMembership()
-	s.node.retries.Set(retryLimits(s.node.settings), s.node.retryShares())
+	s.node.retries.SetRouters(s.node.retryShares())
 }
 
 // MemberRecord is the stored form of a router's entry.
--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -133,3 +133,12 @@
 	f.nodes[0].stopping.Store(true)
 	f.Assert(isFirst(f.nodes[0], "server"), qt.IsFalse)
 }
+
+// Guards against changed retry limits that last only until another router's entry changes.
+func TestReloadedRetryLimitsOutlastChangesOfMembership(t *testing.T) {
+	f := newRankedFleet(t, 2)
+	node := f.nodes[0]
+	node.Reload(&Settings{RetryWindow: time.Minute, RetryExtra: 10})
+	f.setMembers(f.nodes[:1], f.nodes)
+	f.Assert(node.retries.TryAcquire("model"), qt.IsTrue)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,7 +240,7 @@
 
 // Reload applies the retry limits of changed settings. All other settings stay as they are.
 func (n *Node) Reload(s *Settings) {
-	n.retries.Set(retryLimits(s), n.retryShares())
+	n.retries.SetLimits(retryLimits(s))
 	n.log.Emit(event.SettingsReloaded, slog.Float64("retry_ratio", s.RetryRatio), slog.Float64("retry_extra", s.RetryExtra))
 }
 
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -46,11 +46,18 @@
 	return &Budget{now: now, limits: limits, routers: max(1, routers), services: make(map[string]*window)}
 }
 
-// Set replaces the limits and the number of routers that share them.
-func (b *Budget) Set(limits Limits, routers int) {
+// SetLimits replaces the limits.
+func (b *Budget) SetLimits(limits Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limits, b.routers = limits, max(1, routers)
+	b.limits = limits
+}
+
+// SetRouters replaces the number of routers that share the limits.
+func (b *Budget) SetRouters(routers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.routers = max(1, routers)
 }
 
 // RecordRequest counts a caller's request for a service.
