forward: error answers that are too long to be buffered cost nothing

Cause: an answer with a stated length of 256 KiB or more is relayed as it arrives, and was charged its prompt and output whatever its status. Shorter error answers cost nothing.

Change: answers with another status than 200 are not charged.

Ruled out by reading, of the same place: the watchdog ends before such an answer is relayed, and a caller that leaves does not count against the server (send returns callerGone).

Measured: TestLongErrorAnswerIsNotCharged fails before; all tests of internal/forward pass with -race.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -71,6 +71,7 @@
 func (t *task) relayUnbuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
 	watch.end()
 	t.headSent, t.firstByteAt = true, time.Now()
+	t.isErrorAnswer = reply.Status != http.StatusOK
 	t.setOutput(reply.OutputTokens)
 	t.caller.Begin(reply.Status, reply.Header, reply.Length)
 	part := buffered
--- a/internal/forward/answer_test.go
+++ b/internal/forward/answer_test.go
@@ -82,10 +82,12 @@
 	return a
 }
 
-func (a *answeringFleet) run(c *qt.C) {
-	r := &request.Request{ID: "r1", Method: http.MethodGet, Host: "h", RequestURI: "/", Arrived: time.Now(),
+func (a *answeringFleet) run(c *qt.C) *task {
+	r := &request.Request{ID: "r1", Method: http.MethodGet, Host: "h", RequestURI: "/", Arrived: time.Now(), PromptTokens: 100,
 		Route: &policy.Route{Kind: policy.Idempotent, Timeout: 10 * time.Second, MaxAttempts: 2, LatencyGoal: time.Second}}
-	newTask(a.forwarder, policy.New(policy.Definition{}), r, &a.caller).run(c.Context())
+	t := newTask(a.forwarder, policy.New(policy.Definition{}), r, &a.caller)
+	t.run(c.Context())
+	return t
 }
 
 // Guards against blaming servers one after another for the router's own limit on the answers that it holds.
@@ -149,3 +151,17 @@
 		c.Assert(server.Status(time.Now()).Failures, qt.Equals, 0)
 	}
 }
+
+// Guards against charging an error answer that is too long to be buffered.
+func TestLongErrorAnswerIsNotCharged(t *testing.T) {
+	c := qt.New(t)
+	for status, charged := range map[int]bool{http.StatusOK: true, http.StatusNotFound: false} {
+		a := newAnsweringFleet(c, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(2*maxBufferedAnswer))
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedAnswer)) // the test sees what was received
+		})
+		c.Assert(a.run(c).used() > 0, qt.Equals, charged, qt.Commentf("status %d", status))
+		c.Assert(a.caller.received, qt.Equals, 2*maxBufferedAnswer)
+	}
+}
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -68,6 +68,7 @@
 	events         int  // number of events relayed that hold tokens
 	output         int  // output tokens of an answer, except those of events
 	succeeded      bool // a buffered answer with status 200 was relayed
+	isErrorAnswer  bool // an answer with another status is relayed without being buffered
 	answered       bool // a server's answer with status 200 was relayed to its end
 }
 
@@ -80,9 +81,10 @@
 
 // used returns the number of tokens charged to the client account: the prompt once, and the output
 // that was relayed. A request of whose answer nothing was relayed costs nothing even if it ran, so
-// that no one pays for a prompt twice because a server failed or the caller disconnected early.
+// that no one pays for a prompt twice because a server failed or the caller disconnected early. Nor does an
+// answer with another status than 200.
 func (t *task) used() int64 {
-	if !t.headSent && !t.succeeded {
+	if !t.headSent && !t.succeeded || t.isErrorAnswer {
 		return 0
 	}
 	output := t.output
