node: a starting router's orders from another router don't replace those of the store

Cause: a router that has the configuration but no servers yet asks another router for its state, and replaced all evacuation orders by that router's. If the store had answered meanwhile, a newer order was dropped and an older one came into force, until the next full read.

Change: another router's orders are taken only as long as none were read from the store.

--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -29,6 +29,8 @@
 	// lost holds the time at which an order was missing because the store had lost writes, by key. It
 	// stays in force until its operator has had time to give it again.
 	lost map[string]time.Time
+	// followed is set once orders were read from the store.
+	followed bool
 }
 
 // NewEvacuations returns an empty set of orders that applies each order to registry.
@@ -41,6 +43,7 @@
 func (e *Evacuations) Reset(items []store.Item, silence store.Silence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.followed = true
 	if !silence.LostWrites {
 		clear(e.lost)
 		reset(e, items)
@@ -54,10 +57,24 @@
 	e.keepLost(func(key string) bool { return !present[key] })
 }
 
+// Seed takes the orders that another router knows, unless orders were read from the store before: the
+// other router's may be older.
+func (e *Evacuations) Seed(items []store.Item) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.followed {
+		return
+	}
+	for _, item := range items {
+		e.put(item)
+	}
+}
+
 // Apply applies store changes in order. If the store has lost writes, it is as with Reset.
 func (e *Evacuations) Apply(events []store.Event, silence store.Silence) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.followed = true
 	if silence.LostWrites {
 		isDeleted := func(change store.Event) bool { return change.Deleted }
 		e.keepLost(func(key string) bool {
--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -91,6 +91,19 @@
 	e.Assert(e.Items(), qt.DeepEquals, []store.Item{order("west", 6)}, qt.Commentf("items sent to a starting router"))
 }
 
+// Guards against requests to an evacuated domain because a starting router got another router's older orders after
+// those of the store.
+func TestSeededOrdersDoNotReplaceThoseOfStore(t *testing.T) {
+	e := newEvacuationTest(t)
+	e.Seed([]store.Item{order("east", 5)})
+	e.Assert(e.eligible(), qt.Equals, "west")
+	e.Reset([]store.Item{order("west", 6)}, store.Silence{})
+	e.clock.advance(testWarmUp)
+	e.Assert(e.eligible(), qt.Equals, "east")
+	e.Seed([]store.Item{order("east", 5)})
+	e.Assert(e.eligible(), qt.Equals, "east")
+}
+
 // Guards against sending a restored domain its usual share of requests at once: its servers may
 // have become cold while evacuated.
 func TestRestoredDomainStartsCold(t *testing.T) {
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chicorytiller.example/chicorytiller/internal/event"
-	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 // Timing of a start while the store is unreachable.
@@ -46,7 +45,7 @@
 	if err != nil || len(known.Config) == 0 || len(known.Servers) == 0 {
 		return false // the next seed is tried, or the same ones again in the next round
 	}
-	(&configSink{node: n}).Reset(known.Config, store.Silence{})
+	(&configSink{node: n}).seed(known.Config)
 	n.registry.Seed(known.Servers)
 	n.members.Seed(known.Members)
 	for _, item := range known.Versions {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -149,6 +149,14 @@
 	s.node.evacuations.Reset(items, silence)
 }
 
+// seed takes the configuration and the orders that another router knows, unless the store's are known.
+func (s *configSink) seed(items []store.Item) {
+	for _, item := range items {
+		s.update(item)
+	}
+	s.node.evacuations.Seed(items)
+}
+
 func (s *configSink) Apply(events []store.Event, silence store.Silence) {
 	for _, e := range events {
 		if !e.Deleted {
