--- a/cmd/chicory-load/run.go
+++ b/cmd/chicory-load/run.go
@@ -80,6 +80,8 @@
 		return nil, errors.New("--router or --direct is required")
 	case o.paired && len(targets) != 2:
 		return nil, errors.New("--paired needs --router and --direct")
+	case o.maxTries < 1:
+		return nil, errors.New("--max-tries must be at least 1")
 	case o.direct != "" && o.serviceShare > 0:
 		return nil, errors.New("--service-share can't be used with --direct")
 	}
--- a/internal/escrow/manager_test.go
+++ b/internal/escrow/manager_test.go
@@ -161,7 +161,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(newRecord().WithEntry("vm", "p", GrantEntry{Seq: 1, Granted: 5}, nil).Encode())
-	f.Add(Ledger{Format: recordFormat, Incarnation: "p"}.Encode())
+	f.Add(Ledger{Format: ledgerFormat, Incarnation: "p"}.Encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if record, err := DecodeRecord(data); err == nil {
 			_ = record.WithEntry("vm", "new", GrantEntry{}, func(_ string, f GrantEntry) int64 { return f.Granted }).Encode()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	// confirmed. The pause keeps a burst of versions from causing a burst of calls.
 	configMaxWait = 1150 * time.Millisecond
 	configPause   = 50 * time.Millisecond
-	// A new configuration must be in force within two seconds. configCheckAfter leaves 0.4 s of
+	// A new configuration must be in force within two seconds. configCheckAfter leaves 0.6 s of
 	// them for a router that follows another one, for its second check and for slow links.
 	configCheckAfter = 1400 * time.Millisecond
 	// Timing of the follower of backend servers, as fractions of Settings.DrainTime, the time for
