fleet: late entries of a leaving server are not handed to starting routers

Cause: an entry of a draining server from before it began to drain, or of its predecessor, did not bring the server back, but took the place of the entry that is handed to a router that starts while the store is away. That router would send to the server.

Change: the entry that says that the server drains is kept.

Measured: TestLateEntryIsNotGivenToStartingRouter fails before for both kinds of late entries; all tests of internal/fleet pass with -race.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -75,6 +75,23 @@
 	qt.Assert(t, ids(r), qt.DeepEquals, []string{"b"})
 }
 
+// Guards against requests of a starting router to a draining server because it was given an entry that came late: of the
+// time before the server began to drain, or of its predecessor.
+func TestLateEntryIsNotGivenToStartingRouter(t *testing.T) {
+	for name, start := range map[string]int64{"same process": 50, "earlier process": 40} {
+		r, _ := newRegistry()
+		item := func(revision store.Revision, start int64, draining bool) store.Item {
+			value, err := json.Marshal(Entry{ID: "a", Service: "engines", Address: "10.0.0.1:80", StartUnixMilli: start, Draining: draining})
+			qt.Assert(t, err, qt.IsNil)
+			return store.Item{Key: "servers/a", Value: value, Revision: revision}
+		}
+		r.Apply([]store.Event{put(item(1, 50, false)), put(item(2, 50, true)), put(item(3, start, false))}, normalSilence)
+		starting, _ := newRegistry()
+		starting.Seed(r.Items())
+		qt.Check(t, ids(starting), qt.HasLen, 0, qt.Commentf(name))
+	}
+}
+
 // Guards against requests to a server whose entry was removed while the store was reachable.
 func TestRemovedEntryIsDroppedAtOnce(t *testing.T) {
 	r, _ := newRegistry()
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -261,13 +261,20 @@
 		known.revision, known.expired = item.Revision, false
 		return
 	}
-	if known.server.Restarted(entry) && !known.supersedes(entry) {
+	supersedes := known.supersedes(entry)
+	if known.server.Restarted(entry) && !supersedes {
 		r.markLeaving(known, "restarted")
 		r.add(item, entry)
 		return
 	}
-	known.revision, known.item, known.unreadable = item.Revision, item, false
-	known.expired, known.seq = false, entry.Seq
+	known.revision, known.unreadable, known.expired = item.Revision, false, false
+	if supersedes {
+		return
+	}
+	known.seq = entry.Seq
+	if entry.Draining || !known.server.Leaving() {
+		known.item = item // else a starting router would use the server: an entry from before it began to drain came late
+	}
 	r.updateCold(known.server, entry)
 	if entry.Draining {
 		r.markLeaving(known, "draining")
