Explain rationing of a low budget as the next reservation finds it

Cause: Look used the rationing that the last reservation had found. A router whose budget had become low without a reservation since (spending reported by others, settled requests) answered "would be sent" where the request is refused with budget_low, and a budget that was topped up was still explained as rationed. Change: whether a budget is observed and rationed is decided in one function, which updateLowBudget applies and Look reads.

--- a/internal/escrow/look.go
+++ b/internal/escrow/look.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -32,8 +33,8 @@
 		available -= waiting.queuedTokens(now)
 	}
 	look := Look{Available: max(0, available), Covered: available >= tokens}
-	if isHome && budgetKnown && g.recordKnown && g.low != nil { // rationed as the last reservation found it
-		switch g.low.clone().decide(g.remaining(prepaid), tokens, tokens, priority, now) {
+	if isHome && budgetKnown && g.recordKnown {
+		switch m.lookRationing(g, prepaid, tokens, priority, now) {
 		case rationedOut:
 			look.Err = ErrRationed
 			return look
@@ -51,6 +52,21 @@
 	return look
 }
 
+// lookRationing returns what the rationing of a low budget would say of a request, whether or not a reservation
+// found before that the budget is low. The caller holds m.mu.
+func (m *GrantManager) lookRationing(g *grant, prepaid, tokens int64, priority int, now time.Duration) admission {
+	observed, rationed := m.rationing(g, prepaid)
+	if !observed {
+		return admitted
+	}
+	low := newLowBudget(now)
+	if g.low != nil {
+		low = g.low.clone()
+	}
+	low.rationed = rationed
+	return low.decide(g.remaining(prepaid), tokens, tokens, priority, now)
+}
+
 func (l *lowBudget) clone() *lowBudget {
 	c := *l
 	c.demands = maps.Clone(l.demands)
--- a/internal/escrow/lowbudget.go
+++ b/internal/escrow/lowbudget.go
@@ -181,13 +181,9 @@
 // updateLowBudget starts or ends the rationing of a budget at a holder; other routers see neither
 // the demand nor the rest. The caller holds m.mu.
 func (m *GrantManager) updateLowBudget(g *grant, prepaid int64) {
-	if m.role(g) == borrower {
-		g.low = nil
-		return
-	}
-	rest := float64(g.remaining(prepaid))
-	if rest >= observedBudgetShare*float64(prepaid) {
-		if g.low != nil {
+	observed, rationed := m.rationing(g, prepaid)
+	if !observed {
+		if g.low != nil && m.role(g) != borrower {
 			m.setRationed(g, prepaid, false)
 		}
 		g.low = nil
@@ -196,8 +192,18 @@
 	if g.low == nil {
 		g.low = newLowBudget(m.opts.Clock().Steady)
 	}
-	isLow := g.low.rationed || rest < lowBudgetShare*float64(prepaid)
-	m.setRationed(g, prepaid, isLow && !m.isGatherable(g, prepaid))
+	m.setRationed(g, prepaid, rationed)
+}
+
+// rationing returns whether the demand for the budget has to be observed and whether its rest has to be rationed
+// now. The caller holds m.mu.
+func (m *GrantManager) rationing(g *grant, prepaid int64) (observed, rationed bool) {
+	rest := float64(g.remaining(prepaid))
+	if m.role(g) == borrower || rest >= observedBudgetShare*float64(prepaid) {
+		return false, false
+	}
+	isLow := g.isRationed() || rest < lowBudgetShare*float64(prepaid)
+	return true, isLow && !m.isGatherable(g, prepaid)
 }
 
 // setRationed sets whether the budget is rationed and logs changes. The caller holds m.mu.
