Explain admission by the duration that decides, without the request's own use

Cause: durations are kept by route since, but Look still reported the mean over all routes, so that a request refused as late could be shown with a duration below the time left. A request that would be admitted was counted in the use of its class's share. Change: Look reports the estimate for the route and work, and takes the request that the copy admitted out of the use. A test guards against a copy of the gate that shares a field with the gate, also one that is added later. Measured: go test ./internal/admission -run 'Look|CopyOf' passes.

--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -12,13 +12,14 @@
 	Limit      float64
 	InProgress int
 	Waiting    int
-	// Share of the request's class and what the class uses of it; set only if Limited. Share is infinite for a
-	// class that gets all it asks for.
+	// Share of the request's class and what the class uses of it, without this request; set only if Limited. Share
+	// is infinite for a class that gets all it asks for.
 	Share, Used float64
 	// Pressure is as of Measured, which is zero if nothing was measured yet.
 	Pressure Pressure
 	Measured time.Time
-	// Duration is how long the request is expected to take.
+	// Duration is how long the request is expected to take, by the estimate for its route and work that decides
+	// whether it would be late.
 	Duration time.Duration
 	// Refusal is nil if the request would be admitted, at once or after a wait of up to Wait.
 	Refusal *Refusal
@@ -41,9 +42,12 @@
 	}
 	look := Look{Limited: gate.limiter.limited, Limit: gate.limiter.limit, InProgress: inProgress, Waiting: waiting,
 		Pressure: gate.pressure, Measured: gate.evaluatedAt, Refusal: w.Refusal, Waits: !w.Settled,
-		Duration: time.Duration(gate.durations.seconds(r.Work) * float64(time.Second))}
+		Duration: time.Duration(gate.durations.expected(r) * float64(time.Second))}
 	if look.Limited {
 		look.Share, look.Used = gate.share(w.class), gate.admitted(w.class, now)
+		if w.Settled && w.Refusal == nil { // the copy has counted the request
+			look.Used = max(0, look.Used-w.weight*gate.correction(now))
+		}
 	}
 	if look.Waits {
 		look.Wait = w.Until.Sub(now)
