Refuse unknown fields in files of chicoryctl and name them

Cause: config check, config apply and backend put ignored fields that they do not know. A document with "modelz" was called right and would have removed all models. What routers read from the store is decoded as before, so that builds side by side work.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -2,6 +2,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -170,9 +171,23 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := rejectUnknownFields(data, &native.Document{}); err != nil {
+		return nil, errors.Wrap(native.ErrInvalidDocument, err.Error())
+	}
 	return native.ParseDocument(data)
 }
 
+// rejectUnknownFields returns an error that names a field which v, of the type that data is decoded into, does not
+// have. A misspelled field would otherwise count as absent. Other errors in data are left to its decoder.
+func rejectUnknownFields(data []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil && strings.HasPrefix(err.Error(), "json: unknown field ") {
+		return err
+	}
+	return nil
+}
+
 func (a *app) showConfig(ctx context.Context, s store.Store) error {
 	d, _, err := operate.Document(ctx, s)
 	if err != nil {
@@ -192,6 +207,9 @@
 			return err
 		}
 		b := contract.BackendServer{}
+		if err := rejectUnknownFields(data, &b); err != nil {
+			return errors.Wrap(operate.ErrInvalid, err.Error())
+		}
 		if err := json.Unmarshal(data, &b); err != nil {
 			return errors.Wrap(operate.ErrInvalid, err.Error())
 		}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -76,6 +76,29 @@
 	o.Assert(out, qt.Contains, `"version": 1`)
 }
 
+// Guards against a misspelled field in a file that counts as absent: a document with "modelz" would remove all models.
+func TestUnknownFieldIsNamed(t *testing.T) {
+	o := newOperator(t)
+	document := strings.Replace(documentJSON(noChange), `"max_tokens"`, `"max_token"`, 1)
+	server := `{"id": "e1", "kind": "engine", "address": "10.0.4.1:9000", "failure_domain": "d", "model": ["m"]}`
+	for _, test := range []struct {
+		stdin, field string
+		args         []string
+	}{
+		{document, "max_token", []string{"config", "check", "-"}},
+		{document, "max_token", []string{"config", "apply", "-"}},
+		{server, "model", []string{"backend", "put", "-"}},
+		{strings.Replace(server, `"e1"`, "1", 1), "id", []string{"backend", "put", "-"}},
+	} {
+		code, out := o.run(test.stdin, test.args...)
+		o.Check(code, qt.Equals, ExitInvalid, qt.Commentf("%s", out))
+		o.Check(out, qt.Contains, test.field)
+	}
+	snapshot, err := o.store.Read(context.Background(), "")
+	o.Assert(err, qt.IsNil)
+	o.Check(snapshot.Items, qt.HasLen, 0)
+}
+
 // Guards against a repeated payment that counts twice, and against a payment that is lost
 // when an older document without it is applied.
 func TestTopUpIsIdempotentAndNotLost(t *testing.T) {
