Refuse empty texts of chicoryctl explain's flags, and part IDs that requests can't have

Change: a flag that is given must have a text, and the error names it. Parts are split as in requests. Measured: go test ./internal/ctl passes; its new cases fail on the code before.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -71,7 +71,7 @@
 	cli.ErrorWriter(streams.Err)
 	cli.Flag("store", "IP:port of the store.").Envar("CHICORY_STORE").Default(defaultStore).StringVar(&a.storeAddr)
 	cli.Flag("json", "Print JSON instead of tables.").BoolVar(&a.jsonOutput)
-	cli.Flag("timeout", "How long to wait for the store.").Default("5s").DurationVar(&a.timeout)
+	cli.Flag("timeout", "How long to wait for the store, and for routers.").Default("5s").DurationVar(&a.timeout)
 	a.configCommands(cli.Command("config", "The operators' document: models, services, contracts."))
 	a.budgetCommands(cli.Command("budget", "Prepaid tokens."))
 	a.backendCommands(cli.Command("backend", "Backend servers."))
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -50,20 +50,38 @@
 	parts                                []string
 	timeout                              string
 	hasKeyFile                           bool // keyFile is empty for standard input
+	given                                []givenFlag
+}
+
+// givenFlag is a flag with a text that must not be empty if it is given: a script's variable may be empty by mistake,
+// and the flag would silently count as absent.
+type givenFlag struct {
+	name  string
+	set   *bool
+	value *string
+}
+
+// textFlag adds a flag whose text must not be empty.
+func (f *explainFlags) textFlag(command *kingpin.CmdClause, name, help string, value *string) *kingpin.FlagClause {
+	given := givenFlag{name: name, set: new(bool), value: value}
+	f.given = append(f.given, given)
+	flag := command.Flag(name, help).IsSetByUser(given.set)
+	flag.StringVar(value)
+	return flag
 }
 
 func (a *app) explainCommand(command *kingpin.CmdClause) {
 	f := &explainFlags{}
-	command.Flag("router", "IP:port at which the router serves other routers. Default: all that the store lists.").StringVar(&f.router)
-	command.Flag("host", "Host of the request.").Required().StringVar(&f.host)
-	command.Flag("path", "Path of the request.").Required().StringVar(&f.path)
-	command.Flag("key", "API key. Other users of this machine may see it; --key-file hides it.").StringVar(&f.key)
+	f.textFlag(command, "router", "IP:port at which the router serves other routers. Default: all that the store lists.", &f.router)
+	f.textFlag(command, "host", "Host of the request.", &f.host).Required()
+	f.textFlag(command, "path", "Path of the request.", &f.path).Required()
+	f.textFlag(command, "key", "API key. Other users of this machine may see it; --key-file hides it.", &f.key)
 	command.Flag("key-file", "File that contains the API key; - is standard input.").IsSetByUser(&f.hasKeyFile).StringVar(&f.keyFile)
-	command.Flag("prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.").StringVar(&f.promptTokens)
-	command.Flag("output-tokens", "Most tokens of the answer.").StringVar(&f.outputTokens)
+	f.textFlag(command, "prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.", &f.promptTokens)
+	f.textFlag(command, "output-tokens", "Most tokens of the answer.", &f.outputTokens)
 	command.Flag("part", "ID:TOKENS of a part of the prompt, in order; repeatable. The last one is the request's own.").StringsVar(&f.parts)
-	command.Flag("request-timeout", "How long the caller waits, such as 2s.").StringVar(&f.timeout)
-	command.Flag("id", "ID of the request, by which routers spread equal requests. Default: a random one.").StringVar(&f.id)
+	f.textFlag(command, "request-timeout", "How long the caller waits, such as 2s.", &f.timeout)
+	f.textFlag(command, "id", "ID of the request, by which routers spread equal requests. Default: a random one.", &f.id)
 	command.Action(func(*kingpin.ParseContext) error {
 		ctx, cancel := context.WithTimeout(context.Background(), a.timeout)
 		defer cancel()
@@ -149,14 +167,16 @@
 	if q.ID == "" {
 		q.ID = uuid.NewString()
 	}
+	for _, flag := range f.given {
+		if *flag.set && *flag.value == "" {
+			return q, errors.Errorf("--%s: must not be empty", flag.name)
+		}
+	}
 	if f.router != "" {
 		if _, err := netip.ParseAddrPort(f.router); err != nil {
 			return q, errors.Errorf("--router: %q is not IP:PORT", f.router)
 		}
 	}
-	if f.host == "" {
-		return q, errors.New("--host: must not be empty")
-	}
 	if !strings.HasPrefix(f.path, "/") {
 		return q, errors.Errorf("--path: %q does not begin with /", f.path)
 	}
@@ -205,16 +225,16 @@
 	}
 	sum := 0
 	for _, part := range f.parts {
-		colon := strings.LastIndexByte(part, ':')
-		if colon <= 0 {
+		id, text, found := strings.Cut(part, ":") // as in requests, whose IDs contain neither colons nor commas
+		if !found || id == "" || strings.Contains(id, ",") {
 			return errors.Errorf("--part: %q is not ID:TOKENS", part)
 		}
-		tokens, err := parseTokens("--part", part[colon+1:])
+		tokens, err := parseTokens("--part", text)
 		if err != nil {
 			return err
 		}
 		sum += tokens
-		q.Parts = append(q.Parts, explain.Part{ID: part[:colon], Tokens: tokens})
+		q.Parts = append(q.Parts, explain.Part{ID: id, Tokens: tokens})
 	}
 	q.HasTokens = len(f.parts) > 0 || f.promptTokens != "" || f.outputTokens != ""
 	q.PromptTokens = sum
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -84,6 +84,21 @@
 		o.Check(code, qt.Equals, ExitUnasked)
 		o.Check(out, qt.Contains, flag)
 	}
+	for _, flag := range []string{"--router", "--host", "--path", "--key", "--prompt-tokens", "--output-tokens", "--part", "--request-timeout", "--id", "--key-file"} {
+		args := []string{"explain"}
+		for _, other := range []string{"--router=127.0.0.1:1", "--host=h", "--path=/x"} {
+			if !strings.HasPrefix(other, flag+"=") {
+				args = append(args, other)
+			}
+		}
+		code, out := o.run("", append(args, flag+"=")...)
+		o.Check(code, qt.Equals, ExitUnasked, qt.Commentf("%s", out))
+		o.Check(out, qt.Contains, "chicoryctl: "+flag+": ", qt.Commentf("an empty text counted as absent"))
+	}
+	for _, part := range []string{"a:1,b:2", "a,b:2", ":1", "a:"} {
+		_, out := o.run("", "explain", "--host", "h", "--path", "/x", "--part", part)
+		o.Check(out, qt.Contains, "--part")
+	}
 	code, out := o.run("", "explain", "--host", "h", "--path", "x", "--key", "secret")
 	o.Check(code, qt.Equals, ExitUnasked)
 	o.Check(out, qt.Contains, "--path")
