--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -202,6 +202,7 @@
 	return q, nil
 }
 
+// readKey reads the key from a file. No error contains the file's name: it may be the key, given with the wrong flag.
 func (a *app) readKey(name string) (string, error) {
 	data, err := a.readFile(name)
 	if err != nil {
@@ -209,11 +210,14 @@
 		if errors.As(err, &pathErr) {
 			err = pathErr.Err
 		}
-		return "", errors.Wrapf(err, "--key-file: %s", name)
+		return "", errors.Wrap(err, "--key-file")
 	}
 	key := strings.TrimSpace(string(data))
-	if key == "" {
-		return "", errors.Errorf("--key-file: %s is empty", name)
+	switch {
+	case key == "":
+		return "", errors.New("--key-file: the file is empty")
+	case strings.ContainsAny(key, "\r\n"):
+		return "", errors.New("--key-file: the file has more than one line")
 	}
 	return key, nil
 }
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -104,3 +104,26 @@
 	o.Check(out, qt.Contains, "--path")
 	o.Check(strings.Contains(out, "secret"), qt.IsFalse)
 }
+
+// Guards against a key that is shown because it was given as the name of the file, and against a file with several
+// keys that is taken for one key, which no router knows.
+func TestExplainKeyFile(t *testing.T) {
+	o := newOperator(t)
+	router := startExplainer(o.C, &answering{explain.Report{}})
+	for _, test := range []struct {
+		file, content string
+		code          int
+		text          string
+	}{
+		{"-", "secret\n", ExitSent, "would be sent"},
+		{"-", "secret\nother\n", ExitUnasked, "--key-file: the file has more than one line"},
+		{"-", " \n", ExitUnasked, "--key-file: the file is empty"},
+		{"secret", "", ExitUnasked, "--key-file: no such file"},
+		{t.TempDir(), "", ExitUnasked, "--key-file: is a directory"},
+	} {
+		code, out := o.run(test.content, "explain", "--router", router, "--host", "h", "--path", "/x", "--key-file", test.file)
+		o.Check(code, qt.Equals, test.code)
+		o.Check(out, qt.Contains, test.text)
+		o.Check(strings.Contains(out, "secret"), qt.IsFalse, qt.Commentf("%s", out))
+	}
+}
