Print empty lists of explain as lists and name the bad field of a router's entry

A router whose entry in the store has a peer address that is none was reported with the dialer's words.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -112,13 +112,7 @@
 	asking := pool.New().WithMaxGoroutines(maxExplainAtOnce)
 	for i, address := range addresses {
 		asking.Go(func() {
-			answers[i].Peer = address
-			report, err := peers.Explain(ctx, address, query)
-			if err != nil {
-				answers[i].Error = err.Error()
-				return
-			}
-			answers[i].Report = &report
+			answers[i] = ask(ctx, address, query)
 		})
 	}
 	asking.Wait()
@@ -128,6 +122,25 @@
 	return outcomeOf(answers)
 }
 
+// ask asks the router at an address, which may come from the router's entry in the store.
+func ask(ctx context.Context, address string, query explain.Query) explanation {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return explanation{Peer: address, Error: fmt.Sprintf("field peer of its entry in the store: %q is not IP:PORT", address)}
+	}
+	report, err := peers.Explain(ctx, address, query)
+	if err != nil {
+		return explanation{Peer: address, Error: err.Error()}
+	}
+	// The encoding between processes does not distinguish empty lists from absent ones; JSON does.
+	if report.Servers == nil {
+		report.Servers = []explain.Server{}
+	}
+	if report.LeftOut == nil {
+		report.LeftOut = []explain.Server{}
+	}
+	return explanation{Peer: address, Report: &report}
+}
+
 // outcomeOf returns the error that sets the exit code.
 func outcomeOf(answers []explanation) error {
 	code := ExitSent
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -127,3 +127,28 @@
 		o.Check(strings.Contains(out, "secret"), qt.IsFalse, qt.Commentf("%s", out))
 	}
 }
+
+// Guards against null in the place of empty lists, at which scripts that read the JSON fail.
+func TestExplainJSONHasLists(t *testing.T) {
+	o := newOperator(t)
+	refused := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "unknown_key", Status: 401}}})
+	_, out := o.run("", "explain", "--json", "--router", refused, "--host", "h", "--path", "/x")
+	o.Check(out, qt.Contains, `"servers": []`)
+	o.Check(out, qt.Contains, `"left_out": []`)
+}
+
+// Guards against errors of entries in the store that don't name the field, and against one such entry that hides the
+// other routers' answers.
+func TestExplainNamesFieldOfRoutersEntry(t *testing.T) {
+	o := newOperator(t)
+	sent := startExplainer(o.C, &answering{explain.Report{Router: "vm-1"}})
+	o.store.Put("chicory/router/vm-1", []byte(`{"address":"127.0.0.1:1","peer":"`+sent+`","failure_domain":"d"}`))
+	o.store.Put("chicory/router/vm-2", []byte(`{"address":"127.0.0.1:2","peer":"nowhere","failure_domain":"d"}`))
+	code, out := o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Matches, `(?s).*vm-1 .*would be sent.*field peer .*"nowhere" is not IP:PORT.*`)
+	o.store.Put("chicory/router/vm-2", []byte(`{"address":"127.0.0.1:2","peer":7,"failure_domain":"d"}`))
+	code, out = o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Matches, `(?s).*chicory/router/vm-2.*peer.*`)
+}
