Show slots and the age of each server's report in explanations

Cause: found while walking through late requests of a local fleet. A server that never reported was shown with 0 requests running like one that is idle, slots were missing, and the age of a server's report was nowhere although the page told operators to compare it. Change: fields slots, reported and report_age_ms with columns; Retry-After in whole milliseconds, rounded up. Older routers send none of these fields and are shown with "-". Measured: TestExplainTellsAgeOfReports; go test -race ./internal/ctl ./internal/fleet and the tests of explain in ./internal/forward pass.

--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -46,6 +46,7 @@
 func TestExplainExitCodes(t *testing.T) {
 	o := newOperator(t)
 	sent := startExplainer(o.C, &answering{explain.Report{Router: "vm-1", Route: "draft", Servers: []explain.Server{{ID: "e1"}}}})
+	rounded := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "backends_busy", Status: 503, RetryAfterMS: 3675.0363999999998}}})
 	refused := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "backends_busy", Detail: "late", Status: 503, RetryAfterMS: 250}}})
 	unable := startExplainer(o.C, &older{})
 	for _, test := range []struct {
@@ -55,6 +56,7 @@
 	}{
 		{sent, ExitSent, "would be sent"},
 		{refused, ExitRefused, "would be refused: 503 backends_busy (late), Retry-After 0.25"},
+		{rounded, ExitRefused, "Retry-After 3.676\n"},
 		{unable, ExitUnasked, "the router's version can't explain requests"},
 	} {
 		code, out := o.run("", "explain", "--router", test.router, "--host", "h", "--path", "/x")
--- a/internal/ctl/explaintext.go
+++ b/internal/ctl/explaintext.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 
 	"chicorytiller.example/chicorytiller/internal/explain"
@@ -74,7 +75,8 @@
 		text += " (" + r.Refusal.Detail + ")"
 	}
 	if r.Refusal.RetryAfterMS > 0 {
-		text += ", Retry-After " + strconv.FormatFloat(r.Refusal.RetryAfterMS/1000, 'f', -1, 64)
+		const perSecond = 1000
+		text += ", Retry-After " + strconv.FormatFloat(math.Ceil(r.Refusal.RetryAfterMS)/perSecond, 'f', -1, 64)
 	}
 	return text
 }
@@ -101,21 +103,27 @@
 	}
 	return table{
 		{"admission", fmt.Sprintf("%s; limit %.2f, %d in progress, %d waiting, share %s", outcome, a.Limit, a.InProgress, a.Waiting, share)},
-		{"", "a request of its size takes " + formatMS(a.RequestMS) + " ms"},
+		{"", "a request like it takes " + formatMS(a.RequestMS) + " ms"},
 		{"", reports},
 	}
 }
 
 func (a *app) printServers(r *explain.Report) error {
 	if len(r.Servers) > 0 {
-		t := table{{"", "SERVER", "FAILURE DOMAIN", "COST MS", "QUEUE MS", "READING MS", "PACE", "RUNNING", "CACHED", "UNREAD", "REMARK"}}
+		t := table{{"", "SERVER", "FAILURE DOMAIN", "COST MS", "QUEUE MS", "READING MS", "PACE", "RUNNING", "SLOTS", "REPORT AGE MS", "CACHED", "UNREAD", "REMARK"}}
 		for i, s := range r.Servers[:min(len(r.Servers), maxTextServers)] {
-			queue, reading, pace := "-", "-", "-"
+			queue, reading, pace, slots, age := "-", "-", "-", "-", "-"
+			if s.Slots > 0 {
+				slots = strconv.Itoa(s.Slots)
+			}
+			if s.Reported {
+				age = formatMS(s.ReportAgeMS)
+			}
 			if s.Predicted {
 				queue, reading, pace = formatMS(s.QueueMS), formatMS(s.ReadingMS), fmt.Sprintf("%.2f", s.Pace)
 			}
 			t = append(t, []string{strconv.Itoa(i + 1), s.ID, s.FailureDomain, formatMS(s.CostMS), queue, reading, pace,
-				fmt.Sprintf("%.1f", s.Running), fmt.Sprintf("%.0f", s.CachedTokens), fmt.Sprintf("%.0f", s.UnreadTokens), s.Why})
+				fmt.Sprintf("%.1f", s.Running), slots, age, fmt.Sprintf("%.0f", s.CachedTokens), fmt.Sprintf("%.0f", s.UnreadTokens), s.Why})
 		}
 		if err := a.printf("\n"); err != nil {
 			return err
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -94,12 +94,17 @@
 	WaitMS float64 `json:"wait_ms,omitempty"` // until it may get requests, if known
 	CostMS float64 `json:"cost_ms"`
 	// QueueMS, ReadingMS and Pace are set if Predicted is, else the cost follows from Running and UnreadTokens.
-	Predicted    bool    `json:"predicted"`
-	QueueMS      float64 `json:"queue_ms"`
-	ReadingMS    float64 `json:"reading_ms"`
-	Pace         float64 `json:"pace"`
-	PaceAgeMS    float64 `json:"pace_age_ms"` // -1 if it is old
-	Running      float64 `json:"running"`
+	Predicted bool    `json:"predicted"`
+	QueueMS   float64 `json:"queue_ms"`
+	ReadingMS float64 `json:"reading_ms"`
+	Pace      float64 `json:"pace"`
+	PaceAgeMS float64 `json:"pace_age_ms"` // -1 if it is old; set only if Predicted
+	Running   float64 `json:"running"`
+	Slots     int     `json:"slots"` // requests that the server runs at the same time; 0 if unknown
+	// Reported is set if the server's last load report is recent enough to count for Running, ReportAgeMS is then
+	// its age. Without one only this router's own requests are known.
+	Reported     bool    `json:"reported"`
+	ReportAgeMS  float64 `json:"report_age_ms"`
 	CachedTokens float64 `json:"cached_tokens"`
 	UnreadTokens float64 `json:"unread_tokens"`
 	OtherDomain  bool    `json:"other_failure_domain"`
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -305,6 +305,9 @@
 	Slots       int     // as last reported or stated in the entry; 0 if unknown
 	InBackoff   bool
 	Failures    int
+	// Reported is set if the server's last load report is recent enough to count, ReportAge is then its age.
+	Reported  bool
+	ReportAge time.Duration
 }
 
 // maxLoadAge is the age up to which a load report is used. A request takes about this long, so
@@ -328,6 +331,7 @@
 	}
 	if !s.loadAt.IsZero() && now.Sub(s.loadAt) < maxLoadAge {
 		status.Running = max(s.outstanding, s.load.Running+s.load.Waiting+s.sinceLoad)
+		status.Reported, status.ReportAge = true, now.Sub(s.loadAt)
 	}
 	return status
 }
--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -155,8 +155,10 @@
 	s := explain.Server{ID: ranked.Server.ID, FailureDomain: ranked.Server.Domain, WaitMS: milliseconds(ranked.Delay), CostMS: ranked.CostMs,
 		Predicted: ranked.Predicted(), QueueMS: ranked.QueueMs, ReadingMS: ranked.ReadingMs, Pace: ranked.Pace, PaceAgeMS: ranked.AgeMs,
 		Running: ranked.Running, Paced: ranked.Paced()}
+	status := ranked.Server.Status(now)
+	s.Slots, s.Reported, s.ReportAgeMS = status.Slots, status.Reported, milliseconds(status.ReportAge)
 	if !ranked.Predicted() {
-		s.Running = float64(ranked.Server.Status(now).Running)
+		s.Running = float64(status.Running)
 	}
 	if r.HasTokenUsage && ranked.State == balance.Available && !ranked.Skipped {
 		s.UnreadTokens = ranked.UncachedTokens
--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -215,6 +215,30 @@
 	c.Check(report.Budget.Tokens, qt.Equals, int64(200))
 }
 
+// Guards against a number of requests running without the age of the report that it is from, and against one that is
+// taken for the whole load although the server has not reported.
+func TestExplainTellsAgeOfReports(t *testing.T) {
+	c := qt.New(t)
+	b := newBusyRouter(c)
+	s7, s8 := b.servers[7], b.servers[8]
+	s7.SetLoad(fleet.Load{Running: 3, Waiting: 2, Slots: 4}, time.Now().Add(-time.Second))
+	s8.SetLoad(fleet.Load{Running: 3, Waiting: 2, Slots: 4}, time.Now().Add(-time.Minute))
+	r := b.request()
+	r.PromptTokens = 100_000 // too long for prediction
+	report, _ := b.Explain(r)
+	for _, s := range report.Servers {
+		switch s.ID {
+		case s7.ID:
+			c.Check(s.Reported && s.ReportAgeMS >= 1000 && s.ReportAgeMS < 1500, qt.IsTrue, qt.Commentf("%v", s))
+			c.Check(s.Running, qt.Equals, 5.0)
+			c.Check(s.Slots, qt.Equals, 4)
+		case s8.ID:
+			c.Check(s.Reported, qt.IsFalse)
+			c.Check(s.Running, qt.Equals, 0.0)
+		}
+	}
+}
+
 // Guards against a refusal that differs from the one that the request then gets.
 func TestExplainedRefusalIsTheOneServed(t *testing.T) {
 	c := qt.New(t)
