Show the use below which a request is admitted

Cause: in the walk-through a request was refused as over its share with "share 1.57, of which 1.51 used". A request is admitted while the use is below a threshold that is less than the share, the longer it takes the less, and that figure was not shown. Change: the threshold that the gate compares with is reported as admitted_below. Measured: TestLookShowsUseThatIsTooMuch; tests of explain in ./internal/forward and ./internal/ctl pass.

--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -15,6 +15,9 @@
 	// Share of the request's class and what the class uses of it, without this request; set only if Limited. Share
 	// is infinite for a class that gets all it asks for.
 	Share, Used float64
+	// Threshold is the use below which another request like this is admitted, so that the average use is the share.
+	// It is set only if Limited and Share is finite.
+	Threshold float64
 	// Pressure is as of Measured, which is zero if nothing was measured yet.
 	Pressure Pressure
 	Measured time.Time
@@ -45,6 +48,9 @@
 		Duration: time.Duration(gate.durations.expected(r) * float64(time.Second))}
 	if look.Limited {
 		look.Share, look.Used = gate.share(w.class), gate.admitted(w.class, now)
+		if look.Share < unlimited {
+			look.Threshold = threshold(look.Share, w.weight)
+		}
 		if w.Settled && w.Refusal == nil { // the copy has counted the request
 			look.Used = max(0, look.Used-w.weight*gate.correction(now))
 		}
--- a/internal/admission/look_test.go
+++ b/internal/admission/look_test.go
@@ -51,6 +51,30 @@
 	c.Check(controller.Look(r).Used > 0, qt.IsTrue)
 }
 
+// Guards against a refusal for the share that can't be told from the figures shown: a request is admitted below a use
+// that is less than the share, the longer it takes the less.
+func TestLookShowsUseThatIsTooMuch(t *testing.T) {
+	c := qt.New(t)
+	controller, gate := limitedController(c)
+	gate.limiter.limit = 2
+	now := controller.options.Now()
+	r := Request{Service: "m", Route: "x", Account: "a"}
+	gate.durations.add(r, time.Second, now)
+	refusedWithinShare := false
+	for range 12 {
+		look := controller.Look(r)
+		c.Assert(look.Limited, qt.IsTrue)
+		if look.Share < unlimited {
+			c.Check(look.Refusal != nil && look.Refusal.Cause == OverShare, qt.Equals, look.Used >= look.Threshold, qt.Commentf("%+v", look))
+			refusedWithinShare = refusedWithinShare || look.Refusal != nil && look.Used < look.Share
+		}
+		gate.Offer(r, now)
+		now = now.Add(100 * ms)
+		controller.options.Now = func() time.Time { return now }
+	}
+	c.Check(refusedWithinShare, qt.IsTrue)
+}
+
 // Guards against a copy of the gate that shares a map, a slice or a pointer with the gate, for example a field that was
 // added later: decisions on the copy would change the gate, without its lock.
 func TestCopyOfGateSharesNothing(t *testing.T) {
--- a/internal/ctl/explaintext.go
+++ b/internal/ctl/explaintext.go
@@ -96,6 +96,9 @@
 	share := "all it asks for"
 	if a.Share != nil {
 		share = fmt.Sprintf("%.2f, of which %.2f used", *a.Share, a.Used)
+		if a.AdmittedBelow != nil {
+			share += fmt.Sprintf(", admitted below %.2f", *a.AdmittedBelow)
+		}
 	}
 	outcome := a.Outcome
 	if outcome == explain.WouldWait {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -69,10 +69,13 @@
 	// Share is that of the request's class, in requests in progress; nil if it gets all it asks for.
 	Share *float64 `json:"share,omitempty"`
 	// Used is what the class uses of it.
-	Used      float64 `json:"used"`
-	Outcome   string  `json:"outcome"` // admitted, would wait, or the cause of a refusal
-	WaitMS    float64 `json:"wait_ms,omitempty"`
-	RequestMS float64 `json:"request_ms"` // how long the request is expected to take at a server
+	Used float64 `json:"used"`
+	// AdmittedBelow is the use below which another request like this is admitted, so that the average use is the
+	// share; nil if Share is, and from routers of older versions.
+	AdmittedBelow *float64 `json:"admitted_below,omitempty"`
+	Outcome       string   `json:"outcome"` // admitted, would wait, or the cause of a refusal
+	WaitMS        float64  `json:"wait_ms,omitempty"`
+	RequestMS     float64  `json:"request_ms"` // how long the request is expected to take at a server
 	// Reports of servers that the limit follows.
 	Servers     int     `json:"servers"`
 	Reported    int     `json:"reported"`
--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -84,7 +84,7 @@
 		a.Limit = look.Limit
 	}
 	if look.Limited && !math.IsInf(look.Share, 1) {
-		a.Share = &look.Share
+		a.Share, a.AdmittedBelow = &look.Share, &look.Threshold
 	}
 	if !look.Measured.IsZero() {
 		a.Measured, a.MeasuredAgeMS = true, milliseconds(time.Since(look.Measured))
