--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -113,7 +113,7 @@
 	controller := admission.New(admission.Options{Metrics: b, Log: event.Discard(), Eligible: func(string) []string { return incarnations }, Now: b.now})
 	account := policy.Account{Name: "boatyard", Metered: true, Prepaid: 1e6, Contract: &contract.Contract{RequestsPerSecond: 10, Burst: 10, Concurrency: 10}}
 	p := policy.New(policy.Definition{Version: 7, Services: []policy.Service{{Name: "m"}}, Accounts: []policy.Account{account}, Keys: map[string]string{"secret": "boatyard"},
-		Routes: []policy.Route{{Name: "draft", Host: "h", Prefix: "/", Targets: []policy.Target{{Service: "m", Weight: 1}}, LatencyGoal: time.Second, Timeout: 5 * time.Second},
+		Routes: []policy.Route{{Name: "draft", Host: "h", Prefix: "/", Kind: policy.Streaming, Targets: []policy.Target{{Service: "m", Weight: 1}}, LatencyGoal: time.Second, Timeout: 5 * time.Second},
 			{Name: "unused", Host: "h", Prefix: "/unused/", Targets: []policy.Target{{Service: "unused", Weight: 1}}}}})
 	clock, err := escrow.SystemClock()
 	c.Assert(err, qt.IsNil)
@@ -168,6 +168,8 @@
 	c.Assert(before, qt.Contains, "sentParts")
 	c.Assert(before, qt.Contains, "low{rationed")
 	time.Sleep(300 * time.Millisecond) // long enough for the model to take it for a freeze
+	predicted, _ := b.Explain(b.request())
+	c.Assert(predicted.Servers[0].Predicted, qt.IsTrue)
 	started := time.Now()
 	for i := range 1000 {
 		r := b.request()
@@ -267,11 +269,14 @@
 	check(BackendsEvacuated, func(*request.Request) {})
 }
 
-// BenchmarkExplain measures a question with 300 servers while admission limits the service.
+// BenchmarkExplain measures a question with 300 servers that report a pace, while admission limits the service.
 func BenchmarkExplain(b *testing.B) {
 	router := newBusyRouter(qt.New(b))
 	r := router.request()
 	for b.Loop() {
-		_, _ = router.Explain(r)
+		report, _ := router.Explain(r)
+		if !report.Servers[0].Predicted || !report.Admission.Limited {
+			b.Fatal("the servers are not predicted, or admission does not limit the service")
+		}
 	}
 }
