Explain requests under a contract with the contract's deadline

Cause: requests of the product's own interface have the deadline of their contract. Measured: TestExplainKnowsDeadlineOfContract fails on the code before (0 ms) and passes; tests of explain in ./internal/dev and ./internal/forward pass with the race detector.

--- a/internal/dev/explain_test.go
+++ b/internal/dev/explain_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"chicorytiller.example/chicorytiller/internal/ctl"
+	"chicorytiller.example/chicorytiller/internal/explain"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
@@ -24,3 +26,21 @@
 		c.Check(strings.Contains(out.String(), f.Accounts[0].Key), qt.IsFalse)
 	}
 }
+
+// Guards against a request of this interface that is explained as one without a deadline: its contract states it, and
+// a request that would be refused as late would be explained as one that is sent.
+func TestExplainKnowsDeadlineOfContract(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(t, nil)
+	var out bytes.Buffer
+	streams := ctl.Streams{In: strings.NewReader(f.Accounts[0].Key), Out: &out, Err: &out}
+	code := ctl.Run("test", []string{"explain", "--json", "--router", f.Routers[0].Settings().PeerAddr, "--host", "chicorytiller", "--path", "/model/" + string(Model) + "/stream/", "--key-file", "-"}, streams,
+		func(string) store.Store { return f.Store })
+	c.Assert(code, qt.Equals, ctl.ExitSent, qt.Commentf("%s", out.String()))
+	var answers []struct {
+		Report explain.Report `json:"report"`
+	}
+	c.Assert(json.Unmarshal(out.Bytes(), &answers), qt.IsNil)
+	left := answers[0].Report.DeadlineMS
+	c.Check(left > 25_000 && left <= 30_000, qt.IsTrue, qt.Commentf("%v ms", left))
+}
--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -36,6 +36,9 @@
 			refusal = found
 		}
 	}
+	if r.Timeout == 0 && r.Account != nil && r.Account.Contract != nil {
+		r.Timeout = r.Account.Contract.Deadline() // the interface with contracts has no other timeout
+	}
 	deadline := f.deadline(r)
 	if !deadline.IsZero() {
 		report.DeadlineMS = milliseconds(time.Until(deadline))
