Test which of several refusals is explained

The checks stand in Serve and in Explain in the same order, which only tests of single refusals guarded. Requests that are refused by several checks are compared too.

--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -241,7 +241,8 @@
 	}
 }
 
-// Guards against a refusal that differs from the one that the request then gets.
+// Guards against a refusal that differs from the one that the request then gets, also where several checks would refuse
+// it and the first one decides.
 func TestExplainedRefusalIsTheOneServed(t *testing.T) {
 	c := qt.New(t)
 	b := newBusyRouter(c)
@@ -261,12 +262,22 @@
 	check(UnknownRoute, func(r *request.Request) { r.Host = "other" })
 	b.Policy().Route("h", "/x").LatencyGoal = 0 // nothing waits for capacity
 	check(BackendsBusy, func(*request.Request) {})
+	tooMuch := func(r *request.Request) { r.MaxOutputTokens = 10_000_000 }
+	late := func(r *request.Request) { r.Timeout = time.Millisecond }
+	check(BackendsBusy, tooMuch)
+	check(BackendsBusy, late)
 	b.Admission = nil
 	check(OverdueUnsent, func(r *request.Request) { r.Timeout, r.HasTokenUsage = time.Millisecond, false })
 	for _, s := range b.servers {
 		s.SetEvacuated(true)
 	}
 	check(BackendsEvacuated, func(*request.Request) {})
+	check(BackendsEvacuated, tooMuch)
+	check(BackendsEvacuated, late)
+	for range 10 { // the contract's limit of concurrent requests
+		_, _, _ = b.Limits.Admit("boatyard", limit.Limits{PerSecond: 1000, Burst: 1000, Concurrency: 10})
+	}
+	check(OverLimit, late)
 }
 
 // BenchmarkExplain measures a question with 300 servers that report a pace, while admission limits the service.
