Test explanations beside requests and responses with the race detector

TestExplainAgreesWithRequests asks routers whose admission does not limit anything. This test asks one whose limit applies, with prediction and pacing, while reports, choices, admissions and refusals change its state.

--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/admission"
 	"chicorytiller.example/chicorytiller/internal/balance"
@@ -200,6 +201,52 @@
 	}
 }
 
+// Guards against data races between questions and the requests and responses of a busy router.
+func TestExplainBesideRequests(t *testing.T) {
+	c := qt.New(t)
+	b := newBusyRouter(c)
+	b.stopped = time.Time{}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var others conc.WaitGroup
+	others.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			s, now := b.servers[n%len(b.servers)], time.Now()
+			load := fleet.Load{Running: 4, Waiting: n % 8, Slots: 4, Pace: float64(80 + n%90)}
+			b.Admission.Observe("m", admission.Signal{Incarnation: s.Incarnation, Load: load, HasLoad: true})
+			b.Chooser.ObserveLoad(s, load)
+			s.SetLoad(load, now)
+			s.RecordFailure(now)
+			s.MarkUnavailable(now, time.Millisecond)
+			b.RateLimits.ObserveResponse(s.Incarnation, fleet.AnnouncedRate{State: fleet.RatePresent, PerSecond: float64(n % 5)}, now)
+			b.PriorityGate.RecordRefusal("m", n%3)
+		}
+	})
+	others.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			r := b.request()
+			r.ID = fmt.Sprint("other-", n)
+			never := func(*fleet.Server) bool { return false }
+			if choice := b.Chooser.Choose(b.servers, r, never); choice.Server != nil {
+				stream := b.Chooser.Begin(choice, r)
+				b.Chooser.RecordSent(choice.Server, r)
+				stream.Event(time.Now())
+				stream.End()
+			}
+			request := admission.Request{Service: "m", Route: fmt.Sprint(n % 5), Account: fmt.Sprint(n % 7), Work: float64(n % 300), Goal: 10 * time.Millisecond}
+			if ticket, refused := b.Admission.Admit(ctx, request); refused == nil {
+				ticket.Done(admission.Outcome{Served: true, Took: 10 * time.Millisecond})
+			}
+		}
+	})
+	questions := 0
+	for ; ctx.Err() == nil; questions++ {
+		_, _ = b.Explain(b.request())
+	}
+	others.Wait()
+	c.Check(questions > 0, qt.IsTrue)
+}
+
 // Guards against reasons that are wrong or absent for servers that get no requests.
 func TestExplainNamesWhyServersAreLeftOut(t *testing.T) {
 	c := qt.New(t)
