--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -50,20 +50,38 @@
 	parts                                []string
 	timeout                              string
 	hasKeyFile                           bool // keyFile is empty for standard input
+	given                                []givenFlag
+}
+
+// givenFlag is a flag with a text that must not be empty if it is given: a script's variable may be empty by mistake,
+// and the flag would silently count as absent.
+type givenFlag struct {
+	name  string
+	set   *bool
+	value *string
+}
+
+// textFlag adds a flag whose text must not be empty.
+func (f *explainFlags) textFlag(command *kingpin.CmdClause, name, help string, value *string) *kingpin.FlagClause {
+	given := givenFlag{name: name, set: new(bool), value: value}
+	f.given = append(f.given, given)
+	flag := command.Flag(name, help).IsSetByUser(given.set)
+	flag.StringVar(value)
+	return flag
 }
 
 func (a *app) explainCommand(command *kingpin.CmdClause) {
 	f := &explainFlags{}
-	command.Flag("router", "IP:port at which the router serves other routers. Default: all that the store lists.").StringVar(&f.router)
-	command.Flag("host", "Host of the request.").Required().StringVar(&f.host)
-	command.Flag("path", "Path of the request.").Required().StringVar(&f.path)
-	command.Flag("key", "API key. Other users of this machine may see it; --key-file hides it.").StringVar(&f.key)
+	f.textFlag(command, "router", "IP:port at which the router serves other routers. Default: all that the store lists.", &f.router)
+	f.textFlag(command, "host", "Host of the request.", &f.host).Required()
+	f.textFlag(command, "path", "Path of the request.", &f.path).Required()
+	f.textFlag(command, "key", "API key. Other users of this machine may see it; --key-file hides it.", &f.key)
 	command.Flag("key-file", "File that contains the API key; - is standard input.").IsSetByUser(&f.hasKeyFile).StringVar(&f.keyFile)
-	command.Flag("prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.").StringVar(&f.promptTokens)
-	command.Flag("output-tokens", "Most tokens of the answer.").StringVar(&f.outputTokens)
+	f.textFlag(command, "prompt-tokens", "Tokens of the prompt. Default: the sum of the parts.", &f.promptTokens)
+	f.textFlag(command, "output-tokens", "Most tokens of the answer.", &f.outputTokens)
 	command.Flag("part", "ID:TOKENS of a part of the prompt, in order; repeatable. The last one is the request's own.").StringsVar(&f.parts)
-	command.Flag("request-timeout", "How long the caller waits, such as 2s.").StringVar(&f.timeout)
-	command.Flag("id", "ID of the request, by which routers spread equal requests. Default: a random one.").StringVar(&f.id)
+	f.textFlag(command, "request-timeout", "How long the caller waits, such as 2s.", &f.timeout)
+	f.textFlag(command, "id", "ID of the request, by which routers spread equal requests. Default: a random one.", &f.id)
 	command.Action(func(*kingpin.ParseContext) error {
 		ctx, cancel := context.WithTimeout(context.Background(), a.timeout)
 		defer cancel()
@@ -94,13 +112,7 @@
 	asking := pool.New().WithMaxGoroutines(maxExplainAtOnce)
 	for i, address := range addresses {
 		asking.Go(func() {
-			answers[i].Peer = address
-			report, err := peers.Explain(ctx, address, query)
-			if err != nil {
-				answers[i].Error = err.Error()
-				return
-			}
-			answers[i].Report = &report
+			answers[i] = ask(ctx, address, query)
 		})
 	}
 	asking.Wait()
@@ -110,6 +122,25 @@
 	return outcomeOf(answers)
 }
 
+// ask asks the router at an address, which may come from the router's entry in the store.
+func ask(ctx context.Context, address string, query explain.Query) explanation {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return explanation{Peer: address, Error: fmt.Sprintf("field peer of its entry in the store: %q is not IP:PORT", address)}
+	}
+	report, err := peers.Explain(ctx, address, query)
+	if err != nil {
+		return explanation{Peer: address, Error: err.Error()}
+	}
+	// The encoding between processes does not distinguish empty lists from absent ones; JSON does.
+	if report.Servers == nil {
+		report.Servers = []explain.Server{}
+	}
+	if report.LeftOut == nil {
+		report.LeftOut = []explain.Server{}
+	}
+	return explanation{Peer: address, Report: &report}
+}
+
 // outcomeOf returns the error that sets the exit code.
 func outcomeOf(answers []explanation) error {
 	code := ExitSent
@@ -149,14 +180,16 @@
 	if q.ID == "" {
 		q.ID = uuid.NewString()
 	}
+	for _, flag := range f.given {
+		if *flag.set && *flag.value == "" {
+			return q, errors.Errorf("--%s: must not be empty", flag.name)
+		}
+	}
 	if f.router != "" {
 		if _, err := netip.ParseAddrPort(f.router); err != nil {
 			return q, errors.Errorf("--router: %q is not IP:PORT", f.router)
 		}
 	}
-	if f.host == "" {
-		return q, errors.New("--host: must not be empty")
-	}
 	if !strings.HasPrefix(f.path, "/") {
 		return q, errors.Errorf("--path: %q does not begin with /", f.path)
 	}
@@ -182,6 +215,7 @@
 	return q, nil
 }
 
+// readKey reads the key from a file. No error contains the file's name: it may be the key, given with the wrong flag.
 func (a *app) readKey(name string) (string, error) {
 	data, err := a.readFile(name)
 	if err != nil {
@@ -189,11 +223,14 @@
 		if errors.As(err, &pathErr) {
 			err = pathErr.Err
 		}
-		return "", errors.Wrapf(err, "--key-file: %s", name)
+		return "", errors.Wrap(err, "--key-file")
 	}
 	key := strings.TrimSpace(string(data))
-	if key == "" {
-		return "", errors.Errorf("--key-file: %s is empty", name)
+	switch {
+	case key == "":
+		return "", errors.New("--key-file: the file is empty")
+	case strings.ContainsAny(key, "\r\n"):
+		return "", errors.New("--key-file: the file has more than one line")
 	}
 	return key, nil
 }
@@ -205,16 +242,16 @@
 	}
 	sum := 0
 	for _, part := range f.parts {
-		colon := strings.LastIndexByte(part, ':')
-		if colon <= 0 {
+		id, text, found := strings.Cut(part, ":") // as in requests, whose IDs contain neither colons nor commas
+		if !found || id == "" || strings.Contains(id, ",") {
 			return errors.Errorf("--part: %q is not ID:TOKENS", part)
 		}
-		tokens, err := parseTokens("--part", part[colon+1:])
+		tokens, err := parseTokens("--part", text)
 		if err != nil {
 			return err
 		}
 		sum += tokens
-		q.Parts = append(q.Parts, explain.Part{ID: part[:colon], Tokens: tokens})
+		q.Parts = append(q.Parts, explain.Part{ID: id, Tokens: tokens})
 	}
 	q.HasTokens = len(f.parts) > 0 || f.promptTokens != "" || f.outputTokens != ""
 	q.PromptTokens = sum
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -46,6 +46,7 @@
 func TestExplainExitCodes(t *testing.T) {
 	o := newOperator(t)
 	sent := startExplainer(o.C, &answering{explain.Report{Router: "vm-1", Route: "draft", Servers: []explain.Server{{ID: "e1"}}}})
+	rounded := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "backends_busy", Status: 503, RetryAfterMS: 3675.0363999999998}}})
 	refused := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "backends_busy", Detail: "late", Status: 503, RetryAfterMS: 250}}})
 	unable := startExplainer(o.C, &older{})
 	for _, test := range []struct {
@@ -55,6 +56,7 @@
 	}{
 		{sent, ExitSent, "would be sent"},
 		{refused, ExitRefused, "would be refused: 503 backends_busy (late), Retry-After 0.25"},
+		{rounded, ExitRefused, "Retry-After 3.676\n"},
 		{unable, ExitUnasked, "the router's version can't explain requests"},
 	} {
 		code, out := o.run("", "explain", "--router", test.router, "--host", "h", "--path", "/x")
@@ -84,8 +86,71 @@
 		o.Check(code, qt.Equals, ExitUnasked)
 		o.Check(out, qt.Contains, flag)
 	}
+	for _, flag := range []string{"--router", "--host", "--path", "--key", "--prompt-tokens", "--output-tokens", "--part", "--request-timeout", "--id", "--key-file"} {
+		args := []string{"explain"}
+		for _, other := range []string{"--router=127.0.0.1:1", "--host=h", "--path=/x"} {
+			if !strings.HasPrefix(other, flag+"=") {
+				args = append(args, other)
+			}
+		}
+		code, out := o.run("", append(args, flag+"=")...)
+		o.Check(code, qt.Equals, ExitUnasked, qt.Commentf("%s", out))
+		o.Check(out, qt.Contains, "chicoryctl: "+flag+": ", qt.Commentf("an empty text counted as absent"))
+	}
+	for _, part := range []string{"a:1,b:2", "a,b:2", ":1", "a:"} {
+		_, out := o.run("", "explain", "--host", "h", "--path", "/x", "--part", part)
+		o.Check(out, qt.Contains, "--part")
+	}
 	code, out := o.run("", "explain", "--host", "h", "--path", "x", "--key", "secret")
 	o.Check(code, qt.Equals, ExitUnasked)
 	o.Check(out, qt.Contains, "--path")
 	o.Check(strings.Contains(out, "secret"), qt.IsFalse)
 }
+
+// Guards against a key that is shown because it was given as the name of the file, and against a file with several
+// keys that is taken for one key, which no router knows.
+func TestExplainKeyFile(t *testing.T) {
+	o := newOperator(t)
+	router := startExplainer(o.C, &answering{explain.Report{}})
+	for _, test := range []struct {
+		file, content string
+		code          int
+		text          string
+	}{
+		{"-", "secret\n", ExitSent, "would be sent"},
+		{"-", "secret\nother\n", ExitUnasked, "--key-file: the file has more than one line"},
+		{"-", " \n", ExitUnasked, "--key-file: the file is empty"},
+		{"secret", "", ExitUnasked, "--key-file: no such file"},
+		{t.TempDir(), "", ExitUnasked, "--key-file: is a directory"},
+	} {
+		code, out := o.run(test.content, "explain", "--router", router, "--host", "h", "--path", "/x", "--key-file", test.file)
+		o.Check(code, qt.Equals, test.code)
+		o.Check(out, qt.Contains, test.text)
+		o.Check(strings.Contains(out, "secret"), qt.IsFalse, qt.Commentf("%s", out))
+	}
+}
+
+// Guards against null in the place of empty lists, at which scripts that read the JSON fail.
+func TestExplainJSONHasLists(t *testing.T) {
+	o := newOperator(t)
+	refused := startExplainer(o.C, &answering{explain.Report{Refusal: &explain.Refusal{Cause: "unknown_key", Status: 401}}})
+	_, out := o.run("", "explain", "--json", "--router", refused, "--host", "h", "--path", "/x")
+	o.Check(out, qt.Contains, `"servers": []`)
+	o.Check(out, qt.Contains, `"left_out": []`)
+}
+
+// Guards against errors of entries in the store that don't name the field, and against one such entry that hides the
+// other routers' answers.
+func TestExplainNamesFieldOfRoutersEntry(t *testing.T) {
+	o := newOperator(t)
+	sent := startExplainer(o.C, &answering{explain.Report{Router: "vm-1"}})
+	o.store.Put("chicory/router/vm-1", []byte(`{"address":"127.0.0.1:1","peer":"`+sent+`","failure_domain":"d"}`))
+	o.store.Put("chicory/router/vm-2", []byte(`{"address":"127.0.0.1:2","peer":"nowhere","failure_domain":"d"}`))
+	code, out := o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Matches, `(?s).*vm-1 .*would be sent.*field peer .*"nowhere" is not IP:PORT.*`)
+	o.store.Put("chicory/router/vm-2", []byte(`{"address":"127.0.0.1:2","peer":7,"failure_domain":"d"}`))
+	code, out = o.run("", "explain", "--host", "h", "--path", "/x")
+	o.Check(code, qt.Equals, ExitUnasked)
+	o.Check(out, qt.Matches, `(?s).*chicory/router/vm-2.*peer.*`)
+}
--- a/internal/forward/explain.go
+++ b/internal/forward/explain.go
@@ -36,6 +36,9 @@
 			refusal = found
 		}
 	}
+	if r.Timeout == 0 && r.Account != nil && r.Account.Contract != nil {
+		r.Timeout = r.Account.Contract.Deadline() // the interface with contracts has no other timeout
+	}
 	deadline := f.deadline(r)
 	if !deadline.IsZero() {
 		report.DeadlineMS = milliseconds(time.Until(deadline))
@@ -84,7 +87,7 @@
 		a.Limit = look.Limit
 	}
 	if look.Limited && !math.IsInf(look.Share, 1) {
-		a.Share = &look.Share
+		a.Share, a.AdmittedBelow = &look.Share, &look.Threshold
 	}
 	if !look.Measured.IsZero() {
 		a.Measured, a.MeasuredAgeMS = true, milliseconds(time.Since(look.Measured))
@@ -120,8 +123,9 @@
 // explainServers lists the service's servers: those that are compared in the order of the choice, and the others.
 func (f *Forwarder) explainServers(r *request.Request, servers []*fleet.Server, chooser *balance.Chooser, report *explain.Report) {
 	now := time.Now()
+	report.Servers = make([]explain.Server, 0, len(servers))
 	for _, ranked := range chooser.Rank(servers, r) {
-		s := serverOf(ranked, r)
+		s := serverOf(ranked, r, now)
 		s.OtherDomain = ranked.Server.Domain != chooser.Domain()
 		switch {
 		case ranked.State != balance.Available:
@@ -150,12 +154,14 @@
 	}
 }
 
-func serverOf(ranked *balance.Ranked, r *request.Request) explain.Server {
+func serverOf(ranked *balance.Ranked, r *request.Request, now time.Time) explain.Server {
 	s := explain.Server{ID: ranked.Server.ID, FailureDomain: ranked.Server.Domain, WaitMS: milliseconds(ranked.Delay), CostMS: ranked.CostMs,
 		Predicted: ranked.Predicted(), QueueMS: ranked.QueueMs, ReadingMS: ranked.ReadingMs, Pace: ranked.Pace, PaceAgeMS: ranked.AgeMs,
 		Running: ranked.Running, Paced: ranked.Paced()}
+	status := ranked.Server.Status(now)
+	s.Slots, s.Reported, s.ReportAgeMS = status.Slots, status.Reported, milliseconds(status.ReportAge)
 	if !ranked.Predicted() {
-		s.Running = float64(ranked.Server.Status(time.Now()).Running)
+		s.Running = float64(status.Running)
 	}
 	if r.HasTokenUsage && ranked.State == balance.Available && !ranked.Skipped {
 		s.UnreadTokens = ranked.UncachedTokens
--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 
 	"chicorytiller.example/chicorytiller/internal/admission"
 	"chicorytiller.example/chicorytiller/internal/balance"
@@ -113,7 +114,7 @@
 	controller := admission.New(admission.Options{Metrics: b, Log: event.Discard(), Eligible: func(string) []string { return incarnations }, Now: b.now})
 	account := policy.Account{Name: "boatyard", Metered: true, Prepaid: 1e6, Contract: &contract.Contract{RequestsPerSecond: 10, Burst: 10, Concurrency: 10}}
 	p := policy.New(policy.Definition{Version: 7, Services: []policy.Service{{Name: "m"}}, Accounts: []policy.Account{account}, Keys: map[string]string{"secret": "boatyard"},
-		Routes: []policy.Route{{Name: "draft", Host: "h", Prefix: "/", Targets: []policy.Target{{Service: "m", Weight: 1}}, LatencyGoal: time.Second, Timeout: 5 * time.Second},
+		Routes: []policy.Route{{Name: "draft", Host: "h", Prefix: "/", Kind: policy.Streaming, Targets: []policy.Target{{Service: "m", Weight: 1}}, LatencyGoal: time.Second, Timeout: 5 * time.Second},
 			{Name: "unused", Host: "h", Prefix: "/unused/", Targets: []policy.Target{{Service: "unused", Weight: 1}}}}})
 	clock, err := escrow.SystemClock()
 	c.Assert(err, qt.IsNil)
@@ -168,6 +169,8 @@
 	c.Assert(before, qt.Contains, "sentParts")
 	c.Assert(before, qt.Contains, "low{rationed")
 	time.Sleep(300 * time.Millisecond) // long enough for the model to take it for a freeze
+	predicted, _ := b.Explain(b.request())
+	c.Assert(predicted.Servers[0].Predicted, qt.IsTrue)
 	started := time.Now()
 	for i := range 1000 {
 		r := b.request()
@@ -198,6 +201,52 @@
 	}
 }
 
+// Guards against data races between questions and the requests and responses of a busy router.
+func TestExplainBesideRequests(t *testing.T) {
+	c := qt.New(t)
+	b := newBusyRouter(c)
+	b.stopped = time.Time{}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var others conc.WaitGroup
+	others.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			s, now := b.servers[n%len(b.servers)], time.Now()
+			load := fleet.Load{Running: 4, Waiting: n % 8, Slots: 4, Pace: float64(80 + n%90)}
+			b.Admission.Observe("m", admission.Signal{Incarnation: s.Incarnation, Load: load, HasLoad: true})
+			b.Chooser.ObserveLoad(s, load)
+			s.SetLoad(load, now)
+			s.RecordFailure(now)
+			s.MarkUnavailable(now, time.Millisecond)
+			b.RateLimits.ObserveResponse(s.Incarnation, fleet.AnnouncedRate{State: fleet.RatePresent, PerSecond: float64(n % 5)}, now)
+			b.PriorityGate.RecordRefusal("m", n%3)
+		}
+	})
+	others.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			r := b.request()
+			r.ID = fmt.Sprint("other-", n)
+			never := func(*fleet.Server) bool { return false }
+			if choice := b.Chooser.Choose(b.servers, r, never); choice.Server != nil {
+				stream := b.Chooser.Begin(choice, r)
+				b.Chooser.RecordSent(choice.Server, r)
+				stream.Event(time.Now())
+				stream.End()
+			}
+			request := admission.Request{Service: "m", Route: fmt.Sprint(n % 5), Account: fmt.Sprint(n % 7), Work: float64(n % 300), Goal: 10 * time.Millisecond}
+			if ticket, refused := b.Admission.Admit(ctx, request); refused == nil {
+				ticket.Done(admission.Outcome{Served: true, Took: 10 * time.Millisecond})
+			}
+		}
+	})
+	questions := 0
+	for ; ctx.Err() == nil; questions++ {
+		_, _ = b.Explain(b.request())
+	}
+	others.Wait()
+	c.Check(questions > 0, qt.IsTrue)
+}
+
 // Guards against reasons that are wrong or absent for servers that get no requests.
 func TestExplainNamesWhyServersAreLeftOut(t *testing.T) {
 	c := qt.New(t)
@@ -215,7 +264,32 @@
 	c.Check(report.Budget.Tokens, qt.Equals, int64(200))
 }
 
-// Guards against a refusal that differs from the one that the request then gets.
+// Guards against a number of requests running without the age of the report that it is from, and against one that is
+// taken for the whole load although the server has not reported.
+func TestExplainTellsAgeOfReports(t *testing.T) {
+	c := qt.New(t)
+	b := newBusyRouter(c)
+	s7, s8 := b.servers[7], b.servers[8]
+	s7.SetLoad(fleet.Load{Running: 3, Waiting: 2, Slots: 4}, time.Now().Add(-time.Second))
+	s8.SetLoad(fleet.Load{Running: 3, Waiting: 2, Slots: 4}, time.Now().Add(-time.Minute))
+	r := b.request()
+	r.PromptTokens = 100_000 // too long for prediction
+	report, _ := b.Explain(r)
+	for _, s := range report.Servers {
+		switch s.ID {
+		case s7.ID:
+			c.Check(s.Reported && s.ReportAgeMS >= 1000 && s.ReportAgeMS < 1500, qt.IsTrue, qt.Commentf("%v", s))
+			c.Check(s.Running, qt.Equals, 5.0)
+			c.Check(s.Slots, qt.Equals, 4)
+		case s8.ID:
+			c.Check(s.Reported, qt.IsFalse)
+			c.Check(s.Running, qt.Equals, 0.0)
+		}
+	}
+}
+
+// Guards against a refusal that differs from the one that the request then gets, also where several checks would refuse
+// it and the first one decides.
 func TestExplainedRefusalIsTheOneServed(t *testing.T) {
 	c := qt.New(t)
 	b := newBusyRouter(c)
@@ -235,10 +309,32 @@
 	check(UnknownRoute, func(r *request.Request) { r.Host = "other" })
 	b.Policy().Route("h", "/x").LatencyGoal = 0 // nothing waits for capacity
 	check(BackendsBusy, func(*request.Request) {})
+	tooMuch := func(r *request.Request) { r.MaxOutputTokens = 10_000_000 }
+	late := func(r *request.Request) { r.Timeout = time.Millisecond }
+	check(BackendsBusy, tooMuch)
+	check(BackendsBusy, late)
 	b.Admission = nil
 	check(OverdueUnsent, func(r *request.Request) { r.Timeout, r.HasTokenUsage = time.Millisecond, false })
 	for _, s := range b.servers {
 		s.SetEvacuated(true)
 	}
 	check(BackendsEvacuated, func(*request.Request) {})
+	check(BackendsEvacuated, tooMuch)
+	check(BackendsEvacuated, late)
+	for range 10 { // the contract's limit of concurrent requests
+		_, _, _ = b.Limits.Admit("boatyard", limit.Limits{PerSecond: 1000, Burst: 1000, Concurrency: 10})
+	}
+	check(OverLimit, late)
+}
+
+// BenchmarkExplain measures a question with 300 servers that report a pace, while admission limits the service.
+func BenchmarkExplain(b *testing.B) {
+	router := newBusyRouter(qt.New(b))
+	r := router.request()
+	for b.Loop() {
+		report, _ := router.Explain(r)
+		if !report.Servers[0].Predicted || !report.Admission.Limited {
+			b.Fatal("the servers are not predicted, or admission does not limit the service")
+		}
+	}
 }
