End waits for admission 75 ms after the request's arrival

A request could wait for a tenth of its goal, counted from the decision: with a goal of a second or more its refusal came after 100 ms, and time that the router had already spent on the request was added. The wait now ends 75 ms after the request's arrival, which leaves a quarter of the 100 ms for the answer. Goals below 750 ms are affected only on a router that is slow.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,6 +21,8 @@
 	Route string
 	// Account is the client account; empty if there is none.
 	Account string
+	// Arrived is when the request arrived at the router; zero if unknown.
+	Arrived time.Time
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Deadline is when the caller stops waiting; zero if unknown.
@@ -70,6 +72,9 @@
 	RetryAfter time.Duration
 }
 
+// RefuseWithin is the time since a request's arrival in which it is to be refused if there is no capacity for it.
+const RefuseWithin = 100 * time.Millisecond
+
 const (
 	// reportTTL is how long a report or a rejection says something about its server. It is the age up
 	// to which the choice of servers uses load reports.
@@ -79,6 +84,9 @@
 	// waitFraction of a request's goal is the longest time that it may wait for admission: nine tenths
 	// are left for the server.
 	waitFraction = 0.1
+	// maxKept is the time since a request's arrival at which its wait ends at the latest. Callers are to have a refusal
+	// within RefuseWithin, of which a quarter is left for the answer.
+	maxKept = RefuseWithin * 3 / 4
 	// leastUrgentShare of the capacity is left to requests that are not the most urgent, if they ask
 	// for it, so that a flood of urgent requests starves nobody.
 	leastUrgentShare = 0.1
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -200,6 +200,9 @@
 	}
 	g.unmet = true
 	w.Until = now.Add(time.Duration(waitFraction * float64(r.Goal)))
+	if latest := r.Arrived.Add(maxKept); !r.Arrived.IsZero() && latest.Before(w.Until) {
+		w.Until = latest
+	}
 	if latest := r.Deadline.Add(-g.durations.recent(r, now)); !r.Deadline.IsZero() && latest.Before(w.Until) {
 		w.Until = latest
 	}
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -258,6 +258,19 @@
 	qt.Check(t, w.Refusal, qt.IsNotNil)
 }
 
+// Guards against refusals later than 100 ms after the request's arrival, where its goal allows a longer wait or the
+// router has kept it for some time before.
+func TestWaitsLeaveTimeForTheRefusal(t *testing.T) {
+	g, now := limitedGate(testTime)
+	g.inProgress = 100
+	w := g.Offer(Request{Arrived: now.Add(-70 * ms), Goal: time.Hour}, now)
+	qt.Assert(t, w.Settled, qt.IsFalse)
+	g.Next(now.Add(5 * ms))
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+	w = g.Offer(Request{Arrived: now.Add(-80 * ms), Goal: time.Hour}, now)
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+}
+
 // Guards against a service whose requests all hang after a panic in one of them.
 func TestPanicReleasesTheGate(t *testing.T) {
 	fail := true
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -40,8 +40,8 @@
 
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
 	a := admission.Request{
-		Service: r.Service, Route: r.Route.Name, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
-		Work: float64(r.MaxTokens()),
+		Service: r.Service, Route: r.Route.Name, Arrived: r.Arrived, Priority: r.Priority(), Deadline: f.deadline(r),
+		Goal: r.Route.LatencyGoal, Work: float64(r.MaxTokens()),
 	}
 	if r.Account != nil {
 		a.Account = r.Account.Name
