Do not repeat rejected requests whose refusal would be late

Cause: while all servers are full, a request that a server rejected was sent to another one, which mostly rejected it too. Each attempt adds two hops to the refusal.

Change: while capacity is short, a rejected request is sent again only if a second rejection that takes as long would leave its refusal within 100 ms of its arrival. Requests that may have run, and services that are not short, are unaffected.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -97,6 +97,14 @@
 	return g.gate.Limited()
 }
 
+// Short reports whether a service's capacity is short.
+func (c *Controller) Short(service string) bool {
+	g := c.gate(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Short(c.options.Now())
+}
+
 // Ticket is held by an admitted request.
 type Ticket struct {
 	controller *Controller
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -90,6 +90,11 @@
 	return g.limiter.limited
 }
 
+// Short reports whether capacity is short: the limit applies, or the servers were all full at the last look at them.
+func (g *Gate) Short(now time.Time) bool {
+	return g.limiter.limited || !g.limiter.fullSince.IsZero() && now.Sub(g.limiter.updatedAt) < reportTTL
+}
+
 // Observe records what a response says about its server.
 func (g *Gate) Observe(s Signal, now time.Time) {
 	n := news{signal: s, at: now, rejectedAt: g.known[s.Incarnation].rejectedAt}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -19,6 +19,17 @@
 	Look(r admission.Request) admission.Look
 	// Observe takes over what a response says about its server's load.
 	Observe(service string, s admission.Signal)
+	// Short reports whether the service's capacity is short.
+	Short(service string) bool
+}
+
+// canRefuseLater reports whether the refusal would still be in time if a server rejected another attempt, which then
+// takes as long as the one that was rejected now. While capacity is short this is likely. A request that may have run
+// gets no refusal.
+func (t *task) canRefuseLater() bool {
+	now := time.Now()
+	inTime := now.Sub(t.r.Arrived)+now.Sub(t.sentAt) <= admission.RefuseWithin
+	return inTime || t.mayHaveRun || t.f.Admission == nil || !t.f.Admission.Short(t.r.Service)
 }
 
 // admitCapacity lets the request wait until there is capacity for it, or returns a refusal. The ticket is
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -141,7 +141,7 @@
 			return t.giveUp(t.failureCause(NoBackend))
 		}
 	case rejected:
-		if !t.hasCandidate() {
+		if !t.hasCandidate() || !t.canRefuseLater() {
 			return t.giveUpRejected()
 		}
 		if !t.acquireRetry("rejected") {
