Let waiting requests go before new ones of their class

Cause: capacity that becomes free with time was offered to the next arrival before the requests that waited for it.

Change: requests that wait are settled before a new one is decided on, and a new request does not pass one of its class that comes before it in the order of what waits.

Measured: the new test gets the second request first without the change.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -137,6 +137,7 @@
 	now := c.options.Now()
 	c.evaluate(g, now)
 	limited = g.gate.Limited()
+	g.settle(now)
 	w = g.gate.Offer(r, now)
 	if !w.Settled {
 		w.ready = make(chan struct{})
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -186,8 +186,9 @@
 	return total, unmet
 }
 
-// Offer decides on a request. If it is not settled, Next must be called, which may settle it or another one that
-// it displaces, and again at the latest at the end of its wait.
+// Offer decides on a request. Next should be called before it, so that capacity that became free with time is left to
+// those that wait. If the request is not settled, Next must be called, which may settle it or another one that it
+// displaces, and again at the latest at the end of its wait.
 func (g *Gate) Offer(r Request, now time.Time) *Waiter {
 	w := &Waiter{Request: r}
 	if !g.limiter.limited {
@@ -202,6 +203,9 @@
 		return w
 	}
 	cause := g.obstacle(w, now)
+	if cause == "" && g.waitsInClass(w) {
+		cause = OverShare
+	}
 	if cause == "" {
 		g.admit(w, now)
 		return w
@@ -223,6 +227,19 @@
 	return w
 }
 
+// waitsInClass reports whether a request of the same class waits that comes before w.
+func (g *Gate) waitsInClass(w *Waiter) bool {
+	for _, other := range g.waiting {
+		if compare(other, w) > 0 {
+			return false
+		}
+		if other.class == w.class {
+			return true
+		}
+	}
+	return false
+}
+
 // late reports whether a request must be refused because it would not be answered before its deadline. One
 // each probeInterval need not be, if its deadline has not passed yet.
 func (g *Gate) late(w *Waiter, now time.Time) bool {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -288,6 +288,41 @@
 	qt.Check(t, w.Refusal, qt.IsNotNil)
 }
 
+// Guards against new requests that take the capacity which became free with time before a request of their class that
+// has waited for it.
+func TestWaitingRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		request := Request{Service: "s", Goal: 10 * time.Second}
+		order := make(chan string, 2)
+		admit := func(name string) {
+			_, refused := c.Admit(t.Context(), request)
+			qt.Check(t, refused, qt.IsNil)
+			order <- name
+		}
+		go admit("first")
+		synctest.Wait()
+		qt.Assert(t, g.gate.waiting, qt.HasLen, 1)
+		time.Sleep(10 * ms)   // no evaluation is due
+		g.gate.inProgress = 3 // room for one
+		go admit("second")
+		synctest.Wait()
+		qt.Assert(t, order, qt.HasLen, 1)
+		qt.Check(t, <-order, qt.Equals, "first")
+		g.gate.inProgress = 0
+		c.Observe("s", Signal{Incarnation: "a", Load: fullLoad, HasLoad: true})
+		time.Sleep(time.Second)
+		c.Observe("s", Signal{Incarnation: "a", Load: fullLoad, HasLoad: true})
+		synctest.Wait()
+		qt.Check(t, order, qt.HasLen, 1)
+	})
+}
+
 // Guards against a service whose requests all hang after a panic in one of them.
 func TestPanicReleasesTheGate(t *testing.T) {
 	fail := true
--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -32,8 +32,8 @@
 	gate := c.copyGate(r.Service)
 	if gate.Due(now) && !gate.Rest(now) {
 		gate.Evaluate(c.options.Eligible(r.Service), now)
-		gate.Next(now)
 	}
+	gate.Next(now)
 	inProgress, waiting := gate.inProgress, len(gate.waiting)
 	w := gate.Offer(r, now)
 	if !w.Settled {
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -143,6 +143,7 @@
 	}
 	at := m.now
 	r := Request{Arrived: m.clock(), Account: s.account, Priority: s.priority, Deadline: m.clock().Add(s.deadline - (m.now - arrived)), Goal: s.goal, Work: float64(s.work.Milliseconds())}
+	m.settle(router)
 	w := router.gate.Offer(r, m.clock())
 	m.settled[w] = func() {
 		if w.Refusal == nil {
