Return the share of unsent requests, count no caller that left as refused

Cause: a request that was refused for tokens, or for want of a server that could be reached, after it was admitted, had used a part of its class's share. A caller that disconnected while its request waited was counted and logged as refused (201, backends_busy).

Change: the outcome of a ticket says that nothing was sent, and the gate takes back what is left of the request's weight. A wait that ends with its caller is reported as abandoned: event 206, no count in chicory_admission_total or chicory_refused_total. Tests that recorded ends by request now do by waiter, with the same checks.

Measured: tests in virtual time (internal/admission, internal/forward). Not run over sockets before this commit: the machine's load was 36.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -48,6 +48,8 @@
 type Outcome struct {
 	// Served is set if a server answered the request with success.
 	Served bool
+	// Unsent is set if the request was not sent to a server. Its part of its class's share is returned.
+	Unsent bool
 	// Took is the time from sending the request to the end of its answer; set only if Served is.
 	Took time.Duration
 }
@@ -63,6 +65,8 @@
 	OverShare Cause = "over share"
 	// Full: no capacity becomes free within the time that the request may wait.
 	Full Cause = "full"
+	// Abandoned: the caller left while the request waited. This is no refusal.
+	Abandoned Cause = "abandoned"
 )
 
 // Refusal is the decision not to admit a request.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -109,7 +109,7 @@
 type Ticket struct {
 	controller *Controller
 	gate       *sharedGate
-	request    Request
+	admitted   *Waiter
 }
 
 // Admit decides on a request, which may wait for capacity for up to a tenth of its goal. If refused is
@@ -120,13 +120,13 @@
 	if w.ready != nil {
 		c.wait(ctx, g, w, wait)
 	}
-	if limited {
+	if limited && (w.Refusal == nil || w.Refusal.Cause != Abandoned) {
 		c.count(g, w)
 	}
 	if w.Refusal != nil {
 		return nil, w.Refusal
 	}
-	return &Ticket{controller: c, gate: g, request: r}, nil
+	return &Ticket{controller: c, gate: g, admitted: w}, nil
 }
 
 // offer offers a request to its gate. limited is set if the limit applies, and wait is the longest time for which
@@ -164,7 +164,6 @@
 	}
 	if ctx.Err() != nil {
 		g.gate.Withdraw(w)
-		g.gate.refuse(w, Full, c.options.Now())
 		return
 	}
 	// The end of the wait settles the request, even if the clock lags behind the timer.
@@ -205,7 +204,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := t.controller.options.Now()
-	g.gate.Done(t.request, o, now)
+	g.gate.Done(t.admitted, o, now)
 	g.settle(now)
 }
 
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -74,6 +74,8 @@
 	Refusal *Refusal
 	// Waited is set if the request could not be admitted at once.
 	Waited bool
+	// admittedAt is when it was admitted; zero if it was not.
+	admittedAt time.Time
 	// probe is set if the request seems to be late but is admitted to correct the estimate.
 	probe bool
 	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
@@ -463,10 +465,11 @@
 	if i := slices.Index(g.waiting, w); i >= 0 {
 		g.waiting = slices.Delete(g.waiting, i, i+1)
 	}
+	w.Settled, w.Refusal = true, &Refusal{Cause: Abandoned}
 }
 
 func (g *Gate) admit(w *Waiter, now time.Time) {
-	w.Settled = true
+	w.Settled, w.admittedAt = true, now
 	g.inProgress++
 	if w.probe {
 		g.durations.of(w.Request).probedAt = now
@@ -494,9 +497,13 @@
 }
 
 // Done records the end of an admitted request.
-func (g *Gate) Done(r Request, o Outcome, now time.Time) {
+func (g *Gate) Done(w *Waiter, o Outcome, now time.Time) {
 	g.inProgress--
 	if o.Served {
-		g.durations.add(r, o.Took, now)
+		g.durations.add(w.Request, o.Took, now)
+	}
+	// What was counted before the limit began anew has been cleared.
+	if u := g.classes[w.class]; o.Unsent && u != nil && !w.admittedAt.Before(g.limitedAt) {
+		u.admitted.remove(w.weight, w.admittedAt, now)
 	}
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -118,7 +119,7 @@
 func TestLateRequestsAreRefusedWhileEstimateIsRecent(t *testing.T) {
 	g, now := limitedGate(testTime)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: 200 * ms}, now)
 	}
 	request := Request{Priority: 0, Goal: time.Second, Deadline: now.Add(150 * ms)}
 	qt.Check(t, g.Offer(request, now).Refusal.Cause, qt.Equals, Late)
@@ -201,9 +202,9 @@
 func offerShortAndLong(g *Gate, now time.Time, shortRoute, longRoute string) (offered, late int, gap time.Duration) {
 	g.limiter.limit = 1e6
 	type end struct {
-		at      time.Time
-		request Request
-		took    time.Duration
+		at     time.Time
+		waiter *Waiter
+		took   time.Duration
 	}
 	var ends []end
 	admittedAt := now
@@ -212,7 +213,7 @@
 			if e.at.After(now) {
 				return false
 			}
-			g.Done(e.request, Outcome{Served: true, Took: e.took}, now)
+			g.Done(e.waiter, Outcome{Served: true, Took: e.took}, now)
 			return true
 		})
 		for _, short := range []bool{true, false} {
@@ -223,7 +224,7 @@
 			}
 			w := g.Offer(r, now)
 			if w.Refusal == nil && w.Settled {
-				ends = append(ends, end{now.Add(took), r, took})
+				ends = append(ends, end{now.Add(took), w, took})
 			}
 			switch {
 			case !short:
@@ -265,7 +266,7 @@
 	qt.Check(t, w.Settled, qt.IsFalse)
 	qt.Check(t, w.Until.Equal(request.Deadline), qt.IsTrue)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: 200 * ms}, now)
 	}
 	g.inProgress = 100
 	w = g.Offer(request, now)
@@ -323,6 +324,47 @@
 	})
 }
 
+// Guards against requests that use up a part of their class's share although they were never sent.
+func TestUnsentRequestsReturnTheirShare(t *testing.T) {
+	g, now := limitedGate(testTime)
+	sent, unsent := g.Offer(Request{}, now), g.Offer(Request{}, now.Add(100*ms))
+	qt.Assert(t, sent.Refusal == nil && unsent.Refusal == nil, qt.IsTrue)
+	now = now.Add(300 * ms)
+	used := g.admitted(unsent.class, now)
+	g.Done(sent, Outcome{}, now)
+	qt.Check(t, g.admitted(unsent.class, now), qt.Equals, used)
+	g.Done(unsent, Outcome{Unsent: true}, now)
+	left := average{sent.weight, sent.admittedAt}.value(now) * g.correction(now)
+	qt.Check(t, math.Abs(g.admitted(unsent.class, now)-left) < 1e-9, qt.IsTrue)
+	qt.Check(t, g.inProgress, qt.Equals, 0)
+}
+
+// outcomes counts what Metrics is told.
+type outcomes map[string]int
+
+func (o outcomes) CountAdmission(_ int, outcome string) { o[outcome]++ }
+
+// Guards against callers that are counted as refused because they left while their request waited.
+func TestCallersThatLeaveAreNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counted := outcomes{}
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: counted, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		ctx, leave := context.WithTimeout(t.Context(), 10*ms)
+		defer leave()
+		ticket, refused := c.Admit(ctx, Request{Service: "s", Goal: time.Hour})
+		qt.Assert(t, ticket, qt.IsNil)
+		qt.Check(t, refused.Cause, qt.Equals, Abandoned)
+		qt.Check(t, counted, qt.HasLen, 0)
+		qt.Check(t, g.refused, qt.Equals, 0)
+		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
+	})
+}
+
 // Guards against a service whose requests all hang after a panic in one of them.
 func TestPanicReleasesTheGate(t *testing.T) {
 	fail := true
@@ -396,7 +438,7 @@
 	}
 	g, now := limitedGate(testTime)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: time.Minute}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: time.Minute}, now)
 	}
 	g.inProgress = 0
 	g.Offer(Request{Account: "a"}, now)
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -147,7 +147,7 @@
 	w := router.gate.Offer(r, m.clock())
 	m.settled[w] = func() {
 		if w.Refusal == nil {
-			m.send(router, s, r, at, 2)
+			m.send(router, s, w, at, 2)
 			return
 		}
 		m.longest = max(m.longest, m.now-at)
@@ -188,7 +188,7 @@
 }
 
 // send sends a request to the server with the fewest requests, and to another one if it is rejected.
-func (m *model) send(router *modelRouter, s *stream, r Request, began time.Duration, attempts int) {
+func (m *model) send(router *modelRouter, s *stream, w *Waiter, began time.Duration, attempts int) {
 	var best *modelServer
 	running := func(server *modelServer) int { return router.view[server.id].Status(m.clock()).Running }
 	for _, i := range m.rng.Perm(len(m.servers)) {
@@ -204,18 +204,18 @@
 		view.EndRequest()
 		router.gate.Observe(Signal{Incarnation: best.id, Load: load, HasLoad: true, Rejected: rejected}, m.clock())
 		if rejected && attempts > 1 {
-			m.send(router, s, r, began, attempts-1)
+			m.send(router, s, w, began, attempts-1)
 			return
 		}
 		m.evaluate(router)
-		router.gate.Done(r, Outcome{Served: !rejected, Took: m.now - sent}, m.clock())
+		router.gate.Done(w, Outcome{Served: !rejected, Took: m.now - sent}, m.clock())
 		m.settle(router)
 		switch {
 		case rejected:
 			s.refused++
 		case m.now-began <= s.goal:
 			s.inTime++
-		case !m.clock().After(r.Deadline):
+		case !m.clock().After(w.Request.Deadline):
 			s.late++
 		}
 	}
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -13,7 +13,7 @@
 	at  time.Time
 }
 
-func (a *average) value(now time.Time) float64 {
+func (a average) value(now time.Time) float64 {
 	if a.at.IsZero() || !now.After(a.at) {
 		return a.sum
 	}
@@ -27,6 +27,14 @@
 	}
 }
 
+// remove takes back what is left of a weight that was added at a time.
+func (a *average) remove(weight float64, added, now time.Time) {
+	a.sum = max(0, a.value(now)-average{weight, added}.value(now))
+	if now.After(a.at) {
+		a.at = now
+	}
+}
+
 // durations estimates how long requests take, by their route and work. Requests of a route whose work is within
 // a factor of two share an estimate.
 type durations struct {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -12,7 +12,7 @@
 
 // Admission decides which requests are sent while a service's servers are full.
 type Admission interface {
-	// Admit waits until the request is admitted or refused. Done must be called on the ticket when an
+	// Admit waits until the request is admitted or refused, or its caller has left. Done must be called on the ticket when an
 	// admitted request ends.
 	Admit(ctx context.Context, r admission.Request) (*admission.Ticket, *admission.Refusal)
 	// Look returns what Admit would decide, and changes nothing.
@@ -34,15 +34,11 @@
 
 // admitCapacity lets the request wait until there is capacity for it, or returns a refusal. The ticket is
 // nil if the request is not subject to admission: requests to fragile servers need a permit instead.
-func (f *Forwarder) admitCapacity(ctx context.Context, r *request.Request) (*admission.Ticket, *Refusal) {
+func (f *Forwarder) admitCapacity(ctx context.Context, r *request.Request) (*admission.Ticket, *admission.Refusal) {
 	if f.Admission == nil || f.isFragile(r.Service) {
 		return nil, nil
 	}
-	ticket, refused := f.Admission.Admit(ctx, f.admissionRequest(r))
-	if refused == nil {
-		return ticket, nil
-	}
-	return nil, admissionRefusal(refused)
+	return f.Admission.Admit(ctx, f.admissionRequest(r))
 }
 
 func admissionRefusal(refused *admission.Refusal) *Refusal {
@@ -80,7 +76,7 @@
 // admissionOutcome returns what became of an admitted request.
 func (t *task) admissionOutcome() admission.Outcome {
 	if !t.answered {
-		return admission.Outcome{}
+		return admission.Outcome{Unsent: t.sends == 0}
 	}
 	return admission.Outcome{Served: true, Took: time.Since(t.sentAt)}
 }
--- a/internal/forward/admission_test.go
+++ b/internal/forward/admission_test.go
@@ -41,3 +41,9 @@
 		})
 	}
 }
+
+// Guards against requests that were never sent but are taken for users of their class's share.
+func TestUnsentRequestsAreReported(t *testing.T) {
+	qt.Check(t, (&task{}).admissionOutcome().Unsent, qt.IsTrue)
+	qt.Check(t, (&task{sends: 1}).admissionOutcome().Unsent, qt.IsFalse)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,9 +151,14 @@
 		f.refuse(r, caller, *refusal, p, nil)
 		return
 	}
-	ticket, refused := f.admitCapacity(ctx, r)
-	if refused != nil {
-		f.refuse(r, caller, *refused, p, nil)
+	ticket, notAdmitted := f.admitCapacity(ctx, r)
+	switch {
+	case notAdmitted == nil:
+	case notAdmitted.Cause == admission.Abandoned:
+		newTask(f, p, r, caller).abandon()
+		return
+	default:
+		f.refuse(r, caller, *admissionRefusal(notAdmitted), p, nil)
 		return
 	}
 	var outcome admission.Outcome
@@ -161,6 +166,7 @@
 	start := time.Now()
 	reservation, cause := f.reserve(ctx, r)
 	if cause != "" {
+		outcome.Unsent = true
 		f.refuse(r, caller, NewRefusal(cause), p, nil)
 		return
 	}
