State Retry-After in whole milliseconds, rounded up

Cause: the JSON field of refusals cut fractions of a millisecond off, so that a caller could return too early and be refused again; the header had up to nine digits after the point.

Change: header, JSON field and chicoryctl explain state the same time, rounded up to the next millisecond, for all causes.

--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -69,7 +69,7 @@
 func (c *httpCaller) Refuse(refusal forward.Refusal) {
 	header := c.w.Header()
 	if refusal.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', -1, 64))
+		header.Set("Retry-After", strconv.FormatFloat(float64(refusal.RetryAfterMilliseconds())/1000, 'f', -1, 64))
 	}
 	if refusal.Cause == forward.RouterStopping {
 		header.Set("Connection", "close")
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -61,6 +61,12 @@
 	Detail string
 }
 
+// RetryAfterMilliseconds returns RetryAfter in whole milliseconds, rounded up: a caller that returns too early is refused
+// again.
+func (r Refusal) RetryAfterMilliseconds() int64 {
+	return int64((r.RetryAfter + time.Millisecond - 1) / time.Millisecond)
+}
+
 // Values of Refusal.RetryAfter.
 const (
 	// retrySoon is for causes that may end at once or not apply at another server or router.
--- a/internal/native/refusal.go
+++ b/internal/native/refusal.go
@@ -43,7 +43,7 @@
 		Request      string        `json:"request_id,omitempty"`
 		RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
 	}{Message: refusal.Detail, Type: "router_error", Code: refusal.Cause, Cause: refusal.Cause, Outcome: outcomeUnknown,
-		RetryAfterMS: refusal.RetryAfter.Milliseconds()}
+		RetryAfterMS: refusal.RetryAfterMilliseconds()}
 	if body.Message == "" {
 		body.Message = string(refusal.Cause)
 	}
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -36,7 +36,7 @@
 	report.Router, report.FailureDomain = n.settings.VM, n.settings.FailureDomain
 	if refusal != nil {
 		report.Refusal = &explain.Refusal{Cause: string(refusal.Cause), Detail: refusal.Detail,
-			Status: callers.StatusCode(refusal.Cause), RetryAfterMS: float64(refusal.RetryAfter) / float64(time.Millisecond)}
+			Status: callers.StatusCode(refusal.Cause), RetryAfterMS: float64(refusal.RetryAfterMilliseconds())}
 	}
 	return report, nil
 }
