Hold small accounts together to their shares

Cause: with about a request a second an account's use has decayed when its next request comes, and what it asks for lies within the noise, so its share did not limit it. Many such accounts took what more urgent ones should get.

Change: what accounts with fewer than two requests a second at a router use is counted together too, by priority and size, and held to the sum of what they would get without noise. Other accounts' shares no longer lose what small ones ask for beyond that. TestNewAccountsDoNotComputeAllShares counts one more share, that of all small accounts.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -58,6 +58,7 @@
 // usage is the demand of a class and what of it was admitted, in requests in progress.
 type usage struct {
 	demand, admitted average
+	small            bool // see demand; so are new accounts
 }
 
 // Waiter is a request that asked to be admitted.
@@ -76,6 +77,7 @@
 	Waited bool
 	// admittedAt is when it was admitted; zero if it was not.
 	admittedAt time.Time
+	counted    []*usage // where it was counted as admitted
 	// probe is set if the request seems to be late but is admitted to correct the estimate.
 	probe bool
 	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
@@ -181,9 +183,19 @@
 // away urgent ones, but a router with none but the least urgent still gets a part.
 func (g *Gate) demand() (total, unmet float64) {
 	const perLevel, least = 0.4, 0.2
-	for _, d := range g.demands {
+	weight := func(c class) float64 { return max(least, math.Pow(perLevel, float64(c.level))) }
+	small := 0.0
+	for i, d := range g.demands { // in order of their pools
 		total += d.amount
-		unmet += max(0, d.amount-g.share(d.class)) * max(least, math.Pow(perLevel, float64(d.class.level)))
+		if d.small {
+			small += d.amount
+		} else {
+			unmet += max(0, d.amount-g.share(d.class)) * weight(d.class)
+		}
+		if pool := d.class.pooled(); i == len(g.demands)-1 || g.demands[i+1].class.pooled() != pool {
+			unmet += max(0, small-g.share(pool)) * weight(pool)
+			small = 0
+		}
 	}
 	return total, unmet
 }
@@ -198,7 +210,9 @@
 		return w
 	}
 	g.classify(w, now)
-	g.classes[w.class].demand.add(w.weight, now)
+	for _, u := range g.usages(w.class) {
+		u.demand.add(w.weight, now)
+	}
 	g.refreshShares(now)
 	if g.late(w, now) {
 		g.refuse(w, Late, now)
@@ -268,13 +282,42 @@
 		w.class.account = "" // accounts beyond the bound share one class
 	}
 	if g.classes[w.class] == nil {
-		g.classes[w.class] = &usage{}
+		g.classes[w.class] = &usage{small: true}
 		if !g.sharesAt.IsZero() {
 			g.shares[w.class] = g.provisionalShare(w.class.level)
 		}
 	}
 }
 
+// usages returns what is counted for a class: its own use and, if its account is small, that of all small ones.
+func (g *Gate) usages(c class) []*usage {
+	own := g.classes[c]
+	if own == nil {
+		return nil
+	}
+	if !own.small {
+		return []*usage{own}
+	}
+	pool := c.pooled()
+	if g.classes[pool] == nil {
+		g.classes[pool] = &usage{}
+	}
+	return []*usage{own, g.classes[pool]}
+}
+
+// binding returns the class whose share limits the requests of a class the most: itself, or all small accounts.
+func (g *Gate) binding(c class, weight float64, now time.Time) class {
+	own, pool := g.classes[c], c.pooled()
+	if own == nil || !own.small || g.share(pool) == unlimited {
+		return c
+	}
+	used := func(c class) float64 { return g.admitted(c, now) / threshold(g.share(c), weight) }
+	if g.share(c) < unlimited && used(c) > used(pool) {
+		return c
+	}
+	return pool
+}
+
 // provisionalShare returns the share of a new class until shares are computed again. Computing them for each new
 // class would cost time in proportion to the square of the number of accounts.
 func (g *Gate) provisionalShare(level int) float64 {
@@ -300,13 +343,18 @@
 	g.top = maxLevel
 	correction := g.correction(now)
 	for c, u := range g.classes {
+		if c.pool {
+			continue
+		}
 		amount := u.demand.value(now) * correction
 		if amount < leastDemand {
 			delete(g.classes, c)
 			continue
 		}
 		g.top = min(g.top, c.level)
-		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * g.durations.seconds(g.works[c.level].mean))})
+		mean := g.durations.seconds(g.works[c.level].mean)
+		u.small = amount < smallRequests*mean
+		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * mean), u.small})
 	}
 	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
 	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
@@ -314,7 +362,7 @@
 		g.smallest[level] = -1
 	}
 	for c, share := range g.shares {
-		if smallest := &g.smallest[c.level]; *smallest < 0 || share < *smallest {
+		if smallest := &g.smallest[c.level]; !c.pool && (*smallest < 0 || share < *smallest) {
 			*smallest = share
 		}
 	}
@@ -337,8 +385,9 @@
 
 // obstacle returns why a request can't be admitted now, or "" if it can.
 func (g *Gate) obstacle(w *Waiter, now time.Time) Cause {
-	share := g.share(w.class)
-	if share < unlimited && g.admitted(w.class, now) >= threshold(share, w.weight) {
+	bound := g.binding(w.class, w.weight, now)
+	share := g.share(bound)
+	if share < unlimited && g.admitted(bound, now) >= threshold(share, w.weight) {
 		return OverShare
 	}
 	capacity := g.limiter.limit + 1
@@ -372,19 +421,20 @@
 // expectedWait returns the time after which the obstacle is expected to be gone for the request.
 func (g *Gate) expectedWait(w *Waiter, cause Cause, now time.Time) time.Duration {
 	ahead, sameClass := 0, 0.0
+	bound := g.binding(w.class, w.weight, now)
 	for _, other := range g.waiting {
 		if compare(other, w) > 0 {
 			break
 		}
 		ahead++
-		if other.class == w.class {
+		if other.class == w.class || bound.pool && other.class.pooled() == bound {
 			sameClass += other.weight
 		}
 	}
 	seconds := g.durations.seconds(0) / max(g.limiter.limit, minLimit) * float64(ahead)
 	if cause == OverShare {
-		used := g.admitted(w.class, now) + sameClass
-		seconds = max(seconds, window.Seconds()*math.Log(max(1, used/max(threshold(g.share(w.class), w.weight), minLimit/100))))
+		used := g.admitted(bound, now) + sameClass
+		seconds = max(seconds, window.Seconds()*math.Log(max(1, used/max(threshold(g.share(bound), w.weight), minLimit/100))))
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -474,7 +524,10 @@
 	if w.probe {
 		g.durations.of(w.Request).probedAt = now
 	}
-	if u := g.classes[w.class]; g.limiter.limited && u != nil {
+	if g.limiter.limited {
+		w.counted = g.usages(w.class)
+	}
+	for _, u := range w.counted {
 		u.admitted.add(w.weight, now)
 	}
 }
@@ -488,8 +541,9 @@
 // which its share serves what was asked for beyond it in the last window.
 func (g *Gate) retryAfter(w *Waiter, now time.Time) time.Duration {
 	seconds := g.durations.expected(w.Request)
-	share := g.share(w.class)
-	if u := g.classes[w.class]; share < unlimited && u != nil {
+	bound := g.binding(w.class, w.weight, now)
+	share := g.share(bound)
+	if u := g.classes[bound]; share < unlimited && u != nil {
 		excess := u.demand.value(now)*g.correction(now) - share
 		seconds = max(seconds, excess/max(share, minLimit/100)*window.Seconds())
 	}
@@ -502,8 +556,9 @@
 	if o.Served {
 		g.durations.add(w.Request, o.Took, now)
 	}
-	// What was counted before the limit began anew has been cleared.
-	if u := g.classes[w.class]; o.Unsent && u != nil && !w.admittedAt.Before(g.limitedAt) {
-		u.admitted.remove(w.weight, w.admittedAt, now)
+	for _, u := range w.counted {
+		if o.Unsent {
+			u.admitted.remove(w.weight, w.admittedAt, now)
+		}
 	}
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -426,7 +427,37 @@
 	qt.Check(t, g.sharesAt.Equal(at), qt.IsTrue)
 	g.Offer(Request{Account: "last"}, at.Add(sharesInterval))
 	qt.Check(t, g.sharesAt.Equal(at.Add(sharesInterval)), qt.IsTrue)
-	qt.Check(t, g.shares, qt.HasLen, 1002)
+	qt.Check(t, len(g.shares), qt.Equals, 1003) // one is of all small accounts together
+}
+
+// Guards against less urgent requests that get as much as urgent ones because each of many accounts sends only few.
+func TestSmallAccountsKeepThePriority(t *testing.T) {
+	for _, accounts := range []int{1, 10, 100, 1000} {
+		g, now := limitedGate(testTime) // for ten requests a second, of 100 ms each
+		rng := rand.New(rand.NewPCG(5, 0))
+		var offered, served [2]float64
+		var running []*Waiter
+		for end := now.Add(2 * time.Minute); now.Before(end); now = now.Add(time.Duration(rng.ExpFloat64() * float64(50*ms))) {
+			running = slices.DeleteFunc(running, func(w *Waiter) bool {
+				ended := !w.admittedAt.Add(100 * ms).After(now)
+				if ended {
+					g.Done(w, Outcome{Served: true, Took: 100 * ms}, now)
+				}
+				return ended
+			})
+			i := rng.IntN(2)
+			w := g.Offer(Request{Priority: 2 * i, Account: fmt.Sprint(rng.IntN(accounts))}, now)
+			g.Next(now)
+			offered[i]++
+			if w.Refusal == nil {
+				served[i]++
+				running = append(running, w)
+			}
+		}
+		t.Logf("%d accounts: urgent %.2f, others %.2f", accounts, served[0]/offered[0], served[1]/offered[1])
+		qt.Check(t, served[0] >= 0.75*offered[0], qt.IsTrue)
+		qt.Check(t, served[1] >= 0.05*offered[1] && served[1] <= 0.2*offered[1], qt.IsTrue)
+	}
 }
 
 // Guards against classes that are shut out because their requests take far longer than their share.
--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -12,7 +12,7 @@
 	Limit      float64
 	InProgress int
 	Waiting    int
-	// Share of the request's class and what the class uses of it; set only if Limited. Share is infinite for a
+	// Share of the request's class, or of all small accounts if that limits it more, and what the class uses of it; set only if Limited. Share is infinite for a
 	// class that gets all it asks for.
 	Share, Used float64
 	// Pressure is as of Measured, which is zero if nothing was measured yet.
@@ -43,7 +43,8 @@
 		Pressure: gate.pressure, Measured: gate.evaluatedAt, Refusal: w.Refusal, Waits: !w.Settled,
 		Duration: time.Duration(gate.durations.seconds(r.Work) * float64(time.Second))}
 	if look.Limited {
-		look.Share, look.Used = gate.share(w.class), gate.admitted(w.class, now)
+		bound := gate.binding(w.class, w.weight, now)
+		look.Share, look.Used = gate.share(bound), gate.admitted(bound, now)
 	}
 	if look.Waits {
 		look.Wait = w.Until.Sub(now)
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -11,6 +11,13 @@
 	level   int
 	long    bool
 	account string
+	// pool is set in the class that stands for all small accounts of the level and size.
+	pool bool
+}
+
+// pooled returns the class of the small accounts of the same level and size.
+func (c class) pooled() class {
+	return class{level: c.level, long: c.long, pool: true}
 }
 
 // compare orders classes. A fixed order makes sums over them the same in each run.
@@ -31,8 +38,14 @@
 	// noise is by how much the amount may exceed the usual one by chance: a few requests more or less in a
 	// second don't make an account one that asks for more than its share.
 	noise float64
+	// small is set if the account has so few requests in a window that its own use does not limit it. What all small
+	// accounts use together is limited too.
+	small bool
 }
 
+// smallRequests is the number of requests in a window below which an account is small.
+const smallRequests = 2
+
 // unlimited is the share of a class that gets all it asks for.
 var unlimited = math.Inf(1)
 
@@ -87,16 +100,32 @@
 func divideAccounts(demands []demand, capacity float64, shares map[class]float64) {
 	slices.SortStableFunc(demands, func(a, b demand) int { return cmp.Compare(a.amount, b.amount) })
 	const rounding = 1e-9
+	var small []demand
+	granted := 0.0 // to small accounts
 	for i, d := range demands {
 		equal := capacity / float64(len(demands)-i)
+		got := d.amount
+		if d.small { // together they are held to what they would get without noise
+			small, got = append(small, d), min(d.amount, equal)
+			granted += got
+		}
 		if d.amount-d.noise <= equal*(1+rounding) {
 			shares[d.class] = unlimited
-			capacity = max(0, capacity-d.amount)
+			capacity = max(0, capacity-got)
 			continue
 		}
 		shares[d.class] = equal
 		capacity -= equal
 	}
+	if len(small) == 0 {
+		return
+	}
+	asked, noise := sum(small)
+	if pool := small[0].class.pooled(); asked-noise <= granted*(1+rounding) {
+		shares[pool] = unlimited
+	} else {
+		shares[pool] = granted
+	}
 }
 
 // sum returns the whole demand and its noise.
