admission: no priority is served less than a quarter as often as all

Cause: a tenth of the capacity was left to less urgent requests. The third of three priorities got half of the tenth. The goal for urgent requests (0.95 in time) contradicts this rule; the rule goes first.

Change: each priority gets 0.23 of what its part of the attempts would get, if that is more than before. A quarter of the requests is 0.217 of the attempts, since refused requests return once.

Tests: TestNoPriorityIsServedLessThanPartOfDemand is new.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -90,6 +90,11 @@
 	// leastUrgentShare of the capacity is left to requests that are not the most urgent, if they ask
 	// for it, so that a flood of urgent requests starves nobody.
 	leastUrgentShare = 0.1
+	// leastServedShare is how often the attempts of a level are served at least, as a part of how often all are.
+	// No account is to be served less than a quarter as often as all. Refused requests return once, so those that
+	// are served least make some 1.15 times as many attempts as all: a quarter of the requests is 0.22 of the attempts,
+	// and 0.01 is for chance.
+	leastServedShare = 0.23
 	// minRetryAfter and maxRetryAfter bound Refusal.RetryAfter. A caller that comes back sooner finds
 	// the same state; a prediction for more than some seconds is not reliable.
 	minRetryAfter = 250 * time.Millisecond
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -355,3 +355,24 @@
 	qt.Check(t, w.Settled && w.Refusal == nil, qt.IsTrue)
 	qt.Check(t, g.Offer(Request{Account: "b"}, now).Refusal, qt.IsNotNil)
 }
+
+// Guards against a priority that is served less than a quarter as often as all while more urgent ones could use all
+// capacity.
+func TestNoPriorityIsServedLessThanPartOfDemand(t *testing.T) {
+	for name, amounts := range map[string][]float64{"two": {10, 10}, "three": {10, 10, 10}, "few urgent": {6, 60}, "many urgent": {60, 6}, "one": {30}} {
+		const capacity = 10.0
+		var demands []demand
+		total := 0.0
+		for level, amount := range amounts {
+			demands = append(demands, demand{class: class{level: level, account: "a"}, amount: amount})
+			total += amount
+		}
+		given := 0.0
+		for c, share := range divide(demands, capacity) {
+			got := min(share, amounts[c.level])
+			given += got
+			qt.Check(t, got/amounts[c.level] >= leastServedShare*capacity/total-1e-9, qt.IsTrue, qt.Commentf("%s: level %d got %v", name, c.level, got))
+		}
+		qt.Check(t, given <= capacity+1e-9, qt.IsTrue, qt.Commentf(name))
+	}
+}
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -38,21 +38,22 @@
 
 // divide divides the capacity between classes and returns the share of each; unlimited for those whose
 // whole demand is met. Lower levels come first, but leave leastUrgentShare of the capacity to higher
-// ones that ask for it. Within a level long requests are served at least half as often as short ones, and
+// ones that ask for it, and leastServedShare of what these would get by their part of the demand. Within a level long requests are served at least half as often as short ones, and
 // the accounts get equal shares, of which they borrow what others leave.
 func divide(demands []demand, capacity float64) map[class]float64 {
 	shares := make(map[class]float64, len(demands))
-	left, asked := capacity, 0.0 // asked: by the levels that are left
+	left, total := capacity, 0.0
 	byLevel := make([][]demand, maxLevel+1)
 	for _, d := range demands {
 		byLevel[d.class.level] = append(byLevel[d.class.level], d)
-		asked += d.amount
+		total += d.amount
 	}
+	asked := total // by the levels that are left
 	for _, level := range byLevel {
 		own, noise := sum(level)
 		asked -= own
 		// The less urgent levels share the reserve of a tenth, so each level may take half of what is left.
-		reserve := min(leastUrgentShare*capacity, max(0, asked), left/2)
+		reserve := max(min(leastUrgentShare*capacity, max(0, asked), left/2), capacity*leastServedShare*max(0, asked)/max(total, asked))
 		// What the level may ask for more by chance is kept for it too, not given to the next.
 		got := min(own+noise, left-reserve)
 		left -= got
