admission: the limit begins at the usual number of requests in progress

Cause: a limit began at the number of requests that the router had in progress at that moment.

Change: it begins at the number in progress, or the requests answered in the last second times their duration if that is more.

Measured: TestLimitBeginsAtUsualNumberOfRequests (new) fails before; all tests of internal/admission pass.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -122,7 +122,7 @@
 		pressure:   g.pressure,
 		recent:     g.recent,
 		rejecting:  g.pressure.rejecting(g.rejected.value(now), g.answered.value(now)),
-		inProgress: g.inProgress,
+		inProgress: g.usualInProgress(now),
 		unmet:      g.unmet,
 	}
 	if g.limiter.limited {
@@ -142,6 +142,13 @@
 	return switched
 }
 
+// usualInProgress returns how many requests are in progress now, or were on average in the last second if that is
+// more. Where requests are short or few, there is often none at the moment.
+func (g *Gate) usualInProgress(now time.Time) float64 {
+	served := max(0, g.answered.value(now)-g.rejected.value(now))
+	return max(float64(g.inProgress), served*g.durations.seconds(0))
+}
+
 // Rest replaces Evaluate where the responses since the last one leave no doubt that capacity suffices. It
 // saves looking at all servers, of which there may be thousands, and reports whether it was enough.
 func (g *Gate) Rest(now time.Time) bool {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -376,3 +376,21 @@
 		qt.Check(t, given <= capacity+1e-9, qt.IsTrue, qt.Commentf(name))
 	}
 }
+
+// Guards against a router that is shut out because it has no request in progress at the moment at which the limit begins.
+func TestLimitBeginsAtUsualNumberOfRequests(t *testing.T) {
+	const perSecond, took = 27, 50 * ms
+	g, now := NewGate(ByPriority), testTime
+	for i := range 2 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		r := Request{}
+		g.admit(&Waiter{Request: r}, now)
+		g.Done(r, Outcome{Served: true, Took: took}, now)
+		g.Observe(Signal{Incarnation: allServers[i%len(allServers)], Load: fullLoad, HasLoad: true}, now)
+		if g.Evaluate(allServers, now); g.Limited() {
+			break
+		}
+	}
+	qt.Assert(t, g.Limited(), qt.IsTrue)
+	qt.Check(t, g.limiter.limit >= maxShrink*0.25*perSecond*took.Seconds(), qt.IsTrue, qt.Commentf("limit %v", g.limiter.limit))
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -96,7 +96,7 @@
 	pressure   Pressure
 	recent     sample
 	rejecting  bool
-	inProgress int
+	inProgress float64
 	// unmet is set if requests were refused or waited since the last update.
 	unmet bool
 	// demand is the demand of all classes, unmetDemand what of it exceeds their shares, weighted by urgency.
@@ -189,6 +189,6 @@
 		return false, enough
 	}
 	l.limited, l.changedAt = true, now
-	l.limit = max(minLimit, float64(c.inProgress)*factor)
+	l.limit = max(minLimit, c.inProgress*factor)
 	return true, true
 }
