admission: requests wait for a slot where their goal allows it

Cause: the limit began at 1.35 requests per slot whatever a request takes. Plain requests of 40 ms with a goal of 150 ms are in time at two and more per slot; they were refused, and callers were served less than without admission. A limit that had become too low grew slowly.

Change: both thresholds are multiplied by a slack of 1 to 2, by which the mean answer takes 0.45 of the shortest goal; streams have none. Limits grow twice as fast while servers have fewer requests than they should have.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,6 +23,8 @@
 	Account string
 	// Arrived is when the request arrived at the router; zero if unknown.
 	Arrived time.Time
+	// Whole is set if Goal is for the whole answer, not for its first event.
+	Whole bool
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Deadline is when the caller stops waiting; zero if unknown.
@@ -99,6 +101,11 @@
 	// are served least make some 1.15 times as many attempts as all: a quarter of the requests is 0.22 of the attempts,
 	// and 0.01 is for chance.
 	leastServedShare = 0.23
+	// goalPart of the goal is the mean time that an answer may take, with its wait for a slot, before requests are
+	// refused. The rest is for what varies between servers and moments.
+	goalPart = 0.45
+	// maxSlack keeps the queues below maxLoadPerSlot, beyond which servers reject requests.
+	maxSlack = 2.0
 	// minRetryAfter and maxRetryAfter bound Refusal.RetryAfter. A caller that comes back sooner finds
 	// the same state; a prediction for more than some seconds is not reliable.
 	minRetryAfter = 250 * time.Millisecond
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -39,6 +39,10 @@
 	// rejected and answered count the responses of servers, with weight 1 each.
 	rejected, answered average
 	recent             sample
+	// reported is the mean load per slot that responses tell, unqueued the time that a whole answer takes if it doesn't
+	// wait for a slot, in seconds, and tightGoal the shortest goal of such answers; it rises slowly.
+	reported, unqueued estimate
+	tightGoal          float64
 
 	evaluatedAt time.Time // when Evaluate was last called
 	limitedAt   time.Time // when the limit began to apply
@@ -106,6 +110,9 @@
 		n.rejectedAt = now
 		g.rejected.add(1, now)
 	}
+	if l := s.Load; s.HasLoad && l.Slots > 0 {
+		g.reported.add(min(float64(l.Running+l.Waiting)/float64(l.Slots), maxLoadPerSlot), now)
+	}
 	g.answered.add(1, now)
 	g.known[s.Incarnation] = n
 	g.recent.add(s)
@@ -132,6 +139,7 @@
 	if g.limiter.limited {
 		g.computeShares(now) // the limit follows the present demand
 	}
+	g.limiter.slack = g.slack()
 	c.demand, c.unmetDemand = g.demand()
 	g.unmet = false
 	switched, used := g.limiter.update(c, now)
@@ -156,7 +164,7 @@
 // Rest replaces Evaluate where the responses since the last one leave no doubt that capacity suffices. It
 // saves looking at all servers, of which there may be thousands, and reports whether it was enough.
 func (g *Gate) Rest(now time.Time) bool {
-	calm := !g.limiter.limited && g.recent.rejected == 0 && g.recent.loadPerSlot() < queuedLoad
+	calm := !g.limiter.limited && g.recent.rejected == 0 && g.recent.loadPerSlot() < g.limiter.queued()
 	if !g.limiter.fullSince.IsZero() && (g.recent.reports == 0 || g.recent.signals < minSignals) {
 		calm = false // too few responses to doubt that the servers are still full, as their latest reports say
 	}
@@ -562,6 +570,7 @@
 	g.inProgress--
 	if o.Served {
 		g.durations.add(w.Request, o.Took, now)
+		g.observeUnqueued(w.Request, o.Took, now)
 	}
 	for _, u := range w.counted {
 		if o.Unsent {
@@ -569,3 +578,25 @@
 		}
 	}
 }
+
+// observeUnqueued updates what slack depends on.
+func (g *Gate) observeUnqueued(r Request, took time.Duration, now time.Time) {
+	if r.Goal == 0 || !r.Whole {
+		return
+	}
+	g.unqueued.add(took.Seconds()/max(1, g.reported.mean), now)
+	goal := r.Goal.Seconds()
+	if g.tightGoal == 0 || goal < g.tightGoal {
+		g.tightGoal = goal
+	}
+	g.tightGoal += sampleWeight * (goal - g.tightGoal)
+}
+
+// slack returns by which factor servers may queue more than their slots need. Where requests take a small part of their
+// goal, one that waits for a slot is still answered in time, and refusing it would serve fewer callers.
+func (g *Gate) slack() float64 {
+	if g.unqueued.samples < minSamples {
+		return 1
+	}
+	return min(maxSlack, goalPart*g.tightGoal/(targetLoad*max(g.unqueued.mean, 1e-4)))
+}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -22,10 +22,10 @@
 	// idleLoad is the number of requests per slot below which servers have capacity to spare. Without this
 	// condition a router that happens to have enough would stop limiting itself while others turn requests away.
 	idleLoad = 0.85
-	// targetLoad is the number of requests per slot that the limit aims at. A short queue at the
+	// targetLoad is the number of requests per slot that the limit aims at, times slack. A short queue at the
 	// servers keeps slots busy until the routers have seen a response and sent the next request.
 	targetLoad = 1.2
-	// queuedLoad is the number of requests per slot from which on the limit shrinks. Between the two the sum of
+	// queuedLoad is the number of requests per slot from which on the limit shrinks, times slack. Between the two the sum of
 	// all routers' limits stays about the same, so that it does not swing.
 	queuedLoad = 1.35
 	// maxShrink is the lowest factor of one change. rejectionShrink is the factor of a second in which servers
@@ -41,7 +41,7 @@
 	minGrowth = 0.06
 	// freeGrowth is the further growth of a change, as a factor of the limit for each request per slot that
 	// is missing to targetLoad. It is fast after servers have returned.
-	freeGrowth = 0.6
+	freeGrowth = 1.2
 	// turnover is the part of the limit that a router gives up in a second while the servers are as full as they should
 	// be, and turnoverGain the part of its weighted unmet demand that it takes up in return, relative to turnover. Without
 	// it limits keep their first shares for tens of seconds, which depend on chance: 0.63 to 0.89 of the requests of a
@@ -69,8 +69,14 @@
 	busyAt    time.Time
 	updatedAt time.Time
 	changedAt time.Time // when the limit was last changed by responses
+	// slack is the factor by which servers may queue more than their slots need; below 1 counts as 1.
+	slack float64
 }
 
+func (l *limiter) target() float64 { return targetLoad * max(1, l.slack) }
+
+func (l *limiter) queued() float64 { return queuedLoad * max(1, l.slack) }
+
 // sample is the mean of the load reports of the responses since the last change of the limit.
 type sample struct {
 	signals  int
@@ -158,13 +164,13 @@
 	l.changedAt = now
 	load := c.recent.loadPerSlot()
 	switch {
-	case load > queuedLoad:
-		l.limit *= math.Pow(targetLoad/load, gain*l.shrinkExponent(c.unmetDemand))
+	case load > l.queued():
+		l.limit *= math.Pow(l.target()/load, gain*l.shrinkExponent(c.unmetDemand))
 	case c.rejecting && float64(c.recent.rejected) >= minRejectedFraction*float64(c.recent.signals):
 		l.limit *= math.Pow(rejectionShrink, gain)
-	case c.unmet && load < targetLoad:
+	case c.unmet && load < l.target():
 		l.limit += gain * minGrowth * min(c.unmetDemand, l.limit+1)
-		l.limit *= 1 + gain*freeGrowth*(targetLoad-load)
+		l.limit *= 1 + gain*freeGrowth*(l.target()-load)
 	case c.unmet:
 		// The routers exchange capacity until each has a share that follows what it turns away.
 		l.limit += gain * turnover * (turnoverGain*min(c.unmetDemand, l.limit+1) - l.limit)
@@ -184,7 +190,7 @@
 // their slots need.
 func (l *limiter) tryClose(c conditions, now time.Time) (switched, used bool) {
 	enough := c.recent.signals >= minSignals
-	if enough && !c.rejecting && c.recent.reports > 0 && c.recent.loadPerSlot() < queuedLoad {
+	if enough && !c.rejecting && c.recent.reports > 0 && c.recent.loadPerSlot() < l.queued() {
 		l.fullSince = time.Time{} // the older reports of other servers no longer hold
 	}
 	if l.fullSince.IsZero() || now.Sub(l.fullSince) < closeAfter {
@@ -192,8 +198,8 @@
 	}
 	p := c.pressure
 	factor := rejectionShrink
-	if p.Load >= queuedLoad*p.Slots && p.Slots > 0 {
-		factor = max(maxShrink, targetLoad*p.Slots/p.Load)
+	if p.Load >= l.queued()*p.Slots && p.Slots > 0 {
+		factor = max(maxShrink, l.target()*p.Slots/p.Load)
 	} else if !c.rejecting {
 		return false, enough
 	}
--- a/internal/admission/loads_test.go
+++ b/internal/admission/loads_test.go
@@ -145,3 +145,22 @@
 	}
 	qt.Check(t, m.use() >= 0.85, qt.IsTrue)
 }
+
+// Guards against refusals of requests that would be answered in time although they wait for a slot: short work beside
+// its goal, and in each fourth second more of it than fits.
+func TestShortWorkWaitsAtServers(t *testing.T) {
+	m := compareOrders(t, func(o Order) *model {
+		base := plain("a", 2, 1100, 1)
+		base.work, base.goal, base.deadline = 30*ms, 150*ms, time.Second
+		streams := []*stream{base}
+		for at := 4 * time.Second; at < 20*time.Second; at += 4 * time.Second {
+			more := plain("a", 2, 700, 1) // 1,600 fit
+			more.work, more.goal, more.deadline, more.from, more.to = base.work, base.goal, base.deadline, at, at+time.Second
+			streams = append(streams, more)
+		}
+		return newModel(9, 6, o, 20*time.Second, streams...)
+	})
+	for _, s := range m.streams {
+		qt.Check(t, s.ratio() >= 0.9, qt.IsTrue)
+	}
+}
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -142,7 +142,7 @@
 		m.limited++
 	}
 	at := m.now
-	r := Request{Arrived: m.clock(), Account: s.account, Priority: s.priority, Deadline: m.clock().Add(s.deadline - (m.now - arrived)), Goal: s.goal, Work: float64(s.work.Milliseconds())}
+	r := Request{Arrived: m.clock(), Account: s.account, Priority: s.priority, Deadline: m.clock().Add(s.deadline - (m.now - arrived)), Goal: s.goal, Whole: true, Work: float64(s.work.Milliseconds())}
 	m.settle(router)
 	w := router.gate.Offer(r, m.clock())
 	m.settled[w] = func() {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -6,6 +6,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/admission"
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
@@ -48,7 +49,7 @@
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
 	a := admission.Request{
 		Service: r.Service, Route: r.Route.Name, Arrived: r.Arrived, Priority: r.Priority(), Deadline: f.deadline(r),
-		Goal: r.Route.LatencyGoal, Work: float64(r.MaxTokens()),
+		Goal: r.Route.LatencyGoal, Whole: r.Route.Kind != policy.Streaming, Work: float64(r.MaxTokens()),
 	}
 	if r.Account != nil {
 		a.Account = r.Account.Name
