Merge admission: refusals in time, waits in order, least shares, slack

Look shows the share that binds, the pool of small accounts included, without the request's own use.

Measured: tests of admission, forward, callers and ctl pass; read: changes of existing tests (tickets instead of requests in calls; one bound derived from the rule instead of a tenth, one stricter).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,6 +21,10 @@
 	Route string
 	// Account is the client account; empty if there is none.
 	Account string
+	// Arrived is when the request arrived at the router; zero if unknown.
+	Arrived time.Time
+	// Whole is set if Goal is for the whole answer, not for its first event.
+	Whole bool
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	// Deadline is when the caller stops waiting; zero if unknown.
@@ -46,6 +50,8 @@
 type Outcome struct {
 	// Served is set if a server answered the request with success.
 	Served bool
+	// Unsent is set if the request was not sent to a server. Its part of its class's share is returned.
+	Unsent bool
 	// Took is the time from sending the request to the end of its answer; set only if Served is.
 	Took time.Duration
 }
@@ -61,6 +67,8 @@
 	OverShare Cause = "over share"
 	// Full: no capacity becomes free within the time that the request may wait.
 	Full Cause = "full"
+	// Abandoned: the caller left while the request waited. This is no refusal.
+	Abandoned Cause = "abandoned"
 )
 
 // Refusal is the decision not to admit a request.
@@ -70,6 +78,9 @@
 	RetryAfter time.Duration
 }
 
+// RefuseWithin is the time since a request's arrival in which it is to be refused if there is no capacity for it.
+const RefuseWithin = 100 * time.Millisecond
+
 const (
 	// reportTTL is how long a report or a rejection says something about its server. It is the age up
 	// to which the choice of servers uses load reports.
@@ -79,9 +90,22 @@
 	// waitFraction of a request's goal is the longest time that it may wait for admission: nine tenths
 	// are left for the server.
 	waitFraction = 0.1
+	// maxKept is the time since a request's arrival at which its wait ends at the latest. Callers are to have a refusal
+	// within RefuseWithin, of which a quarter is left for the answer.
+	maxKept = RefuseWithin * 3 / 4
 	// leastUrgentShare of the capacity is left to requests that are not the most urgent, if they ask
 	// for it, so that a flood of urgent requests starves nobody.
 	leastUrgentShare = 0.1
+	// leastServedShare is how often the attempts of a level are served at least, as a part of how often all are.
+	// No account is to be served less than a quarter as often as all. Refused requests return once, so those that
+	// are served least make some 1.15 times as many attempts as all: a quarter of the requests is 0.22 of the attempts,
+	// and 0.01 is for chance.
+	leastServedShare = 0.23
+	// goalPart of the goal is the mean time that an answer may take, with its wait for a slot, before requests are
+	// refused. The rest is for what varies between servers and moments.
+	goalPart = 0.45
+	// maxSlack keeps the queues below maxLoadPerSlot, beyond which servers reject requests.
+	maxSlack = 2.0
 	// minRetryAfter and maxRetryAfter bound Refusal.RetryAfter. A caller that comes back sooner finds
 	// the same state; a prediction for more than some seconds is not reliable.
 	minRetryAfter = 250 * time.Millisecond
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -97,11 +97,19 @@
 	return g.gate.Limited()
 }
 
+// Short reports whether a service's capacity is short.
+func (c *Controller) Short(service string) bool {
+	g := c.gate(service)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Short(c.options.Now())
+}
+
 // Ticket is held by an admitted request.
 type Ticket struct {
 	controller *Controller
 	gate       *sharedGate
-	request    Request
+	admitted   *Waiter
 }
 
 // Admit decides on a request, which may wait for capacity for up to a tenth of its goal. If refused is
@@ -112,13 +120,13 @@
 	if w.ready != nil {
 		c.wait(ctx, g, w, wait)
 	}
-	if limited {
+	if limited && (w.Refusal == nil || w.Refusal.Cause != Abandoned) {
 		c.count(g, w)
 	}
 	if w.Refusal != nil {
 		return nil, w.Refusal
 	}
-	return &Ticket{controller: c, gate: g, request: r}, nil
+	return &Ticket{controller: c, gate: g, admitted: w}, nil
 }
 
 // offer offers a request to its gate. limited is set if the limit applies, and wait is the longest time for which
@@ -129,6 +137,7 @@
 	now := c.options.Now()
 	c.evaluate(g, now)
 	limited = g.gate.Limited()
+	g.settle(now)
 	w = g.gate.Offer(r, now)
 	if !w.Settled {
 		w.ready = make(chan struct{})
@@ -155,7 +164,6 @@
 	}
 	if ctx.Err() != nil {
 		g.gate.Withdraw(w)
-		g.gate.refuse(w, Full, c.options.Now())
 		return
 	}
 	// The end of the wait settles the request, even if the clock lags behind the timer.
@@ -196,7 +204,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := t.controller.options.Now()
-	g.gate.Done(t.request, o, now)
+	g.gate.Done(t.admitted, o, now)
 	g.settle(now)
 }
 
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -39,6 +39,10 @@
 	// rejected and answered count the responses of servers, with weight 1 each.
 	rejected, answered average
 	recent             sample
+	// reported is the mean load per slot that responses tell, unqueued the time that a whole answer takes if it doesn't
+	// wait for a slot, in seconds, and tightGoal the shortest goal of such answers; it rises slowly.
+	reported, unqueued estimate
+	tightGoal          float64
 
 	evaluatedAt time.Time // when Evaluate was last called
 	limitedAt   time.Time // when the limit began to apply
@@ -58,6 +62,7 @@
 // usage is the demand of a class and what of it was admitted, in requests in progress.
 type usage struct {
 	demand, admitted average
+	small            bool // see demand; so are new accounts
 }
 
 // Waiter is a request that asked to be admitted.
@@ -74,6 +79,9 @@
 	Refusal *Refusal
 	// Waited is set if the request could not be admitted at once.
 	Waited bool
+	// admittedAt is when it was admitted; zero if it was not.
+	admittedAt time.Time
+	counted    []*usage // where it was counted as admitted
 	// probe is set if the request seems to be late but is admitted to correct the estimate.
 	probe bool
 	// ready is closed when the request is settled after a wait; nil if nobody waits for it.
@@ -90,6 +98,11 @@
 	return g.limiter.limited
 }
 
+// Short reports whether capacity is short: the limit applies, or the servers were all full at the last look at them.
+func (g *Gate) Short(now time.Time) bool {
+	return g.limiter.limited || !g.limiter.fullSince.IsZero() && now.Sub(g.limiter.updatedAt) < reportTTL
+}
+
 // Observe records what a response says about its server.
 func (g *Gate) Observe(s Signal, now time.Time) {
 	n := news{signal: s, at: now, rejectedAt: g.known[s.Incarnation].rejectedAt}
@@ -97,6 +110,9 @@
 		n.rejectedAt = now
 		g.rejected.add(1, now)
 	}
+	if l := s.Load; s.HasLoad && l.Slots > 0 {
+		g.reported.add(min(float64(l.Running+l.Waiting)/float64(l.Slots), maxLoadPerSlot), now)
+	}
 	g.answered.add(1, now)
 	g.known[s.Incarnation] = n
 	g.recent.add(s)
@@ -117,12 +133,13 @@
 		pressure:   g.pressure,
 		recent:     g.recent,
 		rejecting:  g.pressure.rejecting(g.rejected.value(now), g.answered.value(now)),
-		inProgress: g.inProgress,
+		inProgress: g.usualInProgress(now),
 		unmet:      g.unmet,
 	}
 	if g.limiter.limited {
 		g.computeShares(now) // the limit follows the present demand
 	}
+	g.limiter.slack = g.slack()
 	c.demand, c.unmetDemand = g.demand()
 	g.unmet = false
 	switched, used := g.limiter.update(c, now)
@@ -137,10 +154,20 @@
 	return switched
 }
 
+// usualInProgress returns how many requests are in progress now, or were on average in the last second if that is
+// more. Where requests are short or few, there is often none at the moment.
+func (g *Gate) usualInProgress(now time.Time) float64 {
+	served := max(0, g.answered.value(now)-g.rejected.value(now))
+	return max(float64(g.inProgress), served*g.durations.seconds(0))
+}
+
 // Rest replaces Evaluate where the responses since the last one leave no doubt that capacity suffices. It
 // saves looking at all servers, of which there may be thousands, and reports whether it was enough.
 func (g *Gate) Rest(now time.Time) bool {
-	calm := !g.limiter.limited && g.recent.rejected == 0 && g.recent.loadPerSlot() < queuedLoad
+	calm := !g.limiter.limited && g.recent.rejected == 0 && g.recent.loadPerSlot() < g.limiter.queued()
+	if !g.limiter.fullSince.IsZero() && (g.recent.reports == 0 || g.recent.signals < minSignals) {
+		calm = false // too few responses to doubt that the servers are still full, as their latest reports say
+	}
 	if !calm || now.Sub(g.evaluatedAt) >= maxRest {
 		return false
 	}
@@ -171,15 +198,26 @@
 // away urgent ones, but a router with none but the least urgent still gets a part.
 func (g *Gate) demand() (total, unmet float64) {
 	const perLevel, least = 0.4, 0.2
-	for _, d := range g.demands {
+	weight := func(c class) float64 { return max(least, math.Pow(perLevel, float64(c.level))) }
+	small := 0.0
+	for i, d := range g.demands { // in order of their pools
 		total += d.amount
-		unmet += max(0, d.amount-g.share(d.class)) * max(least, math.Pow(perLevel, float64(d.class.level)))
+		if d.small {
+			small += d.amount
+		} else {
+			unmet += max(0, d.amount-g.share(d.class)) * weight(d.class)
+		}
+		if pool := d.class.pooled(); i == len(g.demands)-1 || g.demands[i+1].class.pooled() != pool {
+			unmet += max(0, small-g.share(pool)) * weight(pool)
+			small = 0
+		}
 	}
 	return total, unmet
 }
 
-// Offer decides on a request. If it is not settled, Next must be called, which may settle it or another one that
-// it displaces, and again at the latest at the end of its wait.
+// Offer decides on a request. Next should be called before it, so that capacity that became free with time is left to
+// those that wait. If the request is not settled, Next must be called, which may settle it or another one that it
+// displaces, and again at the latest at the end of its wait.
 func (g *Gate) Offer(r Request, now time.Time) *Waiter {
 	w := &Waiter{Request: r}
 	if !g.limiter.limited {
@@ -187,19 +225,27 @@
 		return w
 	}
 	g.classify(w, now)
-	g.classes[w.class].demand.add(w.weight, now)
+	for _, u := range g.usages(w.class) {
+		u.demand.add(w.weight, now)
+	}
 	g.refreshShares(now)
 	if g.late(w, now) {
 		g.refuse(w, Late, now)
 		return w
 	}
 	cause := g.obstacle(w, now)
+	if cause == "" && g.waitsInClass(w) {
+		cause = OverShare
+	}
 	if cause == "" {
 		g.admit(w, now)
 		return w
 	}
 	g.unmet = true
 	w.Until = now.Add(time.Duration(waitFraction * float64(r.Goal)))
+	if latest := r.Arrived.Add(maxKept); !r.Arrived.IsZero() && latest.Before(w.Until) {
+		w.Until = latest
+	}
 	if latest := r.Deadline.Add(-g.durations.recent(r, now)); !r.Deadline.IsZero() && latest.Before(w.Until) {
 		w.Until = latest
 	}
@@ -212,6 +258,19 @@
 	return w
 }
 
+// waitsInClass reports whether a request of the same class waits that comes before w.
+func (g *Gate) waitsInClass(w *Waiter) bool {
+	for _, other := range g.waiting {
+		if compare(other, w) > 0 {
+			return false
+		}
+		if other.class == w.class {
+			return true
+		}
+	}
+	return false
+}
+
 // late reports whether a request must be refused because it would not be answered before its deadline. One
 // each probeInterval need not be, if its deadline has not passed yet.
 func (g *Gate) late(w *Waiter, now time.Time) bool {
@@ -238,13 +297,42 @@
 		w.class.account = "" // accounts beyond the bound share one class
 	}
 	if g.classes[w.class] == nil {
-		g.classes[w.class] = &usage{}
+		g.classes[w.class] = &usage{small: true}
 		if !g.sharesAt.IsZero() {
 			g.shares[w.class] = g.provisionalShare(w.class.level)
 		}
 	}
 }
 
+// usages returns what is counted for a class: its own use and, if its account is small, that of all small ones.
+func (g *Gate) usages(c class) []*usage {
+	own := g.classes[c]
+	if own == nil {
+		return nil
+	}
+	if !own.small {
+		return []*usage{own}
+	}
+	pool := c.pooled()
+	if g.classes[pool] == nil {
+		g.classes[pool] = &usage{}
+	}
+	return []*usage{own, g.classes[pool]}
+}
+
+// binding returns the class whose share limits the requests of a class the most: itself, or all small accounts.
+func (g *Gate) binding(c class, weight float64, now time.Time) class {
+	own, pool := g.classes[c], c.pooled()
+	if own == nil || !own.small || g.share(pool) == unlimited {
+		return c
+	}
+	used := func(c class) float64 { return g.admitted(c, now) / threshold(g.share(c), weight) }
+	if g.share(c) < unlimited && used(c) > used(pool) {
+		return c
+	}
+	return pool
+}
+
 // provisionalShare returns the share of a new class until shares are computed again. Computing them for each new
 // class would cost time in proportion to the square of the number of accounts.
 func (g *Gate) provisionalShare(level int) float64 {
@@ -270,13 +358,18 @@
 	g.top = maxLevel
 	correction := g.correction(now)
 	for c, u := range g.classes {
+		if c.pool {
+			continue
+		}
 		amount := u.demand.value(now) * correction
 		if amount < leastDemand {
 			delete(g.classes, c)
 			continue
 		}
 		g.top = min(g.top, c.level)
-		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * g.durations.seconds(g.works[c.level].mean))})
+		mean := g.durations.seconds(g.works[c.level].mean)
+		u.small = amount < smallRequests*mean
+		g.demands = append(g.demands, demand{c, amount, math.Sqrt(amount * mean), u.small})
 	}
 	slices.SortFunc(g.demands, func(a, b demand) int { return a.class.compare(b.class) })
 	g.shares, g.sharesAt = divide(g.demands, g.limiter.limit), now
@@ -284,7 +377,7 @@
 		g.smallest[level] = -1
 	}
 	for c, share := range g.shares {
-		if smallest := &g.smallest[c.level]; *smallest < 0 || share < *smallest {
+		if smallest := &g.smallest[c.level]; !c.pool && (*smallest < 0 || share < *smallest) {
 			*smallest = share
 		}
 	}
@@ -307,8 +400,9 @@
 
 // obstacle returns why a request can't be admitted now, or "" if it can.
 func (g *Gate) obstacle(w *Waiter, now time.Time) Cause {
-	share := g.share(w.class)
-	if share < unlimited && g.admitted(w.class, now) >= threshold(share, w.weight) {
+	bound := g.binding(w.class, w.weight, now)
+	share := g.share(bound)
+	if share < unlimited && g.admitted(bound, now) >= threshold(share, w.weight) {
 		return OverShare
 	}
 	capacity := g.limiter.limit + 1
@@ -342,19 +436,20 @@
 // expectedWait returns the time after which the obstacle is expected to be gone for the request.
 func (g *Gate) expectedWait(w *Waiter, cause Cause, now time.Time) time.Duration {
 	ahead, sameClass := 0, 0.0
+	bound := g.binding(w.class, w.weight, now)
 	for _, other := range g.waiting {
 		if compare(other, w) > 0 {
 			break
 		}
 		ahead++
-		if other.class == w.class {
+		if other.class == w.class || bound.pool && other.class.pooled() == bound {
 			sameClass += other.weight
 		}
 	}
 	seconds := g.durations.seconds(0) / max(g.limiter.limit, minLimit) * float64(ahead)
 	if cause == OverShare {
-		used := g.admitted(w.class, now) + sameClass
-		seconds = max(seconds, window.Seconds()*math.Log(max(1, used/max(threshold(g.share(w.class), w.weight), minLimit/100))))
+		used := g.admitted(bound, now) + sameClass
+		seconds = max(seconds, window.Seconds()*math.Log(max(1, used/max(threshold(g.share(bound), w.weight), minLimit/100))))
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -435,15 +530,19 @@
 	if i := slices.Index(g.waiting, w); i >= 0 {
 		g.waiting = slices.Delete(g.waiting, i, i+1)
 	}
+	w.Settled, w.Refusal = true, &Refusal{Cause: Abandoned}
 }
 
 func (g *Gate) admit(w *Waiter, now time.Time) {
-	w.Settled = true
+	w.Settled, w.admittedAt = true, now
 	g.inProgress++
 	if w.probe {
 		g.durations.of(w.Request).probedAt = now
 	}
-	if u := g.classes[w.class]; g.limiter.limited && u != nil {
+	if g.limiter.limited {
+		w.counted = g.usages(w.class)
+	}
+	for _, u := range w.counted {
 		u.admitted.add(w.weight, now)
 	}
 }
@@ -457,8 +556,9 @@
 // which its share serves what was asked for beyond it in the last window.
 func (g *Gate) retryAfter(w *Waiter, now time.Time) time.Duration {
 	seconds := g.durations.expected(w.Request)
-	share := g.share(w.class)
-	if u := g.classes[w.class]; share < unlimited && u != nil {
+	bound := g.binding(w.class, w.weight, now)
+	share := g.share(bound)
+	if u := g.classes[bound]; share < unlimited && u != nil {
 		excess := u.demand.value(now)*g.correction(now) - share
 		seconds = max(seconds, excess/max(share, minLimit/100)*window.Seconds())
 	}
@@ -466,9 +566,37 @@
 }
 
 // Done records the end of an admitted request.
-func (g *Gate) Done(r Request, o Outcome, now time.Time) {
+func (g *Gate) Done(w *Waiter, o Outcome, now time.Time) {
 	g.inProgress--
 	if o.Served {
-		g.durations.add(r, o.Took, now)
+		g.durations.add(w.Request, o.Took, now)
+		g.observeUnqueued(w.Request, o.Took, now)
+	}
+	for _, u := range w.counted {
+		if o.Unsent {
+			u.admitted.remove(w.weight, w.admittedAt, now)
+		}
+	}
+}
+
+// observeUnqueued updates what slack depends on.
+func (g *Gate) observeUnqueued(r Request, took time.Duration, now time.Time) {
+	if r.Goal == 0 || !r.Whole {
+		return
+	}
+	g.unqueued.add(took.Seconds()/max(1, g.reported.mean), now)
+	goal := r.Goal.Seconds()
+	if g.tightGoal == 0 || goal < g.tightGoal {
+		g.tightGoal = goal
+	}
+	g.tightGoal += sampleWeight * (goal - g.tightGoal)
+}
+
+// slack returns by which factor servers may queue more than their slots need. Where requests take a small part of their
+// goal, one that waits for a slot is still answered in time, and refusing it would serve fewer callers.
+func (g *Gate) slack() float64 {
+	if g.unqueued.samples < minSamples {
+		return 1
 	}
+	return min(maxSlack, goalPart*g.tightGoal/(targetLoad*max(g.unqueued.mean, 1e-4)))
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -62,6 +64,23 @@
 	}
 }
 
+// Guards against a shortage that goes unnoticed for seconds because a router gets only few responses.
+func TestFewResponsesBeginTheLimit(t *testing.T) {
+	g := NewGate(ByPriority)
+	began := time.Duration(0)
+	for at := time.Duration(0); at < 3*time.Second && !g.Limited(); at += 50 * ms {
+		now := testTime.Add(at)
+		if at%(200*ms) == 0 {
+			g.Observe(Signal{Incarnation: allServers[at/(200*ms)%4], Load: fullLoad, HasLoad: true}, now)
+		}
+		if g.Due(now) && !g.Rest(now) {
+			g.Evaluate(allServers, now)
+		}
+		began = at
+	}
+	qt.Check(t, began, qt.Equals, 400*ms+closeAfter) // three servers must have reported
+}
+
 // limitedGate returns a gate with a small limit a second after a time.
 func limitedGate(from time.Time) (*Gate, time.Time) {
 	g := NewGate(ByPriority)
@@ -101,7 +120,7 @@
 func TestLateRequestsAreRefusedWhileEstimateIsRecent(t *testing.T) {
 	g, now := limitedGate(testTime)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: 200 * ms}, now)
 	}
 	request := Request{Priority: 0, Goal: time.Second, Deadline: now.Add(150 * ms)}
 	qt.Check(t, g.Offer(request, now).Refusal.Cause, qt.Equals, Late)
@@ -184,9 +203,9 @@
 func offerShortAndLong(g *Gate, now time.Time, shortRoute, longRoute string) (offered, late int, gap time.Duration) {
 	g.limiter.limit = 1e6
 	type end struct {
-		at      time.Time
-		request Request
-		took    time.Duration
+		at     time.Time
+		waiter *Waiter
+		took   time.Duration
 	}
 	var ends []end
 	admittedAt := now
@@ -195,7 +214,7 @@
 			if e.at.After(now) {
 				return false
 			}
-			g.Done(e.request, Outcome{Served: true, Took: e.took}, now)
+			g.Done(e.waiter, Outcome{Served: true, Took: e.took}, now)
 			return true
 		})
 		for _, short := range []bool{true, false} {
@@ -206,7 +225,7 @@
 			}
 			w := g.Offer(r, now)
 			if w.Refusal == nil && w.Settled {
-				ends = append(ends, end{now.Add(took), r, took})
+				ends = append(ends, end{now.Add(took), w, took})
 			}
 			switch {
 			case !short:
@@ -248,7 +267,7 @@
 	qt.Check(t, w.Settled, qt.IsFalse)
 	qt.Check(t, w.Until.Equal(request.Deadline), qt.IsTrue)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: 200 * ms}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: 200 * ms}, now)
 	}
 	g.inProgress = 100
 	w = g.Offer(request, now)
@@ -258,6 +277,95 @@
 	qt.Check(t, w.Refusal, qt.IsNotNil)
 }
 
+// Guards against refusals later than 100 ms after the request's arrival, where its goal allows a longer wait or the
+// router has kept it for some time before.
+func TestWaitsLeaveTimeForTheRefusal(t *testing.T) {
+	g, now := limitedGate(testTime)
+	g.inProgress = 100
+	w := g.Offer(Request{Arrived: now.Add(-70 * ms), Goal: time.Hour}, now)
+	qt.Assert(t, w.Settled, qt.IsFalse)
+	g.Next(now.Add(5 * ms))
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+	w = g.Offer(Request{Arrived: now.Add(-80 * ms), Goal: time.Hour}, now)
+	qt.Check(t, w.Refusal, qt.IsNotNil)
+}
+
+// Guards against new requests that take the capacity which became free with time before a request of their class that
+// has waited for it.
+func TestWaitingRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: noMetrics{}, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		request := Request{Service: "s", Goal: 10 * time.Second}
+		order := make(chan string, 2)
+		admit := func(name string) {
+			_, refused := c.Admit(t.Context(), request)
+			qt.Check(t, refused, qt.IsNil)
+			order <- name
+		}
+		go admit("first")
+		synctest.Wait()
+		qt.Assert(t, g.gate.waiting, qt.HasLen, 1)
+		time.Sleep(10 * ms)   // no evaluation is due
+		g.gate.inProgress = 3 // room for one
+		go admit("second")
+		synctest.Wait()
+		qt.Assert(t, order, qt.HasLen, 1)
+		qt.Check(t, <-order, qt.Equals, "first")
+		g.gate.inProgress = 0
+		c.Observe("s", Signal{Incarnation: "a", Load: fullLoad, HasLoad: true})
+		time.Sleep(time.Second)
+		c.Observe("s", Signal{Incarnation: "a", Load: fullLoad, HasLoad: true})
+		synctest.Wait()
+		qt.Check(t, order, qt.HasLen, 1)
+	})
+}
+
+// Guards against requests that use up a part of their class's share although they were never sent.
+func TestUnsentRequestsReturnTheirShare(t *testing.T) {
+	g, now := limitedGate(testTime)
+	sent, unsent := g.Offer(Request{}, now), g.Offer(Request{}, now.Add(100*ms))
+	qt.Assert(t, sent.Refusal == nil && unsent.Refusal == nil, qt.IsTrue)
+	now = now.Add(300 * ms)
+	used := g.admitted(unsent.class, now)
+	g.Done(sent, Outcome{}, now)
+	qt.Check(t, g.admitted(unsent.class, now), qt.Equals, used)
+	g.Done(unsent, Outcome{Unsent: true}, now)
+	left := average{sent.weight, sent.admittedAt}.value(now) * g.correction(now)
+	qt.Check(t, math.Abs(g.admitted(unsent.class, now)-left) < 1e-9, qt.IsTrue)
+	qt.Check(t, g.inProgress, qt.Equals, 0)
+}
+
+// outcomes counts what Metrics is told.
+type outcomes map[string]int
+
+func (o outcomes) CountAdmission(_ int, outcome string) { o[outcome]++ }
+
+// Guards against callers that are counted as refused because they left while their request waited.
+func TestCallersThatLeaveAreNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counted := outcomes{}
+		c := New(Options{Eligible: func(string) []string { return allServers }, Metrics: counted, Log: event.Discard()})
+		g := c.gate("s")
+		now := time.Time{}
+		g.gate, now = limitedGate(time.Now())
+		time.Sleep(time.Until(now))
+		g.gate.inProgress = 100
+		ctx, leave := context.WithTimeout(t.Context(), 10*ms)
+		defer leave()
+		ticket, refused := c.Admit(ctx, Request{Service: "s", Goal: time.Hour})
+		qt.Assert(t, ticket, qt.IsNil)
+		qt.Check(t, refused.Cause, qt.Equals, Abandoned)
+		qt.Check(t, counted, qt.HasLen, 0)
+		qt.Check(t, g.refused, qt.Equals, 0)
+		qt.Check(t, g.gate.waiting, qt.HasLen, 0)
+	})
+}
+
 // Guards against a service whose requests all hang after a panic in one of them.
 func TestPanicReleasesTheGate(t *testing.T) {
 	fail := true
@@ -319,7 +427,37 @@
 	qt.Check(t, g.sharesAt.Equal(at), qt.IsTrue)
 	g.Offer(Request{Account: "last"}, at.Add(sharesInterval))
 	qt.Check(t, g.sharesAt.Equal(at.Add(sharesInterval)), qt.IsTrue)
-	qt.Check(t, g.shares, qt.HasLen, 1002)
+	qt.Check(t, len(g.shares), qt.Equals, 1003) // one is of all small accounts together
+}
+
+// Guards against less urgent requests that get as much as urgent ones because each of many accounts sends only few.
+func TestSmallAccountsKeepThePriority(t *testing.T) {
+	for _, accounts := range []int{1, 10, 100, 1000} {
+		g, now := limitedGate(testTime) // for ten requests a second, of 100 ms each
+		rng := rand.New(rand.NewPCG(5, 0))
+		var offered, served [2]float64
+		var running []*Waiter
+		for end := now.Add(2 * time.Minute); now.Before(end); now = now.Add(time.Duration(rng.ExpFloat64() * float64(50*ms))) {
+			running = slices.DeleteFunc(running, func(w *Waiter) bool {
+				ended := !w.admittedAt.Add(100 * ms).After(now)
+				if ended {
+					g.Done(w, Outcome{Served: true, Took: 100 * ms}, now)
+				}
+				return ended
+			})
+			i := rng.IntN(2)
+			w := g.Offer(Request{Priority: 2 * i, Account: fmt.Sprint(rng.IntN(accounts))}, now)
+			g.Next(now)
+			offered[i]++
+			if w.Refusal == nil {
+				served[i]++
+				running = append(running, w)
+			}
+		}
+		t.Logf("%d accounts: urgent %.2f, others %.2f", accounts, served[0]/offered[0], served[1]/offered[1])
+		qt.Check(t, served[0] >= 0.75*offered[0], qt.IsTrue)
+		qt.Check(t, served[1] >= 0.05*offered[1] && served[1] <= 0.2*offered[1], qt.IsTrue)
+	}
 }
 
 // Guards against classes that are shut out because their requests take far longer than their share.
@@ -331,7 +469,7 @@
 	}
 	g, now := limitedGate(testTime)
 	for range minSamples {
-		g.Done(Request{}, Outcome{Served: true, Took: time.Minute}, now)
+		g.Done(&Waiter{}, Outcome{Served: true, Took: time.Minute}, now)
 	}
 	g.inProgress = 0
 	g.Offer(Request{Account: "a"}, now)
@@ -342,3 +480,42 @@
 	qt.Check(t, w.Settled && w.Refusal == nil, qt.IsTrue)
 	qt.Check(t, g.Offer(Request{Account: "b"}, now).Refusal, qt.IsNotNil)
 }
+
+// Guards against a priority that is served less than a quarter as often as all while more urgent ones could use all
+// capacity.
+func TestNoPriorityIsServedLessThanPartOfDemand(t *testing.T) {
+	for name, amounts := range map[string][]float64{"two": {10, 10}, "three": {10, 10, 10}, "few urgent": {6, 60}, "many urgent": {60, 6}, "one": {30}} {
+		const capacity = 10.0
+		var demands []demand
+		total := 0.0
+		for level, amount := range amounts {
+			demands = append(demands, demand{class: class{level: level, account: "a"}, amount: amount})
+			total += amount
+		}
+		given := 0.0
+		for c, share := range divide(demands, capacity) {
+			got := min(share, amounts[c.level])
+			given += got
+			qt.Check(t, got/amounts[c.level] >= leastServedShare*capacity/total-1e-9, qt.IsTrue, qt.Commentf("%s: level %d got %v", name, c.level, got))
+		}
+		qt.Check(t, given <= capacity+1e-9, qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// Guards against a router that is shut out because it has no request in progress at the moment at which the limit begins.
+func TestLimitBeginsAtUsualNumberOfRequests(t *testing.T) {
+	const perSecond, took = 27, 50 * ms
+	g, now := NewGate(ByPriority), testTime
+	for i := range 2 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		w := &Waiter{}
+		g.admit(w, now)
+		g.Done(w, Outcome{Served: true, Took: took}, now)
+		g.Observe(Signal{Incarnation: allServers[i%len(allServers)], Load: fullLoad, HasLoad: true}, now)
+		if g.Evaluate(allServers, now); g.Limited() {
+			break
+		}
+	}
+	qt.Assert(t, g.Limited(), qt.IsTrue)
+	qt.Check(t, g.limiter.limit >= maxShrink*0.25*perSecond*took.Seconds(), qt.IsTrue, qt.Commentf("limit %v", g.limiter.limit))
+}
--- a/internal/admission/look.go
+++ b/internal/admission/look.go
@@ -12,8 +12,8 @@
 	Limit      float64
 	InProgress int
 	Waiting    int
-	// Share of the request's class and what the class uses of it, without this request; set only if Limited. Share
-	// is infinite for a class that gets all it asks for.
+	// Share of the request's class, or of all small accounts if that limits it more, and what is used of it without
+	// this request; set only if Limited. Share is infinite for a class that gets all it asks for.
 	Share, Used float64
 	// Threshold is the use below which another request like this is admitted, so that the average use is the share.
 	// It is set only if Limited and Share is finite.
@@ -36,8 +36,8 @@
 	gate := c.copyGate(r.Service)
 	if gate.Due(now) && !gate.Rest(now) {
 		gate.Evaluate(c.options.Eligible(r.Service), now)
-		gate.Next(now)
 	}
+	gate.Next(now)
 	inProgress, waiting := gate.inProgress, len(gate.waiting)
 	w := gate.Offer(r, now)
 	if !w.Settled {
@@ -47,7 +47,8 @@
 		Pressure: gate.pressure, Measured: gate.evaluatedAt, Refusal: w.Refusal, Waits: !w.Settled,
 		Duration: time.Duration(gate.durations.expected(r) * float64(time.Second))}
 	if look.Limited {
-		look.Share, look.Used = gate.share(w.class), gate.admitted(w.class, now)
+		bound := gate.binding(w.class, w.weight, now)
+		look.Share, look.Used = gate.share(bound), gate.admitted(bound, now)
 		if look.Share < unlimited {
 			look.Threshold = threshold(look.Share, w.weight)
 		}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -6,32 +6,40 @@
 
 	"chicorytiller.example/chicorytiller/internal/admission"
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
 
 // Admission decides which requests are sent while a service's servers are full.
 type Admission interface {
-	// Admit waits until the request is admitted or refused. Done must be called on the ticket when an
+	// Admit waits until the request is admitted or refused, or its caller has left. Done must be called on the ticket when an
 	// admitted request ends.
 	Admit(ctx context.Context, r admission.Request) (*admission.Ticket, *admission.Refusal)
 	// Look returns what Admit would decide, and changes nothing.
 	Look(r admission.Request) admission.Look
 	// Observe takes over what a response says about its server's load.
 	Observe(service string, s admission.Signal)
+	// Short reports whether the service's capacity is short.
+	Short(service string) bool
+}
+
+// canRefuseLater reports whether the refusal would still be in time if a server rejected another attempt, which then
+// takes as long as the one that was rejected now. While capacity is short this is likely. A request that may have run
+// gets no refusal.
+func (t *task) canRefuseLater() bool {
+	now := time.Now()
+	inTime := now.Sub(t.r.Arrived)+now.Sub(t.sentAt) <= admission.RefuseWithin
+	return inTime || t.mayHaveRun || t.f.Admission == nil || !t.f.Admission.Short(t.r.Service)
 }
 
 // admitCapacity lets the request wait until there is capacity for it, or returns a refusal. The ticket is
 // nil if the request is not subject to admission: requests to fragile servers need a permit instead.
-func (f *Forwarder) admitCapacity(ctx context.Context, r *request.Request) (*admission.Ticket, *Refusal) {
+func (f *Forwarder) admitCapacity(ctx context.Context, r *request.Request) (*admission.Ticket, *admission.Refusal) {
 	if f.Admission == nil || f.isFragile(r.Service) {
 		return nil, nil
 	}
-	ticket, refused := f.Admission.Admit(ctx, f.admissionRequest(r))
-	if refused == nil {
-		return ticket, nil
-	}
-	return nil, admissionRefusal(refused)
+	return f.Admission.Admit(ctx, f.admissionRequest(r))
 }
 
 func admissionRefusal(refused *admission.Refusal) *Refusal {
@@ -40,8 +48,8 @@
 
 func (f *Forwarder) admissionRequest(r *request.Request) admission.Request {
 	a := admission.Request{
-		Service: r.Service, Route: r.Route.Name, Priority: r.Priority(), Deadline: f.deadline(r), Goal: r.Route.LatencyGoal,
-		Work: float64(r.MaxTokens()),
+		Service: r.Service, Route: r.Route.Name, Arrived: r.Arrived, Priority: r.Priority(), Deadline: f.deadline(r),
+		Goal: r.Route.LatencyGoal, Whole: r.Route.Kind != policy.Streaming, Work: float64(r.MaxTokens()),
 	}
 	if r.Account != nil {
 		a.Account = r.Account.Name
@@ -69,7 +77,7 @@
 // admissionOutcome returns what became of an admitted request.
 func (t *task) admissionOutcome() admission.Outcome {
 	if !t.answered {
-		return admission.Outcome{}
+		return admission.Outcome{Unsent: t.sends == 0}
 	}
 	return admission.Outcome{Served: true, Took: time.Since(t.sentAt)}
 }
