Probes of a path that is cut don't count for the link's delay

Cause: a router that is cut off from a server tries the direct path every 0.5 s beside its requests. Each timeout counted as the delay of the router's own link. If it was the only recent exchange, the link counted as full with a delay of 400 ms, and the list of servers as older by that: all requests were refused at once (backends_outdated, link_ms 400) for up to a quarter of a second, though a carrier reached the servers. Since refused requests make no exchange, none corrected the estimate.

A timeout at a server that other routers have reached no longer counts. Those of unknown and unreachable servers do, and so do dials to carriers, so that a full link is still seen.

Found with it: a dial that timed out was not always counted, because the connection's own deadline may fire before the context's.

--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -44,7 +44,7 @@
 	}
 	cut, unreachable := c.paths.lookup(server.Incarnation)
 	if cut || unreachable {
-		c.probe(server)
+		c.probe(server, cut)
 	}
 	switch {
 	case unreachable:
@@ -52,7 +52,7 @@
 	case cut:
 		return c.connectThroughCarrier(ctx, server)
 	}
-	raw, err := c.dial(ctx, server.Address, c.link.Timeout(dialTimeout, maxDialTimeout))
+	raw, err := c.dial(ctx, server.Address, c.link.Timeout(dialTimeout, maxDialTimeout), false)
 	if err == nil {
 		return newConn(raw), nil
 	}
@@ -94,18 +94,21 @@
 	return carried, nil
 }
 
-// dial opens a direct connection. Its duration is one round trip, whatever the server has to do.
-func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+// dial opens a direct connection. Its duration is one round trip, whatever the server has to do. knownCut says
+// that the server has answered other routers but not this one: a timeout then says nothing about the link,
+// and a router that took it for the link's delay would refuse requests that it can serve through a carrier.
+func (c *Client) dial(ctx context.Context, address string, timeout time.Duration, knownCut bool) (net.Conn, error) {
 	c.dials.Inc()
+	started := time.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	started := time.Now()
 	raw, err := tcpconn.Dialer.DialContext(dialCtx, "tcp", address)
+	took := time.Since(started)
 	switch {
 	case err == nil:
-		c.link.Observe(time.Since(started))
-	case dialCtx.Err() != nil && ctx.Err() == nil:
-		c.link.ObserveTimeout(time.Since(started))
+		c.link.Observe(took)
+	case os.IsTimeout(err) && took >= timeout && !knownCut: // the dial may time out before dialCtx says so
+		c.link.ObserveTimeout(took)
 	}
 	return raw, err
 }
@@ -115,7 +118,7 @@
 func (c *Client) DialForCarrier(ctx context.Context, server *fleet.Server) (net.Conn, error) {
 	cut, unreachable := c.paths.lookup(server.Incarnation)
 	if cut || unreachable {
-		c.probe(server)
+		c.probe(server, cut)
 		return nil, errUnreachable
 	}
 	c.dials.Inc()
@@ -127,12 +130,12 @@
 }
 
 // probe tries, in the background, to connect to a server whose path is cut or that nobody reached.
-func (c *Client) probe(server *fleet.Server) {
+func (c *Client) probe(server *fleet.Server, cut bool) {
 	if !c.paths.startProbe(server.Incarnation) {
 		return
 	}
 	c.probes.Go(func() {
-		raw, err := c.dial(context.Background(), server.Address, c.link.Timeout(dialTimeout, maxDialTimeout))
+		raw, err := c.dial(context.Background(), server.Address, c.link.Timeout(dialTimeout, maxDialTimeout), cut)
 		if err != nil {
 			c.probeCarriers(server, err)
 			return
--- a/internal/upstream/connect_test.go
+++ b/internal/upstream/connect_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +82,55 @@
 	_ = connection.Close() // only the way matters
 }
 
+// hangingServer returns a server that leaves connections without an answer: its accept queue is full.
+func hangingServer(t *testing.T) *fleet.Server {
+	socket := func() int {
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = syscall.Close(fd) }) // the test has ended
+		return fd
+	}
+	listening := socket()
+	qt.Assert(t, syscall.Bind(listening, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(t, syscall.Listen(listening, 0), qt.IsNil)
+	address, err := syscall.Getsockname(listening)
+	qt.Assert(t, err, qt.IsNil)
+	for range 3 {
+		_ = syscall.Connect(socket(), address) // in progress
+	}
+	return fleet.NewServer(fleet.Entry{ID: "a", Address: fmt.Sprint("127.0.0.1:", address.(*syscall.SockaddrInet4).Port)})
+}
+
+// Guards against a router that takes the timeouts of a path that it knows to be cut for the delay of its own
+// link, and refuses requests for it.
+func TestProbesOfCutPathShowNoFullLink(t *testing.T) {
+	server := hangingServer(t)
+	c := newTestClient(codec, &redirectingCarriers{to: listeningServer(t)})
+	start := time.Now()
+	c.paths.markCut(server.Incarnation)
+	time.Sleep(probeInterval)
+	connection, err := c.connect(context.Background(), server)
+	qt.Assert(t, err, qt.IsNil)
+	_ = connection.Close() // only the way matters
+	started := time.Now()
+	c.probes.Wait()
+	qt.Assert(t, time.Since(started) > dialTimeout/2, qt.IsTrue, qt.Commentf("no probe was made"))
+	qt.Assert(t, c.link.WasFull(start), qt.IsFalse)
+	qt.Assert(t, c.link.Delay(), qt.Equals, time.Duration(0))
+}
+
+// Guards against a full link that is not seen since a server that nobody reached doesn't answer.
+func TestProbesOfUnreachableServerShowFullLink(t *testing.T) {
+	server := hangingServer(t)
+	c := newTestClient(codec, noCarriers{})
+	c.paths.markUnreachable(server.Incarnation)
+	start := time.Now()
+	_, err := c.connect(context.Background(), server)
+	qt.Assert(t, err, qt.ErrorIs, errUnreachable)
+	c.probes.Wait()
+	qt.Assert(t, c.link.WasFull(start), qt.IsTrue)
+}
+
 // redirectingCarriers connect to another server in place of the one asked for.
 type redirectingCarriers struct {
 	to *fleet.Server
