Routers whose lease is gone register again at once

Cause: a router that learned from a renewal that the store had lost its lease waited for another renewal interval (0.9 s) before it registered, and was not listed meanwhile. If its first registration then fails as well (0.5 s, and 0.9 s until the next one), it is listed only 3.1 s after its path to the store has returned. TestRoutersStartedSinceCopyAreListedAgain allows 3 s.

The number of calls stays the same.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -40,7 +40,7 @@
 		case own.lease.IsNone() && n.hasRoutingData():
 			own = n.register(ctx)
 		case !own.lease.IsNone():
-			own = n.renew(ctx, n.writeOverload(ctx, own))
+			own = n.keepEntry(ctx, own)
 		}
 		select {
 		case <-ctx.Done():
@@ -111,6 +111,17 @@
 	return own
 }
 
+// keepEntry writes what changed and extends the lease. If the store has lost the lease, the router registers
+// again at once: it isn't listed until then, and after the usual interval one failed call would keep it
+// out of the list for seconds.
+func (n *Node) keepEntry(ctx context.Context, own ownEntry) ownEntry {
+	own = n.renew(ctx, n.writeOverload(ctx, own))
+	if own.lease.IsNone() {
+		return n.register(ctx)
+	}
+	return own
+}
+
 // renew extends the lease. It returns no lease if it is gone, in which case the router must register
 // again.
 func (n *Node) renew(ctx context.Context, own ownEntry) ownEntry {
