Stand-in engines with an uneven pace and slowly read bodies

Cause: the stand-in took the same time for the same work and read all bodies at once, unlike the servers of the two deployments with hard load.

Change: the engine's time for work changes every 0.6 s (one interval in seven takes 2.5 times as long, one engine in three always 1.3 times). The load header has the pace of 100 ms ago as its fourth figure; some headers have a nonsensical one. On some connections bodies are read in pieces of 1 KiB, 100 ms apart, with a read buffer of 4 KiB. All is off by default; flags of chicory-engine switch it on. Draws depend only on a seed and a number.

--- a/cmd/chicory-engine/main.go
+++ b/cmd/chicory-engine/main.go
@@ -78,6 +78,7 @@
 	app.Flag("delay", "Time that a service takes for a call.").Default("0s").DurationVar(&opts.service.Delay)
 	app.Flag("drain-limit", "Longest wait for running requests after SIGTERM.").Default("1m").DurationVar(&opts.drainLimit)
 	app.Flag("evidence", "File that an engine appends what it does to, as it happens.").StringVar(&opts.evidence)
+	addUnevenFlags(app, &opts.engine.Uneven)
 	kingpin.MustParse(app.Parse(args))
 	opts.service.ID = opts.engine.ID
 	opts.service.Slots = opts.engine.Slots
@@ -86,6 +87,14 @@
 	return opts
 }
 
+// addUnevenFlags adds the flags of engines that behave like uneven servers.
+func addUnevenFlags(app *kingpin.Application, uneven *enginestub.Uneven) {
+	app.Flag("seed", "Seed of the random draws of the flags below.").Default("1").Uint64Var(&uneven.Seed)
+	app.Flag("uneven-pace", "Vary the time that work takes, and report it.").BoolVar(&uneven.Pace)
+	app.Flag("nonsense-share", "Share of reports with a nonsensical pace, 0 to 1; needs --uneven-pace.").Default("0").Float64Var(&uneven.NonsenseShare)
+	app.Flag("slow-body-share", "Share of connections on which bodies are read slowly, 0 to 1.").Default("0").Float64Var(&uneven.SlowBodyShare)
+}
+
 // run serves requests until SIGTERM or SIGINT, then drains the server.
 func run(opts options) error {
 	if opts.evidence != "" {
--- a/internal/enginestub/control.go
+++ b/internal/enginestub/control.go
@@ -1,12 +1,12 @@
 package enginestub
 
-import "fmt"
-
-// load returns the value of the load header: "running,waiting,slots".
+// load returns the value of the load header.
 func (s *scheduler) load() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d", len(s.running), len(s.waiting), s.cfg.Slots)
+	s.reports++
+	report := loadReport{running: len(s.running), waiting: len(s.waiting), slots: s.cfg.Slots}
+	return report.header(s.clock.pace, s.now(), s.reports)
 }
 
 func (s *scheduler) runReport() RunReport {
--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -42,6 +42,7 @@
 	// that request, at the latest before its last token. Empty: never.
 	CrashMarker      string
 	CrashAfterTokens int
+	Uneven           Uneven
 	// ActivityLog receives one JSON line for each action of the engine when it happens; see
 	// ReadActivityLog. Nil disables the log.
 	ActivityLog io.Writer
@@ -68,6 +69,7 @@
 		clock = now[0]
 	}
 	s := &Server{httpServer: newHTTPServer(cfg.ID, cfg.ActivityLog), cfg: cfg}
+	s.uneven = cfg.Uneven
 	s.scheduler = newScheduler(cfg, clock, s.activity, s.crash)
 	s.addRoutes()
 	s.tasks.Go(s.scheduler.loop)
--- a/internal/enginestub/httpserver.go
+++ b/internal/enginestub/httpserver.go
@@ -23,11 +23,13 @@
 	app       *fiber.App
 	rateLimit advertisedLimit
 	activity  *activityLogger
+	uneven    Uneven
 
 	mu       sync.Mutex
 	closed   bool
 	listener net.Listener
 	conns    map[net.Conn]struct{}
+	accepted int64 // connections so far
 }
 
 func newHTTPServer(id string, activityLog io.Writer) *httpServer {
@@ -115,15 +117,18 @@
 }
 
 // addConn registers a new connection. A connection that was accepted during kill is closed, or
-// else it would outlive the crash and its requests would be answered.
-func (h *httpServer) addConn(conn net.Conn) {
+// else it would outlive the crash and its requests would be answered. It reports whether the
+// requests on the connection are to be read slowly.
+func (h *httpServer) addConn(conn net.Conn) (slow bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
 		_ = conn.Close()
-		return
+		return false
 	}
 	h.conns[conn] = struct{}{}
+	h.accepted++
+	return h.uneven.draw(drawSlowBody, h.accepted) < h.uneven.SlowBodyShare
 }
 
 func (h *httpServer) removeConn(conn net.Conn) {
@@ -144,8 +149,13 @@
 	if err != nil {
 		return nil, err
 	}
-	l.server.addConn(conn)
-	return &trackedConn{Conn: conn, server: l.server}, nil
+	slow := l.server.addConn(conn)
+	tracked := &trackedConn{Conn: conn, server: l.server}
+	if slow {
+		limitReadBuffer(conn)
+		return newSlowConn(tracked), nil
+	}
+	return tracked, nil
 }
 
 // trackedConn removes itself from the server when it is closed.
--- a/internal/enginestub/scheduler.go
+++ b/internal/enginestub/scheduler.go
@@ -35,7 +35,9 @@
 	anyModel          bool
 	arrivals          int
 	starts            int
-	outstandingTokens int // output tokens not yet generated, and prompt tokens of waiting sequences
+	reports           int64     // load headers so far
+	clock             paceClock // times of sequences are on this clock
+	outstandingTokens int       // output tokens not yet generated, and prompt tokens of waiting sequences
 	draining          bool
 	paused            bool
 	stopped           bool
@@ -54,6 +56,7 @@
 		runs:      newRunLog(),
 		models:    slices.Clone(cfg.Models),
 		anyModel:  len(cfg.Models) == 0,
+		clock:     paceClock{pace: newPace(cfg.Uneven)},
 	}
 	return s
 }
@@ -103,14 +106,15 @@
 	if s.stopped || s.paused {
 		return 0, true
 	}
-	s.admit(now)
+	work := s.clock.now(now)
+	s.admit(now, work)
 	kept := s.running[:0]
 	for _, seq := range s.running {
 		if seq.run.Tokens == seq.crashTokens {
 			s.crashLocked()
 			return 0, true
 		}
-		s.advance(seq, now)
+		s.advance(seq, work)
 		if seq.run.State == RunRunning {
 			kept = append(kept, seq)
 		}
@@ -121,10 +125,12 @@
 	if changed {
 		return 0, false // a slot is free: admit at once
 	}
-	return s.untilNextDue(now)
+	return s.untilNextDue(now, work)
 }
 
-func (s *scheduler) untilNextDue(now time.Time) (wait time.Duration, idle bool) {
+// untilNextDue returns the time until the next token is due or the pace changes. work is the time
+// on the pace clock.
+func (s *scheduler) untilNextDue(now, work time.Time) (wait time.Duration, idle bool) {
 	if len(s.running) == 0 {
 		return 0, true
 	}
@@ -135,11 +141,11 @@
 			earliest = due
 		}
 	}
-	return max(earliest.Sub(now), 0), false
+	return s.clock.pace.timeFor(now, max(earliest.Sub(work), 0)), false
 }
 
-// admit starts waiting sequences while slots are free.
-func (s *scheduler) admit(now time.Time) {
+// admit starts waiting sequences while slots are free. work is the time on the pace clock.
+func (s *scheduler) admit(now, work time.Time) {
 	for len(s.running) < s.cfg.Slots && len(s.waiting) > 0 {
 		seq := heap.Pop(&s.waiting).(*sequence)
 		s.starts++
@@ -149,15 +155,15 @@
 		cached := s.cache.use(seq.blockHashes) * blockTokens
 		seq.run.CachedTokens = min(cached, seq.run.PromptTokens)
 		uncachedTokens := seq.run.PromptTokens - seq.run.CachedTokens
-		seq.prefillEnd = now.Add(time.Duration(uncachedTokens) * s.cfg.PromptTokenTime)
+		seq.prefillEnd = work.Add(time.Duration(uncachedTokens) * s.cfg.PromptTokenTime)
 		s.outstandingTokens -= seq.run.PromptTokens
 		s.running = append(s.running, seq)
 	}
 }
 
-// advance generates the due tokens of a sequence.
-func (s *scheduler) advance(seq *sequence, now time.Time) {
-	generated := seq.tokensDue(now, s.cfg.TokenTime)
+// advance generates the due tokens of a sequence. work is the time on the pace clock.
+func (s *scheduler) advance(seq *sequence, work time.Time) {
+	generated := seq.tokensDue(work, s.cfg.TokenTime)
 	if seq.crashTokens >= 0 {
 		generated = min(generated, seq.crashTokens)
 	}
--- a/internal/native/backends.go
+++ b/internal/native/backends.go
@@ -20,7 +20,7 @@
 	HeaderAccount     = "X-Chicory-Account"
 	HeaderUrgency     = "X-Chicory-Urgency"      // 0 is the most urgent
 	HeaderNotExecuted = "X-Chicory-Not-Executed" // in answers: the request did not run
-	HeaderLoad        = "X-Chicory-Load"         // in answers: running,waiting,slots
+	HeaderLoad        = "X-Chicory-Load"         // in answers: running, waiting, slots and, where reported, the pace in percent
 	HeaderRateLimit   = "X-Chicory-Rate-Limit"   // in answers: requests per second that the server accepts from all routers together
 	HeaderFragile     = "X-Chicory-Fragile"      // in answers: requests per second that the server can reject without crashing
 	HeaderLeaving     = "X-Chicory-Leaving"      // in answers: "1" if the server is about to end
