Engines with a limited memory, and soak runs with uneven engines

Cause: stand-in engines had room for all requests, and the soak's engines were all alike, so that no test showed what routers make of preempted streams, of engines that read slowly and of nonsensical reports.

Change: an engine can have a memory in tokens for running requests and cached content. When it runs out, the newest of the least urgent requests is preempted, also in the middle of a stream, and is read again; a request that is larger than the memory is rejected with 429 as not run. The engine ends by SIGKILL on POST /stand-in/out-of-memory, or, with a flag, when its memory runs out. Half of the soak's runs have uneven engines: each kind is drawn by a random generator of its own, and the schedules of earlier seeds are the same without it. A run prints what is uneven and how often engines preempted a run and ended by memory.

Tests of enginestub and the schedule tests of soak pass with the race detector; TestShortSoak was not run yet.

--- a/cmd/chicory-engine/main.go
+++ b/cmd/chicory-engine/main.go
@@ -91,6 +91,8 @@
 func addUnevenFlags(app *kingpin.Application, uneven *enginestub.Uneven) {
 	app.Flag("seed", "Seed of the random draws of the flags below.").Default("1").Uint64Var(&uneven.Seed)
 	app.Flag("uneven-pace", "Vary the time that work takes, and report it.").BoolVar(&uneven.Pace)
+	app.Flag("memory", "Tokens of running requests and cached content that an engine holds; 0: unlimited.").Default("0").IntVar(&uneven.MemoryTokens)
+	app.Flag("exit-out-of-memory", "End the process by SIGKILL when the memory runs out, instead of preempting a request.").BoolVar(&uneven.ExitOutOfMemory)
 	app.Flag("nonsense-share", "Share of reports with a nonsensical pace, 0 to 1; needs --uneven-pace.").Default("0").Float64Var(&uneven.NonsenseShare)
 	app.Flag("slow-body-share", "Share of connections on which bodies are read slowly, 0 to 1.").Default("0").Float64Var(&uneven.SlowBodyShare)
 }
@@ -136,9 +138,15 @@
 		return enginestub.NewService(opts.service)
 	}
 	opts.engine.OnCrash = crash
+	opts.engine.OnOutOfMemory = killSelf
 	return enginestub.New(opts.engine)
 }
 
+// killSelf ends the process as the kernel does when the machine runs out of memory.
+func killSelf() {
+	_ = syscall.Kill(os.Getpid(), syscall.SIGKILL) // it can't fail
+}
+
 // drain stops accepting requests and shuts the server down once all requests are answered
 // or limit has passed.
 func drain(server backendServer, limit time.Duration) error {
--- a/internal/enginestub/activitylog.go
+++ b/internal/enginestub/activitylog.go
@@ -19,6 +19,8 @@
 	requestArrived   activityKind = "arrived"
 	requestAnswered  activityKind = "answered" // logged just before the response header is sent
 	runStarted       activityKind = "run_began"
+	endedByMemory    activityKind = "out_of_memory"
+	runPreempted     activityKind = "run_preempted" // it goes on later and is not logged as started again
 )
 
 // activityRecord is one line of an activity log.
@@ -59,6 +61,10 @@
 	Processes []ProcessActivity
 	// Runs counts the started runs by request ID.
 	Runs map[string]int
+	// Preemptions is the number of preemptions of runs.
+	Preemptions int
+	// MemoryExits is the number of processes that ended by memory.
+	MemoryExits int
 }
 
 // ErrMalformedLog is returned for an activity log that cannot be decoded.
@@ -97,6 +103,10 @@
 		process.markAnswered(record.Request, record.At)
 	case runStarted:
 		l.Runs[record.Request]++
+	case runPreempted:
+		l.Preemptions++
+	case endedByMemory:
+		l.MemoryExits++
 	}
 }
 
--- a/internal/enginestub/enginehandlers.go
+++ b/internal/enginestub/enginehandlers.go
@@ -13,12 +13,13 @@
 )
 
 func (s *Server) addRoutes() {
+	s.app.Post(OutOfMemoryPath, s.handleOutOfMemory)
 	s.app.Use(s.handleCommon)
 	s.app.Post("/v1/chat/completions", s.handleChatCompletions)
 	s.app.Get("/v1/runs", s.handleRuns)
 }
 
-// handleCommon is the middleware of all routes except RateLimitPath. It copies the request ID
+// handleCommon is the middleware of all routes except RateLimitPath and OutOfMemoryPath. It copies the request ID
 // to the response, rejects requests for another backend server and advertises the rate limit. It
 // does nothing for requests without an ID.
 func (h *httpServer) handleCommon(c *fiber.Ctx) error {
--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -49,6 +49,8 @@
 	// OnCrash is called once after a crash has closed all connections. It must not call
 	// methods of the Server, because the scheduler's lock is held.
 	OnCrash func()
+	// OnOutOfMemory is called instead of OnCrash if the engine ends by memory.
+	OnOutOfMemory func()
 }
 
 // Server simulates a model engine.
@@ -114,8 +116,12 @@
 // any further token can be read.
 func (s *Server) crash() {
 	s.kill()
-	if s.cfg.OnCrash != nil {
-		s.cfg.OnCrash()
+	onCrash := s.cfg.OnCrash
+	if s.scheduler.outOfMemory {
+		onCrash = s.cfg.OnOutOfMemory
+	}
+	if onCrash != nil {
+		onCrash()
 	}
 }
 
--- a/internal/enginestub/errorhandler.go
+++ b/internal/enginestub/errorhandler.go
@@ -34,7 +34,7 @@
 	switch {
 	case errors.Is(err, ErrUnavailable), errors.Is(err, ErrModelNotLoaded):
 		return fiber.StatusServiceUnavailable
-	case errors.Is(err, ErrQueueFull):
+	case errors.Is(err, ErrQueueFull), errors.Is(err, ErrTooLarge):
 		return fiber.StatusTooManyRequests
 	case errors.Is(err, ErrMisdirected):
 		return fiber.StatusMisdirectedRequest
--- a/internal/enginestub/prefixcache.go
+++ b/internal/enginestub/prefixcache.go
@@ -48,12 +48,21 @@
 		return
 	}
 	c.blocks[hash] = c.lru.PushFront(hash)
-	if len(c.blocks) <= c.capacity {
-		return
+	c.evict()
+}
+
+// resize sets the capacity and evicts what no longer fits.
+func (c *prefixCache) resize(capacityTokens int) {
+	c.capacity = capacityTokens / blockTokens
+	c.evict()
+}
+
+func (c *prefixCache) evict() {
+	for len(c.blocks) > c.capacity {
+		oldest := c.lru.Back()
+		c.lru.Remove(oldest)
+		delete(c.blocks, oldest.Value.(uint64))
 	}
-	oldest := c.lru.Back()
-	c.lru.Remove(oldest)
-	delete(c.blocks, oldest.Value.(uint64))
 }
 
 // prefixHashes returns a hash for each full block of the prompt. Each hash covers the model, the
--- a/internal/enginestub/runs.go
+++ b/internal/enginestub/runs.go
@@ -17,7 +17,8 @@
 	Start        int      `json:"start"` // position in the order of starts, from 1; 0: not started
 	Tokens       int      `json:"tokens"`
 	PromptTokens int      `json:"prompt_tokens"`
-	CachedTokens int      `json:"cached_tokens"`
+	CachedTokens int      `json:"cached_tokens"` // at the start
+	Preemptions  int      `json:"preemptions"`
 }
 
 // Run holds the attempts of one request.
--- a/internal/enginestub/scheduler.go
+++ b/internal/enginestub/scheduler.go
@@ -41,6 +41,7 @@
 	draining          bool
 	paused            bool
 	stopped           bool
+	outOfMemory       bool // the crash is one by memory
 }
 
 func newScheduler(cfg Config, now func() time.Time, activity *activityLogger, onCrash func()) *scheduler {
@@ -108,6 +109,9 @@
 	}
 	work := s.clock.now(now)
 	s.admit(now, work)
+	if !s.makeRoom(work) {
+		return 0, true
+	}
 	kept := s.running[:0]
 	for _, seq := range s.running {
 		if seq.run.Tokens == seq.crashTokens {
@@ -144,18 +148,21 @@
 	return s.clock.pace.timeFor(now, max(earliest.Sub(work), 0)), false
 }
 
-// admit starts waiting sequences while slots are free. work is the time on the pace clock.
+// admit starts waiting sequences while slots and memory are free, and lets preempted ones go on.
+// work is the time on the pace clock.
 func (s *scheduler) admit(now, work time.Time) {
-	for len(s.running) < s.cfg.Slots && len(s.waiting) > 0 {
+	for len(s.running) < s.cfg.Slots && len(s.waiting) > 0 && s.fits(s.waiting[0]) {
 		seq := heap.Pop(&s.waiting).(*sequence)
-		s.starts++
-		seq.run.Start = s.starts
-		s.activity.log(activityRecord{Kind: runStarted, At: now, Request: seq.requestID})
 		seq.run.State = RunRunning
-		cached := s.cache.use(seq.blockHashes) * blockTokens
-		seq.run.CachedTokens = min(cached, seq.run.PromptTokens)
-		uncachedTokens := seq.run.PromptTokens - seq.run.CachedTokens
-		seq.prefillEnd = work.Add(time.Duration(uncachedTokens) * s.cfg.PromptTokenTime)
+		cachedTokens := min(s.cache.use(seq.blockHashes)*blockTokens, seq.run.PromptTokens)
+		if seq.run.Start == 0 {
+			s.starts++
+			seq.run.Start = s.starts
+			s.activity.log(activityRecord{Kind: runStarted, At: now, Request: seq.requestID})
+			seq.run.CachedTokens = cachedTokens
+		}
+		seq.tokensRead = seq.run.Tokens
+		seq.prefillEnd = work.Add(time.Duration(seq.memoryTokens()-cachedTokens) * s.cfg.PromptTokenTime)
 		s.outstandingTokens -= seq.run.PromptTokens
 		s.running = append(s.running, seq)
 	}
--- a/internal/enginestub/sequence.go
+++ b/internal/enginestub/sequence.go
@@ -18,6 +18,7 @@
 	heapIndex    int      // index in the waiting heap; -1: not waiting
 	created      time.Time
 	prefillEnd   time.Time // when the prompt is processed, on the pace clock
+	tokensRead   int       // output tokens that were read again after the last preemption
 	crashTokens  int       // number of generated tokens at which the engine crashes; -1: never
 	run          *AttemptRun
 
@@ -63,13 +64,13 @@
 	if tokenTime == 0 {
 		return min(s.run.Tokens+untimedStepTokens, len(s.answer))
 	}
-	due := 1 + int(now.Sub(s.prefillEnd)/tokenTime)
+	due := s.tokensRead + 1 + int(now.Sub(s.prefillEnd)/tokenTime)
 	return min(due, len(s.answer))
 }
 
 // nextDue returns the time on the pace clock when the next token is due.
 func (s *sequence) nextDue(tokenTime time.Duration) time.Time {
-	return s.prefillEnd.Add(time.Duration(s.run.Tokens) * tokenTime)
+	return s.prefillEnd.Add(time.Duration(s.run.Tokens-s.tokensRead) * tokenTime)
 }
 
 // waitingHeap orders sequences by priority (highest first), then by arrival. It implements
@@ -79,10 +80,16 @@
 func (h waitingHeap) Len() int { return len(h) }
 
 func (h waitingHeap) Less(i, j int) bool {
-	if h[i].req.priority != h[j].req.priority {
-		return h[i].req.priority > h[j].req.priority
+	return h[i].before(h[j])
+}
+
+// before reports whether the sequence goes before another one: it is more urgent, or as urgent and
+// older.
+func (s *sequence) before(other *sequence) bool {
+	if s.req.priority != other.req.priority {
+		return s.req.priority > other.req.priority
 	}
-	return h[i].arrival < h[j].arrival
+	return s.arrival < other.arrival
 }
 
 func (h waitingHeap) Swap(i, j int) {
--- a/internal/enginestub/submit.go
+++ b/internal/enginestub/submit.go
@@ -12,6 +12,7 @@
 var (
 	ErrUnavailable      = errors.New("enginestub: leaving, takes no new work")
 	ErrQueueFull        = errors.New("enginestub: queue is full")
+	ErrTooLarge         = errors.New("enginestub: request is larger than the memory")
 	ErrModelNotLoaded   = errors.New("enginestub: model is not loaded")
 	ErrDuplicateAttempt = errors.New("enginestub: attempt is known already")
 	ErrMisdirected      = errors.New("enginestub: meant for another backend server")
@@ -76,6 +77,8 @@
 		return ErrDuplicateAttempt
 	case len(s.waiting) >= s.cfg.MaxWaiting:
 		return ErrQueueFull
+	case seq.maxMemoryTokens() > s.memoryCapacity():
+		return ErrTooLarge
 	default:
 		return nil
 	}
@@ -94,7 +97,7 @@
 	switch seq.run.State {
 	case RunWaiting:
 		heap.Remove(&s.waiting, seq.heapIndex)
-		s.outstandingTokens -= seq.run.PromptTokens + len(seq.answer)
+		s.outstandingTokens -= seq.maxMemoryTokens() - seq.run.Tokens
 	case RunRunning:
 		s.running = slices.DeleteFunc(s.running, func(other *sequence) bool { return other == seq })
 		s.outstandingTokens -= len(seq.answer) - seq.run.Tokens
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -53,11 +53,12 @@
 	serviceAddr   string
 	routers       []*router
 	keys          []string
+	uneven        unevenness
 }
 
 // startFleet starts a fleet that keeps its settings and logs in dir.
 func startFleet(o Options, dir string) (*fleet, error) {
-	f := &fleet{dir: dir}
+	f := &fleet{dir: dir, uneven: planUnevenness(o.Seed, engineCount)}
 	for _, step := range []func(Options) error{f.startStore, f.startBackends, f.configure, f.startRouters} {
 		if err := step(o); err != nil {
 			f.close()
@@ -91,8 +92,9 @@
 	for i, address := range addresses {
 		name := fmt.Sprintf("engine-%d", i+1)
 		activityLogPath := filepath.Join(f.dir, name+".evidence")
-		p := f.newProcess(o, name, "chicory-engine", "--id", name, "--model", model, "--slots", "16", "--token-time", "3ms",
-			"--listen", address, "--evidence", activityLogPath, "--software-version", engineVersions[i])
+		args := append([]string{"--id", name, "--model", model, "--slots", "16", "--token-time", "3ms",
+			"--listen", address, "--evidence", activityLogPath, "--software-version", engineVersions[i]}, f.uneven.args(i)...)
+		p := f.newProcess(o, name, "chicory-engine", args...)
 		if _, err := p.start(true); err != nil {
 			return err
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -103,6 +103,13 @@
 	_ = p.cmd.Process.Signal(sig) // the process may have exited: recordExit reports it
 }
 
+// expectStop notes that the process is about to end without a signal from the soak.
+func (p *process) expectStop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopRequested = true
+}
+
 func (p *process) startedAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -46,6 +46,7 @@
 	faults = append(faults, f.planEvacuations(seed, duration)...)
 	faults = append(faults, f.planLimits(seed, duration)...)
 	faults = append(faults, f.planEngineKills(seed, duration)...)
+	faults = append(faults, f.planMemoryExits(seed, duration)...)
 	if restores {
 		faults = append(faults, f.planRestores(seed, duration)...)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -82,6 +82,7 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return nil, err
 	}
+	fmt.Fprintln(o.Out, f.uneven)
 	budgetViolations, stopWatching := f.watchBudgets(ctx)
 	run, err := f.runLoad(ctx, o)
 	if err != nil {
@@ -96,6 +97,9 @@
 		return nil, err
 	}
 	violations = append(violations, outcomeViolations...)
+	if err := f.printUnevenEffects(o.Out); err != nil {
+		return nil, err
+	}
 	overLimit, err := f.checkLimits()
 	if err != nil {
 		return nil, err
@@ -148,7 +152,7 @@
 func (f *fleet) newRunner(pace load.Pace, seed uint64) (*load.Runner, error) {
 	workload, err := load.NewWorkload(load.WorkloadConfig{
 		Seed: seed, RunID: fmt.Sprintf("soak-%d-%d", seed, time.Now().UnixNano()), Accounts: accountCount, Model: model,
-		PromptBytes: 200, MinOutputTokens: 5, MaxOutputTokens: 120, Stream: true, Service: service, ServiceShare: 0.2,
+		PromptBytes: f.uneven.promptBytes(), MinOutputTokens: 5, MaxOutputTokens: 120, Stream: true, Service: service, ServiceShare: 0.2,
 		UnkeyedShare: 0.5, Answer: answerOf(engineVersions[0]), OtherAnswers: []load.AnswerFunc{answerOf(engineVersions[2])},
 	})
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,19 +50,22 @@
 	qt.Assert(t, Options{ProgramDir: t.TempDir()}.Validate(), qt.ErrorIs, ErrInvalidOptions)
 }
 
+// schedule returns the times and names of the faults of a seed.
+func schedule(seed uint64, uneven unevenness, duration time.Duration) []string {
+	f := &fleet{engines: []*process{{name: "e1"}, {name: "e2"}}, engineProxies: []*proxy{{}, {}}, uneven: uneven}
+	for _, name := range []string{"r1", "r2", "r3"} {
+		f.routers = append(f.routers, &router{process: &process{name: name}})
+	}
+	var list []string
+	for _, planned := range planFaults(f, seed, duration, false) {
+		list = append(list, planned.offset.String()+" "+planned.name)
+	}
+	return list
+}
+
 // Guards against schedules that a seed doesn't reproduce, and against missing kinds of faults.
 func TestScheduleIsDeterminedBySeed(t *testing.T) {
-	schedule := func(seed uint64) []string {
-		f := &fleet{engines: []*process{{name: "e1"}, {name: "e2"}}, engineProxies: []*proxy{{}, {}}}
-		for _, name := range []string{"r1", "r2", "r3"} {
-			f.routers = append(f.routers, &router{process: &process{name: name}})
-		}
-		var list []string
-		for _, planned := range planFaults(f, seed, 20*time.Second, false) {
-			list = append(list, planned.offset.String()+" "+planned.name)
-		}
-		return list
-	}
+	schedule := func(seed uint64) []string { return schedule(seed, unevenness{}, 20*time.Second) }
 	qt.Assert(t, schedule(7), qt.DeepEquals, schedule(7))
 	qt.Assert(t, schedule(7), qt.Not(qt.DeepEquals), schedule(8))
 	evacuations, limits, kills := 0, 0, 0
