Soak: a process that is ended while it starts is started again

Cause: if a second fault ended a process between its start and the end of the restart by the first fault, neither started it again, and a failed start was reported ("engine-2: EOF").

Change: the restart goes on until the process runs and no fault has asked it to stop. A start that fails for another reason is still recorded.

Measured: TestProcessEndedDuringItsStartIsStartedAgain fails without the change ("slow: EOF", process not running) and passes 8 of 8 with it, with the race detector at a machine load of 25. Nothing of what the soak checks changed otherwise.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -36,6 +36,9 @@
 // start starts the program. If readAddress is set, it returns the first line of the program's
 // output, on which the stubs print their address.
 func (p *process) start(readAddress bool) (string, error) {
+	p.mu.Lock()
+	p.stopRequested = false // also if there will be no process, so that endRestart records why
+	p.mu.Unlock()
 	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return "", errors.Wrap(err, p.name)
@@ -123,11 +126,13 @@
 	if !p.beginRestart() {
 		return // the other fault starts the process again
 	}
-	defer p.endRestart()
-	p.wait()
-	sleep(ctx, downtime)
-	if _, err := p.start(readAddress); err != nil {
-		p.recordFailure(err)
+	for {
+		p.wait()
+		sleep(ctx, downtime)
+		_, err := p.start(readAddress)
+		if p.endRestart(err) {
+			return
+		}
 	}
 }
 
@@ -141,16 +146,20 @@
 	return claimed
 }
 
-func (p *process) endRestart() {
+// endRestart ends a restart whose start returned err, and records a failed start. It returns false
+// if another fault has stopped the new process already and left it to this restart to start the
+// process once more.
+func (p *process) endRestart(err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopRequested {
+		return false
+	}
 	p.restarting = false
-}
-
-func (p *process) recordFailure(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.failures = append(p.failures, err.Error())
+	if err != nil {
+		p.failures = append(p.failures, err.Error())
+	}
+	return true
 }
 
 // wait waits until the process has exited.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 )
 
 // parentEnv is the environment variable that makes the test binary start a program and wait
@@ -42,6 +45,25 @@
 	}
 }
 
+// Guards against a process that stays down, and a failure that is reported, if two faults end it and
+// the second one does so while it starts.
+func TestProcessEndedDuringItsStartIsStartedAgain(t *testing.T) {
+	p := &process{name: "slow", path: "/bin/sh", args: []string{"-c", "sleep 0.2; echo ready; exec sleep 60"}, logPath: t.TempDir() + "/log"}
+	_, err := p.start(true)
+	qt.Assert(t, err, qt.IsNil)
+	first := p.startedAt()
+	var restart conc.WaitGroup
+	restart.Go(func() { p.restart(context.Background(), 0, syscall.SIGKILL, true) })
+	for p.startedAt().Equal(first) {
+		time.Sleep(time.Millisecond) // bounded by the timeout of go test
+	}
+	p.restart(context.Background(), 0, syscall.SIGKILL, true)
+	restart.Wait()
+	qt.Check(t, p.allFailures(), qt.HasLen, 0)
+	qt.Check(t, running(p.cmd.Process.Pid), qt.IsTrue)
+	p.kill()
+}
+
 // running reports whether a process is running. A zombie doesn't count.
 func running(pid int) bool {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
