--- a/internal/enginestub/enginestub.go
+++ b/internal/enginestub/enginestub.go
@@ -42,12 +42,15 @@
 	// that request, at the latest before its last token. Empty: never.
 	CrashMarker      string
 	CrashAfterTokens int
+	Uneven           Uneven
 	// ActivityLog receives one JSON line for each action of the engine when it happens; see
 	// ReadActivityLog. Nil disables the log.
 	ActivityLog io.Writer
 	// OnCrash is called once after a crash has closed all connections. It must not call
 	// methods of the Server, because the scheduler's lock is held.
 	OnCrash func()
+	// OnOutOfMemory is called instead of OnCrash if the engine ends by memory.
+	OnOutOfMemory func()
 }
 
 // Server simulates a model engine.
@@ -68,6 +71,7 @@
 		clock = now[0]
 	}
 	s := &Server{httpServer: newHTTPServer(cfg.ID, cfg.ActivityLog), cfg: cfg}
+	s.uneven = cfg.Uneven
 	s.scheduler = newScheduler(cfg, clock, s.activity, s.crash)
 	s.addRoutes()
 	s.tasks.Go(s.scheduler.loop)
@@ -112,8 +116,12 @@
 // any further token can be read.
 func (s *Server) crash() {
 	s.kill()
-	if s.cfg.OnCrash != nil {
-		s.cfg.OnCrash()
+	onCrash := s.cfg.OnCrash
+	if s.scheduler.outOfMemory {
+		onCrash = s.cfg.OnOutOfMemory
+	}
+	if onCrash != nil {
+		onCrash()
 	}
 }
 
