Use fragile servers' slots while routers end or a fleet is split

Of the free slots with nine routers of which one ends each 0.7 s, a third waited for routers that had ended, a third was left to a former grantor, and a sixth was paused by takeovers. In a split, requests mostly found no grantor.

A router that has started passes requests on to the former grantor until all routers know it. The next in rank stands in only for a router whose VM refuses connections, and then leaves it no slots; up to four in rank are tried. Permits of a router whose connection ended, or that missed a report, count only as long as exchanges at the server lately took, at most two seconds as before. Reports come each 400 ms and go on to the router that stands in. A server whose grantor can't be reached doesn't use up one of a request's three attempts. New fields of messages are ignored by older builds.

The simulated routers follow the same rules as the product's: they ask four in rank, go on to the next server if no grantor is reached (before, the request was dropped there), and close their connections when they end. Bounds are unchanged.

TestFragileServersAreUsedWhileRoutersEndOrAreSplit passes; all tests of the package pass at a machine load of 34. TestFragileServersStayUp with -race passed before (load 3) and after (load 24).

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -70,7 +70,7 @@
 	var denied []*fleet.Server
 	excluded := func(s *fleet.Server) bool { return t.excluded(s) || slices.Contains(denied, s) || t.isHeldOff(s) }
 	var first balance.Choice // whose queue has room
-	for len(denied) < maxPermitServers && ctx.Err() == nil {
+	for asked := 0; asked < maxPermitServers && ctx.Err() == nil; {
 		choice := t.f.Chooser.Choose(t.f.servers(t.r), t.r, excluded)
 		if choice.Server == nil {
 			break
@@ -80,8 +80,11 @@
 			return permitted{choice, release}, nil
 		}
 		denied = append(denied, choice.Server)
+		if !answer.Unreached {
+			asked++
+		}
 		refused = sooner(refused, answer)
-		if first.Server == nil && answer.HoldOff == 0 {
+		if first.Server == nil && answer.HoldOff == 0 && !answer.Unreached {
 			first = choice
 		}
 	}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	// maxGrantors is how many routers are asked for a permit: the grantor and, if it can't be reached,
-	// the next in rank.
-	maxGrantors = 2
 	// noGrantorRetryAfter is when a request may come back if no grantor can be reached. The list of
 	// routers is then without the dead ones.
 	noGrantorRetryAfter = time.Second
 	// noGrantorHoldOff is how long no permit is asked for after no grantor was reached.
 	noGrantorHoldOff = 250 * time.Millisecond
+	// maxRelayed bounds the memory for permits that were granted through this router, at about a hundred bytes
+	// each.
+	maxRelayed = 8192
 	// grantorHandover is how long after a change of the list of routers, or after the start of this
 	// process, another router may have granted permits that are in use.
 	grantorHandover = fleetCheckAfter + 400*time.Millisecond
@@ -49,6 +49,7 @@
 	lastPermit uint64
 	held       map[string]map[uint64]bool // permits of requests in progress, by incarnation of a server
 	holdOffs   map[string]holdOff         // by incarnation of a server
+	relayed    map[permits.ID]string      // addresses of the routers that granted permits through this one
 	// membersVersion is the version of the list of routers, and membersChanged when it was last found to
 	// have changed.
 	membersVersion uint64
@@ -62,7 +63,7 @@
 }
 
 func newPermitHolder(n *Node) *permitHolder {
-	p := &permitHolder{node: n, held: make(map[string]map[uint64]bool), holdOffs: make(map[string]holdOff), membersChanged: time.Now()}
+	p := &permitHolder{node: n, held: make(map[string]map[uint64]bool), holdOffs: make(map[string]holdOff), relayed: make(map[permits.ID]string), membersChanged: time.Now()}
 	p.grantor = &permits.Grantor{Takeover: p.isTakeover, OnChange: p.logChange, Now: time.Now}
 	return p
 }
@@ -92,11 +93,16 @@
 
 // grantors returns the addresses of the routers that are asked for a server's permits, in order.
 func (p *permitHolder) grantors(incarnation string) []string {
+	ranked := p.ranked(incarnation)
+	return ranked[:min(len(ranked), permits.MaxGrantors)]
+}
+
+// ranked returns the addresses of the routers in rank for a server's permits.
+func (p *permitHolder) ranked(incarnation string) []string {
 	n := p.node
 	members, version := n.members.Snapshot()
 	state := fleetState{version: version, stopping: n.stopping.Load()}
-	ranked := p.rankings.get(state, incarnation, func() []string { return n.rank(members, "grants for "+incarnation, state.stopping) })
-	return ranked[:min(len(ranked), maxGrantors)]
+	return p.rankings.get(state, incarnation, func() []string { return n.rank(members, "grants for "+incarnation, state.stopping) })
 }
 
 // describe returns what this router knows of a fragile server.
@@ -108,14 +114,19 @@
 // Acquire implements forward.Permits.
 func (p *permitHolder) Acquire(ctx context.Context, s *fleet.Server, priority int, wait time.Duration) (release func(permits.Outcome), answer permits.Answer) {
 	request := permits.Request{Holder: p.node.incarnation, Permit: p.nextPermit(), Server: p.describe(s), Priority: priority, Others: p.others(s), Wait: wait}
+	holdOff := noGrantorHoldOff
 	for i, address := range p.grantors(s.Incarnation) {
 		request.Standby = i > 0
 		answer, err := p.ask(ctx, address, s, request)
-		if errors.Is(err, peers.ErrOverdue) || errors.Is(err, peers.ErrDialTimeout) {
-			break // it may be alive, and another grantor would grant the same slots
+		if hasEnded(err) {
+			continue
 		}
 		if err != nil {
-			continue // the next in rank is asked
+			// It may be alive, and another grantor would grant the same slots.
+			if errors.Is(err, peers.ErrNotSent) {
+				holdOff = permits.CutHoldOff
+			}
+			break
 		}
 		p.recordHoldOff(s.Incarnation, priority, answer.HoldOff)
 		if !answer.Granted {
@@ -127,8 +138,14 @@
 		return func(o permits.Outcome) { p.release(address, s, request, o) }, answer
 	}
 	p.node.metrics.countPermit(permitUnreachable)
-	p.recordHoldOff(s.Incarnation, priority, noGrantorHoldOff)
-	return nil, permits.Answer{RetryAfter: noGrantorRetryAfter}
+	p.recordHoldOff(s.Incarnation, priority, holdOff)
+	return nil, permits.Answer{RetryAfter: noGrantorRetryAfter, Unreached: true}
+}
+
+// hasEnded reports whether a call failed because no router runs at the address that serves permits. One that
+// can't be reached for another reason may still grant them.
+func hasEnded(err error) bool {
+	return errors.Is(err, peers.ErrRefused) || errors.Is(err, peers.ErrNotServed)
 }
 
 // nextPermit returns the number of a new permit.
@@ -174,9 +191,114 @@
 
 func (p *permitHolder) ask(ctx context.Context, address string, s *fleet.Server, request permits.Request) (permits.Answer, error) {
 	if address == "" {
-		return p.grantor.Acquire(request), nil
+		return p.acquire(request), nil
+	}
+	late := func() { p.release(address, s, request, permits.Served) }
+	answer, err := p.node.peers.AcquirePermit(ctx, address, request, late)
+	if isBroken(err) {
+		// A new connection shows whether the router has ended. A permit may come twice.
+		answer, err = p.node.peers.AcquirePermit(ctx, address, request, late)
+	}
+	return answer, err
+}
+
+// isBroken reports whether the connection of a call failed. The call may have been served.
+func isBroken(err error) bool {
+	return errors.Is(err, peers.ErrUnreachable) && !errors.Is(err, peers.ErrOverdue)
+}
+
+// acquire answers a request for a permit that reached this router. Until all routers know that this one has
+// started, others ask the next in rank, so the request is passed on to that one.
+func (p *permitHolder) acquire(r permits.Request) permits.Answer {
+	if !p.isRelaying(r.Server.Service, r.Relays) {
+		return p.grantor.Acquire(r)
+	}
+	relayed := r
+	relayed.Relays++
+	release := permits.Release{Holder: r.Holder, Permit: r.Permit, Server: r.Server, Outcome: permits.Served}
+	for i, address := range p.following(r.Server.Incarnation) {
+		relayed.Standby = i > 0
+		answer, err := p.node.peers.AcquirePermit(context.Background(), address, relayed, func() { p.sendRelease(address, release) })
+		switch {
+		case hasEnded(err) || isBroken(err):
+			continue
+		case err != nil:
+			return permits.Answer{RetryAfter: noGrantorRetryAfter, HoldOff: noGrantorHoldOff}
+		case answer.Granted:
+			p.recordRelayed(permits.ID{Holder: r.Holder, Permit: r.Permit}, address)
+			p.grantor.Record(r)
+		}
+		return answer
+	}
+	return p.grantor.Acquire(r)
+}
+
+// isRelaying reports whether this router leaves the servers of a service to the next in rank.
+func (p *permitHolder) isRelaying(service string, relays int) bool {
+	rate, fragile := p.node.fragility.Lookup(service)
+	return relays < permits.MaxRelays && fragile && time.Since(rate.Since) >= fragileStart && time.Since(p.node.createdAt) < grantorHandover
+}
+
+// following returns the addresses of the routers that rank after this one for a server's permits.
+func (p *permitHolder) following(incarnation string) []string {
+	ranked := p.ranked(incarnation)
+	ranked = ranked[slices.Index(ranked, "")+1:]
+	return ranked[:min(len(ranked), permits.MaxGrantors)]
+}
+
+func (p *permitHolder) recordRelayed(id permits.ID, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.relayed) >= maxRelayed {
+		clear(p.relayed) // their grantors learn of their ends from reports
+	}
+	p.relayed[id] = address
+}
+
+// takeBack takes back a permit that this router granted or passed on.
+func (p *permitHolder) takeBack(r permits.Release) {
+	p.grantor.Release(r)
+	id := permits.ID{Holder: r.Holder, Permit: r.Permit}
+	p.mu.Lock()
+	address, relayed := p.relayed[id]
+	delete(p.relayed, id)
+	p.mu.Unlock()
+	if relayed {
+		p.sendRelease(address, r)
+	}
+}
+
+// sendRelease returns a permit to another router.
+func (p *permitHolder) sendRelease(address string, r permits.Release) {
+	p.releases.Go(func() {
+		if err := p.node.peers.ReleasePermit(context.Background(), address, r); err != nil {
+			p.node.metrics.countPermit(permitNotReturned)
+		}
+	})
+}
+
+// takeReport takes over a report that reached this router.
+func (p *permitHolder) takeReport(r permits.Report) {
+	own, relayed := r, make(map[string][]permits.Usage)
+	own.Usages = nil
+	for _, u := range r.Usages {
+		following := p.following(u.Server.Incarnation)
+		if len(following) == 0 || !p.isRelaying(u.Server.Service, r.Relays) {
+			own.Usages = append(own.Usages, u)
+			continue
+		}
+		relayed[following[0]] = append(relayed[following[0]], u)
+	}
+	p.grantor.Report(own)
+	for address, usages := range relayed {
+		report := permits.Report{Holder: r.Holder, Usages: usages, Interval: r.Interval, Relays: r.Relays + 1}
+		p.grantor.RecordReport(report)
+		p.releases.Go(func() {
+			if err := p.node.peers.ReportRequests(context.Background(), address, report); err != nil {
+				p.node.metrics.countPermit(permitNotReported)
+			}
+		})
 	}
-	return p.node.peers.AcquirePermit(ctx, address, request, func() { p.release(address, s, request, permits.Served) })
 }
 
 // release returns a permit. If that fails, the grantor learns of it from the next report.
@@ -184,14 +306,10 @@
 	p.drop(s.Incarnation, granted.Permit)
 	release := permits.Release{Holder: granted.Holder, Permit: granted.Permit, Server: p.describe(s), Outcome: outcome, Load: s.ReportedLoad(time.Now())}
 	if address == "" {
-		p.grantor.Release(release)
+		p.takeBack(release)
 		return
 	}
-	p.releases.Go(func() {
-		if err := p.node.peers.ReleasePermit(context.Background(), address, release); err != nil {
-			p.node.metrics.countPermit(permitNotReturned)
-		}
-	})
+	p.sendRelease(address, release)
 }
 
 // HeldOff implements forward.Permits.
@@ -239,25 +357,35 @@
 }
 
 func (p *permitHolder) reportOnce(ctx context.Context) {
-	usages := make(map[string][]permits.Usage) // by address of the first grantor
+	type destination struct {
+		first, second string // addresses of the first two grantors
+		alone         bool   // there is no second
+	}
+	usages := make(map[destination][]permits.Usage)
 	for service := range p.node.fragility.InForce() {
 		for _, s := range p.node.registry.View().ByService[service] {
 			grantors := p.grantors(s.Incarnation)
 			usage := permits.Usage{Server: p.describe(s), Permits: p.heldPermits(s.Incarnation), Others: p.others(s)}
-			if len(usage.Permits)+usage.Others > 0 && len(grantors) > 0 {
-				usages[grantors[0]] = append(usages[grantors[0]], usage)
+			if len(usage.Permits)+usage.Others == 0 || len(grantors) == 0 {
+				continue
 			}
+			to := destination{first: grantors[0], alone: len(grantors) == 1}
+			if !to.alone {
+				to.second = grantors[1]
+			}
+			usages[to] = append(usages[to], usage)
 		}
 	}
 	var calls conc.WaitGroup
-	for address, list := range usages {
-		report := permits.Report{Holder: p.node.incarnation, Usages: list}
-		if address == "" {
-			p.grantor.Report(report)
-			continue
-		}
+	for to, list := range usages {
 		calls.Go(func() {
-			if err := p.node.peers.ReportRequests(ctx, address, report); err != nil {
+			report := permits.Report{Holder: p.node.incarnation, Usages: list, Interval: permits.ReportInterval}
+			err := p.sendReport(ctx, to.first, report)
+			if hasEnded(err) && !to.alone {
+				report.Standby = true
+				err = p.sendReport(ctx, to.second, report)
+			}
+			if err != nil {
 				p.node.metrics.countPermit(permitNotReported)
 			}
 		})
@@ -265,17 +393,34 @@
 	calls.Wait()
 }
 
+func (p *permitHolder) sendReport(ctx context.Context, address string, r permits.Report) error {
+	if address == "" {
+		p.takeReport(r)
+		return nil
+	}
+	err := p.node.peers.ReportRequests(ctx, address, r)
+	if isBroken(err) {
+		err = p.node.peers.ReportRequests(ctx, address, r) // on a new connection
+	}
+	return err
+}
+
 // AcquirePermit implements peers.StateSource.
 func (n *Node) AcquirePermit(r permits.Request) permits.Answer {
-	return n.permits.grantor.Acquire(r)
+	return n.permits.acquire(r)
 }
 
 // ReleasePermit implements peers.StateSource.
 func (n *Node) ReleasePermit(r permits.Release) {
-	n.permits.grantor.Release(r)
+	n.permits.takeBack(r)
 }
 
 // ReportRequests implements peers.StateSource.
 func (n *Node) ReportRequests(r permits.Report) {
-	n.permits.grantor.Report(r)
+	n.permits.takeReport(r)
+}
+
+// RouterDisconnected implements peers.StateSource.
+func (n *Node) RouterDisconnected(holder string) {
+	n.permits.grantor.Disconnected(holder)
 }
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,9 @@
 // ErrDialTimeout: a peer could not be connected to in time; it has not run the call.
 var ErrDialTimeout = errors.Wrap(ErrNotSent, "connecting timed out")
 
+// ErrRefused: a peer's VM refused the connection, as it does while no router runs there.
+var ErrRefused = errors.Wrap(ErrNotSent, "connection refused")
+
 // ErrNotServed: a peer answered that it can't serve the call, as routers of an older version do.
 var ErrNotServed = errors.New("peers: not served")
 
@@ -288,6 +292,9 @@
 		if os.IsTimeout(err) {
 			return ErrDialTimeout
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return ErrRefused
+		}
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	started := time.Now()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -57,6 +57,7 @@
 func (emptyState) AcquirePermit(permits.Request) permits.Answer { return permits.Answer{Granted: true} }
 func (emptyState) ReleasePermit(permits.Release)                {}
 func (emptyState) ReportRequests(permits.Report)                {}
+func (emptyState) RouterDisconnected(string)                    {}
 func (emptyState) Explain(explain.Query) (explain.Report, error) {
 	return explain.Report{}, nil
 }
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/explain"
@@ -119,6 +120,8 @@
 	ReleasePermit(r permits.Release)
 	// ReportRequests takes over another router's numbers of requests in progress at fragile servers.
 	ReportRequests(r permits.Report)
+	// RouterDisconnected tells that a connection ended on which a router asked for permits or reported.
+	RouterDisconnected(holder string)
 	// FindStream returns the version at which a stream began, if this router knows it.
 	FindStream(key streams.Key) (version string, found bool)
 	// Explain returns what would become of a request now, and changes nothing.
@@ -237,6 +240,29 @@
 	return err
 }
 
+// connectionService serves the calls of one connection. It tells when the connection of a router ends that has
+// permits.
+type connectionService struct {
+	*Service
+	holder atomic.Pointer[string]
+}
+
+// AcquirePermit is Service.AcquirePermit.
+func (c *connectionService) AcquirePermit(request permits.Request, answer *permits.Answer) error {
+	if request.Relays == 0 { // otherwise the caller is not the holder
+		c.holder.Store(&request.Holder)
+	}
+	return c.Service.AcquirePermit(request, answer)
+}
+
+// ReportRequests is Service.ReportRequests.
+func (c *connectionService) ReportRequests(report permits.Report, answer *struct{}) error {
+	if report.Relays == 0 {
+		c.holder.Store(&report.Holder)
+	}
+	return c.Service.ReportRequests(report, answer)
+}
+
 // TunnelServer serves connections that begin with tunnel.Prefix. r holds what was read of conn.
 type TunnelServer interface {
 	ServeConn(conn net.Conn, r *bufio.Reader)
@@ -244,16 +270,13 @@
 
 // Serve answers peers until the listener is closed, and returns the listener's error.
 func Serve(l net.Listener, lender Lender, state StateSource, clock Clock, tunnels TunnelServer) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Service{lender: lender, state: state, clock: clock, transfers: newTransfers()}); err != nil {
-		return err
-	}
+	service := &Service{lender: lender, state: state, clock: clock, transfers: newTransfers()}
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return err
 		}
-		go serveConn(conn, server, tunnels) // returns when the peer disconnects
+		go serveConn(conn, service, tunnels) // returns when the peer disconnects
 	}
 }
 
@@ -268,7 +291,7 @@
 }
 
 // serveConn serves calls, or a tunnel if the connection begins as one does.
-func serveConn(conn net.Conn, calls *rpc.Server, tunnels TunnelServer) {
+func serveConn(conn net.Conn, service *Service, tunnels TunnelServer) {
 	r := bufio.NewReader(conn)
 	head, err := r.Peek(len(tunnel.Prefix))
 	if err != nil {
@@ -279,5 +302,14 @@
 		tunnels.ServeConn(conn, r)
 		return
 	}
+	calls := rpc.NewServer()
+	session := &connectionService{Service: service}
+	if err := calls.RegisterName(serviceName, session); err != nil {
+		_ = conn.Close()
+		return
+	}
 	calls.ServeConn(bufferedConn{Conn: conn, reader: r})
+	if holder := session.holder.Load(); holder != nil {
+		service.state.RouterDisconnected(*holder)
+	}
 }
--- a/internal/permits/grantor.go
+++ b/internal/permits/grantor.go
@@ -28,6 +28,8 @@
 	mu      sync.Mutex
 	servers map[string]*server // by incarnation
 	pruned  time.Time
+	// oldReportAt is when a router of an older build last reported, which does so less often.
+	oldReportAt time.Time
 }
 
 // Acquire grants or denies a permit. It waits up to the request's Wait.
@@ -81,8 +83,52 @@
 func (g *Grantor) Report(r Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.noteInterval(r)
 	for _, u := range r.Usages {
-		g.server(u.Server, false).report(r.Holder, u, g.Now())
+		g.server(u.Server, r.Standby).report(r.Holder, u, g.Now())
+	}
+}
+
+// Record takes over a permit that another grantor granted through this router. This router knows so, when it
+// becomes the grantor itself, what is in progress.
+func (g *Grantor) Record(r Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.relayedServer(r.Server).record(r, g.Now())
+}
+
+// RecordReport takes over a report that this router passes on to another grantor.
+func (g *Grantor) RecordReport(r Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteInterval(r)
+	for _, u := range r.Usages {
+		g.relayedServer(u.Server).report(r.Holder, u, g.Now())
+	}
+}
+
+// noteInterval takes over how often a router reports. g.mu must be held.
+func (g *Grantor) noteInterval(r Report) {
+	if r.Interval == 0 {
+		g.oldReportAt = g.Now()
+	}
+}
+
+// reportInterval returns the time within which all routers have reported. g.mu must be held.
+func (g *Grantor) reportInterval() time.Duration {
+	if g.Now().Sub(g.oldReportAt) < oldBuildTTL {
+		return oldReportInterval
+	}
+	return ReportInterval
+}
+
+// Disconnected tells that the connection of a router has ended. If it is not heard of again, its requests
+// count for as long as requests at the server take.
+func (g *Grantor) Disconnected(holder string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		s.disconnected(holder, g.Now())
 	}
 }
 
@@ -93,30 +139,50 @@
 	return len(g.servers)
 }
 
-// server returns the state of a server, which is new if there was none. g.mu must be held.
+// server returns the state of a server that this router grants permits for. It is new if there was none. It is no
+// longer valid if this router stands in for another one that has granted permits since. g.mu must be held.
 func (g *Grantor) server(s Server, standby bool) *server {
 	g.prune()
+	now := g.Now()
 	known := g.servers[s.Incarnation]
-	if known == nil {
-		if g.servers == nil {
-			g.servers = make(map[string]*server)
-		}
-		known = newServer(s, g.Now())
+	switch {
+	case known == nil:
+		known = g.add(s)
 		if standby || g.Takeover(s.Service) {
-			known.takeOver(g.Now())
+			known.takeOver(now, standby, g.reportInterval())
 		}
-		g.servers[s.Incarnation] = known
+	case standby && now.Sub(known.lastUse) >= staleAfter:
+		known.takeOver(now, standby, g.reportInterval())
 	}
 	return known
 }
 
+// relayedServer returns the state of a server whose permits another router grants. g.mu must be held.
+func (g *Grantor) relayedServer(s Server) *server {
+	g.prune()
+	if known := g.servers[s.Incarnation]; known != nil {
+		return known
+	}
+	return g.add(s)
+}
+
+// add adds the state of a server. g.mu must be held.
+func (g *Grantor) add(s Server) *server {
+	if g.servers == nil {
+		g.servers = make(map[string]*server)
+	}
+	added := newServer(s, g.Now())
+	g.servers[s.Incarnation] = added
+	return added
+}
+
 // reportChange calls OnChange if the limit of a server is not what it was before.
 func (g *Grantor) reportChange(server Server, s *server, before int) {
 	if s.limit == before {
 		return
 	}
 	now := g.Now()
-	g.OnChange(Change{Server: server, Limit: s.limit, InProgress: s.inProgress(),
+	g.OnChange(Change{Server: server, Limit: s.limit, InProgress: s.inProgress(now),
 		Rejections: s.rejections.count(now, rejectionWindow)})
 }
 
--- a/internal/permits/permits.go
+++ b/internal/permits/permits.go
@@ -12,10 +12,29 @@
 	// below the timeout of calls between routers.
 	MaxWait = 100 * time.Millisecond
 	// ReportInterval is how often a router reports its requests in progress to the grantors.
-	ReportInterval = 500 * time.Millisecond
-	// holderTTL is how long the requests of a router count that was not heard of again. It outlasts a
-	// report that is lost.
+	ReportInterval = 400 * time.Millisecond
+	// oldReportInterval is that of routers of older builds, whose reports don't tell it.
+	oldReportInterval = 500 * time.Millisecond
+	// oldBuildTTL is how long after such a report a grantor that takes over waits for others like it.
+	oldBuildTTL = time.Minute
+	// MaxGrantors is how many routers are asked for a permit: the grantor and, while those before them
+	// have ended, the next in rank. In a small fleet two routers in a row are often ended at once.
+	MaxGrantors = 4
+	// MaxRelays is how many routers that have just started pass a request on to the next in rank.
+	MaxRelays = 2
+	// CutHoldOff is how long a router does not ask for permits of a server whose grantor it is cut off from.
+	// Each such attempt takes a request's time and one of the few servers that it may ask for.
+	CutHoldOff = time.Second
+	// holderTTL is the longest time that the requests of a router count that was not heard of again. It
+	// outlasts a report that is lost. It is shorter for a server whose requests are short.
 	holderTTL = 2 * time.Second
+	// silentAfter is the time after which a router that has requests in progress has missed a report.
+	silentAfter = ReportInterval + 100*time.Millisecond
+	// durationWindow is the time over which the longest exchange at a server is found.
+	durationWindow = 5 * time.Second
+	// staleAfter is how long a server's state stays valid without a message. Other routers may have granted
+	// permits since.
+	staleAfter = time.Second
 	// lostAfter is how long after a grant its holder must know of it. It is longer than a call and
 	// the wait for its late answer.
 	lostAfter = 1500 * time.Millisecond
@@ -49,8 +68,10 @@
 	Others int
 	// Wait is how long the request may wait in the queue, up to MaxWait.
 	Wait time.Duration
-	// Standby is set if the router that ranks before the grantor can't be reached.
+	// Standby is set if the router that ranks before the grantor has ended.
 	Standby bool
+	// Relays is the number of routers that have passed the request on.
+	Relays int
 }
 
 // Answer is the answer to a Request.
@@ -61,6 +82,8 @@
 	// HoldOff is the time for which the router should not ask again for requests that are not more
 	// urgent, because the queue is full.
 	HoldOff time.Duration
+	// Unreached is set by the router that asks, if it could not reach a grantor.
+	Unreached bool
 }
 
 // Outcome is what became of a request that had a permit.
@@ -85,6 +108,12 @@
 	Load int
 }
 
+// ID identifies a permit.
+type ID struct {
+	Holder string
+	Permit uint64
+}
+
 // Usage tells a router's requests in progress at a server.
 type Usage struct {
 	Server  Server
@@ -96,4 +125,10 @@
 type Report struct {
 	Holder string
 	Usages []Usage
+	// Standby is set if the router that ranks before the grantor has ended.
+	Standby bool
+	// Relays is the number of routers that have passed the report on.
+	Relays int
+	// Interval is the time between two reports of the holder; zero for routers of older builds.
+	Interval time.Duration
 }
--- a/internal/permits/server.go
+++ b/internal/permits/server.go
@@ -51,20 +51,37 @@
 
 	// takeoverUntil is when another router can no longer grant permits for the server.
 	takeoverUntil time.Time
-	releases      recent
-	denials       recent
-	lastUse       time.Time
+	formerEnded   bool
+	// longest and longestBefore are the longest exchanges since durationsSince and in the window before.
+	longest, longestBefore time.Duration
+	durationsSince         time.Time
+	releases               recent
+	denials                recent
+	lastUse                time.Time
 }
 
 // holder is a router that has requests in progress.
 type holder struct {
 	permits map[uint64]time.Time // when they were granted
-	others  int                  // requests without a permit
+	// foreign are those that another router granted, by the holder's last report.
+	foreign []uint64
+	others  int // requests without a permit
+	heard   time.Time
 	expires time.Time
 }
 
-func (h *holder) inProgress() int {
-	return len(h.permits) + h.others
+// inProgress returns the requests that count: none once the holder has been silent for too long.
+func (h *holder) inProgress(now time.Time) int {
+	if !now.Before(h.expires) {
+		return 0
+	}
+	return len(h.permits) + len(h.foreign) + h.others
+}
+
+// isForgotten reports whether the holder has no requests. Those of a silent one are kept up to holderTTL: they
+// count again if it was only slow.
+func (h *holder) isForgotten(now time.Time) bool {
+	return len(h.permits)+len(h.foreign)+h.others == 0 || now.Sub(h.heard) >= holderTTL
 }
 
 // waiter is a request that is answered at once or later, by a single call of answer.
@@ -82,10 +99,11 @@
 
 // takeOver prepares for permits of another grantor. Nothing is granted until all routers have reported theirs.
 // Some routers may ask the other one until they know that it no longer is the grantor, so half of the slots
-// are left to it.
-func (s *server) takeOver(now time.Time) {
-	s.pausedUntil = now.Add(ReportInterval)
+// are left to it, unless it has ended.
+func (s *server) takeOver(now time.Time, ended bool, reportInterval time.Duration) {
+	s.pausedUntil = now.Add(reportInterval)
 	s.takeoverUntil = now.Add(takeoverTime)
+	s.formerEnded = ended
 }
 
 // update takes over what a router knows of the server. The least number of slots applies that any
@@ -125,17 +143,17 @@
 // hasRoom reports whether the server can take another request.
 func (s *server) hasRoom(now time.Time) bool {
 	limit := s.limit
-	if now.Before(s.takeoverUntil) {
+	if now.Before(s.takeoverUntil) && !s.formerEnded {
 		limit = max(1, limit/2)
 	}
-	return s.inProgress() < limit
+	return s.inProgress(now) < limit
 }
 
 // inProgress returns the number of requests in progress of all routers, as far as known.
-func (s *server) inProgress() int {
+func (s *server) inProgress(now time.Time) int {
 	sum := len(s.lingering)
 	for _, h := range s.holders {
-		sum += h.inProgress()
+		sum += h.inProgress(now)
 	}
 	return sum
 }
@@ -144,7 +162,7 @@
 func (s *server) expire(now time.Time) {
 	s.lastUse = now
 	for name, h := range s.holders {
-		if h.inProgress() == 0 || !now.Before(h.expires) {
+		if h.isForgotten(now) {
 			delete(s.holders, name)
 		}
 	}
@@ -157,6 +175,50 @@
 	w.answer(Answer{Granted: true})
 }
 
+// record takes over a permit that another router granted.
+func (s *server) record(r Request, now time.Time) {
+	s.update(r.Server)
+	s.expire(now)
+	h := s.holder(r.Holder, now)
+	h.permits[r.Permit], h.others = now, r.Others
+}
+
+// disconnected shortens the time for which a router's requests count.
+func (s *server) disconnected(name string, now time.Time) {
+	h, longest := s.holders[name], s.longestExchange(now)
+	if until := now.Add(longest); h != nil && longest > 0 && until.Before(h.expires) {
+		h.expires = until
+	}
+}
+
+// longestExchange returns the longest recent time from a permit's grant to its return; zero if unknown.
+func (s *server) longestExchange(now time.Time) time.Duration {
+	if now.Sub(s.durationsSince) >= 2*durationWindow {
+		return 0
+	}
+	return max(s.longest, s.longestBefore)
+}
+
+// recordExchange takes over how long a request took.
+func (s *server) recordExchange(took time.Duration, now time.Time) {
+	switch age := now.Sub(s.durationsSince); {
+	case age >= 2*durationWindow:
+		s.longest, s.longestBefore, s.durationsSince = 0, 0, now
+	case age >= durationWindow:
+		s.longest, s.longestBefore, s.durationsSince = 0, s.longest, now
+	}
+	s.longest = max(s.longest, took)
+}
+
+// silentTTL returns how long the requests of a router count that is not heard of. They may have ended when it
+// has missed a report and as much time has passed as requests at the server take.
+func (s *server) silentTTL(now time.Time) time.Duration {
+	if longest := s.longestExchange(now); longest > 0 {
+		return min(holderTTL, silentAfter+longest)
+	}
+	return holderTTL
+}
+
 // holder returns the state of a router that was heard of now.
 func (s *server) holder(name string, now time.Time) *holder {
 	h := s.holders[name]
@@ -164,7 +226,7 @@
 		h = &holder{permits: make(map[uint64]time.Time)}
 		s.holders[name] = h
 	}
-	h.expires = now.Add(holderTTL)
+	h.heard, h.expires = now, now.Add(s.silentTTL(now))
 	return h
 }
 
@@ -218,9 +280,13 @@
 func (s *server) release(r Release, now time.Time) {
 	s.update(r.Server)
 	s.expire(now)
-	before := s.inProgress()
+	before := s.inProgress(now)
 	if h := s.holders[r.Holder]; h != nil {
+		if granted, known := h.permits[r.Permit]; known {
+			s.recordExchange(now.Sub(granted), now)
+		}
 		delete(h.permits, r.Permit)
+		h.foreign = slices.DeleteFunc(h.foreign, func(permit uint64) bool { return permit == r.Permit })
 	}
 	switch r.Outcome {
 	case Served:
@@ -236,7 +302,7 @@
 
 // report takes over a router's requests in progress. A permit that the router doesn't name was lost with the
 // answer that granted it, unless it was granted just now. One that is unknown here was granted by another
-// router.
+// router, to which it is returned: it counts until the next report.
 func (s *server) report(name string, u Usage, now time.Time) {
 	s.update(u.Server)
 	s.expire(now)
@@ -247,10 +313,11 @@
 			delete(h.permits, permit)
 		}
 	}
+	h.foreign = nil
 	if now.Before(s.takeoverUntil) {
 		for _, permit := range u.Permits {
 			if _, known := h.permits[permit]; !known {
-				h.permits[permit] = now
+				h.foreign = append(h.foreign, permit)
 			}
 		}
 	}
--- a/internal/permits/world_test.go
+++ b/internal/permits/world_test.go
@@ -1,6 +1,7 @@
 package permits
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -21,6 +22,8 @@
 	// simViewLag is the longest time until a router knows that another one ended or started.
 	simViewLag = 3 * time.Second
 	simSlots   = 4
+	// simRelayTime is how long a router that has started leaves its servers to the next in rank.
+	simRelayTime = simViewLag
 	// simAsked is the number of servers whose grantors are asked at once.
 	simAsked = 3
 )
@@ -81,6 +84,8 @@
 	lastPermit uint64
 	held       map[*simServer]map[uint64]bool
 	heldOff    map[*simServer]time.Time
+	cutOff     map[*simServer]time.Time // until when a server isn't chosen whose grantor can't be reached
+	relayed    map[ID]*simRouter        // the routers that granted permits through this one
 	// endedSince and startedSince are when the process at this place last ended and started, as the others
 	// learn it with their lag.
 	endedSince time.Time
@@ -112,6 +117,7 @@
 	r.name, r.alive, r.startedAt = fmt.Sprint(r.index, "@", w.now.UnixMilli()), true, w.now
 	r.lag = time.Duration(w.rng.Int64N(int64(simViewLag)))
 	r.held, r.heldOff = make(map[*simServer]map[uint64]bool), make(map[*simServer]time.Time)
+	r.cutOff, r.relayed = make(map[*simServer]time.Time), make(map[ID]*simRouter)
 	r.grantor = &Grantor{Now: func() time.Time { return w.now }, OnChange: func(Change) {},
 		Takeover: func(string) bool {
 			return w.now.Sub(r.startedAt) < simViewLag || w.changedSince(w.now.Add(-simViewLag))
@@ -165,8 +171,21 @@
 	w.sent++
 	chosen := w.rng.Perm(len(w.servers))
 	var candidates []*simServer
-	for _, i := range chosen[:min(simAsked, len(chosen))] {
-		candidates = append(candidates, w.servers[i])
+	for _, i := range chosen {
+		s := w.servers[i]
+		if w.now.Before(r.cutOff[s]) {
+			continue
+		}
+		if grantor, _ := w.firstRunning(r, w.grantors(r, s)); grantor == nil {
+			r.cutOff[s] = w.now.Add(CutHoldOff)
+			continue
+		}
+		if candidates = append(candidates, s); len(candidates) == simAsked {
+			break
+		}
+	}
+	if len(candidates) == 0 {
+		return
 	}
 	w.ask(r, r.name, candidates, candidates[0], 0)
 }
@@ -191,7 +210,11 @@
 	}
 	r.lastPermit++
 	request := Request{Holder: r.name, Permit: r.lastPermit, Server: w.describe(s), Wait: wait}
-	w.call(r, s, request, func(granting *simRouter, a Answer) {
+	unreached := func() {
+		r.cutOff[s] = w.now.Add(CutHoldOff)
+		next()
+	}
+	w.call(r, s, request, unreached, func(granting *simRouter, a Answer) {
 		if r.name != process || !r.alive {
 			return
 		}
@@ -207,7 +230,7 @@
 		w.send(r, s, func(o Outcome) {
 			delete(r.held[s], request.Permit)
 			w.tell(r, granting, func() {
-				granting.grantor.Release(Release{Holder: request.Holder, Permit: request.Permit, Server: request.Server, Outcome: o})
+				w.onRelease(granting, Release{Holder: request.Holder, Permit: request.Permit, Server: request.Server, Outcome: o})
 			})
 		})
 	})
@@ -219,20 +242,15 @@
 
 // grantors returns the routers in rank for a server, as r knows them.
 func (w *world) grantors(r *simRouter, s *simServer) []*simRouter {
-	first, second := (*simRouter)(nil), (*simRouter)(nil)
 	rank := func(x *simRouter) uint64 { return uint64(s.id) * uint64(x.index*2+7919) % 1_000_003 }
+	var ranked []*simRouter
 	for _, x := range w.routers {
-		if !w.isListed(r, x) {
-			continue
-		}
-		switch {
-		case first == nil || rank(x) < rank(first):
-			first, second = x, first
-		case second == nil || rank(x) < rank(second):
-			second = x
+		if w.isListed(r, x) {
+			ranked = append(ranked, x)
 		}
 	}
-	return []*simRouter{first, second}
+	slices.SortStableFunc(ranked, func(a, b *simRouter) int { return cmp.Compare(rank(a), rank(b)) })
+	return ranked
 }
 
 // isListed reports whether r knows x as a member: it learns of each start and end with its lag.
@@ -247,24 +265,97 @@
 	return !x.alive
 }
 
-// call asks the grantor of a server, or the next in rank if it does not answer.
-func (w *world) call(r *simRouter, s *simServer, request Request, answered func(*simRouter, Answer)) {
-	for i, grantor := range w.grantors(r, s) {
-		if grantor == nil || !grantor.alive || w.isCut(r, grantor) {
+// firstRunning returns the first of the ranked routers that has not ended, unless it is cut off, and whether
+// others rank before it.
+func (w *world) firstRunning(from *simRouter, ranked []*simRouter) (first *simRouter, standby bool) {
+	for i, x := range ranked[:min(len(ranked), MaxGrantors)] {
+		switch {
+		case !x.alive:
 			continue
+		case w.isCut(from, x):
+			return nil, false
 		}
-		request.Standby = i > 0
-		w.requests++
-		w.after(w.latency(), func() {
-			if !grantor.alive {
-				return // the answer is lost
-			}
-			reply := func(a Answer) { w.after(w.latency(), func() { answered(grantor, a) }) }
-			cancel := grantor.grantor.request(request, reply)
-			w.after(request.Wait, cancel)
+		return x, i > 0
+	}
+	return nil, false
+}
+
+// call asks the grantor of a server, or the next in rank if it has ended.
+func (w *world) call(r *simRouter, s *simServer, request Request, unreached func(), answered func(*simRouter, Answer)) {
+	grantor, standby := w.firstRunning(r, w.grantors(r, s))
+	if grantor == nil {
+		unreached()
+		return
+	}
+	request.Standby = standby
+	w.requests++
+	w.after(w.latency(), func() {
+		w.onAcquire(grantor, s, request, func(a Answer) { w.after(w.latency(), func() { answered(grantor, a) }) })
+	})
+}
+
+// relayTo returns the router to which one that has just started passes on what concerns a server; nil if it
+// grants permits itself.
+func (w *world) relayTo(r *simRouter, s *simServer, relays int) (next *simRouter, standby bool) {
+	if relays >= MaxRelays || w.now.Sub(r.startedAt) >= simRelayTime {
+		return nil, false
+	}
+	ranked := w.grantors(r, s)
+	return w.firstRunning(r, ranked[slices.Index(ranked, r)+1:])
+}
+
+// onAcquire answers a request at a router. The answer is lost if the router has ended.
+func (w *world) onAcquire(r *simRouter, s *simServer, request Request, reply func(Answer)) {
+	if !r.alive {
+		return
+	}
+	next, standby := w.relayTo(r, s, request.Relays)
+	if next == nil {
+		cancel := r.grantor.request(request, reply)
+		w.after(request.Wait, cancel)
+		return
+	}
+	process := r.name
+	request.Relays++
+	request.Standby = standby
+	w.requests++
+	w.after(w.latency(), func() {
+		w.onAcquire(next, s, request, func(a Answer) {
+			w.after(w.latency(), func() {
+				if !r.alive || r.name != process {
+					return
+				}
+				if a.Granted {
+					r.grantor.Record(request)
+					r.relayed[ID{request.Holder, request.Permit}] = next
+				}
+				reply(a)
+			})
 		})
+	})
+}
+
+// onRelease takes a permit back at a router.
+func (w *world) onRelease(r *simRouter, release Release) {
+	r.grantor.Release(release)
+	id := ID{release.Holder, release.Permit}
+	if next := r.relayed[id]; next != nil {
+		delete(r.relayed, id)
+		w.tell(r, next, func() { w.onRelease(next, release) })
+	}
+}
+
+// onReport takes over a report about a server at a router.
+func (w *world) onReport(r *simRouter, s *simServer, report Report) {
+	next, standby := w.relayTo(r, s, report.Relays)
+	if next == nil {
+		r.grantor.Report(report)
 		return
 	}
+	r.grantor.RecordReport(report)
+	report.Relays++
+	report.Standby = standby
+	w.tell(r, next, func() { w.onReport(next, s, report) })
 }
 
 // isCut reports whether two routers can't call each other now.
@@ -275,7 +366,7 @@
 
 // tell delivers a message to a router unless it has ended.
 func (w *world) tell(from, to *simRouter, deliver func()) {
-	if w.isCut(from, to) {
+	if !to.alive || w.isCut(from, to) {
 		return
 	}
 	process := to.name
@@ -298,9 +389,9 @@
 		if len(list) == 0 {
 			continue
 		}
-		if grantor := w.grantors(r, s)[0]; grantor != nil {
-			report := Report{Holder: r.name, Usages: []Usage{{Server: w.describe(s), Permits: list}}}
-			w.tell(r, grantor, func() { grantor.grantor.Report(report) })
+		if grantor, standby := w.firstRunning(r, w.grantors(r, s)); grantor != nil {
+			report := Report{Holder: r.name, Standby: standby, Interval: ReportInterval, Usages: []Usage{{Server: w.describe(s), Permits: list}}}
+			w.tell(r, grantor, func() { w.onReport(grantor, s, report) })
 		}
 	}
 }
@@ -368,6 +459,16 @@
 		return
 	}
 	r.alive, r.endedSince = false, w.now
+	name := r.name
+	for _, x := range w.routers {
+		if process := x.name; x.alive {
+			w.after(w.latency(), func() {
+				if x.alive && x.name == process {
+					x.grantor.Disconnected(name)
+				}
+			})
+		}
+	}
 	w.after(time.Second, func() { w.startRouter(r) })
 }
 
