Document how permits survive ended routers, and test the new rules

What a router notes for itself about an answer is no longer part of the message.

New tests: permits of disconnected routers, permits passed on, standby after a while, and takeovers beside older builds.

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -80,11 +80,11 @@
 			return permitted{choice, release}, nil
 		}
 		denied = append(denied, choice.Server)
-		if !answer.Unreached {
+		if !answer.IsUnreached() {
 			asked++
 		}
 		refused = sooner(refused, answer)
-		if first.Server == nil && answer.HoldOff == 0 && !answer.Unreached {
+		if first.Server == nil && answer.HoldOff == 0 && !answer.IsUnreached() {
 			first = choice
 		}
 	}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -139,7 +139,7 @@
 	}
 	p.node.metrics.countPermit(permitUnreachable)
 	p.recordHoldOff(s.Incarnation, priority, holdOff)
-	return nil, permits.Answer{RetryAfter: noGrantorRetryAfter, Unreached: true}
+	return nil, permits.Unreached(noGrantorRetryAfter)
 }
 
 // hasEnded reports whether a call failed because no router runs at the address that serves permits. One that
--- a/internal/permits/grantor_test.go
+++ b/internal/permits/grantor_test.go
@@ -239,3 +239,58 @@
 	f.Assert(answer.Granted, qt.IsFalse)
 	f.Assert(time.Since(started) >= MaxWait, qt.IsTrue)
 }
+
+// Guards against slots that stay taken for seconds by a router that ended, and against those of one that is only
+// slow being given away for good.
+func TestPermitsOfDisconnectedRouterCountWhileServerWorks(t *testing.T) {
+	f := newFixture(t)
+	first := f.acquire("r1")
+	f.advance(300 * time.Millisecond)
+	f.release("r1", first.permit, Served) // exchanges take 300 ms
+	granted := f.acquireAll("r1")
+	f.grantor.Disconnected("r1")
+	f.advance(299 * time.Millisecond)
+	f.Assert(f.acquireAll("r2"), qt.HasLen, 0)
+	f.report("r1", 0, granted...)
+	f.advance(time.Millisecond)
+	f.Assert(f.acquireAll("r2"), qt.HasLen, 0, qt.Commentf("r1 was heard of again"))
+	f.grantor.Disconnected("r1")
+	f.advance(300 * time.Millisecond)
+	f.Assert(f.acquireAll("r2"), qt.HasLen, 4)
+}
+
+// Guards against slots that a router that has started grants twice or holds back, although it has passed on all
+// permits in use.
+func TestRelayedPermitsAreKnown(t *testing.T) {
+	f := newFixture(t)
+	f.takeover = true
+	f.grantor.Record(Request{Holder: "r1", Permit: 901, Server: f.server})
+	f.grantor.Record(Request{Holder: "r1", Permit: 902, Server: f.server})
+	f.release("r1", 901, Served)
+	f.Assert(f.acquireAll("r2"), qt.HasLen, 3)
+}
+
+// Guards against slots granted on what a router knew before another one granted them for a while.
+func TestStandbyForgetsWhatIsOld(t *testing.T) {
+	f := newFixture(t)
+	granted := f.acquireAll("r1")
+	for _, permit := range granted {
+		f.release("r1", permit, Served)
+	}
+	f.advance(staleAfter)
+	f.grantor.Report(Report{Holder: "r2", Standby: true, Interval: ReportInterval, Usages: []Usage{{Server: f.server, Permits: []uint64{801}}}})
+	f.Assert(f.acquireAll("r1"), qt.HasLen, 0)
+	f.advance(ReportInterval)
+	f.Assert(f.acquireAll("r1"), qt.HasLen, 3, qt.Commentf("the former grantor has ended and needs no slots"))
+}
+
+// Guards against a grantor that takes over before routers of older builds have reported, which do so less often.
+func TestTakeoverWaitsForReportsOfOlderBuilds(t *testing.T) {
+	f := newFixture(t)
+	f.takeover = true
+	f.report("r2", 0, 101) // without an interval
+	f.advance(oldReportInterval - time.Millisecond)
+	f.Assert(f.acquireAll("r1"), qt.HasLen, 0)
+	f.advance(time.Millisecond)
+	f.Assert(f.acquireAll("r1"), qt.HasLen, 1)
+}
--- a/internal/permits/permits.go
+++ b/internal/permits/permits.go
@@ -82,10 +82,18 @@
 	// HoldOff is the time for which the router should not ask again for requests that are not more
 	// urgent, because the queue is full.
 	HoldOff time.Duration
-	// Unreached is set by the router that asks, if it could not reach a grantor.
-	Unreached bool
+	// unreached is no part of the message: the router that asks sets it.
+	unreached bool
 }
 
+// Unreached returns the answer for a request that reached no grantor.
+func Unreached(retryAfter time.Duration) Answer {
+	return Answer{RetryAfter: retryAfter, unreached: true}
+}
+
+// IsUnreached reports whether no grantor was reached.
+func (a Answer) IsUnreached() bool { return a.unreached }
+
 // Outcome is what became of a request that had a permit.
 type Outcome int
 
