--- a/internal/permits/world_test.go
+++ b/internal/permits/world_test.go
@@ -1,7 +1,6 @@
 package permits
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -24,6 +23,8 @@
 	simSlots   = 4
 	// simRelayTime is how long a router that has started leaves its servers to the next in rank.
 	simRelayTime = simViewLag
+	// simRanked is the number of routers in rank that are known for a server.
+	simRanked = 3 * MaxGrantors
 	// simAsked is the number of servers whose grantors are asked at once.
 	simAsked = 3
 )
@@ -243,13 +244,20 @@
 // grantors returns the routers in rank for a server, as r knows them.
 func (w *world) grantors(r *simRouter, s *simServer) []*simRouter {
 	rank := func(x *simRouter) uint64 { return uint64(s.id) * uint64(x.index*2+7919) % 1_000_003 }
-	var ranked []*simRouter
+	ranked := make([]*simRouter, 0, simRanked+1)
 	for _, x := range w.routers {
-		if w.isListed(r, x) {
-			ranked = append(ranked, x)
+		if !w.isListed(r, x) {
+			continue
+		}
+		i := len(ranked)
+		for i > 0 && rank(x) < rank(ranked[i-1]) {
+			i--
+		}
+		if i < simRanked {
+			ranked = slices.Insert(ranked, i, x)
+			ranked = ranked[:min(len(ranked), simRanked)]
 		}
 	}
-	slices.SortStableFunc(ranked, func(a, b *simRouter) int { return cmp.Compare(rank(a), rank(b)) })
 	return ranked
 }
 
@@ -301,7 +309,11 @@
 		return nil, false
 	}
 	ranked := w.grantors(r, s)
-	return w.firstRunning(r, ranked[slices.Index(ranked, r)+1:])
+	i := slices.Index(ranked, r)
+	if i < 0 {
+		return nil, false // it ranks too low to be asked
+	}
+	return w.firstRunning(r, ranked[i+1:])
 }
 
 // onAcquire answers a request at a router. The answer is lost if the router has ended.
