--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -323,8 +323,8 @@
 	check(BackendsEvacuated, func(*request.Request) {})
 	check(BackendsEvacuated, tooMuch)
 	check(BackendsEvacuated, late)
-	for range 10 { // the contract's limit of concurrent requests
-		_, _, _ = b.Limits.Admit("boatyard", limit.Limits{PerSecond: 1000, Burst: 1000, Concurrency: 10})
+	for wait := time.Duration(0); wait < time.Second; time.Sleep(min(wait, time.Millisecond)) { // until all concurrent requests are taken
+		_, wait, _ = b.Limits.Admit("boatyard", limit.Limits{PerSecond: 1000, Burst: 1000, Concurrency: 10})
 	}
 	check(OverLimit, late)
 }
