--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -45,6 +45,8 @@
 	watchesHang bool          // watches get no answer, as if their connections were dead
 	rtt         time.Duration // round-trip time if longer than defaultRTT
 	readsHang   bool          // the response to a read is too long for the link
+	refused     string        // calls for this prefix are refused; empty: none
+	lastArrival time.Time     // of the packet that arrives last: packets don't overtake each other
 	calls       int
 }
 
@@ -58,17 +60,29 @@
 // request is lost.
 func (s *faultyStore) send(ctx context.Context, watch bool) error {
 	s.mu.Lock()
-	rtt := max(s.rtt, defaultRTT)
 	lost := s.partitioned || watch && s.watchesHang || !watch && s.readsHang
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
 		return store.ErrOutcomeUnknown
 	}
+	return s.transmit(ctx)
+}
+
+// transmit waits until a packet that is sent now has arrived, behind those sent before.
+func (s *faultyStore) transmit(ctx context.Context) error {
+	s.mu.Lock()
+	now := time.Now()
+	arrival := now.Add(max(s.rtt, defaultRTT) / 2)
+	if arrival.Before(s.lastArrival) {
+		arrival = s.lastArrival
+	}
+	s.lastArrival = arrival
+	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return store.ErrOutcomeUnknown
-	case <-time.After(rtt / 2):
+	case <-time.After(arrival.Sub(now)):
 		return nil
 	}
 }
@@ -78,6 +92,9 @@
 	if err := s.send(ctx, false); err != nil {
 		return store.Snapshot{}, err
 	}
+	if s.isRefused(prefix) {
+		return store.Snapshot{}, store.ErrUnavailable
+	}
 	snapshot, err := s.Store.Read(ctx, prefix)
 	if err != nil {
 		return snapshot, err
@@ -100,6 +117,9 @@
 	if err := s.reply(ctx); err != nil {
 		return store.Changes{}, err
 	}
+	if s.isRefused(prefix) {
+		return store.Changes{}, store.ErrUnavailable
+	}
 	changes, err := s.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return changes, err
@@ -112,35 +132,33 @@
 func (s *faultyStore) connect(ctx context.Context) error {
 	for retransmitAfter := time.Second; ; retransmitAfter *= 2 {
 		s.mu.Lock()
-		rtt, lost := max(s.rtt, defaultRTT), s.partitioned
+		lost := s.partitioned
 		s.mu.Unlock()
-		wait := rtt
-		if lost {
-			wait = retransmitAfter
+		if !lost {
+			if s.transmit(ctx) != nil || s.reply(ctx) != nil {
+				return store.ErrUnavailable
+			}
+			store.ReportConnected(ctx)
+			return nil
 		}
 		select {
 		case <-ctx.Done():
 			return store.ErrUnavailable
-		case <-time.After(wait):
-		}
-		if !lost {
-			store.ReportConnected(ctx)
-			return nil
+		case <-time.After(retransmitAfter):
 		}
 	}
 }
 
+// isRefused reports whether the store refuses calls for the prefix.
+func (s *faultyStore) isRefused(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused == prefix
+}
+
 // reply simulates the transmission of a response from the store.
 func (s *faultyStore) reply(ctx context.Context) error {
-	s.mu.Lock()
-	rtt := max(s.rtt, defaultRTT)
-	s.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return store.ErrOutcomeUnknown
-	case <-time.After(rtt / 2):
-		return nil
-	}
+	return s.transmit(ctx)
 }
 
 func (s *faultyStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
@@ -148,6 +166,9 @@
 	if err := s.send(ctx, true); err != nil {
 		return store.Changes{}, err
 	}
+	if s.isRefused(prefix) {
+		return store.Changes{}, store.ErrUnavailable
+	}
 	changes, err := s.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		return changes, err
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -70,14 +71,13 @@
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
-// relayFleet is a fleet of routers in one failure domain of which only the followers and the peer
-// servers run.
+// relayFleet is a fleet of routers of which only the followers and the peer servers run.
 type relayFleet struct {
 	*qt.C
 	store       *memstore.Store
 	stores      map[string]*countingStore
 	nodes       map[string]*Node
-	storeReader string // the VM that follows the store for the others
+	storeReader string // the VM that follows the store for the others, in a fleet of one failure domain
 }
 
 // decodeTestConfig decodes a configuration that consists only of its version.
@@ -87,36 +87,45 @@
 	return policy.New(policy.Definition{Version: version}), err
 }
 
+// newRelayFleet returns a fleet in one failure domain.
 func newRelayFleet(t *testing.T, routers int) *relayFleet {
+	f := newFleetOfDomains(t, slices.Repeat([]string{"zone-1"}, routers))
+	for vm, n := range f.nodes {
+		if !(&relay{node: n}).Active() {
+			f.Assert(f.storeReader, qt.Equals, "", qt.Commentf("a fleet of this size has one store reader"))
+			f.storeReader = vm
+		}
+	}
+	f.Assert(f.storeReader, qt.Not(qt.Equals), "")
+	return f
+}
+
+// newFleetOfDomains returns a fleet with one router per element, which is its failure domain.
+func newFleetOfDomains(t *testing.T, domains []string) *relayFleet {
 	f := &relayFleet{C: qt.New(t), store: memstore.New(nil), stores: map[string]*countingStore{}, nodes: map[string]*Node{}}
 	f.store.Put("config/x", []byte("1"))
-	for i := range routers {
+	for i, domain := range domains {
 		vm := fmt.Sprintf("vm-%d", i)
 		s := &countingStore{Store: f.store}
-		settings := &Settings{VM: vm, FailureDomain: "zone-1", PeerAddr: "127.0.0.1:0", DrainTime: 500 * time.Millisecond}
+		settings := &Settings{VM: vm, FailureDomain: domain, PeerAddr: "127.0.0.1:0", DrainTime: 500 * time.Millisecond}
 		n := New(settings, Environment{Store: s, Clock: func() escrow.ClockReading { return escrow.ClockReading{} },
 			ConfigPrefix: "config/", IsConfig: func(item store.Item) bool { return item.Key == "config/x" }, DecodeConfig: decodeTestConfig,
 			EvacuatedDomain: func(key string) (string, bool) { return strings.CutPrefix(key, "config/evacuate/") },
-			ServersPrefix:   "servers/", DecodeServer: func(store.Item) (fleet.Entry, error) { return fleet.Entry{}, nil },
+			ServersPrefix:   "servers/", DecodeServer: decodeTestServer,
 		}, event.Discard(), vm)
 		var err error
 		n.peerListener, err = listenOn(&settings.PeerAddr)
 		f.Assert(err, qt.IsNil)
 		f.stores[vm], f.nodes[vm] = s, n
-		record, err := json.Marshal(MemberRecord{Address: "127.0.0.1:1", Peer: settings.PeerAddr, Domain: "zone-1", Capacity: 1})
+		record, err := json.Marshal(MemberRecord{Address: "127.0.0.1:1", Peer: settings.PeerAddr, Domain: domain, Capacity: 1})
 		f.Assert(err, qt.IsNil)
 		f.store.Put(MemberPrefix+vm, record)
 	}
-	for vm, n := range f.nodes {
+	for _, n := range f.nodes {
 		f.run(n)
 		f.Cleanup(func() { _ = n.peerListener.Close() }) // the test is over
-		f.waitFor(func() bool { return len(n.members.List()) == routers && n.policy.Load() != nil })
-		if !(&relay{node: n}).Active() {
-			f.Assert(f.storeReader, qt.Equals, "", qt.Commentf("a fleet of this size has one store reader"))
-			f.storeReader = vm
-		}
+		f.waitFor(func() bool { return len(n.members.List()) == len(domains) && n.policy.Load() != nil })
 	}
-	f.Assert(f.storeReader, qt.Not(qt.Equals), "")
 	return f
 }
 
