Log when missing entries get time to return, and when that begins anew

After an outage the time for which missing entries are kept can begin again; 717 told only of its first beginning, so the lines of the incident can't tell a grace that was renewed from one that outlived its end. Event 738 has both, with the age of the outage's end.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -144,6 +144,9 @@
 	// MissingUnused: the servers of a service whose entries are missing after a store outage get no new
 	// requests, since most others have entries; or they get requests again.
 	MissingUnused Number = 737
+	// GraceChanged: missing entries are kept for a while after an outage of the store, or that time
+	// has changed.
+	GraceChanged  Number = 738
 	Bootstrapped  Number = 714
 	SourceChanged Number = 715
 	StoreCalls    Number = 716
@@ -231,6 +234,7 @@
 	{AdmissionChanged, slog.LevelInfo, "requests admitted to a fragile backend server changed"},
 	{StoreLostWrites, slog.LevelWarn, "store has lost writes"},
 	{MissingUnused, slog.LevelInfo, "use of missing backend servers changed"},
+	{GraceChanged, slog.LevelInfo, "time for missing entries to return"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/grace.go
+++ b/internal/fleet/grace.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"log/slog"
 	"time"
 
+	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
@@ -34,6 +36,9 @@
 // reregisters first.
 type grace struct {
 	now func() time.Time
+	log *event.Log
+	// entries names the data that the entries belong to.
+	entries string
 	// usualSilence is the longest time between two answers of a healthy store. A longer
 	// silence is an outage if it exceeds usualSilence by more than outageSilence.
 	usualSilence time.Duration
@@ -52,10 +57,14 @@
 	if !g.seeded && !s.LostWrites && s.Length <= outageSilence+g.usualSilence && !g.outageRepeated(s) {
 		return
 	}
+	repeated := g.active()
 	g.seeded = false
 	now := g.now()
 	g.end = now.Add(min(gracePeriod, maxGraceSinceReturn-s.Ago))
 	g.silence, g.returned = s.Length, now.Add(-s.Ago)
+	g.log.Emit(event.GraceChanged, slog.String("follows", g.entries), slog.Int64("silence_ms", s.Length.Milliseconds()),
+		slog.Int64("returned_ms", s.Ago.Milliseconds()), slog.Int64("kept_ms", g.end.Sub(now).Milliseconds()),
+		slog.Bool("repeated", repeated), slog.Bool("lost_writes", s.LostWrites))
 }
 
 // outageRepeated reports whether s is an outage that began within the current grace period.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -74,7 +74,7 @@
 		now = time.Now
 	}
 	return &Members{decode: decode, log: log, now: now, present: make(map[string]Member), items: make(map[string]store.Item),
-		expired: make(map[string]bool), grace: grace{now: now, usualSilence: maxMemberSilence}}
+		expired: make(map[string]bool), grace: grace{now: now, log: log, entries: followedRouters, usualSilence: maxMemberSilence}}
 }
 
 // SetReachable implements store.Sink. While the store is unreachable, missing members can't
@@ -86,7 +86,7 @@
 	if !reachable {
 		m.reachable = false
 	}
-	LogReachable(m.log, "routers", reachable, cause)
+	LogReachable(m.log, followedRouters, reachable, cause)
 }
 
 // Reset implements store.Sink.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -13,6 +13,12 @@
 	"chicorytiller.example/chicorytiller/internal/store"
 )
 
+// Names of the followed data in log lines.
+const (
+	followedServers = "backend servers"
+	followedRouters = "routers"
+)
+
 // DecodeEntry decodes a stored item.
 type DecodeEntry func(store.Item) (Entry, error)
 
@@ -81,7 +87,7 @@
 		now = time.Now
 	}
 	r := &Registry{decode: decode, log: log, now: now, servers: make(map[string]*tracked),
-		rejected: make(map[string]string), removed: make(removedEntries), reachable: true, grace: grace{now: now}, evacuated: make(map[string]bool), unused: make(map[string]bool),
+		rejected: make(map[string]string), removed: make(removedEntries), reachable: true, grace: grace{now: now, log: log, entries: followedServers}, evacuated: make(map[string]bool), unused: make(map[string]bool),
 		warmUp: func(string) time.Duration { return 0 }}
 	r.view.Store(&View{ByService: map[string][]*Server{}})
 	return r
@@ -108,7 +114,7 @@
 		r.reachable = false
 		r.publish()
 	}
-	LogReachable(r.log, "backend servers", reachable, cause)
+	LogReachable(r.log, followedServers, reachable, cause)
 }
 
 // Reset implements store.Sink.
