Follower: only an outage gives missing entries their time to return again

Callers saw: requests sent for seconds to a server that had left while a router was cut off from the store. Cause: within the two seconds that missing servers stay in use after a return, an answer renewed them if any follower's call had failed since the one before and a second had passed. The followers share the record of failures, and 1.2 s between two answers for the servers are usual, so one refused call for the configuration, or a watch over a dead connection, was an outage; the new time was counted from the answer before it. Now an outage is what a probe shows, or a second of refused calls in which the store answered nobody.

--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -127,6 +127,13 @@
 	return after, b.lastFailureStart.After(after)
 }
 
+// UnreachableSince reports whether a probe that started after t showed that the store was unreachable.
+func (b *Backoff) UnreachableSince(t time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.probes.lastUnreachable.After(t)
+}
+
 // OngoingOutage is Outage for a router that the store has not answered yet. It treats a
 // probe that has waited longer than an answer takes on a working network path like one that was
 // overtaken by a later probe.
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -100,6 +100,9 @@
 	// start of the last call that got one.
 	failing          bool
 	lastStoreOKStart time.Time
+	// refusedSince is the start of the first call that failed with ErrUnavailable since the last answer
+	// from any source; zero: none.
+	refusedSince time.Time
 	// relaying is set while this router follows others.
 	relaying    bool
 	sourceKnown bool // there was an answer to a regular call
--- a/internal/store/results.go
+++ b/internal/store/results.go
@@ -72,6 +72,9 @@
 		return
 	}
 	f.failing = true
+	if f.refusedSince.IsZero() && errors.Is(r.err, ErrUnavailable) {
+		f.refusedSince = r.started
+	}
 	f.Backoff.RecordFailure(r.started)
 	if r.kind == askStore && f.relaying {
 		f.regular.useStore, f.regular.next = false, now.Add(backoffMin)
@@ -153,8 +156,8 @@
 // the time since this router's last answer counts instead, unless its own link was full: then the
 // store need not have been silent at all.
 func (f *Follower) recordAnswer(r callResult, now time.Time) Silence {
-	last := f.lastAnswer
-	f.lastAnswer = now
+	last, refusedSince := f.lastAnswer, f.refusedSince
+	f.lastAnswer, f.refusedSince = now, time.Time{}
 	if reported, known := r.reportedSilence(); known {
 		reported.Ago += now.Sub(r.started)
 		return reported
@@ -162,17 +165,32 @@
 	if last.IsZero() || f.LinkWasFull != nil && f.LinkWasFull(last) {
 		return Silence{}
 	}
-	silence := Silence{Length: now.Sub(last), Ago: now.Sub(r.started)}
-	earliestReturn, broken := f.Backoff.Outage(last)
+	silence := Silence{Length: now.Sub(last), Ago: now.Sub(r.started), Broken: f.wasUnreachable(last, refusedSince, now)}
+	earliestReturn, failed := f.Backoff.Outage(last)
 	if r.kind == askPeers {
-		earliestReturn, broken = f.Backoff.OngoingOutage(last, now)
+		earliestReturn, failed = f.Backoff.OngoingOutage(last, now)
+		silence.Broken = failed
 	}
-	if broken {
-		silence.Broken, silence.Ago = true, now.Sub(earliestReturn)
+	if failed {
+		silence.Ago = now.Sub(earliestReturn)
 	}
 	return silence
 }
 
+// minOutage is how long calls must be refused to count as an outage that no probe shows. A single refused
+// call is followed by the next one sooner.
+const minOutage = time.Second
+
+// wasUnreachable reports whether the store was unreachable between the last answer and now. refusedSince is
+// the start of the first call that was refused meanwhile, or zero. Refused calls of one prefix don't count if
+// the store answered others, and a call without any outcome may only have used a dead connection.
+func (f *Follower) wasUnreachable(lastAnswer, refusedSince, now time.Time) bool {
+	if f.Backoff.UnreachableSince(lastAnswer) {
+		return true
+	}
+	return !refusedSince.IsZero() && now.Sub(refusedSince) >= minOutage && !f.Backoff.AnsweredSince(refusedSince)
+}
+
 // reportedSilence returns the silence of the store that another router reported with its answer.
 // known is false if the answer is the store's own or the router could not tell.
 func (r *callResult) reportedSilence() (reported Silence, known bool) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,7 +72,8 @@
 // Silence describes the time without any answer from the store that precedes an answer.
 type Silence struct {
 	Length time.Duration
-	// Broken reports whether a call failed in that time. If not, no call was made.
+	// Broken reports whether the store was unreachable in that time: a probe showed it, or all calls
+	// failed for long. A longer wait for an answer than usual is no outage.
 	Broken bool
 	// LostWrites reports whether the store has lost writes in that time. Then entries that
 	// disappeared may only have to be written again.
