Probes that start while the store answers other calls prove no outage

Callers saw: requests to a server that had left, in the fourth second after a cut's end. Cause: a probe that got a connection and no answer, or a refusal, dated the store's return to its own start, also if the store had answered another call just before. A large answer that is late and a refused prefix looked like a store that is away, and servers without entries stayed in use until 2.8 s after that. Now such a probe counts only if no call was answered in the 1.5 s before it started.

--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -50,7 +50,7 @@
 func (b *Backoff) StartProbe(now time.Time) *Probe {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.probes.start(now)
+	return b.probes.start(now, now.Sub(b.lastSuccess) < answeringTime)
 }
 
 // ProbeConnected records that a probe's connection is established. A read of several pages
--- a/internal/store/probes.go
+++ b/internal/store/probes.go
@@ -14,6 +14,9 @@
 	// answerJitter is by how much an answer may take longer than another one on a working
 	// network path, since answers differ in size and in work for the store.
 	answerJitter = 500 * time.Millisecond
+	// answeringTime is how long after an answer the store counts as answering. Without an outage one of
+	// a router's followers has an answer more often than that.
+	answeringTime = 1500 * time.Millisecond
 	// maxProbes limits the unanswered probes that are kept. It covers those that start within
 	// checkTimeout at the shortest interval.
 	maxProbes = 16
@@ -30,6 +33,9 @@
 	refused  bool
 	// answered reports whether a part of the answer has arrived.
 	answered bool
+	// whileAnswering reports whether the store was answering other calls when the probe started. If it
+	// gets no answer then, that is due to its prefix, the size of its answer or a lost packet.
+	whileAnswering bool
 }
 
 // sent estimates when the packet was sent that established the connection of an answered
@@ -57,6 +63,9 @@
 // overtakenBy reports whether other, a later probe that was answered, shows that the store was
 // unreachable when p started.
 func (p *Probe) overtakenBy(other *Probe, now time.Time) bool {
+	if p.whileAnswering {
+		return false
+	}
 	if p.connected.IsZero() {
 		return other.sent(now).Sub(p.started) >= connectJitter
 	}
@@ -73,11 +82,11 @@
 	lastUnreachable time.Time // the last time at which the store was certainly unreachable
 }
 
-func (p *probes) start(now time.Time) *Probe {
+func (p *probes) start(now time.Time, answering bool) *Probe {
 	if len(p.unanswered) == maxProbes {
 		p.unanswered = slices.Delete(p.unanswered, 0, 1)
 	}
-	probe := &Probe{started: now}
+	probe := &Probe{started: now, whileAnswering: answering}
 	p.unanswered = append(p.unanswered, probe)
 	return probe
 }
