--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -17,6 +17,8 @@
 	lastFailureStart time.Time     // start of the most recently started call that failed
 	// lastSuccess is when the latest answer arrived.
 	lastSuccess time.Time
+	// connectable is set while the latest probes of an outage get connections.
+	connectable bool
 	probes      probes
 }
 
@@ -58,8 +60,22 @@
 func (b *Backoff) ProbeConnected(p *Probe, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p.connected.IsZero() {
-		p.connected = now
+	if !p.connected.IsZero() {
+		return
+	}
+	p.connected = now
+	if !b.connectable {
+		b.connectable = true
+		b.shorten(now)
+	}
+}
+
+// shorten starts the backoff anew, since the network path works again. The store is likely to answer
+// soon, and the sooner it is called after that, the better the time of its return is known.
+func (b *Backoff) shorten(now time.Time) {
+	b.interval = 0
+	if next := now.Add(backoffMin); b.nextAllowed.After(next) {
+		b.nextAllowed = next
 	}
 }
 
@@ -68,8 +84,12 @@
 func (b *Backoff) ProbeFailed(p *Probe, now time.Time, refused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !p.answered {
-		p.failedAt, p.refused = now, refused
+	if p.answered {
+		return
+	}
+	p.failedAt, p.refused = now, refused
+	if p.connected.IsZero() {
+		b.connectable = false
 	}
 }
 
