Ask routers that the store answers, while it is silent and about what went meanwhile

Callers saw: a router that lost the store alone sent requests to servers that had left, as long as the outage lasted and up to three seconds after. Cause: it judged by its own silence alone. Routers of its failure domain have the store through one reader; that one asked nobody when it lost the store, and on its return took what was missing for entries that had lapsed in an outage. But a router that had the store all the time knows that they were removed. Now, while neither the store nor the router that it follows answers, a router reads the changes of servers and configuration from store readers of any failure domain (three at the most are asked at once, each second while none knows). After an outage it asks one of them about the changes since the revision from before: if the store never was silent there, missing servers are dropped at once. A reader that lost the store as well, started meanwhile or knows of an older state can't tell, and the time for entries to return holds as before. Tests, red without the change (without each half): 739 and 740 tell of it.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -146,7 +146,11 @@
 	MissingUnused Number = 737
 	// GraceChanged: missing entries are kept for a while after an outage of the store, or that time
 	// has changed.
-	GraceChanged  Number = 738
+	GraceChanged Number = 738
+	// GraceRefuted: that time has ended early, since the store answered another router all through the outage.
+	GraceRefuted Number = 739
+	// DetourChanged: data comes from routers of any failure domain while the store does not answer; or no longer.
+	DetourChanged Number = 740
 	Bootstrapped  Number = 714
 	SourceChanged Number = 715
 	StoreCalls    Number = 716
@@ -235,6 +239,8 @@
 	{StoreLostWrites, slog.LevelWarn, "store has lost writes"},
 	{MissingUnused, slog.LevelInfo, "use of missing backend servers changed"},
 	{GraceChanged, slog.LevelInfo, "time for missing entries to return"},
+	{GraceRefuted, slog.LevelInfo, "missing entries were removed"},
+	{DetourChanged, slog.LevelInfo, "data comes from routers of any failure domain"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/fleet/grace.go
+++ b/internal/fleet/grace.go
@@ -67,6 +67,16 @@
 		slog.Bool("repeated", repeated), slog.Bool("lost_writes", s.LostWrites))
 }
 
+// cancel ends the grace period, since entries that are missing were removed.
+func (g *grace) cancel() {
+	if !g.active() {
+		return
+	}
+	g.end = g.now()
+	g.log.Emit(event.GraceRefuted, slog.String("follows", g.entries), slog.Int64("silence_ms", g.silence.Milliseconds()),
+		slog.Int64("returned_ms", g.end.Sub(g.returned).Milliseconds()))
+}
+
 // outageRepeated reports whether s is an outage that began within the current grace period.
 func (g *grace) outageRepeated(s store.Silence) bool {
 	return s.Broken && s.Length >= repeatOutageSilence && g.now().Add(-s.Length).Before(g.end)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -135,6 +135,20 @@
 	r.recordAnswer()
 }
 
+// RefuteOutage drops the servers that are kept because their entries may have expired in an outage of the
+// store: it answered another router all the time, so they have left.
+func (r *Registry) RefuteOutage() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grace.cancel()
+	for key, known := range r.servers {
+		if known.expired {
+			r.drop(key, known, "gone")
+		}
+	}
+	r.publish()
+}
+
 // recordAnswer notes that an answer of the store has been applied, and publishes the new view.
 func (r *Registry) recordAnswer() {
 	now := r.now()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -55,19 +55,20 @@
 		f.SourceChanged = n.logSourceChange(f.Prefix)
 		f.StaleCheckStarted = n.logStaleCheck(f.Prefix)
 		f.WritesLost = n.logLostWrites(f.Prefix)
+		f.DetourChanged = n.logDetour(f.Prefix)
 	}
 	return followers
 }
 
 func (n *Node) configFollower() *store.Follower {
-	return &store.Follower{Prefix: n.env.ConfigPrefix, Sink: &configSink{node: n},
+	return &store.Follower{Prefix: n.env.ConfigPrefix, Sink: &configSink{node: n}, AskOthers: true,
 		MaxWait: configMaxWait, Pause: configPause, CheckAfter: configCheckAfter, Timeout: watchTimeout}
 }
 
 func (n *Node) serversFollower() *store.Follower {
 	drainTime := max(n.settings.DrainTime, minDrainTime)
 	scale := func(fraction float64) time.Duration { return time.Duration(fraction * float64(drainTime)) }
-	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry,
+	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry, AskOthers: true, OutageRefuted: n.registry.RefuteOutage,
 		Confirmed: func(asOf time.Time) { n.serversAsOf.Store(&asOf) },
 		MaxWait:   scale(serversMaxWaitFraction), Pause: scale(serversPauseFraction), CheckAfter: scale(serversCheckAfterFraction),
 		Timeout: watchTimeout, Burst: serversBurst}
@@ -110,6 +111,14 @@
 	}
 }
 
+// logDetour returns a store.Follower.DetourChanged callback that logs whether the data under prefix comes
+// from routers of any failure domain.
+func (n *Node) logDetour(prefix string) func(active bool) {
+	return func(active bool) {
+		n.log.Emit(event.DetourChanged, slog.String("follows", prefix), slog.Bool("active", active))
+	}
+}
+
 // logStaleCheck returns a store.Follower.StaleCheckStarted callback that logs that the data under
 // prefix is stale and is checked by an extra call beside the one in progress.
 func (n *Node) logStaleCheck(prefix string) func(age time.Duration, relayed, failing bool) {
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -181,6 +181,10 @@
 
 func (inactiveRelay) Active() bool { return false }
 
+func (inactiveRelay) WatchAny(context.Context, string, store.Revision) (store.Changes, error) {
+	return store.Changes{}, store.ErrNoFeed
+}
+
 // silentRelay is the relay of a router that cannot reach the store reader that it follows.
 type silentRelay struct{}
 
@@ -194,6 +198,10 @@
 	return store.Changes{}, awaitCallTimeout(ctx)
 }
 
+func (silentRelay) WatchAny(ctx context.Context, _ string, _ store.Revision) (store.Changes, error) {
+	return store.Changes{}, awaitCallTimeout(ctx)
+}
+
 // relayWithoutFeed is the relay of a router whose store reader has no feed.
 type relayWithoutFeed struct{}
 
@@ -207,6 +215,10 @@
 	return store.Changes{}, store.ErrNoFeed
 }
 
+func (relayWithoutFeed) WatchAny(context.Context, string, store.Revision) (store.Changes, error) {
+	return store.Changes{}, store.ErrNoFeed
+}
+
 // awaitCallTimeout simulates a call to another router that times out.
 func awaitCallTimeout(ctx context.Context) error {
 	select {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +56,8 @@
 	// maxWait is how long another router may hold back its answer. A router that froze or lost power
 	// is detected only after this time and a few round trips.
 	maxWait time.Duration
+	// lastAny is the address of the router that answered WatchAny last.
+	lastAny atomic.Pointer[string]
 }
 
 // Active implements store.Relay.
@@ -113,3 +117,52 @@
 	}
 	return peers.FollowAnswer{}, err
 }
+
+// maxAnyReaders is how many store readers WatchAny asks.
+const maxAnyReaders = 3
+
+// WatchAny implements store.Relay.
+func (r *relay) WatchAny(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
+	var afterSilence *store.Changes
+	for _, address := range r.anyReaders() {
+		answer, err := r.node.peers.FollowDespiteBackoff(ctx, address, peers.FollowRequest{Prefix: prefix, After: after, Wait: r.maxWait})
+		if err != nil {
+			continue // the next one is asked
+		}
+		if answer.Changes.Silence.Length == 0 {
+			r.lastAny.Store(&address)
+			return answer.Changes, nil
+		}
+		afterSilence = &answer.Changes
+	}
+	if afterSilence == nil {
+		return store.Changes{}, store.ErrNoFeed
+	}
+	return *afterSilence, nil
+}
+
+// anyReaders returns the addresses of a few store readers of all failure domains: first the one that
+// answered last, then others at random, since many routers may ask at once.
+func (r *relay) anyReaders() []string {
+	members := r.node.members.List()
+	domains := make(map[string]bool)
+	var addresses []string
+	for _, m := range members {
+		if domains[m.Domain] {
+			continue
+		}
+		domains[m.Domain] = true
+		for _, reader := range storeReaders(members, m.Domain) {
+			if reader.Name != r.node.settings.VM {
+				addresses = append(addresses, reader.PeerAddress)
+			}
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if last := r.lastAny.Load(); last != nil {
+		if i := slices.Index(addresses, *last); i > 0 {
+			addresses[0], addresses[i] = addresses[i], addresses[0]
+		}
+	}
+	return addresses[:min(len(addresses), maxAnyReaders)]
+}
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/conc"
 
+	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
@@ -106,3 +110,134 @@
 	f.Assert(servers(), qt.Equals, 1)
 	f.Assert(f.version("vm-0"), qt.Equals, int64(2))
 }
+
+// otherDomain is the relay of a router that follows the store itself and reaches a store reader of another
+// failure domain.
+type otherDomain struct {
+	relay       store.Relay // Active, Read and Watch
+	feed        *store.Feed
+	unreachable atomic.Bool
+}
+
+func (o *otherDomain) Active() bool { return o.relay.Active() }
+
+func (o *otherDomain) Read(ctx context.Context, prefix string, after store.Revision) (store.Snapshot, error) {
+	return o.relay.Read(ctx, prefix, after)
+}
+
+func (o *otherDomain) Watch(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
+	return o.relay.Watch(ctx, prefix, after)
+}
+
+func (o *otherDomain) WatchAny(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
+	if prefix != "servers/" {
+		return store.Changes{}, store.ErrNoFeed
+	}
+	if o.unreachable.Load() {
+		return store.Changes{}, awaitCallTimeout(ctx)
+	}
+	return o.feed.Watch(ctx, after, relayMaxWait)
+}
+
+// run starts the other router's follower of the backend servers and returns when it has read them.
+func (o *otherDomain) run(ctx context.Context, tasks *conc.WaitGroup, s store.Store) {
+	follower := &store.Follower{Store: s, Prefix: "servers/", Relay: inactiveRelay{}, Feed: o.feed, MaxWait: time.Second,
+		Pause: 200 * time.Millisecond, CheckAfter: 1400 * time.Millisecond, Timeout: time.Second,
+		Sink: fleet.NewRegistry(decodeTestServer, event.Discard(), nil)}
+	tasks.Go(func() { follower.Run(ctx) })
+	time.Sleep(defaultRTT)
+}
+
+// runOtherDomainTest runs test for a store reader and a follower, beside a router of another failure domain.
+func runOtherDomainTest(t *testing.T, test func(f *followerTest, other *otherDomain, runOther func())) {
+	for name, relay := range map[string]store.Relay{"reader": inactiveRelay{}, "follower": silentRelay{}} {
+		t.Run(name, func(t *testing.T) {
+			forEachPhase(t, func(t *testing.T, phase time.Duration) {
+				other := &otherDomain{relay: relay, feed: &store.Feed{}}
+				runFollowerTest(t, other, func(f *followerTest) {
+					ctx, cancel := context.WithCancel(context.Background())
+					var tasks conc.WaitGroup
+					defer tasks.Wait()
+					defer cancel()
+					time.Sleep(phase)
+					test(f, other, func() { other.run(ctx, &tasks, f.store.Store) })
+				})
+			})
+		})
+	}
+}
+
+// Guards against requests to a server that left while this router was cut off from the store and from all
+// other routers, one of which knows of it.
+func TestServerThatLeftIsRemovedWithFirstAnswerIfAnotherRouterKnows(t *testing.T) {
+	const answerTime = firstAnswerTime + 100*time.Millisecond
+	runOtherDomainTest(t, func(f *followerTest, other *otherDomain, runOther func()) {
+		runOther()
+		other.unreachable.Store(true)
+		f.store.set(func() { f.store.partitioned, f.store.watchesHang = true, true })
+		time.Sleep(2 * time.Second)
+		f.store.Delete("servers/a")
+		time.Sleep(8 * time.Second)
+		other.unreachable.Store(false)
+		f.store.set(func() { f.store.partitioned, f.store.watchesHang = false, false })
+		time.Sleep(answerTime)
+		f.Assert(f.inUse("a"), qt.IsFalse)
+		f.Assert(f.inUse("b"), qt.IsTrue)
+	})
+}
+
+// Guards against requests to a server that left while only this router could not reach the store.
+func TestServerThatLeavesIsRemovedWithoutStoreIfAnotherRouterKnows(t *testing.T) {
+	runOtherDomainTest(t, func(f *followerTest, other *otherDomain, runOther func()) {
+		runOther()
+		f.store.set(func() { f.store.partitioned, f.store.watchesHang = true, true })
+		time.Sleep(2 * time.Second)
+		f.store.Delete("servers/a")
+		for range 10 {
+			time.Sleep(drainTime)
+			f.Assert(f.inUse("a"), qt.IsFalse)
+			f.Assert(f.inUse("b"), qt.IsTrue)
+		}
+		f.store.set(func() { f.store.partitioned, f.store.watchesHang = false, false })
+		f.putServer("c", false)
+		time.Sleep(drainTime)
+		f.Assert(f.inUse("c"), qt.IsTrue)
+	})
+}
+
+// Guards against services without servers after an outage of the store for all routers, or if the router that
+// is asked has not followed the store through the outage.
+func TestServersWithExpiredEntriesStayInUseIfNoRouterKnows(t *testing.T) {
+	const reregisterTime = 1900 * time.Millisecond
+	outages := map[string]func(f *followerTest, other *otherDomain, runOther func()){
+		"store away for all": func(f *followerTest, _ *otherDomain, runOther func()) {
+			runOther()
+			f.store.SetDown(true)
+			time.Sleep(8 * time.Second)
+			f.store.Delete("servers/a")
+			f.store.SetDown(false)
+		},
+		"other router started in the outage": func(f *followerTest, _ *otherDomain, runOther func()) {
+			f.store.set(func() { f.store.partitioned, f.store.watchesHang = true, true })
+			time.Sleep(6 * time.Second)
+			f.store.Delete("servers/a")
+			runOther()
+			time.Sleep(2 * time.Second)
+			f.store.set(func() { f.store.partitioned, f.store.watchesHang = false, false })
+		},
+	}
+	for name, outage := range outages {
+		t.Run(name, func(t *testing.T) {
+			runOtherDomainTest(t, func(f *followerTest, other *otherDomain, runOther func()) {
+				outage(f, other, runOther)
+				for range reregisterTime / phaseStep {
+					time.Sleep(phaseStep)
+					f.Assert(f.inUse("a"), qt.IsTrue)
+				}
+				f.putServer("a", false)
+				time.Sleep(recoveryTime)
+				f.Assert(f.inUse("a"), qt.IsTrue)
+			})
+		})
+	}
+}
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -85,6 +85,12 @@
 	if c.inBackoff(address) {
 		return FollowAnswer{}, ErrUnreachable
 	}
+	return c.FollowDespiteBackoff(ctx, address, request)
+}
+
+// FollowDespiteBackoff is Follow for questions that can't wait until a peer's backoff ends: after a
+// partition of this VM all peers are in backoff.
+func (c *Client) FollowDespiteBackoff(ctx context.Context, address string, request FollowRequest) (FollowAnswer, error) {
 	answer := FollowAnswer{}
 	request.Unpacks, request.KnowsEras = true, true
 	if err := c.callWithTimeout(ctx, callTimeout+request.Wait, address, "Follow", request, &answer, nil); err != nil {
--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -101,6 +101,10 @@
 
 func (r scriptedRelay) Active() bool { return true }
 
+func (r scriptedRelay) WatchAny(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
+	return r.Watch(ctx, prefix, after)
+}
+
 func (r scriptedRelay) Read(ctx context.Context, _ string, after store.Revision) (store.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
@@ -168,7 +172,7 @@
 			feed := &store.Feed{}
 			sinks := map[string]*valueSink{"reader": {}, "follower": {}}
 			base := store.Follower{Prefix: "a/", MaxWait: time.Second, Pause: 200 * time.Millisecond, Burst: 4,
-				Timeout: 500 * time.Millisecond, CheckAfter: checkAfter}
+				Timeout: 500 * time.Millisecond, CheckAfter: checkAfter, AskOthers: true}
 			reader, follower := base, base
 			reader.Store, reader.Feed, reader.Sink = scriptedStore{s, readerCalls}, feed, sinks["reader"]
 			follower.Store, follower.Relay, follower.Sink = scriptedStore{s, followerCalls}, scriptedRelay{feed, relayCalls}, sinks["follower"]
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -86,8 +86,14 @@
 	askPeers   callKind = iota
 	askStore            // the regular call to the store
 	checkStore          // a check, in parallel with the regular call
+	askOthers           // a detour, in parallel with all others
 )
 
+// relayed reports whether a call of the kind goes to other routers.
+func (k callKind) relayed() bool {
+	return k == askPeers || k == askOthers
+}
+
 // callResult is the result of a call: a snapshot, changes or an error.
 type callResult struct {
 	kind      callKind
@@ -109,7 +115,7 @@
 	kind := f.regularKind(now)
 	if kind == askPeers {
 		f.Feed.stop()
-	} else if f.stale(now) {
+	} else if f.checking(now) {
 		return // the checks call the store
 	} else if f.failing && !f.Backoff.Allow(now, f.maxBackoff()) {
 		f.regular.next = now.Add(backoffPollInterval)
@@ -120,7 +126,7 @@
 }
 
 func (f *Follower) startCheck(ctx context.Context, calls *conc.WaitGroup, now time.Time) {
-	if !f.stale(now) || now.Before(f.checks.next) {
+	if !f.checking(now) || now.Before(f.checks.next) {
 		return
 	}
 	full, due := f.nextCheck(now)
@@ -129,8 +135,8 @@
 		return
 	}
 	first := f.checks.count == 0
-	if first && f.StaleCheckStarted != nil {
-		f.StaleCheckStarted(now.Sub(f.asOf), f.relaying, f.failing)
+	if first {
+		f.becomeSilent(now)
 	}
 	// The first check doesn't wait for a backoff that calls over other connections have
 	// started: only those connections may be dead, and waiting would let the data get too old.
@@ -151,6 +157,14 @@
 	f.checks.calls = append(f.checks.calls, f.call(ctx, calls, r, f.checkQuery(full), full))
 }
 
+// becomeSilent records that the store, or the routers that this one follows, did not answer in time.
+func (f *Follower) becomeSilent(now time.Time) {
+	f.silent, f.detour.next = true, now.Add(detourDelay)
+	if f.StaleCheckStarted != nil {
+		f.StaleCheckStarted(now.Sub(f.asOf), f.relaying, f.failing)
+	}
+}
+
 // nextCheck reports whether the next check reads everything or only the changes, and whether it is
 // due. The two kinds alternate: with full reads only, a router on a congested link had no answer for
 // five seconds after an outage, because 50 KB took too long. No check is due while answers of both
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -120,6 +120,16 @@
 	f.at = max(f.at, c.At)
 }
 
+// refuteSilence removes the recorded silence, since the store answered another router all the time.
+func (f *Feed) refuteSilence() {
+	if f == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silence = Silence{}
+}
+
 // stop ends the feed until the next update, since this router no longer follows the store itself.
 func (f *Feed) stop() {
 	if f == nil {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -28,6 +28,9 @@
 	Watch(ctx context.Context, prefix string, after Revision) (Changes, error)
 	// Active reports whether this router should follow others rather than the store.
 	Active() bool
+	// WatchAny is Watch at routers of any failure domain. It prefers an answer without a silence of
+	// the store.
+	WatchAny(ctx context.Context, prefix string, after Revision) (Changes, error)
 }
 
 // Follower keeps a Sink up to date with all keys under a prefix. It reads everything once and
@@ -72,6 +75,10 @@
 	// the call under way; zero: never.
 	CheckAfter time.Duration
 
+	// AskOthers reports whether to read from routers of any failure domain while neither the store nor
+	// the routers that this one follows have an answer.
+	AskOthers bool
+
 	// SourceChanged, if not nil, is called with the source of the first answer and then
 	// whenever the source changes between the store and other routers.
 	SourceChanged func(relayed bool)
@@ -84,6 +91,12 @@
 	// WritesLost, if not nil, is called when an answer shows that the store has lost writes, with the
 	// revision known before and the one of the answer, before the answer is passed on.
 	WritesLost func(known, now Revision)
+	// OutageRefuted, if not nil, is called when the store turns out to have answered another router all
+	// through the silence before an answer: entries that disappeared meanwhile were removed.
+	OutageRefuted func()
+	// DetourChanged, if not nil, is called when data begins to come from routers of any failure domain,
+	// since the store does not answer, and when that ends.
+	DetourChanged func(active bool)
 	// Now returns the time of a clock that advances while the VM is suspended; nil means
 	// time.Now.
 	Now func() time.Time
@@ -110,6 +123,10 @@
 
 	regular regularCall
 	checks  checks
+	detour  detour
+	// silent is set from the first check of stale data until the store or a router that this one follows
+	// answers.
+	silent bool
 }
 
 // Run follows the prefix until ctx is done.
@@ -180,6 +197,11 @@
 	return f.CheckAfter > 0 && !now.Before(f.staleAt())
 }
 
+// checking reports whether the store is called by checks only, over new connections.
+func (f *Follower) checking(now time.Time) bool {
+	return f.silent || f.stale(now)
+}
+
 // untilNextDue returns the time until the next call is due.
 func (f *Follower) untilNextDue() time.Duration {
 	now := f.now()
@@ -189,12 +211,15 @@
 			due = t
 		}
 	}
-	if !f.regular.busy && (f.regularKind(now) == askPeers || !f.stale(now)) {
+	if !f.regular.busy && (f.regularKind(now) == askPeers || !f.checking(now)) {
 		earlier(f.regular.next)
 	}
+	if f.detourDue(now) {
+		earlier(f.detour.next)
+	}
 	if f.CheckAfter > 0 {
 		at := f.staleAt()
-		if at.Before(f.checks.next) {
+		if f.silent || at.Before(f.checks.next) {
 			at = f.checks.next
 		}
 		earlier(at)
@@ -202,11 +227,11 @@
 	return max(0, due.Sub(now))
 }
 
-// regularKind returns the kind of the next regular call. While the data is stale, the checks call
-// the store, and the regular call goes to the other routers if this router follows them: they may
+// regularKind returns the kind of the next regular call. While the store is silent, the checks call
+// it, and the regular call goes to the other routers if this router follows them: they may
 // be reachable again before the store is.
 func (f *Follower) regularKind(now time.Time) callKind {
-	if f.relaying && (!f.regular.useStore || f.stale(now)) {
+	if f.relaying && (!f.regular.useStore || f.checking(now)) {
 		return askPeers
 	}
 	return askStore
@@ -217,4 +242,5 @@
 	now := f.now()
 	f.startRegular(ctx, calls, now)
 	f.startCheck(ctx, calls, now)
+	f.startDetour(ctx, calls, now)
 }
--- a/internal/store/relay_test.go
+++ b/internal/store/relay_test.go
@@ -41,6 +41,10 @@
 	return r.snapshot, nil
 }
 
+func (r scriptedRelay) WatchAny(context.Context, string, Revision) (Changes, error) {
+	return Changes{}, ErrNoFeed
+}
+
 func (r scriptedRelay) Watch(context.Context, string, Revision) (Changes, error) { return r.next() }
 
 // discardSink is a sink that ignores everything.
--- a/internal/store/results.go
+++ b/internal/store/results.go
@@ -8,6 +8,10 @@
 
 // handleResult processes the result of a call.
 func (f *Follower) handleResult(r callResult) {
+	if r.kind == askOthers {
+		f.handleDetour(r, f.now())
+		return
+	}
 	if r.kind == checkStore {
 		f.recordProbe(r)
 	}
@@ -45,7 +49,7 @@
 		f.synced = false
 		return
 	}
-	if f.stale(now) || f.failing {
+	if f.checking(now) || f.failing {
 		f.regular.next = now.Add(relayRetryInterval)
 		return
 	}
@@ -87,7 +91,7 @@
 
 // applyAnswer passes an answer to the feed and the sink, and plans the next call.
 func (f *Follower) applyAnswer(r callResult, now time.Time) {
-	relayed := r.kind == askPeers
+	relayed, known := r.kind.relayed(), f.at
 	r = f.withoutOutdated(r)
 	silence := f.recordAnswer(r, now)
 	silence.LostWrites = f.noticeLostWrites(r)
@@ -106,15 +110,26 @@
 	if f.Confirmed != nil {
 		f.Confirmed(f.asOf)
 	}
+	f.verifyOutage(known, silence, now)
+	if r.kind == askOthers {
+		return
+	}
 	if !f.stale(now) {
-		f.checks.count = 0
-		f.checks.period++
-		f.checks.cancelArriving()
+		f.endSilence()
 	}
 	f.reportReachable()
 	f.scheduleNext(r.kind, now)
 }
 
+// endSilence ends the checks and the detours.
+func (f *Follower) endSilence() {
+	f.silent = false
+	f.setDetourActive(false)
+	f.checks.count = 0
+	f.checks.period++
+	f.checks.cancelArriving()
+}
+
 // noticeLostWrites reports whether the answer shows that the store has lost writes since the last one.
 func (f *Follower) noticeLostWrites(r callResult) bool {
 	revision := r.revision()
@@ -167,7 +182,7 @@
 	}
 	silence := Silence{Length: now.Sub(last), Ago: now.Sub(r.started), Broken: f.wasUnreachable(last, refusedSince, now)}
 	earliestReturn, failed := f.Backoff.Outage(last)
-	if r.kind == askPeers {
+	if r.kind.relayed() {
 		earliestReturn, failed = f.Backoff.OngoingOutage(last, now)
 		silence.Broken = failed
 	}
@@ -195,7 +210,7 @@
 // known is false if the answer is the store's own or the router could not tell.
 func (r *callResult) reportedSilence() (reported Silence, known bool) {
 	switch {
-	case r.kind != askPeers:
+	case !r.kind.relayed():
 		return Silence{}, false
 	case r.snapshot != nil:
 		return r.snapshot.Silence, r.snapshot.Continuous
