Questions to other routers: only if entries are missing, and seldom where nobody knows

While nobody has an answer the calls follow each other by one to four seconds, and a router asks about an outage only if entries are missing since, and not again once others have told of the same silence: in an outage for all of a large fleet every router makes these calls.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -135,8 +135,19 @@
 	r.recordAnswer()
 }
 
-// RefuteOutage drops the servers that are kept because their entries may have expired in an outage of the
-// store: it answered another router all the time, so they have left.
+// HasMissing implements store.OutageVerifier.
+func (r *Registry) HasMissing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.servers {
+		if known.expired {
+			return true
+		}
+	}
+	return false
+}
+
+// RefuteOutage implements store.OutageVerifier. It drops the servers whose entries are missing: they have left.
 func (r *Registry) RefuteOutage() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -68,7 +68,7 @@
 func (n *Node) serversFollower() *store.Follower {
 	drainTime := max(n.settings.DrainTime, minDrainTime)
 	scale := func(fraction float64) time.Duration { return time.Duration(fraction * float64(drainTime)) }
-	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry, AskOthers: true, OutageRefuted: n.registry.RefuteOutage,
+	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry, AskOthers: true, Verifier: n.registry,
 		Confirmed: func(asOf time.Time) { n.serversAsOf.Store(&asOf) },
 		MaxWait:   scale(serversMaxWaitFraction), Pause: scale(serversPauseFraction), CheckAfter: scale(serversCheckAfterFraction),
 		Timeout: watchTimeout, Burst: serversBurst}
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -241,3 +241,32 @@
 		})
 	}
 }
+
+// countingRelay counts the questions to routers of other failure domains, which have no answer.
+type countingRelay struct {
+	inactiveRelay
+	questions atomic.Int64
+}
+
+func (r *countingRelay) WatchAny(context.Context, string, store.Revision) (store.Changes, error) {
+	r.questions.Add(1)
+	return store.Changes{}, store.ErrNoFeed
+}
+
+// Guards against routers that ask each other often in an outage of the store for all of them, or at all
+// without an outage.
+func TestRoutersRarelyAskOthersThatHaveNoAnswer(t *testing.T) {
+	const (
+		outage       = 60 * time.Second
+		interval     = 4 * time.Second
+		maxQuestions = 2 * (int64(outage/interval) + 3) // for the configuration and the servers
+	)
+	relay := &countingRelay{}
+	runFollowerTest(t, relay, func(f *followerTest) {
+		f.Assert(relay.questions.Load(), qt.Equals, int64(0))
+		f.store.SetDown(true)
+		time.Sleep(outage)
+		asked := relay.questions.Load()
+		f.Assert(asked <= maxQuestions, qt.IsTrue, qt.Commentf("%d questions", asked))
+	})
+}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -91,9 +91,8 @@
 	// WritesLost, if not nil, is called when an answer shows that the store has lost writes, with the
 	// revision known before and the one of the answer, before the answer is passed on.
 	WritesLost func(known, now Revision)
-	// OutageRefuted, if not nil, is called when the store turns out to have answered another router all
-	// through the silence before an answer: entries that disappeared meanwhile were removed.
-	OutageRefuted func()
+	// Verifier, if not nil, is told if an outage was none for other routers.
+	Verifier OutageVerifier
 	// DetourChanged, if not nil, is called when data begins to come from routers of any failure domain,
 	// since the store does not answer, and when that ends.
 	DetourChanged func(active bool)
