--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,29 +66,59 @@
 	},
 }
 
-// Guards against requests to a server that left during a partition, however the path comes back.
+// leavings are the servers of a service that leave during a partition, and those that stay.
+var leavings = map[string]struct{ leave, stay []string }{
+	"one of one":   {[]string{"a"}, nil},
+	"one of two":   {[]string{"a"}, []string{"b"}},
+	"two of three": {[]string{"a", "c"}, []string{"b"}},
+}
+
+// Guards against requests to servers that left during a partition, however the path comes back and
+// however many servers their service has left.
 func TestServerThatLeftIsRemovedInTimeHoweverStoreReturns(t *testing.T) {
 	for name, relay := range map[string]store.Relay{"reader": inactiveRelay{}, "follower": silentRelay{}} {
 		for way, comeBack := range badReturns {
-			t.Run(name+"/"+way, func(t *testing.T) {
-				forEachPhase(t, func(t *testing.T, phase time.Duration) {
-					runFollowerTest(t, relay, func(f *followerTest) {
-						f.store.set(func() { f.store.partitioned, f.store.watchesHang = true, true })
-						time.Sleep(2 * time.Second)
-						f.store.Delete("servers/a")
-						time.Sleep(9*time.Second + phase)
-						end := time.Now()
-						end = end.Add(comeBack(f.store))
-						time.Sleep(time.Until(end.Add(recoveryTime)))
-						f.Assert(f.inUse("a"), qt.IsFalse)
-						f.Assert(f.inUse("b"), qt.IsTrue)
+			for which, servers := range leavings {
+				t.Run(name+"/"+way+"/"+which, func(t *testing.T) {
+					forEachPhase(t, func(t *testing.T, phase time.Duration) {
+						runFollowerTest(t, relay, func(f *followerTest) {
+							f.setServers(append(servers.leave, servers.stay...))
+							f.store.set(func() { f.store.partitioned, f.store.watchesHang = true, true })
+							time.Sleep(2 * time.Second)
+							for _, id := range servers.leave {
+								f.store.Delete("servers/" + id)
+							}
+							time.Sleep(9*time.Second + phase)
+							end := time.Now()
+							end = end.Add(comeBack(f.store))
+							time.Sleep(time.Until(end.Add(recoveryTime)))
+							for _, id := range servers.leave {
+								f.Assert(f.inUse(id), qt.IsFalse)
+							}
+							for _, id := range servers.stay {
+								f.Assert(f.inUse(id), qt.IsTrue)
+							}
+						})
 					})
 				})
-			})
+			}
 		}
 	}
 }
 
+// setServers replaces the servers and waits until the router knows them.
+func (f *followerTest) setServers(ids []string) {
+	for _, id := range []string{"a", "b"} {
+		if !slices.Contains(ids, id) {
+			f.store.Delete("servers/" + id)
+		}
+	}
+	for _, id := range ids {
+		f.putServer(id, false)
+	}
+	time.Sleep(drainTime)
+}
+
 // Guards against requests to servers that left while this router can't reach the store, although
 // routers of other failure domains, which can, know of it.
 func TestRouterWithoutStoreLearnsOfLeavingServersFromOtherDomains(t *testing.T) {
