Routers without the store also ask those that take the store readers' place

Cause: a router that lost the store asked the store readers by the list that it had. In a failure domain of its own, or if the readers of all domains lost the store, these were itself and others without it, although new readers had taken their place by then. Now two of the next in rank are asked as well, after three readers. TestRouterWithoutStoreLearnsOfLeavingServersFromOthers is the test that was named ...FromOtherDomains, with the same checks, and a second fleet of one failure domain, which failed before.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -86,11 +86,7 @@
 	}
 	order := func(m fleet.Member) uint64 { return xxhash.Sum64String(ownName + "/" + m.Name) }
 	sort.Slice(chosen, func(i, j int) bool { return order(chosen[i]) < order(chosen[j]) })
-	addresses := make([]string, 0, len(chosen))
-	for _, m := range chosen {
-		addresses = append(addresses, m.PeerAddress)
-	}
-	return addresses
+	return peerAddresses(chosen)
 }
 
 // Read implements store.Relay.
@@ -118,8 +114,11 @@
 	return peers.FollowAnswer{}, err
 }
 
-// maxAnyReaders is how many store readers WatchAny asks.
-const maxAnyReaders = 3
+// Limits of the routers that WatchAny asks.
+const (
+	maxAnyReaders = 3
+	maxStandIns   = 2
+)
 
 // WatchAny implements store.Relay.
 func (r *relay) WatchAny(ctx context.Context, prefix string, after store.Revision) (store.Changes, error) {
@@ -142,27 +141,46 @@
 }
 
 // anyReaders returns the addresses of a few store readers of all failure domains: first the one that
-// answered last, then others at random, since many routers may ask at once.
+// answered last, then others at random, since many routers may ask at once. A few of the routers that take
+// their place follow: the readers may have lost the store as well, and this router knows of no new ones.
 func (r *relay) anyReaders() []string {
-	members := r.node.members.List()
-	domains := make(map[string]bool)
-	var addresses []string
-	for _, m := range members {
-		if domains[m.Domain] {
-			continue
-		}
-		domains[m.Domain] = true
-		for _, reader := range storeReaders(members, m.Domain) {
-			if reader.Name != r.node.settings.VM {
-				addresses = append(addresses, reader.PeerAddress)
-			}
-		}
+	others := r.node.members.List()
+	others = slices.DeleteFunc(others, func(m fleet.Member) bool { return m.Name == r.node.settings.VM })
+	var readers, standIns []string
+	for _, domain := range domainsOf(others) {
+		chosen := storeReaders(others, domain)
+		rest := slices.DeleteFunc(slices.Clone(others), func(m fleet.Member) bool { return slices.Contains(chosen, m) })
+		readers = append(readers, peerAddresses(chosen)...)
+		standIns = append(standIns, peerAddresses(storeReaders(rest, domain))...)
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	shuffle(readers)
+	shuffle(standIns)
 	if last := r.lastAny.Load(); last != nil {
-		if i := slices.Index(addresses, *last); i > 0 {
-			addresses[0], addresses[i] = addresses[i], addresses[0]
+		if i := slices.Index(readers, *last); i > 0 {
+			readers[0], readers[i] = readers[i], readers[0]
 		}
 	}
-	return addresses[:min(len(addresses), maxAnyReaders)]
+	return append(readers[:min(len(readers), maxAnyReaders)], standIns[:min(len(standIns), maxStandIns)]...)
+}
+
+// domainsOf returns the failure domains of routers.
+func domainsOf(members []fleet.Member) []string {
+	domains := make([]string, 0, len(members))
+	for _, m := range members {
+		domains = append(domains, m.Domain)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
+func peerAddresses(members []fleet.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -119,27 +119,46 @@
 	time.Sleep(drainTime)
 }
 
-// Guards against requests to servers that left while this router can't reach the store, although
-// routers of other failure domains, which can, know of it.
-func TestRouterWithoutStoreLearnsOfLeavingServersFromOtherDomains(t *testing.T) {
-	f := newFleetOfDomains(t, []string{"zone-1", "zone-2", "zone-3"})
-	for _, id := range []string{"a", "b"} {
-		value, err := json.Marshal(fleet.Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Domain: "zone-1"})
-		f.Assert(err, qt.IsNil)
-		f.store.Put("servers/"+id, value)
+// Guards against requests to servers that left, and an old configuration, while this router can't reach the
+// store, although others, which can, know of it: store readers of other failure domains, or the one that took
+// this router's place in its own.
+func TestRouterWithoutStoreLearnsOfLeavingServersFromOthers(t *testing.T) {
+	for name, domains := range map[string][]string{
+		"of other domains": {"zone-1", "zone-2", "zone-3"}, "of the same domain": {"zone-1", "zone-1", "zone-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetOfDomains(t, domains)
+			for _, id := range []string{"a", "b"} {
+				value, err := json.Marshal(fleet.Entry{ID: id, Service: "engines", Address: "10.0.0.1:80", Domain: "zone-1"})
+				f.Assert(err, qt.IsNil)
+				f.store.Put("servers/"+id, value)
+			}
+			vm := f.anyStoreReader()
+			servers := func() int { return f.nodes[vm].registry.View().Total }
+			f.waitFor(func() bool { return servers() == 2 })
+			f.stores[vm].disconnect()
+			f.store.Delete(MemberPrefix + vm) // its lease ends
+			f.store.Delete("servers/a")
+			f.store.Put("config/x", []byte("2"))
+			const maxWait = 5 * time.Second
+			for deadline := time.Now().Add(maxWait); (servers() == 2 || f.version(vm) == 1) && time.Now().Before(deadline); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			f.Assert(servers(), qt.Equals, 1)
+			f.Assert(f.version(vm), qt.Equals, int64(2))
+		})
 	}
-	router := f.nodes["vm-0"]
-	servers := func() int { return router.registry.View().Total }
-	f.waitFor(func() bool { return servers() == 2 })
-	f.stores["vm-0"].disconnect()
-	f.store.Delete("servers/a")
-	f.store.Put("config/x", []byte("2"))
-	const maxWait = 5 * time.Second
-	for deadline := time.Now().Add(maxWait); (servers() == 2 || f.version("vm-0") == 1) && time.Now().Before(deadline); {
-		time.Sleep(5 * time.Millisecond)
+}
+
+// anyStoreReader returns the VM of a router that follows the store itself.
+func (f *relayFleet) anyStoreReader() string {
+	for vm, n := range f.nodes {
+		if !(&relay{node: n}).Active() {
+			return vm
+		}
 	}
-	f.Assert(servers(), qt.Equals, 1)
-	f.Assert(f.version("vm-0"), qt.Equals, int64(2))
+	f.Fatal("no router follows the store")
+	return ""
 }
 
 // otherDomain is the relay of a router that follows the store itself and reaches a store reader of another
