--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -149,11 +149,11 @@
 	GraceChanged Number = 738
 	// GraceRefuted: that time has ended early, since the store answered another router all through the outage.
 	GraceRefuted Number = 739
-	// DetourChanged: data comes from routers of any failure domain while the store does not answer; or no longer.
-	DetourChanged Number = 740
-	Bootstrapped  Number = 714
-	SourceChanged Number = 715
-	StoreCalls    Number = 716
+	// FallbackChanged: data comes from routers of any failure domain while the store does not answer; or no longer.
+	FallbackChanged Number = 740
+	Bootstrapped    Number = 714
+	SourceChanged   Number = 715
+	StoreCalls      Number = 716
 	// BackendMissing: the entry of a backend server is missing after a store outage.
 	BackendMissing Number = 717
 	// DataStale: data read from the store, directly or through another router, was not
@@ -240,7 +240,7 @@
 	{MissingUnused, slog.LevelInfo, "use of missing backend servers changed"},
 	{GraceChanged, slog.LevelInfo, "time for missing entries to return"},
 	{GraceRefuted, slog.LevelInfo, "missing entries were removed"},
-	{DetourChanged, slog.LevelInfo, "data comes from routers of any failure domain"},
+	{FallbackChanged, slog.LevelInfo, "data comes from routers of any failure domain"},
 	{InvariantBroken, slog.LevelError, "invariant broken"},
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -55,20 +55,20 @@
 		f.SourceChanged = n.logSourceChange(f.Prefix)
 		f.StaleCheckStarted = n.logStaleCheck(f.Prefix)
 		f.WritesLost = n.logLostWrites(f.Prefix)
-		f.DetourChanged = n.logDetour(f.Prefix)
+		f.FallbackChanged = n.logFallback(f.Prefix)
 	}
 	return followers
 }
 
 func (n *Node) configFollower() *store.Follower {
-	return &store.Follower{Prefix: n.env.ConfigPrefix, Sink: &configSink{node: n}, AskOthers: true,
+	return &store.Follower{Prefix: n.env.ConfigPrefix, Sink: &configSink{node: n}, AskAny: true,
 		MaxWait: configMaxWait, Pause: configPause, CheckAfter: configCheckAfter, Timeout: watchTimeout}
 }
 
 func (n *Node) serversFollower() *store.Follower {
 	drainTime := max(n.settings.DrainTime, minDrainTime)
 	scale := func(fraction float64) time.Duration { return time.Duration(fraction * float64(drainTime)) }
-	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry, AskOthers: true, Verifier: n.registry,
+	return &store.Follower{Prefix: n.env.ServersPrefix, Sink: n.registry, AskAny: true, Verifier: n.registry,
 		Confirmed: func(asOf time.Time) { n.serversAsOf.Store(&asOf) },
 		MaxWait:   scale(serversMaxWaitFraction), Pause: scale(serversPauseFraction), CheckAfter: scale(serversCheckAfterFraction),
 		Timeout: watchTimeout, Burst: serversBurst}
@@ -111,11 +111,11 @@
 	}
 }
 
-// logDetour returns a store.Follower.DetourChanged callback that logs whether the data under prefix comes
+// logFallback returns a store.Follower.FallbackChanged callback that logs whether the data under prefix comes
 // from routers of any failure domain.
-func (n *Node) logDetour(prefix string) func(active bool) {
+func (n *Node) logFallback(prefix string) func(active bool) {
 	return func(active bool) {
-		n.log.Emit(event.DetourChanged, slog.String("follows", prefix), slog.Bool("active", active))
+		n.log.Emit(event.FallbackChanged, slog.String("follows", prefix), slog.Bool("active", active))
 	}
 }
 
--- a/internal/store/age_test.go
+++ b/internal/store/age_test.go
@@ -172,7 +172,7 @@
 			feed := &store.Feed{}
 			sinks := map[string]*valueSink{"reader": {}, "follower": {}}
 			base := store.Follower{Prefix: "a/", MaxWait: time.Second, Pause: 200 * time.Millisecond, Burst: 4,
-				Timeout: 500 * time.Millisecond, CheckAfter: checkAfter, AskOthers: true}
+				Timeout: 500 * time.Millisecond, CheckAfter: checkAfter, AskAny: true}
 			reader, follower := base, base
 			reader.Store, reader.Feed, reader.Sink = scriptedStore{s, readerCalls}, feed, sinks["reader"]
 			follower.Store, follower.Relay, follower.Sink = scriptedStore{s, followerCalls}, scriptedRelay{feed, relayCalls}, sinks["follower"]
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -86,12 +86,12 @@
 	askPeers   callKind = iota
 	askStore            // the regular call to the store
 	checkStore          // a check, in parallel with the regular call
-	askOthers           // a detour, in parallel with all others
+	askAny              // a fallback call to store readers of any failure domain, in parallel with all others
 )
 
 // relayed reports whether a call of the kind goes to other routers.
 func (k callKind) relayed() bool {
-	return k == askPeers || k == askOthers
+	return k == askPeers || k == askAny
 }
 
 // callResult is the result of a call: a snapshot, changes or an error.
@@ -160,7 +160,7 @@
 // becomeSilent records that the store, or the routers that this one follows, did not answer in time.
 func (f *Follower) becomeSilent(now time.Time) {
 	f.silent = true
-	f.detour.resume(now)
+	f.fallback.resume(now)
 	if f.StaleCheckStarted != nil {
 		f.StaleCheckStarted(now.Sub(f.asOf), f.relaying, f.failing)
 	}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -75,9 +75,9 @@
 	// the call under way; zero: never.
 	CheckAfter time.Duration
 
-	// AskOthers reports whether to read from routers of any failure domain while neither the store nor
+	// AskAny reports whether to read from routers of any failure domain while neither the store nor
 	// the routers that this one follows have an answer.
-	AskOthers bool
+	AskAny bool
 
 	// SourceChanged, if not nil, is called with the source of the first answer and then
 	// whenever the source changes between the store and other routers.
@@ -93,9 +93,9 @@
 	WritesLost func(known, now Revision)
 	// Verifier, if not nil, is told if an outage was none for other routers.
 	Verifier OutageVerifier
-	// DetourChanged, if not nil, is called when data begins to come from routers of any failure domain,
+	// FallbackChanged, if not nil, is called when data begins to come from routers of any failure domain,
 	// since the store does not answer, and when that ends.
-	DetourChanged func(active bool)
+	FallbackChanged func(active bool)
 	// Now returns the time of a clock that advances while the VM is suspended; nil means
 	// time.Now.
 	Now func() time.Time
@@ -120,9 +120,9 @@
 	sourceKnown bool // there was an answer to a regular call
 	lastRelayed bool // the last of these came from another router
 
-	regular regularCall
-	checks  checks
-	detour  detour
+	regular  regularCall
+	checks   checks
+	fallback fallback
 	// silent is set from the first check of stale data until the store or a router that this one follows
 	// answers.
 	silent bool
@@ -213,8 +213,8 @@
 	if !f.regular.busy && (f.regularKind(now) == askPeers || !f.checking(now)) {
 		earlier(f.regular.next)
 	}
-	if f.detourDue(now) {
-		earlier(f.detour.next)
+	if f.fallbackDue(now) {
+		earlier(f.fallback.next)
 	}
 	if f.CheckAfter > 0 {
 		at := f.staleAt()
@@ -241,5 +241,5 @@
 	now := f.now()
 	f.startRegular(ctx, calls, now)
 	f.startCheck(ctx, calls, now)
-	f.startDetour(ctx, calls, now)
+	f.startFallback(ctx, calls, now)
 }
--- a/internal/store/results.go
+++ b/internal/store/results.go
@@ -8,8 +8,8 @@
 
 // handleResult processes the result of a call.
 func (f *Follower) handleResult(r callResult) {
-	if r.kind == askOthers {
-		f.handleDetour(r, f.now())
+	if r.kind == askAny {
+		f.handleFallback(r, f.now())
 		return
 	}
 	if r.kind == checkStore {
@@ -111,7 +111,7 @@
 		f.Confirmed(f.asOf)
 	}
 	f.verifyOutage(known, silence, now)
-	if r.kind == askOthers {
+	if r.kind == askAny {
 		return
 	}
 	if !f.stale(now) {
@@ -121,10 +121,10 @@
 	f.scheduleNext(r.kind, now)
 }
 
-// endSilence ends the checks and the detours.
+// endSilence ends the checks and the fallback calls.
 func (f *Follower) endSilence() {
 	f.silent = false
-	f.setDetourActive(false)
+	f.setFallbackActive(false)
 	f.checks.count = 0
 	f.checks.period++
 	f.checks.cancelArriving()
