peers: an answer that was given up is not read

Known returned what had arrived so far beside the error. Nobody used it, but the copy was read while it was written. Now it returns nothing beside an error.

--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -255,8 +255,10 @@
 // Known asks a peer for the state that a router needs to start.
 func (c *Client) Known(ctx context.Context, address string) (Known, error) {
 	known := Known{}
-	err := c.call(ctx, address, "Known", KnownRequest{}, &known, nil)
-	return known, err
+	if err := c.call(ctx, address, "Known", KnownRequest{}, &known, nil); err != nil {
+		return Known{}, err // the answer may still arrive in known
+	}
+	return known, nil
 }
 
 func (c *Client) inBackoff(address string) bool {
--- a/internal/peers/silence_test.go
+++ b/internal/peers/silence_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
+	"chicorytiller.example/chicorytiller/internal/store"
 )
 
 // blockingLender blocks the calls of blockedWaiter until release is closed.
@@ -85,3 +87,30 @@
 	qt.Assert(t, c.BorrowFrom(context.Background(), address, escrow.LoanRequest{Account: "a", Tokens: 5, WaiterID: blockedWaiter}).Short, qt.Equals, escrow.PeerUnreachable)
 	qt.Assert(t, c.inBackoff(address), qt.IsTrue)
 }
+
+// knownState answers Known with many items.
+type knownState struct {
+	emptyState
+	items []store.Item
+}
+
+func (s knownState) Known() Known { return Known{Config: s.items, Servers: s.items} }
+
+// Guards against a data race of a starting router that gives up the question for what another one knows
+// while its answer arrives.
+func TestAnswerThatIsGivenUpIsNotRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() }) // a failed close does not matter here
+	state := knownState{items: make([]store.Item, 20_000)}
+	go func() { _ = Serve(listener, &fakeLender{}, state, event.Discard(), nil) }() // returns when the listener is closed
+	for i := range 24 {
+		c := NewClient("p1", func() []string { return nil }, event.Discard(), linkdelay.New(nil))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10*i)*time.Millisecond)
+		known, err := c.Known(ctx, listener.Addr().String())
+		if err != nil {
+			qt.Check(t, known.Config, qt.HasLen, 0)
+		}
+		cancel()
+	}
+}
