--- a/internal/fleet/missing.go
+++ b/internal/fleet/missing.go
@@ -65,3 +65,28 @@
 			slog.Int("missing", p.missing), slog.Int("known", p.known), slog.Int64("unheard_ms", r.sinceLastAnswer().Milliseconds()))
 	}
 }
+
+// HasMissing implements store.OutageVerifier.
+func (r *Registry) HasMissing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.servers {
+		if known.expired {
+			return true
+		}
+	}
+	return false
+}
+
+// RefuteOutage implements store.OutageVerifier. It drops the servers whose entries are missing: they have left.
+func (r *Registry) RefuteOutage() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grace.cancel()
+	for key, known := range r.servers {
+		if known.expired {
+			r.drop(key, known, "gone")
+		}
+	}
+	r.publish()
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -135,31 +135,6 @@
 	r.recordAnswer()
 }
 
-// HasMissing implements store.OutageVerifier.
-func (r *Registry) HasMissing() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, known := range r.servers {
-		if known.expired {
-			return true
-		}
-	}
-	return false
-}
-
-// RefuteOutage implements store.OutageVerifier. It drops the servers whose entries are missing: they have left.
-func (r *Registry) RefuteOutage() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.grace.cancel()
-	for key, known := range r.servers {
-		if known.expired {
-			r.drop(key, known, "gone")
-		}
-	}
-	r.publish()
-}
-
 // recordAnswer notes that an answer of the store has been applied, and publishes the new view.
 func (r *Registry) recordAnswer() {
 	now := r.now()
