--- a/internal/node/faultystore_test.go
+++ b/internal/node/faultystore_test.go
@@ -82,14 +82,8 @@
 	return s.Read(ctx, prefix)
 }
 
-func (s *faultyStore) WatchNewConn(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
-	if err := s.connect(ctx); err != nil {
-		return store.Changes{}, err
-	}
-	s.set(func() { s.calls++ })
-	if err := s.reply(ctx); err != nil {
-		return store.Changes{}, err
-	}
+// watch executes a watch that has reached the store.
+func (s *faultyStore) watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
 	if s.isRefused(prefix) {
 		return store.Changes{}, store.ErrUnavailable
 	}
@@ -100,6 +94,17 @@
 	return changes, s.reply(ctx)
 }
 
+func (s *faultyStore) WatchNewConn(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Changes, error) {
+	if err := s.connect(ctx); err != nil {
+		return store.Changes{}, err
+	}
+	s.set(func() { s.calls++ })
+	if err := s.reply(ctx); err != nil {
+		return store.Changes{}, err
+	}
+	return s.watch(ctx, prefix, after, wait)
+}
+
 // connect simulates opening a TCP connection: the first packet is retransmitted after one
 // second, then with exponential backoff.
 func (s *faultyStore) connect(ctx context.Context) error {
@@ -139,12 +144,5 @@
 	if err := s.send(ctx, true); err != nil {
 		return store.Changes{}, err
 	}
-	if s.isRefused(prefix) {
-		return store.Changes{}, store.ErrUnavailable
-	}
-	changes, err := s.Store.Watch(ctx, prefix, after, wait)
-	if err != nil {
-		return changes, err
-	}
-	return changes, s.reply(ctx)
+	return s.watch(ctx, prefix, after, wait)
 }
