--- a/internal/escrow/era_test.go
+++ b/internal/escrow/era_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"context"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -45,3 +46,31 @@
 	qt.Check(t, lost, qt.IsTrue)
 	qt.Check(t, completed.TotalGranted(), qt.Equals, int64(30+300+70), qt.Commentf("another router had written it before"))
 }
+
+// Guards against overspending after the store has lost a grant twice, the second time with the write of a router that
+// wrote it again and ended before it told another.
+func TestGrantLostTwiceIsNotDrawnAgain(t *testing.T) {
+	c := qt.New(t)
+	b := newTestbed(60_000)
+	ctx := context.Background()
+	lost := b.store.Copy()
+	writer, keeper, late := b.newManager("p1", noPeers{}), b.newManager("p2", noPeers{}), b.newManager("p3", noPeers{})
+	keeper.opts.VM, keeper.opts.Address = "vm-2", "vm-2"
+	late.opts.VM, late.opts.Address = "vm-3", "vm-3"
+	writer.syncStore(ctx, true)
+	granted := writer.grant("boatyard").granted
+	c.Assert(granted > 0, qt.IsTrue)
+	keeper.syncStore(ctx, true) // it knows the grant; the writer ends
+	b.store.Restore(lost)
+	late.syncStore(ctx, true)
+	keeper.ObserveEra(b.store.Era())
+	keeper.syncStore(ctx, true)
+	keeper.syncStore(ctx, true) // it has written the grant again, and ends
+	b.store.Restore(lost)
+	late.ObserveEra(b.store.Era())
+	for range 4 {
+		late.syncStore(ctx, true)
+		b.steady += restoreSettleTime
+	}
+	c.Assert(b.accountRecord(c).GrantEntry("vm", "p1").Granted, qt.Equals, granted)
+}
