review: a planned stop cuts streams whose only engine is silent for a second

Cause: the watchdog cancels a resumable stream after 1 s of silence without asking whether another server could go on with it.

--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -22,17 +22,25 @@
 	// events is the number of events of each stream, and pause the time between two of them.
 	events int
 	pause  time.Duration
+	// preempted is how long a stream waits after its event preemptedAfter, as one that is preempted and read in
+	// again; 0: none does.
+	preempted      time.Duration
+	preemptedAfter int
 
-	mu   sync.Mutex
-	runs map[string]int // by attempt
-	busy int
+	mu       sync.Mutex
+	runs     map[string]int // by attempt
+	busy     int
+	draining bool
+	gone     bool
+	listener net.Listener
 }
 
 // startEngine starts an engine that registers itself in the store.
 func startEngine(s *kvStore, id, service, zone string) *engine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	e := &engine{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 64, events: 10, pause: 5 * time.Millisecond, runs: map[string]int{}}
+	e := &engine{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 64, events: 10, pause: 5 * time.Millisecond, runs: map[string]int{},
+		listener: l}
 	go func() { _ = (&http.Server{Handler: e, IdleTimeout: 10 * time.Second}).Serve(l) }()
 	go e.beat(s)
 	return e
@@ -40,15 +48,43 @@
 
 // beat writes the engine's entry.
 func (e *engine) beat(s *kvStore) {
-	for seq := 1; ; seq++ {
-		entry, err := json.Marshal(map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots,
-			"state": "ready", "cold_left_ms": 0, "seq": seq})
-		check(err)
-		s.write("servers/"+e.id, base64.StdEncoding.EncodeToString(entry))
+	for seq := 1; e.writeEntry(s, seq); seq++ {
 		time.Sleep(heartbeat)
 	}
 }
 
+// writeEntry writes the entry, unless the engine has gone.
+func (e *engine) writeEntry(s *kvStore, seq int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return false
+	}
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	entry, err := json.Marshal(map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots,
+		"state": state, "cold_left_ms": 0, "seq": seq})
+	check(err)
+	s.write("servers/"+e.id, base64.StdEncoding.EncodeToString(entry))
+	return true
+}
+
+// leave drains the engine and takes it away: it reports that it drains, serves for a while and ends.
+func (e *engine) leave(s *kvStore, drain time.Duration) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.writeEntry(s, 1_000)
+	time.Sleep(drain + time.Second)
+	e.mu.Lock()
+	e.gone = true
+	e.mu.Unlock()
+	s.write("servers/"+e.id, "")
+	_ = e.listener.Close()
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get("Chicorytiller-Attempt-Id")
 	h := w.Header()
@@ -83,7 +119,15 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(e.pause):
+		case <-time.After(e.pauseAfter(i)):
 		}
 	}
 }
+
+// pauseAfter returns the time between an event and the next one.
+func (e *engine) pauseAfter(event int) time.Duration {
+	if event == e.preemptedAfter {
+		return e.pause + e.preempted
+	}
+	return e.pause
+}
