--- a/review/_standin/routers.go
+++ b/review/_standin/routers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -21,12 +22,30 @@
 	ended                                      chan struct{}
 }
 
+// Ports of routers are below those that the kernel gives to outgoing connections, which could take one while
+// its router isn't running.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+var portsInUse = map[int]bool{}
+
 // freeAddress returns a loopback address that is free now.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range 1000 {
+		port := firstPort + rand.Intn(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil || portsInUse[port] {
+			continue
+		}
+		_ = l.Close()
+		portsInUse[port] = true
+		return address
+	}
+	fail("no free port")
+	return ""
 }
 
 // newRouters prepares routers with the settings that deploy/settings.ini.tmpl makes of a small deployment.
@@ -116,7 +135,8 @@
 	for _, r := range routers {
 		for !r.isReady() {
 			if time.Now().After(deadline) {
-				fail("router %s is not ready", r.name)
+				log, _ := os.ReadFile(r.log)
+				fail("router %s is not ready: %s", r.name, log[max(0, len(log)-500):])
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
