--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/standin silent-stream review/4/record.txt
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -60,7 +60,7 @@
 	check(err)
 	cleanup = append(cleanup, func() { _ = os.RemoveAll(dir) })
 	time.AfterFunc(115*time.Second, func() { fail("time is up") })
-	cases := map[string]func(dir string, trouble bool) bool{"paused-tenant": pausedTenant, "silent-stream": silentStream}
+	cases := map[string]func(dir string, trouble bool) bool{"paused-tenant": pausedTenant, "silent-stream": silentStream, "restored-store": restoredStore}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fail("no case %q", os.Args[1])
--- a/review/_standin/pausedtenant.go
+++ b/review/_standin/pausedtenant.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -49,13 +50,13 @@
 	note("operator: configuration %d acknowledged, tenants: %s", version, strings.Join(names, ", "))
 }
 
-var attempts int
+var attempts atomic.Int64
 
 // draft sends one request and returns the answer's status and the tokens that were delivered: the prompt and
 // the events that came whole.
 func draft(address, key string) (status int, tokens int64) {
-	attempts++
-	attempt := fmt.Sprintf("%016x", 0x51aa0000+attempts)
+	number := attempts.Add(1)
+	attempt := fmt.Sprintf("%016x", 0x51aa0000+number)
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/draft/1", strings.NewReader("a question"))
 	check(err)
 	request.Host = "review.example"
@@ -63,7 +64,7 @@
 	request.Header.Set("Chicorytiller-Attempt-Id", attempt)
 	request.Header.Set("Chicorytiller-Model", "m")
 	request.Header.Set("Chicorytiller-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, stride*eventCount))
-	request.Header.Set("Chicorytiller-Prompt-Prefix", fmt.Sprintf("%08x:%d", attempts, promptTokens))
+	request.Header.Set("Chicorytiller-Prompt-Prefix", fmt.Sprintf("%08x:%d", number, promptTokens))
 	request.Header.Set("Chicorytiller-Time-Left-Ms", "6000")
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	client := http.Client{Transport: transport, Timeout: 6 * time.Second}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -19,8 +20,40 @@
 	events   []kvItem // all changes, oldest first
 	leases   map[int64]*kvLease
 	changed  chan struct{} // closed and replaced with each change
-	// refuse answers 503 to the routers' calls; the operator and the engines are served.
-	refuse bool
+	// away answers no call but with 503; the operator and the engines write directly.
+	away bool
+	// era is told in each answer. It rises by one when the store comes back from a copy.
+	era int64
+}
+
+// kvCopy is a copy of the store.
+type kvCopy struct {
+	revision int64
+	items    map[string]kvItem
+	leases   map[int64]kvLease
+}
+
+// copied returns a copy of the present state.
+func (s *kvStore) copied() kvCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := kvCopy{revision: s.revision, items: maps.Clone(s.items), leases: map[int64]kvLease{}}
+	for id, lease := range s.leases {
+		c.leases[id] = *lease
+	}
+	return c
+}
+
+// restore replaces the state by a copy: what was written since is gone, leases too.
+func (s *kvStore) restore(c kvCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items, s.events, s.leases = c.revision, maps.Clone(c.items), nil, map[int64]*kvLease{}
+	for id, lease := range c.leases {
+		s.leases[id] = &kvLease{ttl: lease.ttl, until: time.Now().Add(lease.ttl)}
+	}
+	s.signal()
 }
 
 type kvItem struct {
@@ -55,9 +88,10 @@
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refuse := s.refuse
+		away, era := s.away, s.era
 		s.mu.Unlock()
-		if refuse {
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		if away {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -65,10 +99,10 @@
 	})
 }
 
-func (s *kvStore) setRefuse(refuse bool) {
+func (s *kvStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refuse = refuse
+	s.away = away
 }
 
 // expireLoop removes the keys of leases that have ended.
@@ -177,12 +211,17 @@
 	for {
 		s.mu.Lock()
 		found, at, changed := []kvItem{}, s.revision, s.changed
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, query.Get("prefix")) {
 				found = append(found, e)
 			}
 		}
 		s.mu.Unlock()
+		if after > at {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(found) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": found, "at": at})
 			return
