--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -28,7 +28,6 @@
 	preemptedAfter int
 
 	mu       sync.Mutex
-	runs     map[string]int // by attempt
 	busy     int
 	draining bool
 	gone     bool
@@ -39,7 +38,7 @@
 func startEngine(s *kvStore, id, service, zone string) *engine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	e := &engine{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 64, events: 10, pause: 5 * time.Millisecond, runs: map[string]int{},
+	e := &engine{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 64, events: 10, pause: 5 * time.Millisecond,
 		listener: l}
 	go func() { _ = (&http.Server{Handler: e, IdleTimeout: 10 * time.Second}).Serve(l) }()
 	go e.beat(s)
@@ -97,10 +96,10 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	e.mu.Lock()
-	e.runs[attempt]++
 	e.busy++
 	busy := e.busy
 	e.mu.Unlock()
+	note("engine: %s runs %s", e.id, attempt)
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -118,6 +117,7 @@
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-r.Context().Done():
+			note("engine: %s: the connection of %s was closed after event %d", e.id, attempt, i)
 			return
 		case <-time.After(e.pauseAfter(i)):
 		}
