review: the project's words in the stand-ins and the prose

Cause: the project says backend server and client account outside its interface to the platform. Change: names and texts; quotes and names on the wire stay.

--- a/review/_standin/engine.go
+++ b/review/_standin/backend.go
@@ -15,10 +15,10 @@
 
 const heartbeat = 1200 * time.Millisecond
 
-// engine is a stand-in for a sound engine of one service.
-type engine struct {
-	id, service, address, zone string
-	slots                      int
+// backend is a stand-in for a sound backend server of one service.
+type backend struct {
+	id, service, address, domain string
+	slots                        int
 	// events is the number of events of each stream, and pause the time between two of them.
 	events int
 	pause  time.Duration
@@ -34,26 +34,26 @@
 	listener net.Listener
 }
 
-// startEngine starts an engine that registers itself in the store.
-func startEngine(s *kvStore, id, service, zone string) *engine {
+// startBackend starts a backend server that registers itself in the store.
+func startBackend(s *kvStore, id, service, domain string) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	e := &engine{id: id, service: service, address: l.Addr().String(), zone: zone, slots: 64, events: 10, pause: 5 * time.Millisecond,
+	e := &backend{id: id, service: service, address: l.Addr().String(), domain: domain, slots: 64, events: 10, pause: 5 * time.Millisecond,
 		listener: l}
 	go func() { _ = (&http.Server{Handler: e, IdleTimeout: 10 * time.Second}).Serve(l) }()
 	go e.beat(s)
 	return e
 }
 
-// beat writes the engine's entry.
-func (e *engine) beat(s *kvStore) {
+// beat writes the backend server's entry.
+func (e *backend) beat(s *kvStore) {
 	for seq := 1; e.writeEntry(s, seq); seq++ {
 		time.Sleep(heartbeat)
 	}
 }
 
-// writeEntry writes the entry, unless the engine has gone.
-func (e *engine) writeEntry(s *kvStore, seq int) bool {
+// writeEntry writes the entry, unless the backend server has gone.
+func (e *backend) writeEntry(s *kvStore, seq int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gone {
@@ -63,15 +63,15 @@
 	if e.draining {
 		state = "draining"
 	}
-	entry, err := json.Marshal(map[string]any{"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots,
+	entry, err := json.Marshal(map[string]any{"service": e.service, "address": e.address, "zone": e.domain, "version": "v1", "slots": e.slots,
 		"state": state, "cold_left_ms": 0, "seq": seq})
 	check(err)
 	s.write("servers/"+e.id, base64.StdEncoding.EncodeToString(entry))
 	return true
 }
 
-// leave drains the engine and takes it away: it reports that it drains, serves for a while and ends.
-func (e *engine) leave(s *kvStore, drain time.Duration) {
+// leave drains the backend server and takes it away: it reports that it drains, serves for a while and ends.
+func (e *backend) leave(s *kvStore, drain time.Duration) {
 	e.mu.Lock()
 	e.draining = true
 	e.mu.Unlock()
@@ -84,7 +84,7 @@
 	_ = e.listener.Close()
 }
 
-func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get("Chicorytiller-Attempt-Id")
 	h := w.Header()
 	h.Set("Chicorytiller-Attempt-Id", attempt)
@@ -99,7 +99,7 @@
 	e.busy++
 	busy := e.busy
 	e.mu.Unlock()
-	note("engine: %s runs %s", e.id, attempt)
+	note("backend server: %s runs %s", e.id, attempt)
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -117,7 +117,7 @@
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-r.Context().Done():
-			note("engine: %s: the connection of %s was closed after event %d", e.id, attempt, i)
+			note("backend server: %s: the connection of %s was closed after event %d", e.id, attempt, i)
 			return
 		case <-time.After(e.pauseAfter(i)):
 		}
@@ -125,7 +125,7 @@
 }
 
 // pauseAfter returns the time between an event and the next one.
-func (e *engine) pauseAfter(event int) time.Duration {
+func (e *backend) pauseAfter(event int) time.Duration {
 	if event == e.preemptedAfter {
 		return e.pause + e.preempted
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -1,5 +1,5 @@
 // Command standin runs the scripted cases of the review: it starts routers as processes, stands in for the
-// platform, the engines and the clients, and judges what the clients and the engines see.
+// platform, the backend servers and the clients, and judges what the clients and the backend servers see.
 package main
 
 import (
@@ -60,7 +60,7 @@
 	check(err)
 	cleanup = append(cleanup, func() { _ = os.RemoveAll(dir) })
 	time.AfterFunc(115*time.Second, func() { fail("time is up") })
-	cases := map[string]func(dir string, trouble bool) bool{"paused-tenant": pausedTenant, "silent-stream": silentStream, "restored-store": restoredStore}
+	cases := map[string]func(dir string, trouble bool) bool{"paused-account": pausedAccount, "silent-stream": silentStream, "restored-store": restoredStore}
 	run := cases[os.Args[1]]
 	if run == nil {
 		fail("no case %q", os.Args[1])
--- a/review/_standin/pausedtenant.go
+++ b/review/_standin/pausedaccount.go
@@ -22,8 +22,8 @@
 	requestMax   = promptTokens + stride*eventCount
 )
 
-// tenant is an entry of the configuration's `tenants`.
-type tenant struct {
+// account is an entry of the configuration's `tenants`.
+type account struct {
 	Name     string   `json:"name"`
 	Keys     []string `json:"api_keys"`
 	Priority int      `json:"priority"`
@@ -31,7 +31,7 @@
 }
 
 // writeConfig writes a version of the configuration as the operator does.
-func writeConfig(s *kvStore, version int, tenants ...tenant) {
+func writeConfig(s *kvStore, version int, accounts ...account) {
 	config, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{"name": "r-draft", "host": "review.example", "prefix": "/draft/", "kind": "streaming", "timeout_ms": 8000,
@@ -39,15 +39,15 @@
 		"services": []map[string]any{{"name": "model", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 64, "kv_capacity": 444000, "stride": stride, "models": []map[string]any{{"name": "m"}}}}},
 		"limits":  map[string]any{"header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": tenants,
+		"tenants": accounts,
 	})
 	check(err)
 	s.write("op/config", base64.StdEncoding.EncodeToString(config))
-	names := make([]string, 0, len(tenants))
-	for _, t := range tenants {
+	names := make([]string, 0, len(accounts))
+	for _, t := range accounts {
 		names = append(names, fmt.Sprintf("%s (prepaid %d)", t.Name, t.Prepaid))
 	}
-	note("operator: configuration %d acknowledged, tenants: %s", version, strings.Join(names, ", "))
+	note("operator: configuration %d acknowledged, client accounts: %s", version, strings.Join(names, ", "))
 }
 
 var attempts atomic.Int64
@@ -91,23 +91,23 @@
 	return response.StatusCode, tokens
 }
 
-// pausedTenant: a tenant that has used most of what it paid for is left out of one version of the
-// configuration. All routers are killed and start again, and the next version has the tenant as before.
+// pausedAccount: a client account that has used most of what it paid for is left out of one version of the
+// configuration. All routers are killed and start again, and the next version has the client account as before.
 // Whatever happens, it must not get more tokens than it has paid for.
-func pausedTenant(dir string, trouble bool) bool {
+func pausedAccount(dir string, trouble bool) bool {
 	s := newStore()
 	go s.expireLoop()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	go func() { _ = http.Serve(l, s.handler()) }()
-	zones := []string{"a", "b", "c"}
-	for i, zone := range zones {
-		startEngine(s, fmt.Sprintf("i-%02d", i+1), "model", zone)
+	domains := []string{"a", "b", "c"}
+	for i, domain := range domains {
+		startBackend(s, fmt.Sprintf("i-%02d", i+1), "model", domain)
 	}
-	alpha := tenant{Name: "alpha", Keys: []string{"key-of-alpha"}, Priority: 1, Prepaid: prepaid}
-	beta := tenant{Name: "beta", Keys: []string{"key-of-beta"}, Priority: 1, Prepaid: prepaid}
+	alpha := account{Name: "alpha", Keys: []string{"key-of-alpha"}, Priority: 1, Prepaid: prepaid}
+	beta := account{Name: "beta", Keys: []string{"key-of-beta"}, Priority: 1, Prepaid: prepaid}
 	writeConfig(s, 3, alpha, beta)
-	routers := newRouters(dir, l.Addr().String(), zones...)
+	routers := newRouters(dir, l.Addr().String(), domains...)
 	startAll := func() {
 		for _, r := range routers {
 			r.start()
--- a/review/_standin/restoredstore.go
+++ b/review/_standin/restoredstore.go
@@ -15,20 +15,20 @@
 )
 
 // restoredStore: all routers are killed while the store is away for a moment and comes back from a copy some
-// seconds old. A tenant must not get more tokens than it has paid for.
+// seconds old. A client account must not get more tokens than it has paid for.
 func restoredStore(dir string, trouble bool) bool {
 	s := newStore()
 	go s.expireLoop()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	go func() { _ = http.Serve(l, s.handler()) }()
-	zones := []string{"a", "b", "c"}
-	for i, zone := range zones {
-		startEngine(s, fmt.Sprintf("i-%02d", i+1), "model", zone)
+	domains := []string{"a", "b", "c"}
+	for i, domain := range domains {
+		startBackend(s, fmt.Sprintf("i-%02d", i+1), "model", domain)
 	}
-	alpha := tenant{Name: "alpha", Keys: []string{"key-of-alpha"}, Priority: 1, Prepaid: prepaid}
+	alpha := account{Name: "alpha", Keys: []string{"key-of-alpha"}, Priority: 1, Prepaid: prepaid}
 	writeConfig(s, 3, alpha)
-	routers := newRouters(dir, l.Addr().String(), zones...)
+	routers := newRouters(dir, l.Addr().String(), domains...)
 	startAll := func() {
 		for _, r := range routers {
 			r.start()
--- a/review/_standin/routers.go
+++ b/review/_standin/routers.go
@@ -15,7 +15,7 @@
 
 // router is one chicory-edge process on its own ports, which stay the same over restarts.
 type router struct {
-	name, zone                                 string
+	name, domain                               string
 	front, ready, directory, control, internal string
 	settings, log                              string
 	process                                    *exec.Cmd
@@ -49,10 +49,10 @@
 }
 
 // newRouters prepares routers with the settings that deploy/settings.ini.tmpl makes of a small deployment.
-func newRouters(dir, store string, zones ...string) []*router {
+func newRouters(dir, store string, domains ...string) []*router {
 	var routers []*router
-	for i, zone := range zones {
-		r := &router{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, front: freeAddress(), ready: freeAddress(), directory: freeAddress(),
+	for i, domain := range domains {
+		r := &router{name: fmt.Sprintf("edge-%s-%d", domain, i+1), domain: domain, front: freeAddress(), ready: freeAddress(), directory: freeAddress(),
 			control: freeAddress(), internal: freeAddress()}
 		r.settings, r.log = filepath.Join(dir, r.name+".ini"), filepath.Join(dir, r.name+".log")
 		routers = append(routers, r)
@@ -86,7 +86,7 @@
 ratio = 0.2
 extra = 56
 window_s = 10
-`, r.name, r.zone, strings.Join(seeds, ","), r.front, r.ready, r.directory, r.control, r.internal, store)
+`, r.name, r.domain, strings.Join(seeds, ","), r.front, r.ready, r.directory, r.control, r.internal, store)
 		check(os.WriteFile(r.settings, []byte(text), 0o600))
 	}
 	return routers
--- a/review/_standin/silentstream.go
+++ b/review/_standin/silentstream.go
@@ -21,16 +21,16 @@
 	preemption = 1600 * time.Millisecond
 )
 
-// silentStream: a router is stopped as planned while it relays streams of the only engine that is left of
-// a service. The engine preempts each of them once for a while, and then goes on. All streams must come to their end.
+// silentStream: a router is stopped as planned while it relays streams of the only backend server that is left of
+// a service. The backend server preempts each of them once for a while, and then goes on. All streams must come to their end.
 func silentStream(dir string, trouble bool) bool {
 	s := newStore()
 	go s.expireLoop()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	go func() { _ = http.Serve(l, s.handler()) }()
-	zones := []string{"a", "b", "c"}
-	stays, leaves := startEngine(s, "i-01", "model", "a"), startEngine(s, "i-02", "model", "b")
+	domains := []string{"a", "b", "c"}
+	stays, leaves := startBackend(s, "i-01", "model", "a"), startBackend(s, "i-02", "model", "b")
 	stays.events, stays.pause = streamEvents, 40*time.Millisecond
 	if trouble {
 		stays.preempted, stays.preemptedAfter = preemption, 10
@@ -47,7 +47,7 @@
 	check(err)
 	s.write("op/config", base64.StdEncoding.EncodeToString(config))
 	note("operator: configuration 3 acknowledged")
-	routers := newRouters(dir, l.Addr().String(), zones...)
+	routers := newRouters(dir, l.Addr().String(), domains...)
 	cleanup = append(cleanup, func() {
 		for _, r := range routers {
 			r.kill()
@@ -59,9 +59,9 @@
 	awaitReady(routers)
 	note("platform: all routers are ready")
 	time.Sleep(3 * time.Second)
-	note("engine %s drains", leaves.id)
+	note("backend server %s drains", leaves.id)
 	leaves.leave(s, 2*time.Second)
-	note("engine %s has left, %s is the only one", leaves.id, stays.id)
+	note("backend server %s has left, %s is the only one", leaves.id, stays.id)
 	time.Sleep(5 * time.Second)
 
 	var clients sync.WaitGroup
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -20,7 +20,7 @@
 	events   []kvItem // all changes, oldest first
 	leases   map[int64]*kvLease
 	changed  chan struct{} // closed and replaced with each change
-	// away answers no call but with 503; the operator and the engines write directly.
+	// away answers no call but with 503; the operator and the backend servers write directly.
 	away bool
 	// era is told in each answer. It rises by one when the store comes back from a copy.
 	era int64
@@ -154,7 +154,7 @@
 	s.changed = make(chan struct{})
 }
 
-// write puts or, with an empty value, removes one key on behalf of the operator or an engine.
+// write puts or, with an empty value, removes one key on behalf of the operator or a backend server.
 func (s *kvStore) write(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
