escrow: a budget whose account a configuration leaves out isn't spent twice

Cause: a router's ledger listed the accounts of the present configuration only, and BoundSpending took a missing allowance for one of zero tokens, so that the successor of the process freed the whole grant.

Change: a router writes for each account that is listed or of which its VM may hold a grant. Its ledger keeps the allowance that was in force, lost and unanswered writes are repeated, and a dead predecessor's grant is closed while its ledger is at hand. An account that a ledger doesn't list counts with its whole grant; ledgers of older builds are of that kind.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,14 +37,10 @@
 	now := m.opts.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stopped || len(budgets) == 0 {
+	accounts := m.accountsToSync(budgets)
+	if m.stopped || len(accounts) == 0 {
 		return draw{}, false
 	}
-	accounts := make([]string, 0, len(budgets))
-	for account := range budgets {
-		accounts = append(accounts, account)
-	}
-	sort.Strings(accounts)
 	lastContact := m.lastContact
 	if !m.storeDown {
 		lastContact = now
@@ -60,6 +57,10 @@
 	}
 	for _, account := range accounts {
 		g := m.grant(account)
+		if _, listed := budgets[account]; !listed {
+			due = m.planUnlisted(&d, g) || due
+			continue
+		}
 		g.updateRate(now.Steady)
 		m.updateLowBudget(g, budgets[account])
 		as := m.role(g)
@@ -112,6 +113,38 @@
 	return d, true
 }
 
+// accountsToSync returns the accounts for which this router has to write to the store: those that the configuration
+// lists, and others of which it may hold a grant, or its predecessors on this VM. None are returned while no
+// configuration is known (budgets is nil). The caller holds m.mu.
+func (m *GrantManager) accountsToSync(budgets map[string]int64) []string {
+	if budgets == nil {
+		return nil
+	}
+	accounts := slices.Collect(maps.Keys(budgets))
+	for account, g := range m.grants {
+		if _, listed := budgets[account]; !listed && g.isOnVM(m.opts.VM, m.opts.Incarnation) {
+			accounts = append(accounts, account)
+		}
+	}
+	slices.Sort(accounts)
+	return accounts
+}
+
+// planUnlisted adds to the transaction what is due for an account that the configuration doesn't list, and reports
+// whether anything is. The grant and its allowance stay as they are, since a later configuration may list the account
+// again: the ledger must not say that nothing of the grant was used. The caller holds m.mu.
+func (m *GrantManager) planUnlisted(d *draw, g *grant) (due bool) {
+	due = g.pendingRevision != noPendingWrite || g.record.HasOtherEntries(m.opts.VM, m.opts.Incarnation) && !m.isSettling()
+	due = due && g.recordKnown && len(d.grants) < maxTxnAccounts
+	if due {
+		m.addGrant(d, g, g.granted)
+	}
+	next := g.allowance
+	next.Ceiling = max(next.Ceiling, min(g.granted, g.used()))
+	d.ledger.Allowances[g.account] = next
+	return due
+}
+
 // lowerAllowances lowers the allowances to those of a ledger that is about to be written,
 // where these are lower. The ledger may be stored even if the response is lost; higher
 // allowances take effect only once they are known to be stored.
--- a/internal/escrow/grant.go
+++ b/internal/escrow/grant.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// isOnVM reports whether the record may show a grant of this incarnation, or of an earlier one on the same VM.
+func (g *grant) isOnVM(vm, incarnation string) bool {
+	return g.granted > 0 || g.pendingRevision != noPendingWrite || g.record.GrantEntry(vm, incarnation).Seq > 0 ||
+		g.record.HasOtherEntries(vm, incarnation)
+}
+
 // used returns the tokens of the grant that are spent, reserved or lent. Borrowed tokens
 // are subtracted, since they add to what the grant can give.
 func (g *grant) used() int64 {
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -112,6 +112,9 @@
 	BasisTimeOfDay BoundBasis = "time_of_day"
 	// BasisGrant is the whole grant: there is no usable ledger or clock.
 	BasisGrant BoundBasis = "grant"
+	// BasisNoAllowance is the whole grant: the ledger doesn't list the account. Older builds left out
+	// accounts that were not in the configuration.
+	BasisNoAllowance BoundBasis = "no_allowance"
 )
 
 // maxAgeAt returns the longest time that can have passed between the reading and now, and
@@ -143,7 +146,8 @@
 	Contact ClockReading `json:"contact"`
 	// Era is the store's era when it was written; nil if an older build wrote it.
 	Era *store.Era `json:"era,omitempty"`
-	// Allowances is keyed by account.
+	// Allowances is keyed by account. It lists each account of which the router may hold a grant, whether or
+	// not the configuration lists it.
 	Allowances map[string]Allowance `json:"allowances"`
 }
 
@@ -196,6 +200,10 @@
 	if basis == BasisGrant {
 		return wholeGrant
 	}
-	allowance := l.Allowances[account]
+	allowance, listed := l.Allowances[account]
+	if !listed {
+		wholeGrant.Basis = BasisNoAllowance
+		return wholeGrant
+	}
 	return SpendingBound{Max: min(granted, allowance.limitAt(age)), Basis: basis, Ceiling: min(granted, allowance.Ceiling), Age: age}
 }
--- a/internal/escrow/manager.go
+++ b/internal/escrow/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -326,12 +327,7 @@
 	if !m.ledgerKnown {
 		return true
 	}
-	for account := range budgets {
-		if !m.grant(account).recordKnown {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.accountsToSync(budgets), func(account string) bool { return !m.grant(account).recordKnown })
 }
 
 // isShort reports whether the records were last read at least readInterval ago and this
@@ -392,7 +388,10 @@
 		}
 	}
 	for account := range budgets {
-		if g := m.grant(account); !found[account] && !g.recordKnown {
+		m.grant(account) // those that have no record yet
+	}
+	for account, g := range m.grants {
+		if !found[account] && !g.recordKnown {
 			m.adopt(g, newRecord(), store.NewRevision(m.era, 0))
 		}
 	}
--- a/internal/escrow/statement.go
+++ b/internal/escrow/statement.go
@@ -91,6 +91,8 @@
 		return h // there is no readable ledger of this incarnation
 	}
 	h.LastContact = ledger.Contact.Wall
-	h.Ceiling = min(entry.Granted, ledger.Allowances[account].Ceiling)
+	if allowance, listed := ledger.Allowances[account]; listed {
+		h.Ceiling = min(entry.Granted, allowance.Ceiling)
+	}
 	return h
 }
--- a/internal/escrow/tell.go
+++ b/internal/escrow/tell.go
@@ -87,7 +87,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, told := range records {
-		if _, isKnown := budgets[told.Account]; isKnown {
+		_, isListed := budgets[told.Account]
+		if isListed || m.grants[told.Account] != nil {
 			m.keepRecord(m.grant(told.Account), told)
 		}
 	}
--- a/internal/escrow/world_test.go
+++ b/internal/escrow/world_test.go
@@ -49,7 +49,8 @@
 	manager      *GrantManager
 	reservations []*Reservation
 	boots        int
-	cutOff       bool // from the store
+	cutOff       bool             // from the store
+	budgets      map[string]int64 // of the configuration that it knows
 	// clockSkew is the offset of this VM's monotonic clock, which each boot resets.
 	clockSkew time.Duration
 }
@@ -58,7 +59,7 @@
 	c := &cluster{t: t, wall: time.Unix(1_800_000_000, 0), consumed: make(map[string]int64)}
 	c.store = memstore.New(func() time.Time { return time.Unix(0, 0).Add(c.steady) })
 	for i := 0; i < vms; i++ {
-		c.routers = append(c.routers, &simRouter{vm: fmt.Sprintf("vm-%d", i)})
+		c.routers = append(c.routers, &simRouter{vm: fmt.Sprintf("vm-%d", i), budgets: prepaidBudgets})
 		c.start(c.routers[i])
 	}
 	c.copyStore(nil)
@@ -72,11 +73,11 @@
 		c.restartedSinceCopy[r.vm] = true
 	}
 	boot := fmt.Sprintf("%s-boot-%d", r.vm, r.boots)
-	skew := r.clockSkew
+	skew, budgets := r.clockSkew, r.budgets
 	r.reservations = nil
 	r.manager = New(Options{
 		Store: routerStore{Store: c.store, router: r}, Prefix: "budget/", VM: r.vm, Address: r.vm, Incarnation: fmt.Sprintf("p%d", c.incarnations),
-		Budgets: func() map[string]int64 { return prepaidBudgets },
+		Budgets: func() map[string]int64 { return budgets },
 		Log:     event.Discard(),
 		Clock: func() ClockReading {
 			return ClockReading{Boot: boot, Steady: c.steady + skew, Wall: c.wall.Add(c.steady)}
