forward: a silent server keeps the request until another one has taken it

Cause: after 1 s of silence (or twice the latency goal) the watchdog counted a retry and cancelled the attempt; whether any server could take the request was asked afterwards. Ruled out: the stop (the test has none), the server (its side tells that its connection was closed).

Change: the request is offered to another server while its attempt goes on, and the attempt is given up once that server has taken it: by its answer, or by saying nothing for 0.25 s. Where there is no server for it, nothing is counted against the limit on retries; a server that rejects it late is left for the first one again. Why this works: nothing is cancelled on a hope, and a stream's next event comes from one attempt only.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -22,11 +22,14 @@
 		body, err = t.f.unstated.readRest(reply, body)
 		defer t.f.unstated.release(body)
 	} else if err == nil && len(body) == maxBufferedAnswer {
+		if !watch.end() {
+			return t.handleBroken(watch, server, errStalled)
+		}
 		return t.relayUnbuffered(watch, server, reply, body)
 	}
+	watch.end()
 	if errors.Is(err, errBuffersFull) {
 		// Another server's answer would meet the same limit.
-		watch.end()
 		t.logFailure(server, "router's buffers full", err)
 		t.giveUp(BackendFailed)
 		return finished
@@ -47,7 +50,6 @@
 		t.succeeded = true
 		t.setOutput(reply.OutputTokens)
 	}
-	watch.pause()
 	if err := t.caller.Answer(reply.Status, reply.Header, body); err != nil {
 		t.callerStalled = errors.Is(err, ErrCallerStalled)
 		return callerGone
@@ -69,7 +71,6 @@
 // relayUnbuffered relays an answer that is too long to be buffered; buffered is the part already
 // read.
 func (t *task) relayUnbuffered(watch *watchdog, server *fleet.Server, reply *upstream.Reply, buffered []byte) outcome {
-	watch.end()
 	t.headSent, t.firstByteAt = true, time.Now()
 	t.isErrorAnswer = reply.Status != http.StatusOK
 	t.setOutput(reply.OutputTokens)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"chicorytiller.example/chicorytiller/internal/balance"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/upstream"
@@ -26,53 +25,75 @@
 	heldBack                    // the request crashes servers, as became known meanwhile
 )
 
-// attempt sends the request to one server and relays its answer.
-func (t *task) attempt(parent context.Context, choice balance.Choice) outcome {
-	server := choice.Server
+// attempt sends the request to one server, unless that has begun as an offer, and relays its answer.
+func (t *task) attempt(parent context.Context, x *exchange) outcome {
+	server := x.Server
 	t.tried[server.Incarnation] = true
-	a := &upstream.Attempt{Request: t.r, Server: server, ResumeAfter: t.lastEventID, Resume: t.hasLastEventID}
-	if !t.deadline.IsZero() {
-		a.Timeout = time.Until(t.deadline)
-	}
-	t.sentAt, t.prefill = time.Now(), choice.UncachedTokens
+	t.sentAt, t.prefill, t.stream, t.choice = x.sentAt, x.UncachedTokens, x.stream, x.Choice
 	t.beganAt, t.received, t.survived, t.answerRead = time.Time{}, 0, false, false
-	t.stream, t.choice = t.f.Chooser.Begin(choice, t.r), choice
-	defer t.stream.End()
-	server.BeginRequest(choice.UncachedTokens)
-	defer server.EndRequest()
-	watch := t.watch(parent)
-	defer watch.stop()
+	watch := t.watch(parent, x)
+	defer t.endWatch(watch)
 	watch.holdOn(t.f.Quarantine, t.checked)
-	reply, err := t.f.Backend.Do(watch.ctx, a)
-	t.via = a.Via
-	server.EndPrefill(choice.UncachedTokens)
-	if err != nil {
-		return t.handleSendError(watch, server, err)
+	if x.replaces != "" {
+		<-x.answered
+	} else {
+		x.send(t.f.Backend)
+	}
+	isCurrent := watch.pause()
+	t.via = x.attempt.Via
+	if x.err != nil {
+		return t.handleSendError(watch, server, x.err)
 	}
-	defer reply.Close()
+	reply := x.reply
 	t.sends++
 	t.f.observe(server, reply, t.sentAt)
-	if reply.NotExecuted || reply.Status == http.StatusMisdirectedRequest {
+	if isRejection(reply) {
+		t.allowReplaced(x)
 		return t.handleRejection(server, reply)
 	}
 	t.f.Quarantine.RecordAlive(server.Incarnation, t.sentAt)
 	t.mayHaveRun = true
 	t.f.Chooser.RecordSent(server, t.r)
+	if !isCurrent {
+		return t.handleBroken(watch, server, errStalled)
+	}
 	if t.r.Route.Kind == policy.Streaming && reply.Status == http.StatusOK {
+		watch.resume()
 		return t.relayEvents(watch, server, reply)
 	}
 	if t.headSent {
 		return t.handleBroken(watch, server, errors.Errorf("status %d in answer to a resumed stream", reply.Status))
 	}
+	watch.resume()
 	return t.relayBuffered(watch, server, reply)
 }
 
+// allowReplaced lets the request return to the server that was silent, after the one that seemed to have taken it has
+// rejected it: nothing else may be left.
+func (t *task) allowReplaced(x *exchange) {
+	if x.replaces != "" {
+		delete(t.tried, x.replaces)
+		t.sends--
+	}
+}
+
+// endWatch ends the watch of an attempt. The next attempt is the one for which this one was given up, if there is one.
+func (t *task) endWatch(watch *watchdog) {
+	replacement, mayHaveRun := watch.stop()
+	t.replacement = replacement
+	t.mayHaveRun = t.mayHaveRun || mayHaveRun
+}
+
 // handleSendError determines the outcome of an attempt without an answer.
 func (t *task) handleSendError(watch *watchdog, server *fleet.Server, err error) outcome {
 	if errors.Is(err, upstream.ErrNotSent) {
 		if watch.isHeldBack() {
 			return heldBack
 		}
+		if watch.hasExpired() {
+			t.logFailure(server, "stalled", err)
+			return retryGranted
+		}
 		if watch.parent.Err() != nil && !t.pastDeadline() {
 			return callerGone
 		}
--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -153,6 +153,7 @@
 	status := server.Status(time.Now())
 	t.f.Log.Emit(event.AttemptFailed, slog.String(event.KeyRequest, t.r.ID), slog.String(event.KeyBackend, server.ID),
 		slog.String("address", server.Address), slog.String("version", server.Version), slog.String("how", kind), slog.Any(event.KeyCause, err),
+		slog.Bool("offer", t.offering),
 		slog.Bool("fragile", t.isFragile()),
 		slog.Int("attempt", t.sends), slog.Int("failures", status.Failures),
 		slog.String("via", t.via), t.featureAttr(), slog.Any("parts", t.r.SharedPartIDs()),
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -22,15 +22,19 @@
 	events := eventstream.NewReader(bufio.NewReaderSize(reply, streamBuffer))
 	for {
 		e, err := events.Next()
+		isCurrent := watch.pause()
 		if err == io.EOF {
 			return t.finishEvents(watch, server, reply)
 		}
 		if err != nil {
 			return t.handleBroken(watch, server, err)
 		}
-		watch.progress()
+		if !isCurrent {
+			return t.handleBroken(watch, server, errStalled) // the other server sends this event, too
+		}
 		t.recordReceived(watch)
 		if e.HasID && t.hasLastEventID && e.ID <= t.lastEventID {
+			watch.progress()
 			continue // already relayed from an earlier attempt
 		}
 		if e.HasID && t.hasLastEventID && e.ID != t.lastEventID+1 {
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -46,6 +46,11 @@
 	lastFailure  string
 	via          string // the router that carried the last attempt; empty if it was direct
 
+	// replacement is the next attempt, which another server has taken while the last one was silent; nil: none.
+	replacement *exchange
+	// offering is set in the copy that offers the request to another server.
+	offering bool
+
 	// Timings and sizes for the log.
 	reserveTime time.Duration // time to reserve its tokens
 	sentAt      time.Time     // start of the last attempt
@@ -103,6 +108,9 @@
 	}
 	for !t.step(ctx) {
 	}
+	if t.replacement != nil {
+		t.replacement.withdraw()
+	}
 }
 
 // step makes one attempt and reports whether the task is finished.
@@ -110,26 +118,28 @@
 	if t.f.isTooLate(t.deadline, t.headSent) {
 		return t.giveUp(t.timeoutCause())
 	}
-	if !t.headSent && t.f.ServersOutdated() {
+	if !t.headSent && t.replacement == nil && t.f.ServersOutdated() {
 		return t.giveUp(t.failureCause(BackendsOutdated))
 	}
 	if t.isHeldBack() {
 		return t.giveUp(t.failureCause(RequestQuarantined))
 	}
-	chosen, refused := t.admit(ctx)
-	if chosen.Server == nil {
-		if ctx.Err() != nil && !t.pastDeadline() {
-			return t.abandon()
+	x := t.replacement
+	if t.replacement = nil; x == nil {
+		chosen, refused := t.admit(ctx)
+		if chosen.Server == nil {
+			if ctx.Err() != nil && !t.pastDeadline() {
+				return t.abandon()
+			}
+			if refused != nil {
+				return t.giveUpBusy(*refused)
+			}
+			return t.giveUpWithoutServer()
 		}
-		if refused != nil {
-			return t.giveUpBusy(*refused)
-		}
-		return t.giveUpWithoutServer()
-	}
-	result := t.attempt(ctx, chosen.Choice)
-	if chosen.release != nil {
-		chosen.release(t.permitOutcome(result))
+		x = t.newExchange(ctx, chosen)
 	}
+	result := t.attempt(ctx, x)
+	x.close(t.permitOutcome(result))
 	switch result {
 	case finished:
 		return true
@@ -183,11 +193,15 @@
 	return t.tried[s.Incarnation]
 }
 
-// acquireRetry reports whether the request may be sent once more and, if so, counts the retry. A trial of
-// a feature that is held back is sent once.
-func (t *task) acquireRetry(reason string) bool {
+// isTrial reports whether the request is a trial of a feature that is held back. It is sent once.
+func (t *task) isTrial() bool {
 	_, held := t.f.Quarantine.Held(t.features)
-	if t.sends >= t.r.Route.MaxAttempts || held {
+	return held
+}
+
+// acquireRetry reports whether the request may be sent once more and, if so, counts the retry.
+func (t *task) acquireRetry(reason string) bool {
+	if t.sends >= t.r.Route.MaxAttempts || t.isTrial() {
 		return false
 	}
 	if !t.f.Retries.TryAcquire(t.r.Service) {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -81,6 +81,15 @@
 	return true
 }
 
+// Release takes back the count of a retry that was not sent.
+func (b *Budget) Release(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if w := b.window(service); len(w.retries) > 0 {
+		w.retries = w.retries[:len(w.retries)-1]
+	}
+}
+
 // window returns a service's window with expired times removed. b.mu must be held.
 func (b *Budget) window(service string) *window {
 	w := b.services[service]
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,6 +23,8 @@
 	// ResumeAfter is the ID of the last event that the caller has, if Resume is set.
 	ResumeAfter int64
 	Resume      bool
+	// Sending, if not nil, is called once a connection is there, before anything is sent.
+	Sending func()
 
 	// Router is set by Do: the name of this router's process.
 	Router string
@@ -144,6 +146,9 @@
 		_ = connection.Close() // nothing was sent on it
 		return nil, &Error{Kind: ErrNotSent, Cause: errServerIneligible}
 	}
+	if a.Sending != nil {
+		a.Sending()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() }) // closing twice is harmless
 	reply, err := c.exchange(connection, a)
 	if err != nil {
