forward: a server's own failure is relayed if no other server could answer

What callers saw: a server's answer 500 was replaced by the router's own 502 where the service had no other server for a retry.

TestServersOwnFailureIsRelayedWithoutAnotherServer failed before (status 502).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -39,7 +39,7 @@
 	}
 	t.answerRead = true
 	serverError := reply.Status >= http.StatusInternalServerError && reply.Status != http.StatusGatewayTimeout
-	if serverError && t.r.Route.Retryable() && t.acquireRetry("failed") {
+	if serverError && t.r.Route.Retryable() && t.hasCandidate() && t.acquireRetry("failed") {
 		t.logFailure(server, "failed", errors.Errorf("status %d", reply.Status))
 		return retryGranted
 	}
