--- a/internal/forward/ends.go
+++ b/internal/forward/ends.go
@@ -81,8 +81,8 @@
 func (t *task) send(watch *watchdog, part []byte) error {
 	watch.pause()
 	err := t.caller.Write(part)
-	watch.progress()
 	t.callerStalled = errors.Is(err, ErrCallerStalled)
+	watch.progress() // the task's fields must not change after it
 	return err
 }
 
