rollout: a record of versions proves nothing in an era that may have lost some

What callers would see: after a release, the death of all routers that knew of it and a return of the store from a copy made before it, streams that had begun at the new version went on at the old one, with status 200 and nothing to show it.

Cause: that the record lacks a version was taken for proof that no stream began at it, also where the store has lost writes.

Change: the record names the store's era in which it lacks no version. In another one it counts as one of several versions, until all streams from before have ended; then it is confirmed once. The first record of a new era may not be the first: its versions are used after the usual delay. A conflict's items are taken over, so that a router doesn't try again what another one has written.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -136,6 +136,7 @@
 		n.metrics.SetStoreEra(now.Era())
 		n.log.Emit(event.StoreLostWrites, slog.String("follows", prefix), slog.String("known", known.String()), now.Attr())
 		n.grants.ObserveEra(now.Era())
+		n.streams.rollout.ObserveEra(now.Era())
 		for _, observe := range n.eraObservers {
 			observe(now.Era())
 		}
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -61,7 +61,11 @@
 	switch {
 	case err == nil:
 		n.applyVersions(store.Item{Key: key, Value: value, Revision: result.Revision})
-	case !errors.Is(err, store.ErrConflict): // else another router's record is on its way
+	case errors.Is(err, store.ErrConflict):
+		for _, item := range result.Current { // another router's record
+			n.applyVersions(item)
+		}
+	default:
 		n.log.Emit(event.VersionsNotRecorded, slog.String("service", write.Record.Service), slog.Any("versions", write.Record.Versions),
 			slog.Any(event.KeyCause, err))
 	}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -24,6 +24,11 @@
 	Changes int `json:"changes"`
 	// Router is the VM of the router that wrote the record.
 	Router string `json:"router"`
+	// Era is the store's era in which the record is known to lack no version. In another era the store may have lost
+	// the admission of one.
+	Era int64 `json:"era,omitempty"`
+	// Created is the store's era in which the service got its first record.
+	Created int64 `json:"created,omitempty"`
 }
 
 // Key returns the record's key in the store.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -5,6 +5,11 @@
 // versions that have been in the record for AdmissionDelay, as this router saw it. Another router that
 // knows the record as it was less than MaxAge ago therefore knows of each version at which any stream
 // can have begun: if there is one, it needs to ask nobody.
+//
+// When the store comes back from a copy, it may have lost the admission of a version, and all that knew of it
+// may have died or may not reach the store. So in a new era of the store nobody concludes anything from the
+// absence of a version until all streams of the earlier era have ended. Then a router confirms the record for
+// the new era, for those that start later.
 package rollout
 
 import (
@@ -38,6 +43,7 @@
 
 	mu       sync.Mutex
 	asOf     time.Time // the records are known as of this time
+	era      store.Era // of the store, as far as known
 	services map[string]*service
 	// listedAt is when NextWrite last knew the listed servers.
 	listedAt time.Time
@@ -61,6 +67,9 @@
 	lastListed map[string]time.Time
 	// writeAt is when this router may write the record; zero if no write is due.
 	writeAt time.Time
+	// uncertainSince is when this router learned that the record may lack versions, since the store has
+	// lost writes; zero: it lacks none.
+	uncertainSince time.Time
 }
 
 // New returns a tracker. maxAge is the maximum age of records on which Sole relies. A nil now means
@@ -100,23 +109,43 @@
 		return record, false, nil
 	}
 	s.writeAt, s.stored = time.Time{}, record.Versions
+	t.observeEra(item.Revision.Era())
+	wasCertain := s.isCertain()
+	s.setCertain(store.Era(record.Era) == t.era && item.Revision.Era() == t.era, t.now())
 	if item.Revision.Era() > s.revision.Era() && record.Changes <= s.record.Changes {
 		// The store was restored from a copy. Streams may have begun at versions that were admitted since.
 		s.revision = item.Revision
 		return record, false, nil
 	}
-	t.adopt(s, record)
+	t.adopt(s, record, wasCertain)
 	s.revision, s.item = item.Revision, item
 	return record, true, nil
 }
 
+// ObserveEra takes notice of the store's era. In a new one the store has lost writes.
+func (t *Tracker) ObserveEra(era store.Era) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeEra(era)
+}
+
+func (t *Tracker) observeEra(era store.Era) {
+	if era <= t.era {
+		return
+	}
+	t.era = era
+	for _, s := range t.services {
+		s.setCertain(false, t.now())
+	}
+}
+
 // DropMissing takes notice that the store has only the present records, because it has lost writes.
 func (t *Tracker) DropMissing(isPresent func(key string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, s := range t.services {
 		if s.revision > 0 && !isPresent((Record{Service: name}).Key()) {
-			s.drop()
+			s.drop(t.now())
 		}
 	}
 }
@@ -127,14 +156,35 @@
 	defer t.mu.Unlock()
 	for name, s := range t.services {
 		if (Record{Service: name}).Key() == key {
-			s.drop()
+			s.drop(t.now())
 		}
 	}
 }
 
 // drop makes the record due to be written again.
-func (s *service) drop() {
+func (s *service) drop(now time.Time) {
 	s.revision, s.stored, s.writeAt = 0, nil, time.Time{}
+	s.setCertain(false, now)
+}
+
+// setCertain notes whether the record surely lacks no version.
+func (s *service) setCertain(certain bool, now time.Time) {
+	switch {
+	case certain:
+		s.uncertainSince = time.Time{}
+	case s.uncertainSince.IsZero():
+		s.uncertainSince = now
+	}
+}
+
+// isCertain reports whether the record surely lacks no version at which streams may have begun.
+func (s *service) isCertain() bool {
+	return s.uncertainSince.IsZero()
+}
+
+// isConfirmable reports whether all streams that may have begun at versions which the record lacks have ended.
+func (s *service) isConfirmable(now time.Time) bool {
+	return !s.isCertain() && now.Sub(s.uncertainSince) >= RetireAfter
 }
 
 // service returns the state of a service, without a record if none is known.
@@ -147,11 +197,12 @@
 	return s
 }
 
-// adopt puts a newer record in the place of the known one.
-func (t *Tracker) adopt(s *service, record Record) {
+// adopt puts a newer record in the place of the known one. wasCertain says that the known one lacked no version as of
+// asOf.
+func (t *Tracker) adopt(s *service, record Record, wasCertain bool) {
 	now := t.now()
 	before := s.record.Versions
-	if len(before) == 1 && len(record.Versions) > 1 && slices.Contains(record.Versions, before[0]) {
+	if wasCertain && len(before) == 1 && len(record.Versions) > 1 && slices.Contains(record.Versions, before[0]) {
 		s.sole, s.soleUntil = before[0], t.asOf.Add(t.AdmissionDelay())
 	}
 	for i, version := range record.Versions {
@@ -159,9 +210,10 @@
 			continue
 		}
 		s.lastListed[version] = now
-		// No router can rely on the absence of the versions of the first record. The first version of
-		// a later one was admitted long ago, since others were retired after it.
-		if i > 0 && record.Changes > 1 {
+		// No router can rely on the absence of the versions of the first record, unless the store may have lost an
+		// earlier one. The first version of a later one was admitted long ago, since others were retired after it.
+		isFirstSinceLoss := !s.isCertain() && store.Era(record.Created) == t.era
+		if i > 0 && record.Changes > 1 || isFirstSinceLoss {
 			s.usableAt[version] = now.Add(t.AdmissionDelay())
 		}
 	}
@@ -196,7 +248,7 @@
 	s := t.services[serviceName]
 	now := t.now()
 	switch {
-	case s == nil || len(s.record.Versions) == 0 || now.Sub(t.asOf) > t.maxAge:
+	case s == nil || len(s.record.Versions) == 0 || !s.isCertain() || now.Sub(t.asOf) > t.maxAge:
 		return "", false
 	case len(s.record.Versions) == 1:
 		return s.record.Versions[0], true
@@ -210,7 +262,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[serviceName]
-	return s == nil || len(s.record.Versions) != 1 || t.now().Sub(t.asOf) > t.maxAge
+	return s == nil || len(s.record.Versions) != 1 || !s.isCertain() || t.now().Sub(t.asOf) > t.maxAge
 }
 
 // Age returns how old the records may be.
@@ -272,7 +324,7 @@
 			}
 		}
 		wanted := s.wanted(versions, now)
-		if slices.Equal(wanted, s.stored) {
+		if slices.Equal(wanted, s.stored) && !s.isConfirmable(now) {
 			s.writeAt = time.Time{}
 			continue
 		}
@@ -284,7 +336,14 @@
 			continue
 		}
 		s.writeAt = now.Add(writeInterval)
-		return &Write{Record: Record{Service: name, Versions: wanted, Changes: s.record.Changes + 1}, Revision: s.revision}
+		record := Record{Service: name, Versions: wanted, Changes: s.record.Changes + 1, Era: s.record.Era, Created: s.record.Created}
+		if s.record.Changes == 0 {
+			record.Created = int64(t.era)
+		}
+		if s.record.Changes > 0 && (s.isCertain() || s.isConfirmable(now)) {
+			record.Era = int64(t.era)
+		}
+		return &Write{Record: record, Revision: s.revision}
 	}
 	return nil
 }
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -22,7 +22,8 @@
 type world struct {
 	t        *rapid.T
 	now      time.Time
-	revision store.Revision
+	revision int64     // number of the last write
+	era      store.Era // rises when the store comes back from a copy
 	item     *store.Item
 	listed   map[string]bool // versions of registered servers
 	routers  []*testRouter
@@ -34,6 +35,7 @@
 type testRouter struct {
 	*Tracker
 	listed []string
+	era    store.Era // of the last read
 }
 
 func newWorld(t *rapid.T, routers int) *world {
@@ -50,6 +52,11 @@
 
 // read lets a router read the store's present state.
 func (w *world) read(r *testRouter) {
+	r.ObserveEra(w.era)
+	if w.era > r.era {
+		r.DropMissing(func(string) bool { return w.item != nil })
+		r.era = w.era
+	}
 	if w.item != nil {
 		_, _, err := r.Apply(*w.item)
 		if err != nil {
@@ -81,7 +88,7 @@
 		return // conflict
 	}
 	w.revision++
-	w.item = &store.Item{Key: write.Record.Key(), Value: write.Record.Encode(), Revision: w.revision}
+	w.item = &store.Item{Key: write.Record.Key(), Value: write.Record.Encode(), Revision: store.NewRevision(w.era, w.revision)}
 	_, _, err := r.Apply(*w.item)
 	if err != nil {
 		w.t.Fatal(err)
