escrow: listed accounts come before those that a configuration leaves out

Cause: accounts were written in the order of their names, twelve a transaction. After a restart with many grants of left-out accounts to close, draws of listed ones would wait behind them. By reading; not measured.

Change: listed accounts first.

--- a/internal/escrow/draw.go
+++ b/internal/escrow/draw.go
@@ -114,20 +114,20 @@
 }
 
 // accountsToSync returns the accounts for which this router has to write to the store: those that the configuration
-// lists, and others of which it may hold a grant, or its predecessors on this VM. None are returned while no
+// lists, then others of which it may hold a grant, or its predecessors on this VM. None are returned while no
 // configuration is known (budgets is nil). The caller holds m.mu.
 func (m *GrantManager) accountsToSync(budgets map[string]int64) []string {
 	if budgets == nil {
 		return nil
 	}
-	accounts := slices.Collect(maps.Keys(budgets))
+	var unlisted []string
 	for account, g := range m.grants {
 		if _, listed := budgets[account]; !listed && g.isOnVM(m.opts.VM, m.opts.Incarnation) {
-			accounts = append(accounts, account)
+			unlisted = append(unlisted, account)
 		}
 	}
-	slices.Sort(accounts)
-	return accounts
+	slices.Sort(unlisted)
+	return append(slices.Sorted(maps.Keys(budgets)), unlisted...)
 }
 
 // planUnlisted adds to the transaction what is due for an account that the configuration doesn't list, and reports
