forward: offers that were withdrawn count as attempts

Cause: an offer that is withdrawn because the silent server goes on may have been run; counted only answered attempts, so that a stream which pauses again and again could run at more servers than its route's max_attempts.

Change: an attempt offers its request only as often as the route allows further attempts, and offers that may have run count as sent.

TestWithdrawnOffersCountAsAttempts failed before (3 other servers, 1 is allowed).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -79,9 +79,10 @@
 
 // endWatch ends the watch of an attempt. The next attempt is the one for which this one was given up, if there is one.
 func (t *task) endWatch(watch *watchdog) {
-	replacement, mayHaveRun := watch.stop()
+	replacement, ran := watch.stop()
 	t.replacement = replacement
-	t.mayHaveRun = t.mayHaveRun || mayHaveRun
+	t.sends += ran
+	t.mayHaveRun = t.mayHaveRun || ran > 0
 }
 
 // handleSendError determines the outcome of an attempt without an answer.
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -34,6 +34,7 @@
 	sentAt  time.Time
 	// replaces is the incarnation of the silent server beside whose attempt it was begun; empty: none.
 	replaces string
+	counted  bool // by the watchdog that offered it, which guards it
 
 	answered chan struct{} // closed once the following are set
 	reply    *upstream.Reply
@@ -84,9 +85,9 @@
 // beside the task.
 func (t *task) offerRequest(w *watchdog) {
 	w.mu.Lock()
-	if !w.isSilent() {
+	if !w.isSilent() || w.ran >= w.maxOffers {
 		w.mu.Unlock()
-		return // the server has sent something meanwhile, which has restarted the timeout
+		return // the server has sent something meanwhile, which has restarted the timeout, or no attempt is left
 	}
 	other, silentSince := t.copyForOffer(), w.silentSince
 	w.mu.Unlock()
@@ -126,7 +127,7 @@
 	taken, timer := make(chan struct{}), (*time.Timer)(nil)
 	x.attempt.Sending = func() {
 		sent = true
-		w.countOffer()
+		w.countOffer(x)
 		t.f.Metrics.Retried("stalled")
 		timer = time.AfterFunc(offerTimeout, func() {
 			defer close(taken)
@@ -143,7 +144,7 @@
 	w.endOffer(x)
 	result := t.offerResult(w, x)
 	if result == rejected {
-		w.uncountOffer()
+		w.uncountOffer(x)
 	}
 	x.close(t.permitOutcome(result))
 	return result != callerGone
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -52,8 +52,10 @@
 	offered *exchange
 	// replacement is the attempt for which this one was given up; nil: none.
 	replacement *exchange
-	// mayRun is the number of offers that servers may have run.
-	mayRun int
+	// ran is the number of offers that servers may have run and for which the attempt was not given up.
+	ran int
+	// maxOffers is how many of them there may be.
+	maxOffers int
 }
 
 // watch starts a watchdog for an exchange that is about to begin or, after an offer, has begun.
@@ -63,6 +65,7 @@
 	if !route.Retryable() || t.sends+1 >= route.MaxAttempts {
 		return w
 	}
+	w.maxOffers = route.MaxAttempts - t.sends - 1
 	w.gapTimeout = max(minGapTimeout, time.Duration(gapFactor*float64(route.GapGoal)))
 	w.silentSince, w.timeout, w.interval = x.sentAt, max(minStartTimeout, startFactor*route.LatencyGoal), offerInterval
 	w.mu.Lock()
@@ -150,7 +153,7 @@
 func (w *watchdog) beginOffer(x *exchange, silentSince time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.isSilent() || w.silentSince != silentSince {
+	if !w.isSilent() || w.silentSince != silentSince || w.ran >= w.maxOffers {
 		return false
 	}
 	w.offered = x
@@ -175,6 +178,7 @@
 		return false
 	}
 	w.offered, w.replacement = nil, x
+	w.uncount(x) // it is an attempt of its own from now on
 	w.cancel()
 	return true
 }
@@ -186,17 +190,27 @@
 	return w.replacement == x
 }
 
-// countOffer counts an offer that a server may run, uncountOffer one that it surely has not run.
-func (w *watchdog) countOffer() {
+// countOffer counts an offer, which its server may run from now on.
+func (w *watchdog) countOffer(x *exchange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.mayRun++
+	x.counted = true
+	w.ran++
 }
 
-func (w *watchdog) uncountOffer() {
+// uncountOffer takes back the count of an offer that its server surely has not run.
+func (w *watchdog) uncountOffer(x *exchange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.mayRun--
+	w.uncount(x)
+}
+
+// uncount implements uncountOffer. The caller holds mu.
+func (w *watchdog) uncount(x *exchange) {
+	if x.counted {
+		x.counted = false
+		w.ran--
+	}
 }
 
 // hasExpired reports whether the watchdog cancelled the attempt.
@@ -220,13 +234,13 @@
 	return w.heldBack.Load()
 }
 
-// stop ends the watch. It returns the attempt for which the watched one was given up, or nil, and whether a server
-// may have run the request by an offer.
-func (w *watchdog) stop() (replacement *exchange, mayHaveRun bool) {
+// stop ends the watch. It returns the attempt for which the watched one was given up, or nil, and the number of other
+// offers that servers may have run.
+func (w *watchdog) stop() (replacement *exchange, ran int) {
 	w.stopHolding()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.stopTimer()
-	return w.replacement, w.mayRun > 0
+	return w.replacement, w.ran
 }
