forward: an attempt that another server has taken goes on there however the first ended

A rejection or an unreachable server that came in the same moment as another server took the request was handled as the end of the request; and an answer that states too great a length was logged while an offer could read the task.

Change: the taken attempt goes on first; the watch goes on right before the body is read. Tests on silence, rejections and retries of platform, and forward, with -race: passed.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -17,6 +17,7 @@
 	if reply.Length > maxStatedAnswer && t.r.Method != http.MethodHead {
 		return t.handleBroken(watch, server, errAnswerTooLong)
 	}
+	watch.resume()
 	body, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer))
 	if err == nil && len(body) == maxBufferedAnswer && reply.Length < 0 {
 		body, err = t.f.unstated.readRest(reply, body)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,13 +58,11 @@
 		return t.handleBroken(watch, server, errStalled)
 	}
 	if t.r.Route.Kind == policy.Streaming && reply.Status == http.StatusOK {
-		watch.resume()
 		return t.relayEvents(watch, server, reply)
 	}
 	if t.headSent {
 		return t.handleBroken(watch, server, errors.Errorf("status %d in answer to a resumed stream", reply.Status))
 	}
-	watch.resume()
 	return t.relayBuffered(watch, server, reply)
 }
 
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -20,6 +20,7 @@
 // right after the last complete one.
 func (t *task) relayEvents(watch *watchdog, server *fleet.Server, reply *upstream.Reply) outcome {
 	events := eventstream.NewReader(bufio.NewReaderSize(reply, streamBuffer))
+	watch.resume()
 	for {
 		e, err := events.Next()
 		isCurrent := watch.pause()
--- a/internal/forward/task.go
+++ b/internal/forward/task.go
@@ -140,6 +140,9 @@
 	}
 	result := t.attempt(ctx, x)
 	x.close(t.permitOutcome(result))
+	if t.replacement != nil && (result == rejected || result == unreachable || result == broken) {
+		return false // another server has taken the request meanwhile
+	}
 	switch result {
 	case finished:
 		return true
