forward: the head of an answer doesn't withdraw an offer

Cause: the head of the silent server's answer withdrew an offer that had been sent, which counted as an attempt; if the server hung after its head, the route allowed no other one, and the request stayed there until its deadline.

Change: at the head, the watch only holds while the task changes; an event withdraws. The function that offers is split by its steps.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,7 +39,7 @@
 	} else {
 		x.send(t.f.Backend)
 	}
-	isCurrent := watch.pause()
+	isCurrent := watch.hold()
 	t.via = x.attempt.Via
 	if x.err != nil {
 		return t.handleSendError(watch, server, x.err)
--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -104,50 +104,65 @@
 // offer offers the request to another server. The attempt that w watches is given up if the server takes it. failed
 // means that a server was chosen and did not take it.
 func (t *task) offer(w *watchdog, silentSince time.Time) (failed bool) {
-	if !t.hasCandidate() || t.isHeldBack() || t.isTrial() || !t.f.Retries.TryAcquire(t.r.Service) {
+	x := t.prepareOffer(w, silentSince)
+	if x == nil {
 		return false
 	}
-	sent := false
-	defer func() {
-		if !sent {
-			t.f.Retries.Release(t.r.Service)
-		}
-	}()
+	t.sendOffer(w, x)
+	if t.isTaken(x) && w.replaceBy(x) || w.isReplacedBy(x) {
+		return false // the task goes on with it
+	}
+	w.endOffer(x)
+	result := t.offerResult(w, x)
+	if result == rejected {
+		w.uncountOffer(x)
+	}
+	x.close(t.permitOutcome(result))
+	return result != callerGone
+}
+
+// prepareOffer chooses a server and counts a retry. It returns nil if there is no server for the request, if no retry
+// is allowed, or if the silent server has sent something meanwhile; then no retry is counted.
+func (t *task) prepareOffer(w *watchdog, silentSince time.Time) *exchange {
+	if !t.hasCandidate() || t.isHeldBack() || t.isTrial() || !t.f.Retries.TryAcquire(t.r.Service) {
+		return nil
+	}
 	chosen, _ := t.admit(w.parent)
 	if chosen.Server == nil {
-		return false
+		t.f.Retries.Release(t.r.Service)
+		return nil
 	}
 	x := t.newExchange(w.parent, chosen)
 	x.replaces = t.choice.Server.Incarnation
 	if !w.beginOffer(x, silentSince) {
+		t.f.Retries.Release(t.r.Service)
 		x.Server.EndPrefill(x.UncachedTokens)
 		x.close(permits.Served)
-		return false
+		return nil
 	}
-	taken, timer := make(chan struct{}), (*time.Timer)(nil)
+	return x
+}
+
+// sendOffer sends the request and waits for the head of the answer. If that takes longer than offerTimeout, the attempt
+// that w watches is given up meanwhile.
+func (t *task) sendOffer(w *watchdog, x *exchange) {
+	var timer *time.Timer // nil until something is sent
+	timedOut := make(chan struct{})
 	x.attempt.Sending = func() {
-		sent = true
 		w.countOffer(x)
 		t.f.Metrics.Retried("stalled")
 		timer = time.AfterFunc(offerTimeout, func() {
-			defer close(taken)
+			defer close(timedOut)
 			w.replaceBy(x)
 		})
 	}
 	x.send(t.f.Backend)
-	if timer != nil && !timer.Stop() {
-		<-taken
-	}
-	if t.isTaken(x) && w.replaceBy(x) || w.isReplacedBy(x) {
-		return false // the task goes on with it
-	}
-	w.endOffer(x)
-	result := t.offerResult(w, x)
-	if result == rejected {
-		w.uncountOffer(x)
+	switch {
+	case timer == nil:
+		t.f.Retries.Release(t.r.Service)
+	case !timer.Stop():
+		<-timedOut
 	}
-	x.close(t.permitOutcome(result))
-	return result != callerGone
 }
 
 // isTaken reports whether the answer to an offer shows that the server has taken the request.
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -82,14 +82,14 @@
 	w.startTimer()
 }
 
-// resume ends a pause without a restart of the timeout.
+// resume goes on with the timeout after hold.
 func (w *watchdog) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startTimer()
 }
 
-// startTimer ends a pause. The caller holds mu.
+// startTimer lets the timeout run. The caller holds mu.
 func (w *watchdog) startTimer() {
 	w.paused = false
 	if w.timer != nil && !w.ended && w.replacement == nil {
@@ -97,6 +97,18 @@
 	}
 }
 
+// hold stops the timeout until the next call of resume, while the task changes. An offer that has been sent may still be
+// taken. It returns false if the attempt was given up for another one.
+func (w *watchdog) hold() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	return w.replacement == nil
+}
+
 // pause stops the timeout until the next call of progress, and withdraws an offer that no server has taken yet. It
 // returns false if the attempt was given up for another one: what came of its answer must not be relayed.
 func (w *watchdog) pause() bool {
