forward: a request that may wait in this VM's full link isn't kept for an offer

Cause, by reading: with a full link it is the link that is silent. Before such an attempt was cancelled at twice the latency goal; with offers it stayed until another server had taken the request, behind the same link.

Change: before the head of an answer has come, and while the VM's own link is full (150 ms), an attempt is given up as before if another server may get the request and a retry is allowed. Tests on silence and retries of platform and all of forward pass with -race; it has no test of its own yet.

--- a/internal/forward/offer.go
+++ b/internal/forward/offer.go
@@ -89,11 +89,31 @@
 		w.mu.Unlock()
 		return // the server has sent something meanwhile, which has restarted the timeout, or no attempt is left
 	}
-	other, silentSince := t.copyForOffer(), w.silentSince
+	other, silentSince, begun := t.copyForOffer(), w.silentSince, w.begun
 	w.mu.Unlock()
+	if !begun && t.f.LinkDelay() >= fullLinkDelay {
+		other.expireUnsent(w, silentSince)
+		return
+	}
 	w.offerLater(other.offer(w, silentSince))
 }
 
+// fullLinkDelay is the round trip over this VM's own link from which on the link counts as full.
+const fullLinkDelay = 150 * time.Millisecond
+
+// expireUnsent gives the attempt up because the request may still wait in this VM's full link: it would reach its server
+// late, which may have left by then, and a second one would wait behind it.
+func (t *task) expireUnsent(w *watchdog, silentSince time.Time) {
+	switch {
+	case !t.hasCandidate() || !t.f.Retries.TryAcquire(t.r.Service):
+		w.offerLater(false)
+	case w.expire(silentSince):
+		t.f.Metrics.Retried("stalled")
+	default:
+		t.f.Retries.Release(t.r.Service)
+	}
+}
+
 // copyForOffer returns a copy of the task that makes another attempt. The task must not change meanwhile.
 func (t *task) copyForOffer() *task {
 	other, r := *t, *t.r
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -46,6 +46,10 @@
 	interval    time.Duration // to the next offer
 	// paused is set while the server's silence doesn't count. The task's fields change only then.
 	paused bool
+	// begun is set once the head of the answer has come.
+	begun bool
+	// expired is set if the attempt was given up before another server had taken the request.
+	expired bool
 	// ended is set once the attempt has ended, or can't be given up any more.
 	ended bool
 	// offered is the attempt at another server that has not been taken yet; nil: none.
@@ -92,7 +96,7 @@
 // startTimer lets the timeout run. The caller holds mu.
 func (w *watchdog) startTimer() {
 	w.paused = false
-	if w.timer != nil && !w.ended && w.replacement == nil {
+	if w.timer != nil && !w.ended && !w.isGivenUp() {
 		w.timer.Reset(time.Until(w.silentSince.Add(w.timeout)))
 	}
 }
@@ -102,11 +106,11 @@
 func (w *watchdog) hold() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.paused = true
+	w.paused, w.begun = true, true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	return w.replacement == nil
+	return !w.isGivenUp()
 }
 
 // pause stops the timeout until the next call of progress, and withdraws an offer that no server has taken yet. It
@@ -127,7 +131,7 @@
 
 // stopTimer implements pause. The caller holds mu.
 func (w *watchdog) stopTimer() bool {
-	if w.replacement != nil {
+	if w.isGivenUp() {
 		return false
 	}
 	w.paused = true
@@ -144,7 +148,7 @@
 // isSilent reports whether the server is still silent. If not, a call of offerRequest has come too late. The caller
 // holds mu.
 func (w *watchdog) isSilent() bool {
-	return !w.ended && !w.paused && w.offered == nil && w.replacement == nil && time.Since(w.silentSince) >= w.timeout
+	return !w.ended && !w.paused && w.offered == nil && !w.isGivenUp() && time.Since(w.silentSince) >= w.timeout
 }
 
 // offerLater makes the next offer due after the interval, which doubles if a server has rejected the last one.
@@ -229,7 +233,24 @@
 func (w *watchdog) hasExpired() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.replacement != nil
+	return w.isGivenUp()
+}
+
+// isGivenUp reports whether the watchdog cancelled the attempt. The caller holds mu.
+func (w *watchdog) isGivenUp() bool {
+	return w.replacement != nil || w.expired
+}
+
+// expire gives the attempt up, unless its server has sent something since the time given.
+func (w *watchdog) expire(silentSince time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isSilent() || w.silentSince != silentSince {
+		return false
+	}
+	w.expired = true
+	w.cancel()
+	return true
 }
 
 // holdOn cancels the attempt once one of its features is known to crash servers: until its server begins
