inbound: connections and memory that clients' requests take are bounded

Callers saw a router die or stop answering: clients that keep a request back just before its end, in any form, held up to max_body_bytes each (more while the buffer grew), heads of many fields held a megabyte each for 60 kB sent, and connections held descriptors until servers, the store and new callers got none. Nothing bounded the sums: memory_mb only drives the collector.

All listeners share one pool (internal/inbound). It counts what requests that are being received or served hold, as it arrives, not as it is announced; a field of a head counts with 160 bytes beyond its own. Without room, requests that are being received are ended, the slowest for what they hold first, and only those above the average: an ordinary request is small and young and gets in; the last quarter is for requests up to 64 KiB. Memory of an ended request counts until its goroutine has let go of it, and others wait for that: without this the account held 25 MB where the heap had 78. At the bound on connections the one that has been without a whole request the longest is closed, then the longest idle one; served ones never. A refusal is 503 (router_full, not run) with Retry-After. A client that sends nothing of a begun request for 30 s is ended (a freeze of this process isn't the client's).

Defaults: 0.45 of the descriptors (max_descriptors, from the platform's settings), at most a quarter of memory_mb at 20 KiB each; a quarter of memory_mb for requests.

--- a/internal/callers/bodytime.go
+++ b/internal/callers/bodytime.go
@@ -17,11 +17,11 @@
 // os.ErrDeadlineExceeded, and the connection can't be read any more.
 func readBodyInTime(w http.ResponseWriter, req *http.Request, limit int64, maxTime time.Duration) ([]byte, error) {
 	if maxTime <= 0 {
-		return readBody(w, req, limit)
+		return readBody(req, limit)
 	}
 	connection := http.NewResponseController(w)
 	_ = connection.SetReadDeadline(time.Now().Add(maxTime)) // fails only without a socket, in tests
-	body, err := readBody(w, req, limit)
+	body, err := readBody(req, limit)
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{}) // as above
 	}
--- a/internal/callers/caller.go
+++ b/internal/callers/caller.go
@@ -55,6 +55,7 @@
 	forward.BackendRejected:      http.StatusServiceUnavailable,
 	forward.RouterStopping:       http.StatusServiceUnavailable,
 	forward.RequestQuarantined:   http.StatusBadGateway,
+	forward.RouterFull:           http.StatusServiceUnavailable,
 	forward.OverdueUnsent:        http.StatusServiceUnavailable,
 	forward.TimedOut:             http.StatusGatewayTimeout,
 	forward.BackendFailed:        http.StatusBadGateway,
@@ -125,6 +126,12 @@
 	c.aborted = true
 }
 
+// endConnection lets finish close the connection at once after an answer.
+func (c *httpCaller) endConnection() {
+	_ = http.NewResponseController(c.w).Flush() // fails only if the caller has disconnected
+	c.aborted = true
+}
+
 // finish ends the answer. If it was aborted, the connection is closed before the declared
 // content length or the last chunk is sent, so that callers notice that it is incomplete.
 func (c *httpCaller) finish() {
--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -3,7 +3,6 @@
 package callers
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/inbound"
 	"chicorytiller.example/chicorytiller/internal/policy"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/store"
@@ -65,41 +65,56 @@
 			w.Header().Set("Connection", "close")
 		}
 		body, err := readBodyInTime(w, req, router.MaxBodyBytes(), bodyTime(p, router, req))
+		bodyRefusal, disconnected := refuseBody(req, err)
+		interrupted := inbound.FromContext(req.Context()).Interrupted()
+		if bodyRefusal != nil && !interrupted {
+			inbound.RejectBody(w, req) // the rest of the body may still come
+		}
 		r, refusal := p.Decode(req, body, arrived, router.Policy())
 		caller.request = r
 		w.Header().Set(p.RequestIDHeader, r.ID)
 		switch {
-		case isTooLarge(err):
-			router.Refuse(r, caller, forward.Refusal{Cause: forward.BodyTooLarge})
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			w.Header().Set("Connection", "close") // the rest of the body may still come
-			router.Refuse(r, caller, forward.NewRefusal(forward.OverdueUnsent))
-		case err != nil:
-			caller.Abort() // the caller has disconnected
+		case disconnected:
+			caller.Abort()
+		case bodyRefusal != nil:
+			router.Refuse(r, caller, *bodyRefusal)
 		case refusal != nil:
 			router.Refuse(r, caller, *refusal)
 		default:
 			router.Serve(req.Context(), r, caller)
 		}
+		if interrupted {
+			caller.endConnection()
+		}
 		caller.finish()
 	})
 }
 
+// refuseBody returns the refusal of a request whose body was not read whole, for an error of reading it.
+func refuseBody(req *http.Request, err error) (refusal *forward.Refusal, disconnected bool) {
+	cause := forward.Cause("")
+	switch {
+	case inbound.FromContext(req.Context()).Interrupted(), errors.Is(err, inbound.ErrNoMemory):
+		cause = forward.RouterFull
+	case err == nil:
+		return nil, false
+	case errors.Is(err, inbound.ErrTooLarge):
+		cause = forward.BodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		cause = forward.OverdueUnsent
+	default:
+		return nil, true
+	}
+	r := forward.NewRefusal(cause)
+	return &r, false
+}
+
 // readBody reads the whole body. A limit of zero means no limit.
-func readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
+func readBody(req *http.Request, limit int64) ([]byte, error) {
 	if req.Body == nil || req.Body == http.NoBody {
 		return nil, nil
 	}
-	source := req.Body
-	if limit > 0 {
-		source = http.MaxBytesReader(w, req.Body, limit)
-	}
-	if req.ContentLength > 0 && (limit <= 0 || req.ContentLength <= limit) {
-		body := make([]byte, req.ContentLength)
-		_, err := io.ReadFull(source, body)
-		return body, err
-	}
-	return io.ReadAll(source)
+	return inbound.ReadBody(inbound.FromContext(req.Context()), req.Body, req.ContentLength, limit)
 }
 
 // hopByHopHeaders are headers that apply to a single connection or that the router sets
@@ -159,9 +174,3 @@
 	}
 	return strings.TrimSpace(token)
 }
-
-// isTooLarge reports whether an error of readBody means that the body exceeds the limit.
-func isTooLarge(err error) bool {
-	maxBytesErr := &http.MaxBytesError{}
-	return errors.As(err, &maxBytesErr)
-}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -93,6 +93,8 @@
 	// RouterOverloaded: bytes of callers overload this router's own link; OverloadEnded: they no longer do.
 	RouterOverloaded Number = 605
 	OverloadEnded    Number = 606
+	// ClientsEnded: connections of clients were ended to keep connections and memory within their bounds.
+	ClientsEnded Number = 610
 	// OverloadReadiness: an overloaded router takes new callers again, since no other can, or no longer.
 	OverloadReadiness Number = 609
 )
@@ -208,6 +210,7 @@
 	{PeerLeft, slog.LevelInfo, "peer left"},
 	{RouterOverloaded, slog.LevelWarn, "router overloaded by bytes of callers"},
 	{OverloadEnded, slog.LevelInfo, "router no longer overloaded"},
+	{ClientsEnded, slog.LevelWarn, "connections of clients ended"},
 	{OverloadReadiness, slog.LevelInfo, "readiness of an overloaded router changed"},
 	{BackendFound, slog.LevelInfo, "backend server found"},
 	{DomainEvacuated, slog.LevelWarn, "failure domain evacuated"},
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -41,6 +41,7 @@
 	VersionNotAdmitted Cause = "version_not_admitted"
 	BackendRejected    Cause = "backend_rejected"    // the server answered that it did not run the request
 	RouterStopping     Cause = "router_stopping"     // this process is shutting down
+	RouterFull         Cause = "router_full"         // no memory for the request, or its client took too long to send it
 	RequestQuarantined Cause = "request_quarantined" // the request crashes the servers that run it
 	OverdueUnsent      Cause = "overdue_unsent"      // deadline exceeded before the request was sent
 	TimedOut           Cause = "timed_out"           // sent, no answer before the deadline
@@ -80,7 +81,7 @@
 // NewRefusal returns the refusal for a cause with its usual RetryAfter.
 func NewRefusal(c Cause) Refusal {
 	switch c {
-	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited, BackendsBusy, BackendsUnavailable, BackendsOutdated, VersionNotAdmitted:
+	case NotReady, BudgetHeld, BudgetUnreachable, NoBackend, BackendsEvacuated, BackendsCold, BackendsLimited, BackendsBusy, BackendsUnavailable, BackendsOutdated, VersionNotAdmitted, RouterFull:
 		return Refusal{Cause: c, RetryAfter: retryLater}
 	case BudgetInDoubt, BudgetLow, StreamVersionGone:
 		return Refusal{Cause: c, RetryAfter: retryMuchLater}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -11,6 +11,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/event"
+	"chicorytiller.example/chicorytiller/internal/inbound"
 	"chicorytiller.example/chicorytiller/internal/intake"
 	"chicorytiller.example/chicorytiller/internal/store"
 )
@@ -62,7 +63,8 @@
 			n.callerConns.Listener = n.intake.listener
 			l = n.callerConns
 		}
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		l = &inbound.Listener{Listener: l, Pool: n.inbound}
+		server := &http.Server{Handler: inbound.Handler(h.handler), ConnContext: inbound.ConnContext, ConnState: inbound.ConnState, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 		n.listeners = append(n.listeners, &listener{ln: l, server: server, log: n.log})
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -15,6 +15,7 @@
 	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/inbound"
 	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/upstream"
 )
@@ -207,6 +208,22 @@
 		Help: "Round trip over this VM's own link: the shortest recent exchange with another VM."}, func() float64 { return delay().Seconds() }))
 }
 
+// registerInbound registers the metrics of clients' connections and requests.
+func (m *Metrics) registerInbound(p *inbound.Pool) {
+	ends := func(reason string, count func(inbound.Ends) int64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "chicory_client_ends_total", Help: "Connections of clients that were ended to keep within bounds.",
+			ConstLabels: prometheus.Labels{"why": reason}}, func() float64 { return float64(count(p.State().Ends)) })
+	}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_client_connections", Help: "Open connections of clients, at all ports."},
+			func() float64 { return float64(p.State().Open) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "chicory_request_bytes", Help: "Memory of requests that are being received or served."},
+			func() float64 { return float64(p.State().Held) }),
+		ends("crowded", func(e inbound.Ends) int64 { return e.Crowded }),
+		ends("full", func(e inbound.Ends) int64 { return e.Full }),
+		ends("stalled", func(e inbound.Ends) int64 { return e.Stalled }))
+}
+
 // registerIntake registers the metrics of what callers send to this router.
 func (m *Metrics) registerIntake(s *intakeState) {
 	gauge := func(name, help string, state func() bool) prometheus.Collector {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/fleet"
 	"chicorytiller.example/chicorytiller/internal/forward"
+	"chicorytiller.example/chicorytiller/internal/inbound"
 	"chicorytiller.example/chicorytiller/internal/limit"
 	"chicorytiller.example/chicorytiller/internal/linkdelay"
 	"chicorytiller.example/chicorytiller/internal/pacing"
@@ -151,6 +152,7 @@
 	forward      *forward.Forwarder
 
 	listeners    []*listener
+	inbound      *inbound.Pool // connections of all clients
 	callerConns  *callerconn.Listener
 	peerListener net.Listener
 
@@ -229,6 +231,8 @@
 		n.forward.Admission = newAdmission(n, pacer)
 	}
 	n.metrics.registerHeldBytes(n.forward.HeldBytes)
+	n.inbound = inbound.NewPool(s.Inbound)
+	n.metrics.registerInbound(n.inbound)
 	n.callerConns = &callerconn.Listener{}
 	n.metrics.registerCallerConns(n.callerConns)
 	return n
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
+
+	"chicorytiller.example/chicorytiller/internal/inbound"
 )
 
 // ErrInvalidSettings reports a settings file that cannot be read or has an invalid value. The
@@ -56,6 +58,8 @@
 
 	// MemoryMB is the memory limit of the process; 0 means no limit.
 	MemoryMB int
+	// Inbound bounds what clients take of this router.
+	Inbound inbound.Limits
 }
 
 // defaultEntryTTL, in seconds, lets callers move away from a stopped router within a second or
@@ -100,6 +104,7 @@
 		LinkMbps:      knownLink(linkMbps),
 		MemoryMB:      int(p.number("router", "memory_mb", 0)),
 	}
+	s.Inbound = p.inboundLimits(s.MemoryMB)
 	if p.err != nil {
 		return nil, p.err
 	}
