callers: what the head of a request decides is answered before its body

A body announced longer than the limit was read up to the limit, one for an unknown route or with an unknown key was read whole, and before the first configuration there was no limit at all (64 clients: peak 791 MB of 128). The answer waited for bytes that changed nothing, and a client that kept them back got none.

Length, route and key are looked at first.

--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -22,7 +22,10 @@
 type Router struct {
 	Serve forward.ServeFunc
 	// Refuse answers a request with a refusal, without serving it.
-	Refuse       func(r *request.Request, caller forward.Caller, refusal forward.Refusal)
+	Refuse func(r *request.Request, caller forward.Caller, refusal forward.Refusal)
+	// CheckHead refuses a request of which nothing but the head is known; nil: it may be served. The request has
+	// what Protocol.DecodeHead sets. CheckHead itself may be nil: then nothing is refused before its body.
+	CheckHead    func(r *request.Request) *forward.Refusal
 	MaxBodyBytes func() int64 // 0 means no limit
 	// ShuttingDown reports whether the process is shutting down, so that callers should not
 	// reuse the connection.
@@ -45,6 +48,9 @@
 	// Decode converts an HTTP request and its body. The returned request has at least its ID,
 	// even if there is a refusal.
 	Decode func(req *http.Request, body []byte, arrived time.Time, p *policy.Policy) (*request.Request, *forward.Refusal)
+	// DecodeHead converts what the head of a request tells of its route and its account: what it leaves empty
+	// isn't checked before the body. Nil: nothing is.
+	DecodeHead func(req *http.Request) *request.Request
 	// TimeLeft returns how long the caller of a request still waits, 0 if it does not say. Nil: it never says.
 	TimeLeft func(header http.Header) time.Duration
 	// RequestIDHeader is the answer's header for the request ID.
@@ -64,7 +70,8 @@
 		if router.ShuttingDown() {
 			w.Header().Set("Connection", "close")
 		}
-		body, err := readBodyInTime(w, req, router.MaxBodyBytes(), bodyTime(p, router, req))
+		headRefusal := refuseHead(p, router, req)
+		body, err := readBodyInTime(w, req, bodyLimit(router, headRefusal), bodyTime(p, router, req))
 		bodyRefusal, disconnected := refuseBody(req, err)
 		interrupted := inbound.FromContext(req.Context()).Interrupted()
 		if bodyRefusal != nil && !interrupted {
@@ -76,6 +83,8 @@
 		switch {
 		case disconnected:
 			caller.Abort()
+		case headRefusal != nil:
+			router.Refuse(r, caller, *headRefusal)
 		case bodyRefusal != nil:
 			router.Refuse(r, caller, *bodyRefusal)
 		case refusal != nil:
@@ -90,6 +99,26 @@
 	})
 }
 
+// refuseHead returns the refusal of a request that can't be served whatever its body is, and nil for others.
+func refuseHead(p Protocol, router Router, req *http.Request) *forward.Refusal {
+	if router.CheckHead == nil || p.DecodeHead == nil {
+		return nil
+	}
+	return router.CheckHead(p.DecodeHead(req))
+}
+
+// refusedBodyBytes is how much is read of the body of a request that is refused anyway. If that is all of it, the
+// connection can be used again.
+const refusedBodyBytes = 64 << 10
+
+// bodyLimit returns how much of a body is read; 0: no limit.
+func bodyLimit(router Router, refused *forward.Refusal) int64 {
+	if refused != nil {
+		return refusedBodyBytes
+	}
+	return router.MaxBodyBytes()
+}
+
 // refuseBody returns the refusal of a request whose body was not read whole, for an error of reading it.
 func refuseBody(req *http.Request, err error) (refusal *forward.Refusal, disconnected bool) {
 	cause := forward.Cause("")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -183,6 +183,34 @@
 	f.refuse(r, caller, refusal, f.Policy(), nil)
 }
 
+// CheckHead returns the refusal of a request that can't be served whatever its body is, as far as its host, path
+// and key tell, and nil for others. Without a path the route isn't checked.
+func (f *Forwarder) CheckHead(r *request.Request) *Refusal {
+	cause := Cause("")
+	p := f.Policy()
+	if r.Path == "" {
+		cause = checkKey(p, r)
+	} else {
+		cause = f.admit(p, r)
+	}
+	if cause == "" {
+		return nil
+	}
+	refusal := NewRefusal(cause)
+	return &refusal
+}
+
+// checkKey returns the cause to refuse a request without a valid key.
+func checkKey(p *policy.Policy, r *request.Request) Cause {
+	switch {
+	case p == nil:
+		return NotReady
+	case p.AccountByKey(r.APIKey) == nil:
+		return UnknownKey
+	}
+	return ""
+}
+
 // admit sets the request's account, route and service, or returns the cause to refuse it.
 func (f *Forwarder) admit(p *policy.Policy, r *request.Request) Cause {
 	if p == nil {
--- a/internal/native/decode.go
+++ b/internal/native/decode.go
@@ -49,6 +49,11 @@
 	return r, &forward.Refusal{Cause: forward.UnknownRoute, Detail: "no such path"}
 }
 
+// decodeHead returns what the head of a request tells of its account.
+func decodeHead(req *http.Request) *request.Request {
+	return &request.Request{APIKey: apiKeyHash(req)}
+}
+
 // authenticate returns the account of the caller's API key. Only the hash of the key is
 // used, so that the key can't get into logs or errors.
 func authenticate(req *http.Request, p *policy.Policy) (*policy.Account, *forward.Refusal) {
--- a/internal/native/front.go
+++ b/internal/native/front.go
@@ -38,6 +38,7 @@
 		router.OnNewEra(guard.ObserveEra)
 		protocol := callers.Protocol{
 			Decode:          decode,
+			DecodeHead:      decodeHead,
 			RequestIDHeader: HeaderRequestID,
 			StrippedHeaders: map[string]bool{HeaderLoad: true, HeaderOutput: true},
 			RefusalBody:     refusalBody,
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -34,8 +34,8 @@
 func (n *Node) callerRouter() callers.Router {
 	return callers.Router{
 		Serve: n.serve, Refuse: n.forward.Refuse, MaxBodyBytes: n.bodyLimit, ShuttingDown: n.stopping.Load, Policy: n.policy.Load,
-		BodyTime: n.bodyTime,
-		Resolve:  n.resolve, EntryTTL: n.settings.EntryTTL,
+		BodyTime: n.bodyTime, CheckHead: n.forward.CheckHead,
+		Resolve: n.resolve, EntryTTL: n.settings.EntryTTL,
 		OnNewEra: func(observe func(store.Era)) { n.eraObservers = append(n.eraObservers, observe) },
 	}
 }
