node: the other ports bear the same clients as that for callers

Readiness, directory and metrics share the listener's bounds, but waited for bodies that mean nothing before they answered, wrote without end to clients that read nothing, and built any number of answers with metrics at once (248 MB of 128 with the bounds alone, all 1,024 descriptors before them).

A body is not read there: the answer comes at once and ends the connection. A client that stalls is cut off as at the callers' port, and three requests for metrics are served at a time (503 beyond).

--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -56,3 +56,13 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// WithoutBody serves requests whose bodies mean nothing. None is read.
+func WithoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			RejectBody(w, r)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"chicorytiller.example/chicorytiller/internal/callerconn"
 	"chicorytiller.example/chicorytiller/internal/callers"
 	"chicorytiller.example/chicorytiller/internal/event"
 	"chicorytiller.example/chicorytiller/internal/inbound"
@@ -48,9 +49,9 @@
 		handler http.Handler
 	}{
 		{&n.settings.CallerAddr, n.env.CallerHandler(n.callerRouter())},
-		{&n.settings.ReadyAddr, n.env.ReadyHandler(n.Ready)},
-		{&n.settings.DirectoryAddr, n.env.DirectoryHandler(n.resolve, n.settings.EntryTTL)},
-		{&n.settings.MetricsAddr, n.metrics.Handler()},
+		{&n.settings.ReadyAddr, inbound.WithoutBody(n.env.ReadyHandler(n.Ready))},
+		{&n.settings.DirectoryAddr, inbound.WithoutBody(n.env.DirectoryHandler(n.resolve, n.settings.EntryTTL))},
+		{&n.settings.MetricsAddr, inbound.WithoutBody(n.metrics.Handler())},
 	}
 	for _, h := range handlers {
 		l, err := listenOn(h.address)
@@ -62,6 +63,8 @@
 			n.intake.listener = &intake.Listener{TCPListener: l.(*net.TCPListener)}
 			n.callerConns.Listener = n.intake.listener
 			l = n.callerConns
+		} else {
+			l = &callerconn.Listener{Listener: l}
 		}
 		l = &inbound.Listener{Listener: l, Pool: n.inbound}
 		server := &http.Server{Handler: inbound.Handler(h.handler), ConnContext: inbound.ConnContext, ConnState: inbound.ConnState, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -342,9 +342,12 @@
 	}
 }
 
+// maxMetricsRequests bounds the requests for metrics that are served at a time: each answer is built in memory.
+const maxMetricsRequests = 3
+
 // Handler returns a handler that serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	return mux
 }
