peers: what a peer may send is bounded

Routers trust whoever reaches their peer port. The platform tells clients no such address, but one that found it could send the length of a gob message, up to 8 GB, and gob takes its memory: 64 clients, 530 MB of 128. Connections there had no bound and, before their first bytes, no timeout.

The peer port has a pool of its own: 0.4 of the connections of clients, half of their bytes. The messages of net/rpc are accounted for from their length on, none may be longer than 16 MiB, and one that brings nothing for 30 s is ended. Tunnels are not ended for others. Clients get 0.4 of the descriptors instead of 0.45, so that both ports and the connections to servers fit into them.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -17,7 +17,7 @@
 const (
 	// connectionsFraction is the fraction of the descriptors that connections of clients may take: a request that is
 	// served takes another one, to a backend server.
-	connectionsFraction = 0.45
+	connectionsFraction = 0.4
 	// connectionMemoryFraction and requestMemoryFraction are fractions of Settings.MemoryMB.
 	connectionMemoryFraction = 0.25
 	requestMemoryFraction    = 0.25
@@ -41,6 +41,18 @@
 	}
 }
 
+// Shares of Settings.Inbound that other routers may take in addition. Theirs is an address that clients are not told.
+const (
+	peerConnectionsShare = 0.4
+	peerMemoryShare      = 0.5
+)
+
+// peerLimits returns the bounds of what other routers take.
+func peerLimits(s *Settings) inbound.Limits {
+	return inbound.Limits{Connections: int(peerConnectionsShare * float64(s.Inbound.Connections)),
+		RequestBytes: int64(peerMemoryShare * float64(s.Inbound.RequestBytes))}
+}
+
 // fallbackDescriptors is the usual limit on descriptors, for a kernel that doesn't tell it.
 const fallbackDescriptors = 1024
 
@@ -64,6 +76,7 @@
 			return
 		case now := <-ticker.C:
 			n.inbound.CheckStalled(now)
+			n.peerPool.CheckStalled(now)
 		}
 		state := n.inbound.TakeState()
 		if state.Ends != before {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -71,11 +71,13 @@
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 		n.listeners = append(n.listeners, &listener{ln: l, server: server, log: n.log})
 	}
-	var err error
-	if n.peerListener, err = listenOn(&n.settings.PeerAddr); err != nil {
+	peerListener, err := listenOn(&n.settings.PeerAddr)
+	if err != nil {
 		n.closeListeners()
+		return err
 	}
-	return err
+	n.peerListener = &inbound.Listener{Listener: peerListener, Pool: n.peerPool}
+	return nil
 }
 
 // listenOn opens a listener and stores its actual address in *address.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 
 	listeners    []*listener
 	inbound      *inbound.Pool // connections of all clients
+	peerPool     *inbound.Pool // connections of other routers
 	callerConns  *callerconn.Listener
 	peerListener net.Listener
 
@@ -231,7 +232,7 @@
 		n.forward.Admission = newAdmission(n, pacer)
 	}
 	n.metrics.registerHeldBytes(n.forward.HeldBytes)
-	n.inbound = inbound.NewPool(s.Inbound)
+	n.inbound, n.peerPool = inbound.NewPool(s.Inbound), inbound.NewPool(peerLimits(s))
 	n.metrics.registerInbound(n.inbound)
 	n.callerConns = &callerconn.Listener{}
 	n.metrics.registerCallerConns(n.callerConns)
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -11,6 +11,7 @@
 
 	"chicorytiller.example/chicorytiller/internal/escrow"
 	"chicorytiller.example/chicorytiller/internal/explain"
+	"chicorytiller.example/chicorytiller/internal/inbound"
 	"chicorytiller.example/chicorytiller/internal/permits"
 	"chicorytiller.example/chicorytiller/internal/store"
 	"chicorytiller.example/chicorytiller/internal/streams"
@@ -270,18 +271,20 @@
 	}
 }
 
-// bufferedConn is a connection of which a part was read before.
-type bufferedConn struct {
+// messageConn is a connection whose messages are accounted for.
+type messageConn struct {
 	net.Conn
-	reader *bufio.Reader
+	messages *messageReader
 }
 
-func (c bufferedConn) Read(p []byte) (int, error) {
-	return c.reader.Read(p)
+func (c messageConn) Read(p []byte) (int, error) {
+	return c.messages.Read(p)
 }
 
 // serveConn serves calls, or a tunnel if the connection begins as one does.
 func serveConn(conn net.Conn, calls *rpc.Server, tunnels TunnelServer) {
+	accounted, _ := conn.(*inbound.Conn)
+	accounted.CountMessages()
 	r := bufio.NewReader(conn)
 	head, err := r.Peek(len(tunnel.Prefix))
 	if err != nil {
@@ -289,8 +292,9 @@
 		return
 	}
 	if string(head) == tunnel.Prefix {
+		accounted.Keep()
 		tunnels.ServeConn(conn, r)
 		return
 	}
-	calls.ServeConn(bufferedConn{Conn: conn, reader: r})
+	calls.ServeConn(messageConn{Conn: conn, messages: &messageReader{conn: accounted, source: r}})
 }
--- a/internal/tunnel/carrier.go
+++ b/internal/tunnel/carrier.go
@@ -84,7 +84,7 @@
 
 // splice passes bytes on in both directions until the tunnel ends.
 func splice(conn net.Conn, r *bufio.Reader, server net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := tcpConn(conn); tcp != nil {
 		_ = tcpconn.SetOptions(tcp) // without them, a router that lost power is noticed later
 	}
 	_ = conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed, as the next read will
@@ -99,6 +99,15 @@
 	<-answered
 }
 
+// tcpConn returns the TCP connection of a connection, nil if it has none.
+func tcpConn(conn net.Conn) *net.TCPConn {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	tcp, _ := conn.(*net.TCPConn)
+	return tcp
+}
+
 // passRequest passes on what the other router sends, until it closes its connection. What the server
 // doesn't take is read all the same: an unread rest would reset the connection, and the other router
 // would lose the end of the server's answer.
--- a/internal/unruly/unruly.go
+++ b/internal/unruly/unruly.go
@@ -119,13 +119,18 @@
 		announce(w, r, r.MaxBodyBytes)
 		_ = repeat(w, filler, r.MaxBodyBytes)
 	}, readsNothing: true}
+	// MessageWithoutEnd announces a message of a gigabyte between routers and sends a part of it.
+	MessageWithoutEnd = Kind{Name: "message without end", send: func(w io.Writer, r Request) {
+		write(w, "\xfc\x3f\xff\xff\xff")
+		_ = repeat(w, filler, excess*r.MaxBodyBytes)
+	}}
 	// Unread sends requests and reads none of the answers.
 	Unread = Kind{Name: "requests without reading", send: func(w io.Writer, r Request) {
 		_ = repeat(w, r.head()+"Content-Length: 0\r\n\r\n", excess*r.MaxBodyBytes)
 	}, readsNothing: true}
 )
 
-// Kinds lists all kinds of clients.
+// Kinds lists all kinds of HTTP clients.
 var Kinds = []Kind{BodyAnnouncedTooLong, BodyTooLong, BodyTooLongInSmallChunks, BodyAnnouncedTooLongStops, BodyAnnounced, BodyNearlyComplete, LargeChunksNearlyComplete,
 	SmallChunksNearlyComplete, HeadTooLong, HeadWithoutEnd, HeadOfManyFields, BodyAfterManyFields, EmptyLines, EmptyLinesAfterRequest,
 	Silent, HeadUnfinished, Idle, BodyUnread, Unread}
