balance: what is remembered of a prompt part doesn't depend on its length

A router remembers up to 8,192 prompt parts by their IDs.

Looked at and sound: features of crashes, streams and idempotency keys are hashes already; metric labels are causes, services and the store's prefixes; the log drops lines beyond 256 KiB. Other routers may hold half of what was set for messages before (a sixteenth of memory_mb), so that all shares together leave room for the router itself.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -70,9 +70,15 @@
 	sentParts map[serverPart]time.Time // when this router last sent a prompt part to a server
 }
 
-// serverPart is a prompt part at one incarnation of a server.
+// serverPart is a prompt part at one incarnation of a server. The part is a hash of its ID: callers choose the length
+// of IDs, and a part of a header keeps all of it in memory.
 type serverPart struct {
-	incarnation, partID string
+	incarnation string
+	part        uint64
+}
+
+func partAt(s *fleet.Server, partID string) serverPart {
+	return serverPart{s.Incarnation, xxhash.Sum64String(partID)}
 }
 
 // NewChooser returns a chooser for a router in the given failure domain. A nil now means
@@ -207,7 +213,7 @@
 	defer c.mu.Unlock()
 	sum := 0
 	for i := 0; i < len(r.PromptParts)-1; i++ {
-		sentAt, found := c.sentParts[serverPart{s.Incarnation, r.PromptParts[i].ID}]
+		sentAt, found := c.sentParts[partAt(s, r.PromptParts[i].ID)]
 		if !found || now.Sub(sentAt) > cacheRetention {
 			break
 		}
@@ -222,7 +228,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := 0; i < len(r.PromptParts)-1; i++ {
-		c.sentParts[serverPart{s.Incarnation, r.PromptParts[i].ID}] = now
+		c.sentParts[partAt(s, r.PromptParts[i].ID)] = now
 	}
 	c.pruneSentParts(now)
 }
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -44,7 +44,7 @@
 // Shares of Settings.Inbound that other routers may take in addition. Theirs is an address that clients are not told.
 const (
 	peerConnectionsShare = 0.4
-	peerMemoryShare      = 0.5
+	peerMemoryShare      = 0.25
 )
 
 // peerLimits returns the bounds of what other routers take.
--- a/internal/unruly/unruly.go
+++ b/internal/unruly/unruly.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -19,6 +20,8 @@
 	URI    string
 	// Header holds the header fields, each with its line end.
 	Header string
+	// ListField is the name of a header field with a list of names that the server remembers: "name:1,name:1".
+	ListField string
 	// MaxBodyBytes and MaxHeaderBytes are the limits of the server.
 	MaxBodyBytes   int
 	MaxHeaderBytes int
@@ -34,6 +37,8 @@
 type Kind struct {
 	Name string
 	send func(w io.Writer, r Request)
+	// awaitsAnswers clients have sent all only when the server has closed the connection.
+	awaitsAnswers bool
 	// readsNothing clients keep the connection open without reading.
 	readsNothing bool
 }
@@ -124,6 +129,16 @@
 		write(w, "\xfc\x3f\xff\xff\xff")
 		_ = repeat(w, filler, excess*r.MaxBodyBytes)
 	}}
+	// LongNames sends whole requests, each with another long name for the server to remember.
+	LongNames = Kind{Name: "long names", send: func(w io.Writer, r Request) {
+		long := strings.Repeat("x", r.MaxHeaderBytes*longNameShare/100)
+		for i := range namesPerClient {
+			if i == namesPerClient-1 {
+				r.Header += "Connection: close\r\n"
+			}
+			write(w, fmt.Sprintf("%s%s: %x-%s:1,b:1\r\nContent-Length: 0\r\n\r\n", r.head(), r.ListField, rand.Uint64(), long))
+		}
+	}, awaitsAnswers: true}
 	// Unread sends requests and reads none of the answers.
 	Unread = Kind{Name: "requests without reading", send: func(w io.Writer, r Request) {
 		_ = repeat(w, r.head()+"Content-Length: 0\r\n\r\n", excess*r.MaxBodyBytes)
@@ -136,6 +151,10 @@
 	Silent, HeadUnfinished, Idle, BodyUnread, Unread}
 
 const (
+	// longNameShare is the length of a long name in percent of the limit on heads.
+	longNameShare = 80
+	// namesPerClient is the number of long names that a client sends.
+	namesPerClient = 64
 	// smallChunkBytes is the size of small chunks, whose framing takes more than their data.
 	smallChunkBytes = 4
 	// sendTimeout ends a client's sending if the server doesn't read.
@@ -246,6 +265,10 @@
 	defer func() { _ = conn.Close() }()                           // the server may have closed it
 	_ = conn.SetWriteDeadline(time.Now().Add(sendTimeout))        // fails only if the connection has ended
 	kind.send(conn, r)
+	if kind.awaitsAnswers {
+		_ = conn.SetReadDeadline(time.Now().Add(sendTimeout)) // as above
+		_, _ = io.Copy(io.Discard, conn)                      // until the server closes the connection
+	}
 	sent()
 	if kind.readsNothing {
 		<-c.ctx.Done()
