native: the shape of a body is bounded before it is parsed

A body of many short values took about a hundred bytes of memory for each two of its own.

One pass over the bytes counts values and levels outside strings before fastjson sees them: 65,536 values, 256 levels. Beyond either the request is refused as bad_request, not run. TestBodiesOfManyValuesAreRefused and TestDeepBodiesAreRefused fail without it.

--- a/internal/native/parse.go
+++ b/internal/native/parse.go
@@ -64,6 +64,9 @@
 	if !utf8.Valid(body) {
 		return chatRequest{}, parseErrorf(forward.Malformed, "the body is not valid UTF-8")
 	}
+	if err := checkShape(body); err != nil {
+		return chatRequest{}, err
+	}
 	// ParseBytes alone accepts some invalid JSON, which an engine may reject or parse
 	// differently.
 	if err := fastjson.ValidateBytes(body); err != nil {
@@ -82,6 +85,50 @@
 	return parseChatObject(object, limits)
 }
 
+// Limits on the shape of a body, whatever its length.
+const (
+	// maxValues is how many values it may have: each takes about a hundred bytes.
+	maxValues = 1 << 16
+	// maxDepth is how deep it may be nested: each level takes a part of the stack, whose end is that of the process.
+	maxDepth = 256
+)
+
+// checkShape returns an error for a body with too many values, counted by what begins or separates them, or with too
+// many levels. It must come before the body is parsed or validated, and so takes any bytes.
+func checkShape(body []byte) error {
+	values, depth, inString := 1, 0, false
+	for i := 0; i < len(body); i++ {
+		c := body[i]
+		if inString {
+			switch c {
+			case '\\':
+				i++ // the next byte is escaped
+			case '"':
+				inString = false
+			}
+			continue
+		}
+		switch c {
+		case '"':
+			inString = true
+		case ',':
+			values++
+		case '[', '{':
+			values++
+			depth++
+		case ']', '}':
+			depth--
+		}
+		if values > maxValues {
+			return parseErrorf(forward.Malformed, "the body has too many values")
+		}
+		if depth > maxDepth {
+			return parseErrorf(forward.Malformed, "the body is nested too deep")
+		}
+	}
+	return nil
+}
+
 func parseChatObject(object *fastjson.Object, limits parseLimits) (chatRequest, error) {
 	var parsed chatRequest
 	err := eachField(object, "", func(name string, value *fastjson.Value) error {
--- a/internal/native/parse_test.go
+++ b/internal/native/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -35,6 +36,27 @@
 	c.Assert(maxOutputTokens(50, 70, 9), qt.Equals, id.Tokens(9))
 }
 
+// Guards against a body whose values take many times its length in memory.
+func TestBodiesOfManyValuesAreRefused(t *testing.T) {
+	c := qt.New(t)
+	head := `{"model":"m","messages":[{"role":"user","content":"` + strings.Repeat(`,[{\\\",`, maxValues) + `"}],"stop":[`
+	_, err := parseChat([]byte(head+strings.Repeat("1,", maxValues/2)+"1]}"), testLimits)
+	c.Assert(err, qt.IsNil)
+	body := []byte(head + strings.Repeat("1,", maxValues) + "1]}")
+	allocated := testing.AllocsPerRun(1, func() { _, err = parseChat(body, testLimits) })
+	c.Assert(err, qt.ErrorMatches, ".*too many values")
+	c.Assert(allocated < 10, qt.IsTrue, qt.Commentf("%v allocations", allocated))
+}
+
+// Guards against a body whose nesting exhausts the stack, which ends the process.
+func TestDeepBodiesAreRefused(t *testing.T) {
+	for _, open := range []string{"[", `{"a":`, `[{"a":`} {
+		body := strings.Repeat(open, 4<<20/len(open))
+		_, err := parseChat([]byte(`{"model":"m","stop":`+body), testLimits)
+		qt.Assert(t, err, qt.ErrorMatches, ".*nested too deep")
+	}
+}
+
 // FuzzParseChat compares parseChat with encoding/json, which stands for an engine's parser. A
 // body that parseChat accepts must have the same meaning for both, or a request could use
 // more tokens than it reserved.
