--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -130,12 +130,16 @@
 	return false
 }
 
+// headCopies is how often the bytes of a head are in memory while its request is served: as they arrived, and as they
+// are sent on.
+const headCopies = 2
+
 // headCost returns the memory of a request's head.
 func headCost(r *http.Request) int64 {
-	cost := len(r.RequestURI) + len(r.Host)
+	cost := headCopies * (len(r.RequestURI) + len(r.Host))
 	for name, values := range r.Header {
 		for _, value := range values {
-			cost += len(name) + len(value) + fieldCost
+			cost += headCopies*(len(name)+len(value)) + fieldCost
 		}
 	}
 	return int64(cost)
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -21,8 +21,8 @@
 	// connectionMemoryFraction and requestMemoryFraction are fractions of Settings.MemoryMB.
 	connectionMemoryFraction = 0.25
 	requestMemoryFraction    = 0.25
-	// connectionBytes is the memory of an idle connection.
-	connectionBytes = 20 << 10
+	// connectionBytes is the memory of a connection, with a part of the one to a backend server that it may need.
+	connectionBytes = 32 << 10
 	// defaultRequestMemoryMB is for settings without a memory limit.
 	defaultRequestMemoryMB = 256
 )
