--- a/internal/unruly/unruly.go
+++ b/internal/unruly/unruly.go
@@ -129,6 +129,19 @@
 		write(w, "\xfc\x3f\xff\xff\xff")
 		_ = repeat(w, filler, excess*r.MaxBodyBytes)
 	}}
+	// BodyNested sends a whole body that only opens brackets.
+	BodyNested = Kind{Name: "nested body", send: func(w io.Writer, r Request) {
+		announce(w, r, r.MaxBodyBytes)
+		_ = repeat(w, "[", r.MaxBodyBytes)
+	}}
+	// BodyOfManyValues sends a whole body of the shortest values.
+	BodyOfManyValues = Kind{Name: "body of many values", send: func(w io.Writer, r Request) {
+		const head, tail = `{"stop":[`, `1]}`
+		announce(w, r, len(head)+r.MaxBodyBytes/4*2+len(tail))
+		write(w, head)
+		_ = repeat(w, "1,", r.MaxBodyBytes/4*2)
+		write(w, tail)
+	}}
 	// LongNames sends whole requests, each with another long name for the server to remember.
 	LongNames = Kind{Name: "long names", send: func(w io.Writer, r Request) {
 		long := strings.Repeat("x", r.MaxHeaderBytes*longNameShare/100)
