callers: the refusal of a request that is ended for others says that it closes

Its connection was closed after an answer that did not say so, and a client could take it for one to use again. Methods of inbound have names that tell requests from connections.

--- a/internal/callers/front.go
+++ b/internal/callers/front.go
@@ -74,7 +74,10 @@
 		body, err := readBodyInTime(w, req, bodyLimit(router, headRefusal), bodyTime(p, router, req))
 		bodyRefusal, disconnected := refuseBody(req, err)
 		interrupted := inbound.FromContext(req.Context()).Interrupted()
-		if bodyRefusal != nil && !interrupted {
+		switch {
+		case interrupted:
+			w.Header().Set("Connection", "close")
+		case bodyRefusal != nil:
 			inbound.RejectBody(w, req) // the rest of the body may still come
 		}
 		r, refusal := p.Decode(req, body, arrived, router.Policy())
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -94,14 +94,14 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.pool.mu.Lock()
-	c.pool.end(c)
+	c.pool.remove(c)
 	c.pool.release(c, c.held)
 	c.pool.mu.Unlock()
 	return c.Conn.Close()
 }
 
-// begin accounts for a request whose head is complete. It returns false if there is no memory for it.
-func (c *Conn) begin(r *http.Request, now time.Time) bool {
+// beginRequest accounts for a request whose head is complete. It returns false if there is no memory for it.
+func (c *Conn) beginRequest(r *http.Request, now time.Time) bool {
 	c.inHandler.Store(true)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
@@ -145,8 +145,8 @@
 	return int64(cost)
 }
 
-// end accounts for the end of a request. Until the rest of its answer has been written the connection isn't idle.
-func (c *Conn) end(now time.Time) {
+// endRequest accounts for the end of a request. Until the rest of its answer has been written the connection isn't idle.
+func (c *Conn) endRequest(now time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.inHandler.Store(false)
@@ -184,8 +184,8 @@
 	return c.reserveOrEnd(bytes, time.Now())
 }
 
-// received notes that the request is complete. It returns false if the connection has been ended.
-func (c *Conn) received() bool {
+// requestReceived notes that the request is complete. It returns false if the connection has been ended.
+func (c *Conn) requestReceived() bool {
 	if c == nil {
 		return true
 	}
@@ -240,7 +240,7 @@
 
 // completeBody returns a body that has arrived whole, unless it was given up in the same moment.
 func completeBody(c *Conn, body []byte) ([]byte, error) {
-	if !c.received() {
+	if !c.requestReceived() {
 		return nil, ErrNoMemory
 	}
 	return body, nil
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -36,7 +36,7 @@
 
 // Keep exempts the connection from being ended for others.
 func (c *Conn) Keep() {
-	c.received()
+	c.requestReceived()
 }
 
 // NetConn returns the connection that was accepted.
--- a/internal/inbound/pool.go
+++ b/internal/inbound/pool.go
@@ -181,7 +181,7 @@
 	}
 	p.ends.Crowded++
 	c.interrupted.Store(true)
-	p.end(c)
+	p.remove(c)
 	_ = c.Conn.Close() // its goroutine gets the error of its next call
 	return true
 }
@@ -206,8 +206,8 @@
 	return oldest[receiving]
 }
 
-// end takes a connection out of the pool. Its memory is given back by its goroutine.
-func (p *Pool) end(c *Conn) {
+// remove takes a connection out of the pool. Its memory is given back by its goroutine.
+func (p *Pool) remove(c *Conn) {
 	p.leave(c)
 	if c.phase != ended {
 		c.phase = ended
--- a/internal/inbound/pool_test.go
+++ b/internal/inbound/pool_test.go
@@ -31,7 +31,7 @@
 	p, now := NewPool(Limits{Connections: 3}), time.Now()
 	waiting, _ := addAt(c, p, now)
 	served, _ := addAt(c, p, now)
-	served.received()
+	served.requestReceived()
 	stalled, _ := addAt(c, p, now)
 	waiting.becameIdle()
 	for i, gone := range []*Conn{stalled, waiting} {
@@ -39,7 +39,7 @@
 		added, _ := addAt(c, p, now)
 		c.Check(added, qt.IsNotNil)
 		c.Check(gone.Interrupted(), qt.IsTrue, qt.Commentf("connection %d", i))
-		added.received()
+		added.requestReceived()
 	}
 	c.Check(served.Interrupted(), qt.IsFalse)
 	refused, _ := addAt(c, p, now)
@@ -80,7 +80,7 @@
 	p, now := NewPool(Limits{RequestBytes: 1 << 20}), time.Now()
 	large, _ := addAt(c, p, now)
 	c.Assert(hold(p, large, 700<<10, now), qt.IsTrue)
-	large.received()
+	large.requestReceived()
 	another, _ := addAt(c, p, now)
 	c.Check(hold(p, another, 200<<10, now), qt.IsFalse)
 	c.Check(hold(p, another, smallRequest, now), qt.IsTrue)
--- a/internal/inbound/server.go
+++ b/internal/inbound/server.go
@@ -49,8 +49,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		defer func() { c.end(time.Now()) }()
-		if !c.begin(r, time.Now()) {
+		defer func() { c.endRequest(time.Now()) }()
+		if !c.beginRequest(r, time.Now()) {
 			RejectBody(w, r)
 		}
 		next.ServeHTTP(w, r)
