inbound: a growing body needs no room for its old buffer

While a body's buffer grew, the old and the new one counted, so that a body needed up to twice its length: with 128 KiB for requests one of 90,000 bytes was refused in calm. The old buffer is garbage once the bytes are copied, and only one body is copied at a time. Now what it grows by is reserved.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -215,13 +215,10 @@
 	for {
 		if len(body) == cap(body) {
 			size := nextSize(int64(cap(body)), announced, limit)
-			if !c.reserve(size) {
+			if !c.reserve(size - int64(cap(body))) {
 				return nil, ErrNoMemory
 			}
-			grown := make([]byte, len(body), size)
-			copy(grown, body)
-			c.giveBack(int64(cap(body)))
-			body = grown
+			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := source.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -257,13 +254,3 @@
 	}
 	return next
 }
-
-// giveBack returns memory of the request's body.
-func (c *Conn) giveBack(bytes int64) {
-	if c == nil {
-		return
-	}
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	c.pool.release(c, bytes)
-}
