--- a/internal/inbound/pool.go
+++ b/internal/inbound/pool.go
@@ -48,7 +48,7 @@
 	idle                   // for another request
 	serving                // for the answer to a request
 	ended                  // for its goroutine to notice that it has been ended
-	phases
+	phases                 // number of phases
 )
 
 // Pool holds the connections of all listeners. It is safe for concurrent use.
@@ -80,11 +80,6 @@
 	Stalled int64 // the client sent nothing for stallTimeout
 }
 
-// Total returns the number of all connections that were ended.
-func (e Ends) Total() int64 {
-	return e.Crowded + e.Full + e.Stalled
-}
-
 // State is what a pool holds.
 type State struct {
 	Open int
@@ -104,11 +99,6 @@
 	return p
 }
 
-// Limits returns the bounds of the pool.
-func (p *Pool) Limits() Limits {
-	return p.limits
-}
-
 // State returns the present state.
 func (p *Pool) State() State {
 	p.mu.Lock()
