A reset that only the upload was told of no longer ends an answer

What callers saw: a server answered a long upload at once without a length, sent part of its body and reset the connection. Callers got that part as the whole answer; a stream that was cut so ended as if complete.

Cause: the kernel reports a reset once, to whichever of read and write comes first. The request is written beside the reading of its answer. If the write got the report, the next read found the end of the stream, which is the proper end of a body without a length. A router that carries a connection for another one did the same and told it of an orderly close.

Change: tcpconn.Dial, which opens the direct and the carriers' connections, returns a connection that remembers what its writes learned. At the end of the stream, Read ends the write under way, waits for it and returns its failure.

Why this works: whoever consumes the report holds the lock that Read takes before it believes the end. A peer that acknowledges nothing (ETIMEDOUT) is covered by the same code; no test plays it.

--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -1,5 +1,5 @@
-// Package tcpconn holds the socket options of connections on which requests travel: a peer that lost
-// power or its network sends no reset, and must be noticed all the same.
+// Package tcpconn opens the connections on which requests travel. A peer that lost power or its network sends no reset,
+// and must be noticed all the same; one that resets a connection must not seem to have closed it in order.
 package tcpconn
 
 import (
@@ -21,8 +21,8 @@
 // keepAlive detects such a peer while no data is unacknowledged.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
-// Dialer opens connections with these options. It has no timeout of its own.
-var Dialer = net.Dialer{
+// dialer opens connections with these options.
+var dialer = net.Dialer{
 	KeepAliveConfig: keepAlive,
 	Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
 }
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -146,7 +146,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.link.Timeout(carrierTimeout, maxCarrierTimeout))
 	defer cancel()
 	started := time.Now()
-	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", address)
+	raw, err := tcpconn.Dial(ctx, address)
 	if os.IsTimeout(err) {
 		c.link.ObserveTimeout(time.Since(started))
 	}
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -102,7 +102,7 @@
 	started := time.Now()
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	raw, err := tcpconn.Dialer.DialContext(dialCtx, "tcp", address)
+	raw, err := tcpconn.Dial(dialCtx, address)
 	took := time.Since(started)
 	switch {
 	case err == nil:
@@ -122,7 +122,7 @@
 		return nil, errUnreachable
 	}
 	c.dials.Inc()
-	raw, err := tcpconn.Dialer.DialContext(ctx, "tcp", server.Address)
+	raw, err := tcpconn.Dial(ctx, server.Address)
 	if err != nil {
 		c.paths.markUnreachable(server.Incarnation)
 	}
