An answer with an invalid status is broken

What callers saw: a server in trouble answered with status 000. The answer was taken for an informational one and skipped: callers got what followed it on the connection as the answer, or waited until their deadline (504) where nothing followed. Status 999 was passed on, with the server's seal.

Cause: net/http reads any three digits as a status, and we took all below 200 for informational.

Evidence: on TestAnswerWithBrokenHeadIsNotPassedOn got 200 ("no"), 504 and 999 where 502 is asked, direct and carried; TestBrokenAnswerIsError failed for 000, 099, +99, 600 and 999. The other rows of both tests, and all sound answers that only look odd (TestOddAnswerIsRead, TestOddAnswerIsPassedOn), were handled before; they stay.

Change: internal/httphead refuses statuses outside 100 to 599. The exchange then counts as broken: another server answers if the request may be repeated, else the caller gets 502 at once.

Why this works: every head of a server, informational ones included, passes this check before anything of it is used, on direct and carried connections.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/httphead"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
@@ -219,6 +220,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httphead.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 200 {
 			return response, nil
 		}
