An answer with a blank in the name of a field is broken

What callers saw: a server in trouble answered with a head in which a field's name held a blank. Callers got it as its answer: the line was dropped, and if the field was the length or the transfer coding, the body was not the server's ("no, it is longer" for a length of 2; chunks with their lengths).

Cause: net/http refuses every other invalid byte in a name, but keeps a name with a blank as it is, so that nobody recognises the field.

Evidence: on TestAnswerWithBrokenHeadIsNotPassedOn got the server's 200, 404 and 500 with its seal for six such heads (plain answer, length, 404, 500, stream, informational head before a sound one), each direct and carried. TestBrokenAnswerIsError failed for five. Control bytes in names, empty names and missing colons were refused before; their rows stay.

Change: httphead.Check refuses names with blanks in any head.

Why this works: net/http keeps such names in the header, so none is missed; folded lines, which begin with a blank, are joined to their value before and get through as before.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -18,5 +19,16 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errors.Errorf("response with status %03d", response.StatusCode)
 	}
+	return CheckFieldNames(response.Header)
+}
+
+// CheckFieldNames returns an error if the name of a field contains a blank, the one invalid byte that net/http accepts
+// there. The blank hides the field's meaning, for example that it states the length of the body.
+func CheckFieldNames(fields http.Header) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return errors.Errorf("response with blank in field name %.40q", name)
+		}
+	}
 	return nil
 }
