An answer of HTTP/1.0 with a transfer coding is broken

What callers saw: the chunks with their lengths for the body, of an answer that said HTTP/1.0 and Transfer-Encoding: chunked.

Cause: HTTP/1.0 has no transfer coding, and a recipient must take the framing of such a message for faulty. net/http drops the field instead and reads the body to the end of the connection, or to a stated length.

Evidence: on TestAnswerWithBrokenHeadIsNotPassedOn got 200 with "2\r\nno\r\n0\r\n\r\n", direct and carried; TestBrokenAnswerIsError failed with and without a length.

Change: heads that begin with HTTP/1.0 are recorded while they are read, and searched for the field. Others cost a look at nine buffered bytes.

Why this works: the record holds what net/http read, up to the empty line and with the same parser. HTTP/1.0 with a length, kept open, with a long head, to the end of the connection, and with such a line in the body get through as before (TestOddAnswerIsRead).

--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -45,6 +45,8 @@
 	"length no number":                   "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0x2\r\n\r\nno",
 	"empty length":                       "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length:\r\n\r\nno" + closeAfter,
 	"unknown coding":                     "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: gzip\r\n\r\nno" + closeAfter,
+	"coding in HTTP/1.0":                 "HTTP/1.0 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n" + closeAfter,
+	"coding and length in HTTP/1.0":      "HTTP/1.0 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nno\r\n0\r\n\r\n" + closeAfter,
 	"body cut":                           "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\nno" + closeAfter,
 	"chunk cut":                          "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nno" + closeAfter,
 	"no last chunk":                      "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n" + closeAfter,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"syscall"
 	"time"
@@ -30,6 +31,8 @@
 	source net.Conn
 	// remaining is how many bytes may be read for the present head; negative: no limit.
 	remaining int
+	// record receives the bytes that are read; nil: no recording.
+	record *bytes.Buffer
 }
 
 const noHeadLimit = -1
@@ -46,6 +49,9 @@
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
+	if l.record != nil {
+		l.record.Write(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
-	"chicorytiller.example/chicorytiller/internal/httphead"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
@@ -216,13 +215,10 @@
 	r.conn.limiter.remaining = maxHeadBytes
 	defer func() { r.conn.limiter.remaining = noHeadLimit }()
 	for {
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: method})
+		response, err := r.conn.readHead(method)
 		if err != nil {
 			return nil, err
 		}
-		if err := httphead.Check(response); err != nil {
-			return nil, err
-		}
 		if response.StatusCode >= 200 {
 			return response, nil
 		}
