An answer that switches to another protocol is broken

What callers saw: after a status of 101, which no request of a router asks for, the next bytes on the connection were read as the answer, although what follows is in another protocol.

Cause: 101 was skipped like the other informational statuses.

Evidence: on TestAnswerWithBrokenHeadIsNotPassedOn got 200 ("no"), direct and carried, and TestBrokenAnswerIsError failed.

Change: httphead.Check refuses 101. Other informational heads (100, 103, 199) are skipped as before (TestOddAnswerIsRead).

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -14,10 +14,14 @@
 	maxStatus = 599
 )
 
-// Check returns an error if the head of a response is none of HTTP/1.x.
+// Check returns an error if the head of a response is none of HTTP/1.x, or can't be the answer to a request without
+// Upgrade.
 func Check(response *http.Response) error {
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	switch {
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return errors.Errorf("response with status %03d", response.StatusCode)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("response switches to another protocol")
 	}
 	return CheckFieldNames(response.Header)
 }
