An answer in another version than HTTP/1.x is broken

What callers saw: an answer whose status line said HTTP/2.0 or HTTP/0.9, as the server's own.

Evidence: TestBrokenAnswerIsError failed for both on.

Change: httphead.Check refuses major versions other than 1.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -18,6 +18,8 @@
 // Upgrade.
 func Check(response *http.Response) error {
 	switch {
+	case response.ProtoMajor != 1:
+		return errors.Errorf("response in %s", response.Proto)
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return errors.Errorf("response with status %03d", response.StatusCode)
 	case response.StatusCode == http.StatusSwitchingProtocols:
