An answer with a control byte in its reason phrase is broken

What callers saw: an answer whose status line held control bytes, as the server's own.

Cause: net/http doesn't look at the reason phrase.

Change: httphead.Check refuses them. Tabs, bytes that are not ASCII and missing reasons get through as before (TestOddAnswerIsRead).

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -24,10 +24,17 @@
 		return errors.Errorf("response with status %03d", response.StatusCode)
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errors.New("response switches to another protocol")
+	case strings.ContainsFunc(response.Status, isControl):
+		return errors.New("response with control byte in reason phrase")
 	}
 	return CheckFieldNames(response.Header)
 }
 
+// isControl reports whether r is a control character that no reason phrase contains.
+func isControl(r rune) bool {
+	return r < ' ' && r != '\t' || r == '\x7f'
+}
+
 // CheckFieldNames returns an error if the name of a field contains a blank, the one invalid byte that net/http accepts
 // there. The blank hides the field's meaning, for example that it states the length of the body.
 func CheckFieldNames(fields http.Header) error {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -20,6 +20,8 @@
 	"status of four digits":              "HTTP/1.1 2000 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
 	"status no number":                   "HTTP/1.1 2x0 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
 	"protocol not asked for":             "HTTP/1.1 101 Switching Protocols\r\nX-Id: r1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+	"control byte in reason":             "HTTP/1.1 200 O\x01K\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
+	"carriage return in reason":          "HTTP/1.1 200 O\rK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
 	"version 2":                          "HTTP/2.0 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
 	"version 0":                          "HTTP/0.9 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
 	"version in small letters":           "http/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno",
