An answer with a blank in the name of a trailer is broken

What callers saw: such an answer as a whole one, though one with any other invalid byte in a trailer's name was refused.

Cause: net/http keeps names with blanks in trailers as it does in heads.

Change: the end of a body is reported only after its trailers' names were checked.

--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -60,6 +60,7 @@
 	"length of chunk no number":          "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nno\r\n0\r\n\r\n",
 	"length of chunk below zero":         "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n-2\r\nno\r\n0\r\n\r\n",
 	"length of chunk too large":          "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000002\r\nno\r\n0\r\n\r\n",
+	"blank in name of trailer":           "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX Sum: 1\r\n\r\n",
 	"control byte in name of trailer":    "HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX-\x01Sum: 1\r\n\r\n",
 	"body of informational one":          "HTTP/1.1 102 Processing\r\nContent-Length: 2\r\n\r\nno",
 	"empty line":                         "\r\n",
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"chicorytiller.example/chicorytiller/internal/fleet"
+	"chicorytiller.example/chicorytiller/internal/httphead"
 	"chicorytiller.example/chicorytiller/internal/request"
 	"chicorytiller.example/chicorytiller/internal/tunnel"
 )
@@ -230,6 +231,9 @@
 func (r *Reply) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if err == io.EOF {
+		if malformed := httphead.CheckFieldNames(r.response.Trailer); malformed != nil {
+			return n, malformed
+		}
 		r.bodyRead = true
 	} else if err != nil {
 		r.client.observeFailure(r.server, r.conn, err)
