--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -19,6 +19,9 @@
 // longUpload is more than the buffers of two sockets hold.
 var longUpload = bytes.Repeat([]byte("u"), 32<<20)
 
+// unreadFor is longer than unacknowledged data may wait.
+const unreadFor = 2 * time.Second
+
 // startEarlyServer starts a server that calls answer as soon as the head of a request has come, and then closes the
 // connection.
 func startEarlyServer(t *testing.T, answer func(connection *net.TCPConn, upload io.Reader)) *fleet.Server {
@@ -78,6 +81,19 @@
 	c.Assert(err, qt.IsNotNil, qt.Commentf("%q passes for the whole answer", body))
 }
 
+// Guards against a part of an answer that passes for the whole because the upload alone was told that the server takes
+// no more.
+func TestAnswerCutByTimeoutDuringUploadIsError(t *testing.T) {
+	c := qt.New(t)
+	server := startEarlyServer(t, func(connection *net.TCPConn, _ io.Reader) {
+		send(connection, unframed+"part")
+		time.Sleep(unreadFor)
+		_ = connection.SetLinger(0) // makes Close reset the connection
+	})
+	body, err := io.ReadAll(upload(t, server))
+	c.Assert(err, qt.IsNotNil, qt.Commentf("%q passes for the whole answer", body))
+}
+
 // Guards against whole answers that are dropped because the server did not want the rest of the upload.
 func TestWholeAnswerDuringUploadIsRead(t *testing.T) {
 	closed := make(chan struct{})
