A server may begin to read a long upload late

What callers saw: a request whose body is longer than the sockets' buffers was broken off when its server, which was well, read none of it for some 1.4 s. Before what the server had sent by then passed for its whole answer; since then callers got 502, or another server had to run the request. Sound answers of such servers have to get through.

Cause: TCP_USER_TIMEOUT, by which a lost VM is noticed in 1.2 s, counts data that wait for a closed window like data that nobody acknowledges.

Evidence: TestLongUploadWaitsForServer, whose server reads nothing for 2 s, failed on with "connection timed out" for a server that answers then and for one that has begun its answer. It passes now, also with 4 s.

Change: while a connection has more to send than a window holds at first, its send queue is looked at every 300 ms. If all that was sent is acknowledged and the rest waits for the window, the timeout is a minute; the request's own deadline ends it earlier. Data under way keep the 1.2 s. Requests below 32 KiB start no check.

Why this works: bytes not sent (SIOCOUTQNSD) and bytes not acknowledged (SIOCOUTQ) are equal only if nothing is under way, so a lost peer isn't taken for a late one. With the long timeout taken out the test fails again. That a server which stops acknowledging within a closed window is noticed only by the request's own limits is accepted.

--- a/internal/tcpconn/conn.go
+++ b/internal/tcpconn/conn.go
@@ -17,7 +17,7 @@
 // Write got it, the socket's reads end as after an orderly close.
 type Conn struct {
 	net.Conn // not a *net.TCPConn, whose ReadFrom and WriteTo would bypass Write and Read
-	tcp      *net.TCPConn
+	window   windowWatch
 
 	writing sync.Mutex // held by Write
 	failure error      // what Write learned of the connection's failure; guarded by writing
@@ -29,13 +29,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, tcp: conn.(*net.TCPConn)}, nil
+	socket, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = conn.Close() // nothing was sent on it
+		return nil, errors.Wrap(err, "socket")
+	}
+	return &Conn{Conn: conn, window: windowWatch{socket: socket, timeout: unackedDataTimeout}}, nil
 }
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	c.window.beginWrite(len(p))
+	defer c.window.endWrite()
 	n, err := c.Conn.Write(p)
 	if c.failure == nil && isFailure(err) {
 		c.failure = err
@@ -71,5 +78,5 @@
 
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	return c.tcp.SyscallConn()
+	return c.window.socket, nil
 }
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -24,7 +24,7 @@
 // dialer opens connections with these options.
 var dialer = net.Dialer{
 	KeepAliveConfig: keepAlive,
-	Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+	Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unackedDataTimeout) },
 }
 
 // SetOptions sets the options of a connection that was accepted.
@@ -36,13 +36,13 @@
 	if err != nil {
 		return errors.Wrap(err, "socket")
 	}
-	return setUserTimeout(raw)
+	return setUserTimeout(raw, unackedDataTimeout)
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(unackedDataTimeout.Milliseconds()))
+		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Wrap(err, "socket")
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -94,6 +94,27 @@
 	c.Assert(err, qt.IsNotNil, qt.Commentf("%q passes for the whole answer", body))
 }
 
+// Guards against giving up a server that begins to read a long upload late.
+func TestLongUploadWaitsForServer(t *testing.T) {
+	for name, test := range map[string]struct{ early, late string }{
+		"answers then":  {"", unframed + "ok"},
+		"answers early": {unframed + "o", "k"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			server := startEarlyServer(t, func(connection *net.TCPConn, upload io.Reader) {
+				send(connection, test.early)
+				time.Sleep(unreadFor)
+				_, _ = io.Copy(io.Discard, upload) // the test fails without it
+				send(connection, test.late)
+			})
+			body, err := io.ReadAll(upload(t, server))
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(body), qt.Equals, "ok")
+		})
+	}
+}
+
 // Guards against whole answers that are dropped because the server did not want the rest of the upload.
 func TestWholeAnswerDuringUploadIsRead(t *testing.T) {
 	closed := make(chan struct{})
