Standard terms: zero window, space in a field name

Cause: "closed window" and "blank" are not the field's words. Change: names, messages, comments and test rows; sendQueue returns the first error without a list of errors.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,4 +1,4 @@
-// Package httphead refuses heads of responses that net/http accepts although they are none of HTTP/1.x.
+// Package httphead rejects malformed response heads that net/http accepts.
 package httphead
 
 import (
@@ -14,8 +14,8 @@
 	maxStatus = 599
 )
 
-// Check returns an error if the head of a response is none of HTTP/1.x, or can't be the answer to a request without
-// Upgrade.
+// Check returns an error if the head of a response violates HTTP/1.x, or switches to another protocol, which a request
+// without Upgrade doesn't ask for.
 func Check(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
@@ -35,12 +35,12 @@
 	return r < ' ' && r != '\t' || r == '\x7f'
 }
 
-// CheckFieldNames returns an error if the name of a field contains a blank, the one invalid byte that net/http accepts
-// there. The blank hides the field's meaning, for example that it states the length of the body.
+// CheckFieldNames returns an error if the name of a field contains a space, the one invalid byte that net/http accepts
+// there. The space hides the field's meaning, for example that it states the length of the body.
 func CheckFieldNames(fields http.Header) error {
 	for name := range fields {
 		if strings.Contains(name, " ") {
-			return errors.Errorf("response with blank in field name %.40q", name)
+			return errors.Errorf("response with space in field name %.40q", name)
 		}
 	}
 	return nil
--- a/internal/tcpconn/conn_test.go
+++ b/internal/tcpconn/conn_test.go
@@ -43,7 +43,7 @@
 	c.Assert(string(got), qt.Equals, "part")
 }
 
-// Guards against a connection that is watched for ever, and against one that keeps the long timeout of a closed window.
+// Guards against a connection that is watched for ever, and against one that keeps the long timeout of a zero window.
 func TestWindowIsWatchedUntilAllIsAcknowledged(t *testing.T) {
 	c := qt.New(t)
 	conn, peer := connect(c)
@@ -62,7 +62,7 @@
 		_, err := conn.Write(make([]byte, longWrite))
 		written <- err
 	}()
-	waitFor(func() bool { return inState(closedWindowTimeout, true) })
+	waitFor(func() bool { return inState(zeroWindowTimeout, true) })
 	_, err := io.CopyN(io.Discard, peer, longWrite)
 	c.Assert(err, qt.IsNil)
 	c.Assert(<-written, qt.IsNil)
@@ -72,12 +72,12 @@
 	c.Assert(inState(unackedDataTimeout, false), qt.IsTrue, qt.Commentf("a short write is watched"))
 }
 
-// Guards against a lost peer that is taken for one that reads late.
+// Guards against a lost peer that is taken for one that does not read.
 func TestTimeoutIsLongOnlyIfNothingIsUnderWay(t *testing.T) {
 	for _, test := range []struct {
 		unacknowledged, unsent int
 		want                   time.Duration
-	}{{0, 0, unackedDataTimeout}, {5, 0, unackedDataTimeout}, {5, 4, unackedDataTimeout}, {5, 5, closedWindowTimeout}} {
+	}{{0, 0, unackedDataTimeout}, {5, 0, unackedDataTimeout}, {5, 4, unackedDataTimeout}, {5, 5, zeroWindowTimeout}} {
 		qt.Check(t, timeoutFor(test.unacknowledged, test.unsent), qt.Equals, test.want)
 	}
 }
--- a/internal/tcpconn/window.go
+++ b/internal/tcpconn/window.go
@@ -8,16 +8,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// A peer that reads late closes its receive window. TCP_USER_TIMEOUT counts that like a peer that acknowledges nothing, so
-// a longer one applies as long as all that was sent is acknowledged and the rest waits for the window.
+// A peer that doesn't read advertises a zero window. TCP_USER_TIMEOUT counts data that wait for the window like data that
+// nobody acknowledges, so a longer timeout applies while nothing else waits.
 
 const (
-	// minWatchedBytes is less than the window that a peer opens at first: it stays open for shorter requests.
+	// minWatchedBytes is less than the window that a peer advertises at first, which has room for shorter requests.
 	minWatchedBytes = 32 << 10
-	// windowCheckInterval leaves time for three checks before a closed window counts as a lost peer.
+	// windowCheckInterval leaves time for three checks before a zero window counts as a lost peer.
 	windowCheckInterval = 300 * time.Millisecond
-	// closedWindowTimeout closes a connection whose peer keeps its window closed. Requests end earlier.
-	closedWindowTimeout = time.Minute
+	// zeroWindowTimeout closes a connection whose peer doesn't read. Requests end earlier.
+	zeroWindowTimeout = time.Minute
 )
 
 // windowWatch observes the peer's window while the peer has not acknowledged all that was written.
@@ -77,22 +77,21 @@
 // sent. If none is under way, the peer has acknowledged all that its window lets through.
 func timeoutFor(unacknowledged, unsent int) time.Duration {
 	if unacknowledged > 0 && unacknowledged == unsent {
-		return closedWindowTimeout
+		return zeroWindowTimeout
 	}
 	return unackedDataTimeout
 }
 
 // sendQueue returns how many bytes of a socket the peer has not acknowledged, and how many of them are not sent.
 func sendQueue(socket syscall.RawConn) (unacknowledged, unsent int, err error) {
-	var unackedErr, unsentErr error
+	var queueErr error
 	err = socket.Control(func(fd uintptr) {
-		unsent, unsentErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD)
-		unacknowledged, unackedErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-	})
-	for _, failure := range []error{unackedErr, unsentErr} {
-		if err == nil {
-			err = failure
+		if unsent, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQNSD); queueErr == nil {
+			unacknowledged, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		}
+	})
+	if err == nil {
+		err = queueErr
 	}
 	return unacknowledged, unsent, err
 }
